--- /dev/null
+++ b/api/design/design.go
@@ -0,0 +1,349 @@
+// Package design describes the operators' API in goa.
+package design
+
+import (
+	. "goa.design/goa/v3/dsl" //nolint:revive // goa's DSL is written with a dot import.
+)
+
+var _ = API("sycamorerun", func() {
+	Title("Sycamorerun operators' API")
+	Description("Changes and reads the settings tree and shows the fleet.")
+	Version("1")
+	Server("node", func() {
+		Services("settings", "fleet", "upstream")
+		Host("local", func() { URI("http://127.0.0.1:7070") })
+	})
+})
+
+// operatorToken is the bearer token of an operator.
+var operatorToken = APIKeySecurity("token", func() {
+	Description("Authorization: Bearer <token>")
+})
+
+// Problem is the body of every error answer.
+var Problem = Type("Problem", func() {
+	ErrorName("name", String, "Error name", func() { Meta("struct:error:name") })
+	Attribute("code", String, "Stable code of the error, such as wrong-team", func() { Example("wrong-team") })
+	Attribute("reason", String, "Text for a person")
+	Attribute("retry", Int64, "Milliseconds to wait before trying again, 0 when there is no use")
+	Required("name", "code", "reason")
+})
+
+// faultType is one reason to refuse a settings file.
+var faultType = Type("Fault", func() {
+	Attribute("code", String, "Stable code, such as unknown-field")
+	Attribute("path", String, "Where the fault is")
+	Attribute("line", Int, "Line in the settings file, 0 when unknown")
+	Attribute("reason", String, "What is wrong and what is allowed")
+	Required("code", "path", "reason")
+})
+
+// Outcome is how a change ended.
+var Outcome = ResultType("application/vnd.sycamorerun.outcome", func() {
+	TypeName("Outcome")
+	Attributes(func() {
+		Attribute("id", String, "Id of the change")
+		Attribute("status", String, func() { Enum("accepted", "pending", "refused", "conflict", "unknown") })
+		Attribute("version", UInt64, "Version at which the change was accepted or with which it conflicts")
+		Attribute("faults", ArrayOf(faultType))
+		Attribute("retry", Int64, "Milliseconds to wait before asking again, for unknown")
+		Required("id", "status")
+	})
+})
+
+// Record is one item of the tree.
+var Record = Type("Record", func() {
+	Attribute("path", String, "Path of the item", func() { Example("quoting/service/quote-desk") })
+	Attribute("item", String, "Item as JSON")
+	Required("path", "item")
+})
+
+// Difference is one line of a comparison.
+var Difference = Type("Difference", func() {
+	Attribute("path", String)
+	Attribute("before", String, "Item before as JSON, absent when added")
+	Attribute("after", String, "Item after as JSON, absent when removed")
+	Required("path")
+})
+
+// Proposal is a change that waits for review.
+var Proposal = Type("Proposal", func() {
+	Attribute("id", String)
+	Attribute("team", String)
+	Attribute("operator", String)
+	Attribute("content", String, "Hex SHA-256 of the proposed content; an approval names it")
+	Attribute("time", String, func() { Format(FormatDateTime) })
+	Attribute("differences", ArrayOf(Difference))
+	Required("id", "team", "operator", "content", "time", "differences")
+})
+
+// Accepted is one accepted change.
+var Accepted = Type("Accepted", func() {
+	Attribute("version", UInt64)
+	Attribute("id", String)
+	Attribute("team", String)
+	Attribute("operator", String)
+	Attribute("kind", String)
+	Attribute("time", String, func() { Format(FormatDateTime) })
+	Required("version", "id", "team", "operator", "kind", "time")
+})
+
+var authorized = func() {
+	Security(operatorToken)
+	Error("unauthorized", Problem, "The token is missing or not known")
+	Error("forbidden", Problem, "The token's team does not own the subtree")
+	Error("invalid", Problem, "The request is malformed")
+	Error("unavailable", Problem, "The node can't answer now")
+	Error("missing", Problem, "Nothing has that name")
+}
+
+var statuses = func() {
+	Response("unauthorized", StatusUnauthorized)
+	Response("forbidden", StatusForbidden)
+	Response("invalid", StatusBadRequest)
+	Response("unavailable", StatusServiceUnavailable)
+	Response("missing", StatusNotFound)
+	Header("token:Authorization")
+}
+
+var _ = Service("settings", func() {
+	Description("Reads and changes the settings tree.")
+	authorized()
+	Method("read", func() {
+		Description("Returns the items in force at this node, of one team or of all.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("team", String)
+		})
+		Result(func() {
+			Attribute("version", UInt64)
+			Attribute("hash", String, "Hex SHA-256 of the whole tree")
+			Attribute("items", ArrayOf(Record))
+			Required("version", "hash", "items")
+		})
+		HTTP(func() {
+			GET("/v1/tree")
+			Param("team")
+			statuses()
+		})
+	})
+	Method("submit", func() {
+		Description("Submits a change. The same id submitted again returns the first outcome.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("id", String, "UUID chosen by the client", func() { Format(FormatUUID) })
+			Attribute("kind", String, func() {
+				Enum("apply", "hold", "release", "revert", "approve", "reject")
+			})
+			Attribute("team", String, func() { Pattern("^[a-z0-9-]{1,63}$") })
+			Attribute("base", UInt64, "Version that the change was made from; 0 skips the check")
+			Attribute("settings", String, "Settings file, for apply", func() { MaxLength(4 << 20) })
+			Attribute("reason", String, "Reason, for hold", func() { MaxLength(1024) })
+			Attribute("until", String, "End of the hold", func() { Format(FormatDateTime) })
+			Attribute("version", UInt64, "Version whose subtree returns, for revert")
+			Attribute("proposal", String, "Id of the proposal, for approve and reject")
+			Attribute("content", String, "Content hash of the reviewed proposal")
+			Required("id", "kind", "team")
+		})
+		Result(Outcome)
+		HTTP(func() {
+			POST("/v1/changes")
+			statuses()
+		})
+	})
+	Method("outcome", func() {
+		Description("Returns the outcome of a change by its id.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("id", String, func() { Format(FormatUUID) })
+			Required("id")
+		})
+		Result(Outcome)
+		HTTP(func() {
+			GET("/v1/changes/{id}")
+			statuses()
+		})
+	})
+	Method("check", func() {
+		Description("Validates a settings file against the tree in force and compares; nothing is changed.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("team", String, func() { Pattern("^[a-z0-9-]{1,63}$") })
+			Attribute("settings", String, func() { MaxLength(4 << 20) })
+			Required("team", "settings")
+		})
+		Result(func() {
+			Attribute("version", UInt64)
+			Attribute("faults", ArrayOf(faultType))
+			Attribute("differences", ArrayOf(Difference))
+			Required("version", "faults", "differences")
+		})
+		HTTP(func() {
+			POST("/v1/checks")
+			statuses()
+		})
+	})
+	Method("proposals", func() {
+		Description("Lists the changes of a team that wait for review.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("team", String)
+			Required("team")
+		})
+		Result(ArrayOf(Proposal))
+		HTTP(func() {
+			GET("/v1/proposals/{team}")
+			statuses()
+		})
+	})
+	Method("history", func() {
+		Description("Lists the newest accepted changes that the node still holds, newest first.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("team", String)
+			Attribute("limit", Int, func() { Default(20); Minimum(1); Maximum(1024) })
+		})
+		Result(ArrayOf(Accepted))
+		HTTP(func() {
+			GET("/v1/history")
+			Param("team")
+			Param("limit")
+			statuses()
+		})
+	})
+})
+
+// Member is one instance as this node sees it.
+var Member = Type("Member", func() {
+	Attribute("name", String)
+	Attribute("zone", String, "Availability zone")
+	Attribute("region", String)
+	Attribute("address", String)
+	Attribute("service", String)
+	Attribute("state", String)
+	Attribute("slots", Int)
+	Attribute("suspect", Boolean)
+	Required("name", "zone", "region", "address", "service", "state", "slots", "suspect")
+})
+
+// Tally counts the nodes at one version.
+var Tally = Type("Tally", func() {
+	Attribute("version", UInt64)
+	Attribute("nodes", Int)
+	Required("version", "nodes")
+})
+
+// Laggard is a node behind the newest version.
+var Laggard = Type("Laggard", func() {
+	Attribute("name", String)
+	Attribute("version", UInt64)
+	Attribute("since", String, "Since when it has been behind", func() { Format(FormatDateTime) })
+	Attribute("fault", String, "Why it refused a version, when it did")
+	Required("name", "version", "since")
+})
+
+// Candidate is one upstream that a call could go to.
+var Candidate = Type("Candidate", func() {
+	Attribute("instance", String)
+	Attribute("zone", String)
+	Attribute("state", String)
+	Attribute("chance", Float64, "Chance to be picked now, 0 to 1")
+	Attribute("reason", String, "Why it is or is not a candidate")
+	Required("instance", "zone", "state", "chance", "reason")
+})
+
+var _ = Service("fleet", func() {
+	Description("Shows the node, its peers and the convergence of the fleet.")
+	authorized()
+	Method("status", func() {
+		Description("Returns the node's own state.")
+		Payload(func() { APIKey("token", "token", String) })
+		Result(func() {
+			Attribute("name", String)
+			Attribute("zone", String)
+			Attribute("region", String)
+			Attribute("phase", String, func() { Enum("starting", "ready", "draining", "stopped") })
+			Attribute("version", UInt64)
+			Attribute("hash", String)
+			Attribute("refused", UInt64, "Versions refused since the start")
+			Attribute("fault", String, "Why the last version was refused")
+			Attribute("sessions", Int, "Open peer sessions")
+			Attribute("members", Int, "Live members known")
+			Attribute("watching", Boolean, "Whether the node watches the store")
+			Required("name", "zone", "region", "phase", "version", "hash", "refused", "sessions", "members", "watching")
+		})
+		HTTP(func() {
+			GET("/v1/status")
+			statuses()
+		})
+	})
+	Method("members", func() {
+		Description("Lists the instances that this node knows.")
+		Payload(func() { APIKey("token", "token", String) })
+		Result(ArrayOf(Member))
+		HTTP(func() {
+			GET("/v1/members")
+			statuses()
+		})
+	})
+	Method("convergence", func() {
+		Description("Asks the fleet which versions are in force where.")
+		Payload(func() { APIKey("token", "token", String) })
+		Result(func() {
+			Attribute("newest", UInt64)
+			Attribute("nodes", Int, "Nodes that answered")
+			Attribute("silent", Int, "Live members that did not answer")
+			Attribute("tallies", ArrayOf(Tally))
+			Attribute("laggards", ArrayOf(Laggard))
+			Required("newest", "nodes", "silent", "tallies", "laggards")
+		})
+		HTTP(func() {
+			GET("/v1/convergence")
+			statuses()
+		})
+	})
+	Method("explain", func() {
+		Description("Says which route and upstream a request would take and why.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("method", String, func() { Default("GET") })
+			Attribute("host", String)
+			Attribute("path", String)
+			Attribute("headers", MapOf(String, String))
+			Required("host", "path")
+		})
+		Result(func() {
+			Attribute("version", UInt64)
+			Attribute("route", String, "Path of the route, empty when none matches")
+			Attribute("class", String)
+			Attribute("repeatable", Boolean)
+			Attribute("steps", ArrayOf(String), "What was compared, in order")
+			Attribute("candidates", ArrayOf(Candidate))
+			Required("version", "route", "steps", "candidates")
+		})
+		HTTP(func() {
+			POST("/v1/explanations")
+			statuses()
+		})
+	})
+})
+
+var _ = Service("upstream", func() {
+	Description("Takes the announcements of the upstream beside the node; served on loopback only.")
+	Error("invalid", Problem)
+	Method("announce", func() {
+		Description("Announces the upstream; repeated every second, it lapses after 5 s.")
+		Payload(func() {
+			Attribute("service", String, func() { Pattern("^[a-z0-9-]{1,63}$") })
+			Attribute("address", String, "IP and port of the upstream", func() { Example("127.0.0.1:9000") })
+			Attribute("state", String, func() { Enum("cold", "ready", "draining", "left") })
+			Attribute("slots", Int, func() { Minimum(1); Maximum(1024) })
+			Required("service", "address", "state", "slots")
+		})
+		HTTP(func() {
+			PUT("/v1/announcement")
+			Response(StatusNoContent)
+			Response("invalid", StatusBadRequest)
+		})
+	})
+})
--- /dev/null
+++ b/differ/differ.go
@@ -0,0 +1,63 @@
+// Package differ compares trees, applies differences and hashes trees.
+package differ
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"sycamorerun"
+)
+
+// Compare returns the difference that turns before into after.
+func Compare(before, after map[sycamorerun.Path]sycamorerun.Item) sycamorerun.Difference {
+	difference := sycamorerun.Difference{Put: map[sycamorerun.Path]sycamorerun.Item{}}
+	for path, item := range after {
+		if old, ok := before[path]; !ok || !bytes.Equal(old, item) {
+			difference.Put[path] = item
+		}
+	}
+	for _, path := range slices.Sorted(maps.Keys(before)) {
+		if _, ok := after[path]; !ok {
+			difference.Remove = append(difference.Remove, path)
+		}
+	}
+	return difference
+}
+
+// Empty reports whether the difference changes nothing.
+func Empty(difference sycamorerun.Difference) bool {
+	return len(difference.Put) == 0 && len(difference.Remove) == 0
+}
+
+// Apply returns a copy of tree at version with the difference applied.
+func Apply(tree sycamorerun.Tree, version sycamorerun.Version, difference sycamorerun.Difference) sycamorerun.Tree {
+	next := tree.Clone()
+	next.Version = version
+	maps.Copy(next.Items, difference.Put)
+	for _, path := range difference.Remove {
+		delete(next.Items, path)
+	}
+	return next
+}
+
+// Hash returns the SHA-256 over the sorted paths and items, each preceded by
+// its length so that no two trees share an encoding.
+func Hash(items map[sycamorerun.Path]sycamorerun.Item) sycamorerun.Hash {
+	digest := sha256.New()
+	var length [8]byte
+	write := func(data []byte) {
+		binary.BigEndian.PutUint64(length[:], uint64(len(data)))
+		digest.Write(length[:])
+		digest.Write(data)
+	}
+	for _, path := range slices.Sorted(maps.Keys(items)) {
+		write([]byte(path))
+		write(items[path])
+	}
+	var hash sycamorerun.Hash
+	digest.Sum(hash[:0])
+	return hash
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,47 @@
+package sycamorerun
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is the condition of an instance's upstream as seen by other nodes.
+type State string
+
+// States of an instance.
+const (
+	StateNone     State = "none"
+	StateCold     State = "cold"
+	StateReady    State = "ready"
+	StateDraining State = "draining"
+	StateLeft     State = "left"
+)
+
+// Instance is the membership record of one node and the upstream beside it.
+// Only the node itself writes it.
+type Instance struct {
+	Name             string
+	Incarnation      time.Time
+	Sequence         uint64
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Region           string
+	Service          string
+	State            State
+	Slots            int
+	// Since is when the upstream entered State.
+	Since time.Time
+}
+
+// Newer reports whether i supersedes other, a record of the same node.
+func (i Instance) Newer(other Instance) bool {
+	if !i.Incarnation.Equal(other.Incarnation) {
+		return i.Incarnation.After(other.Incarnation)
+	}
+	return i.Sequence > other.Sequence
+}
+
+// Serving reports whether the instance's upstream takes new calls.
+func (i Instance) Serving() bool {
+	return i.State == StateCold || i.State == StateReady
+}
--- /dev/null
+++ b/sycamorerun.go
@@ -0,0 +1,3 @@
+// Package sycamorerun names the core types of the configuration distribution
+// system: the settings tree and its items, versions, changes and instances.
+package sycamorerun
