--- a/api/design/design.go
+++ b/api/design/design.go
@@ -2,7 +2,8 @@
 package design
 
 import (
-	. "goa.design/goa/v3/dsl" //nolint:revive // goa's DSL is written with a dot import.
+	//revive:disable-next-line:dot-imports goa designs are written in its DSL with a dot import.
+	. "goa.design/goa/v3/dsl"
 )
 
 var _ = API("sycamorerun", func() {
