--- /dev/null
+++ b/node/router/compile.go
@@ -0,0 +1,206 @@
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"sycamorerun"
+)
+
+// Codes of the faults that Compile reports.
+const (
+	CodeInvalidItem      = "invalid-item"
+	CodeUnknownService   = "unknown-service"
+	CodeDuplicateService = "duplicate-service"
+	CodeInvalidHost      = "invalid-host"
+	CodeInvalidPrefix    = "invalid-prefix"
+	CodeInvalidSplit     = "invalid-split"
+	CodeInvalidClass     = "invalid-class"
+	CodeInvalidRepeat    = "invalid-repeat"
+)
+
+// maxWeight keeps the sum of a split's weights far from overflow.
+const maxWeight = 1 << 20
+
+// Compile builds the routing table of tree. Any fault means that there is no
+// table, since a table with part of the routes would send calls elsewhere.
+func Compile(tree sycamorerun.Tree) (*Table, []sycamorerun.Fault) {
+	c := &compiler{table: &Table{
+		version:  tree.Version,
+		services: map[string]sycamorerun.Service{},
+		hosts:    map[string]*group{},
+	}}
+	paths := slices.Sorted(maps.Keys(tree.Items))
+	for _, path := range paths {
+		if _, kind, name := path.Split(); kind == sycamorerun.KindService {
+			c.service(path, name, tree.Items[path])
+		}
+	}
+	for _, path := range paths {
+		if _, kind, _ := path.Split(); kind == sycamorerun.KindRoute {
+			c.route(path, tree.Items[path])
+		}
+	}
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	for _, group := range c.table.hosts {
+		for _, routes := range group.prefixes {
+			slices.SortStableFunc(routes, compareSpecificity)
+		}
+	}
+	return c.table, nil
+}
+
+type compiler struct {
+	table  *Table
+	faults []sycamorerun.Fault
+}
+
+func (c *compiler) fault(path sycamorerun.Path, code, format string, args ...any) {
+	c.faults = append(c.faults, sycamorerun.Fault{
+		Code: code, Path: string(path), Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+// decode refuses unknown fields: a node that is older than the item would
+// otherwise ignore a condition and match too many calls.
+func decode(item sycamorerun.Item, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(item))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+func (c *compiler) service(path sycamorerun.Path, name string, item sycamorerun.Item) {
+	var service sycamorerun.Service
+	if err := decode(item, &service); err != nil {
+		c.fault(path, CodeInvalidItem, "service cannot be decoded: %v", err)
+		return
+	}
+	if _, ok := c.table.services[name]; ok {
+		c.fault(path, CodeDuplicateService, "another team has a service named %s", name)
+		return
+	}
+	c.table.services[name] = service
+}
+
+func (c *compiler) route(path sycamorerun.Path, item sycamorerun.Item) {
+	var source sycamorerun.Route
+	if err := decode(item, &source); err != nil {
+		c.fault(path, CodeInvalidItem, "route cannot be decoded: %v", err)
+		return
+	}
+	before := len(c.faults)
+	compiled := &route{
+		path:    path,
+		prefix:  c.prefix(path, source.Prefix),
+		methods: source.Methods,
+		class:   c.class(path, source.Class),
+		repeat:  c.repeat(path, source.Repeat),
+	}
+	for _, name := range slices.Sorted(maps.Keys(source.Headers)) {
+		compiled.headers = append(compiled.headers, header{http.CanonicalHeaderKey(name), source.Headers[name]})
+	}
+	c.split(path, compiled, source.Split)
+	hosts := c.hosts(path, source.Hosts)
+	if len(c.faults) > before {
+		return
+	}
+	c.table.routes++
+	for _, host := range hosts {
+		c.table.add(host, compiled)
+	}
+}
+
+func (c *compiler) prefix(path sycamorerun.Path, prefix string) string {
+	if !strings.HasPrefix(prefix, "/") {
+		c.fault(path, CodeInvalidPrefix, "prefix %q does not begin with /", prefix)
+		return ""
+	}
+	if cleanPath(prefix) != strings.TrimSuffix(prefix, "/") && prefix != "/" {
+		c.fault(path, CodeInvalidPrefix, "prefix %q has an empty or a dot segment", prefix)
+	}
+	return strings.TrimSuffix(prefix, "/")
+}
+
+// hosts returns the distinct index keys of a route's hosts; a route without
+// hosts is indexed under anyHost.
+func (c *compiler) hosts(path sycamorerun.Path, hosts []string) []string {
+	if len(hosts) == 0 {
+		return []string{anyHost}
+	}
+	var keys []string
+	for _, host := range hosts {
+		key := strings.ToLower(host)
+		if name := strings.TrimPrefix(key, "*."); name == "" || strings.ContainsAny(name, "*:/ ") {
+			c.fault(path, CodeInvalidHost, "host %q is neither a name nor *.suffix", host)
+			continue
+		}
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (c *compiler) class(path sycamorerun.Path, class sycamorerun.Class) sycamorerun.Class {
+	switch class {
+	case "":
+		return sycamorerun.Interactive
+	case sycamorerun.Interactive, sycamorerun.Bulk, sycamorerun.Background:
+	default:
+		c.fault(path, CodeInvalidClass, "class %q is unknown", class)
+	}
+	return class
+}
+
+func (c *compiler) repeat(path sycamorerun.Path, repeat string) string {
+	switch repeat {
+	case "":
+		return sycamorerun.RepeatDefault
+	case sycamorerun.RepeatDefault, sycamorerun.RepeatAlways, sycamorerun.RepeatNever:
+	default:
+		c.fault(path, CodeInvalidRepeat, "repeat %q is unknown", repeat)
+	}
+	return repeat
+}
+
+func (c *compiler) split(path sycamorerun.Path, into *route, targets []sycamorerun.Target) {
+	before := len(c.faults)
+	for _, target := range targets {
+		settings, ok := c.table.services[target.Service]
+		switch {
+		case !ok:
+			c.fault(path, CodeUnknownService, "service %s is not in the tree", target.Service)
+		case target.Weight < 0 || target.Weight > maxWeight:
+			c.fault(path, CodeInvalidSplit, "weight %d of %s is out of range", target.Weight, target.Service)
+		case target.Weight > 0:
+			into.total += uint64(target.Weight)
+			into.split = append(into.split, share{target.Service, settings, into.total})
+		}
+	}
+	if into.total == 0 && len(c.faults) == before {
+		c.fault(path, CodeInvalidSplit, "the split has no service with a positive weight")
+	}
+}
+
+// compareSpecificity orders routes of equal host and prefix: more headers
+// first, then routes that name methods, then by path so that every node picks
+// the same route.
+func compareSpecificity(a, b *route) int {
+	if d := len(b.headers) - len(a.headers); d != 0 {
+		return d
+	}
+	if (len(a.methods) > 0) != (len(b.methods) > 0) {
+		if len(a.methods) > 0 {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(string(a.path), string(b.path))
+}
