Add the distributor

Nodes need every accepted version within seconds without each of them calling the store. Decisions are pure; the poll and gossip modes are baselines for measurements.

--- /dev/null
+++ b/node/distributor/bootstrap.go
@@ -0,0 +1,140 @@
+package distributor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/node/planner"
+	"sycamorerun/persister"
+)
+
+const (
+	// probeTimeout bounds the question for a peer's version.
+	probeTimeout = time.Second
+	// bootstrapRetryLeast and bootstrapRetryMost bound the delay between two
+	// rounds.
+	bootstrapRetryLeast = 100 * time.Millisecond
+	bootstrapRetryMost  = 2 * time.Second
+	// storePatience is how long a node that reaches only peers that are
+	// starting too leaves the store to the region's watchers. When a whole
+	// fleet restarts, the store would otherwise get three reads from each node.
+	storePatience = 5 * time.Second
+)
+
+// reported is the answer of one source about its newest version.
+type reported struct {
+	peer    string
+	version sycamorerun.Version
+	// final is set for the store and for peers that are ready. A peer that is
+	// starting itself may still lack versions.
+	final bool
+}
+
+// assess returns the newest version reported, the peer that has it, empty for
+// the store, and whether any report is final. A peer is preferred.
+func assess(reports []reported) (newest reported, final bool) {
+	for _, report := range reports {
+		final = final || report.final
+		if report.version > newest.version || report.version == newest.version && newest.peer == "" {
+			newest = report
+		}
+	}
+	return newest, final
+}
+
+// Bootstrap returns once the node has the newest version that the reachable
+// peers and the store report. It keeps trying while neither is reachable.
+func (d *Distributor) Bootstrap(ctx context.Context) error {
+	started := time.Now()
+	patience := storePatience + time.Duration(d.Random()*float64(storePatience))
+	for failures := 1; ; failures++ {
+		reports := d.probe(ctx)
+		if d.mayReadStore(reports, time.Since(started) >= patience) {
+			if err := d.checkStore(ctx); err != nil {
+				level.Debug(d.Logger).Log("msg", "start without the store", "err", err)
+			} else {
+				reports = append(reports, reported{version: d.Held(), final: true})
+			}
+		}
+		newest, final := assess(reports)
+		if final && d.reached(newest.version) {
+			d.ready.Store(true)
+			level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", len(reports))
+			return nil
+		}
+		if newest.version > d.Held() && newest.peer != "" {
+			before := d.Held()
+			d.mutex.Lock()
+			d.wants.began(time.Now(), newest.peer)
+			d.mutex.Unlock()
+			d.pullFrom(ctx, newest.peer)
+			if d.Held() > before {
+				failures = 0
+				continue
+			}
+		}
+		if !sleep(ctx, backoff(failures, bootstrapRetryLeast, bootstrapRetryMost, d.Random())) {
+			return ctx.Err()
+		}
+	}
+}
+
+// reached reports whether the node holds version and has some version in
+// force. A refused version counts as held, since the other nodes that refuse
+// it keep the one before it in force too.
+func (d *Distributor) reached(version sycamorerun.Version) bool {
+	tree, _ := d.Current()
+	return d.Held() >= version && (tree.Version > 0 || version == 0)
+}
+
+// mayReadStore decides whether this node asks the store now.
+func (d *Distributor) mayReadStore(reports []reported, patient bool) bool {
+	if len(reports) == 0 || patient || d.watchRole(d.Plan()) != planner.None {
+		return true
+	}
+	_, final := assess(reports)
+	return final
+}
+
+// probe asks all linked peers for their versions at once.
+func (d *Distributor) probe(ctx context.Context) []reported {
+	var (
+		group   sync.WaitGroup
+		mutex   sync.Mutex
+		reports []reported
+	)
+	for peer := range peers(d.Plan().Links) {
+		group.Go(func() {
+			reply, err := d.request(ctx, peer, 0, true, probeTimeout)
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			reports = append(reports, reported{peer, sycamorerun.Version(reply.GetVersion()), reply.GetReady()})
+		})
+	}
+	group.Wait()
+	return reports
+}
+
+// checkStore brings the node to the store's newest version. A node that has a
+// version from peers reads one slot only: the next one.
+func (d *Distributor) checkStore(ctx context.Context) error {
+	if held := d.Held(); held > 0 {
+		entry, _, err := d.readEntry(ctx, held+1)
+		if errors.Is(err, persister.ErrMissing) || err == nil && entry.Version <= held {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	_, err := d.sync(ctx)
+	return err
+}
--- /dev/null
+++ b/node/distributor/distributor.go
@@ -0,0 +1,339 @@
+// Package distributor brings accepted versions to every node: it watches the
+// store where the plan selects the node to, pushes down the trees, pulls what
+// is missing and answers the pulls of others.
+package distributor
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
+	"sycamorerun/differ"
+	"sycamorerun/node/planner"
+	"sycamorerun/persister"
+)
+
+// Kind is the kind of the distributor's streams.
+const Kind = "distributor"
+
+// DefaultStandbyDelay is the default of the setting --standby-delay.
+const DefaultStandbyDelay = 500 * time.Millisecond
+
+// Mode selects the way of distribution. All but Tree are baselines for
+// measurements.
+type Mode string
+
+// Modes of distribution.
+const (
+	Tree Mode = "tree"
+	// Poll has every node watch the store itself; nothing is pushed.
+	Poll Mode = "poll"
+	// Gossip sends Have to random live peers and asks one each second.
+	Gossip Mode = "gossip"
+)
+
+// Distributor owns the recent entries and what is known of peers' versions.
+// The exported fields are set before Run.
+type Distributor struct {
+	// Self is the node's name.
+	Self string
+	Mode Mode
+	// StandbyDelay is how long the standby waits for the primary's push.
+	StandbyDelay time.Duration
+	Store        persister.Store
+	// Current returns the tree in force and its hash.
+	Current func() (sycamorerun.Tree, sycamorerun.Hash)
+	// Apply and Install put a version in force or return why they did not.
+	Apply   func(now time.Time, entry sycamorerun.Entry) error
+	Install func(now time.Time, tree sycamorerun.Tree, hash sycamorerun.Hash) error
+	Plan    func() planner.Plan
+	// Open opens a stream of kind to the peer with name.
+	Open func(ctx context.Context, peer, kind string) (net.Conn, error)
+	// Peers returns the names of the live peers, for Gossip only.
+	Peers func() []string
+	// Random returns a uniform number in [0, 1).
+	Random func() float64
+	Logger log.Logger
+	Scope  tally.Scope
+
+	// accepting orders the acceptance of versions; it is held while one is
+	// applied. The other mutexes are held for short times only.
+	accepting sync.Mutex
+	held      atomic.Uint64
+	// refused is the newest version that was verified but refused here, the
+	// base of the entry after it.
+	refused *sycamorerun.Tree
+
+	mutex   sync.Mutex
+	ring    ring
+	wants   wants
+	links   map[string]*link
+	running context.Context
+	// role is the watch that is running and stopWatch ends it.
+	role      planner.Watch
+	stopWatch context.CancelFunc
+
+	wakePull  chan struct{}
+	wakeWatch chan struct{}
+	ready     atomic.Bool
+	serving   chan struct{}
+	casting   chan struct{}
+	packed    snapshotCache
+}
+
+// New returns a Distributor with its defaults.
+func New() *Distributor {
+	return &Distributor{
+		Mode:         Tree,
+		StandbyDelay: DefaultStandbyDelay,
+		Random:       rand.Float64,
+		Peers:        func() []string { return nil },
+		Logger:       log.NewNopLogger(),
+		wants:        wants{peers: map[string]*standing{}},
+		links:        map[string]*link{},
+		wakePull:     make(chan struct{}, 1),
+		wakeWatch:    make(chan struct{}, 1),
+		serving:      make(chan struct{}, maxServed),
+		casting:      make(chan struct{}, maxCasts),
+	}
+}
+
+// Run distributes until ctx ends.
+func (d *Distributor) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mutex.Lock()
+	d.running = ctx
+	d.mutex.Unlock()
+	d.Replan()
+	group.Go(func() { d.watch(ctx) })
+	group.Go(func() { d.pulls(ctx) })
+	if d.Mode == Gossip {
+		group.Go(func() { d.ask(ctx) })
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Replan adjusts the links and the watch to the plan. It is called after each
+// change of the members.
+func (d *Distributor) Replan() {
+	plan := d.Plan()
+	known := peers(plan.Links)
+	down := map[string]bool{}
+	for _, name := range children(plan.Links) {
+		down[name] = true
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.running == nil || d.running.Err() != nil {
+		return
+	}
+	if d.Mode == Tree {
+		d.relink(known, down)
+		kept := map[string]bool{}
+		for name := range known {
+			kept[name] = true
+		}
+		d.wants.keep(kept)
+	}
+	if d.stopWatch != nil && d.role != d.watchRole(plan) {
+		d.stopWatch()
+	}
+	signal(d.wakeWatch)
+	signal(d.wakePull)
+}
+
+// relink starts and stops links; the caller holds the mutex.
+func (d *Distributor) relink(known, down map[string]bool) {
+	for name, link := range d.links {
+		if _, ok := known[name]; !ok {
+			link.stop()
+			delete(d.links, name)
+		}
+	}
+	for name := range known {
+		existing, ok := d.links[name]
+		if !ok {
+			ctx, stop := context.WithCancel(d.running)
+			existing = &link{peer: name, stop: stop, wake: make(chan struct{}, 1)}
+			d.links[name] = existing
+			go existing.run(ctx, d)
+		}
+		existing.setDown(down[name])
+		if !ok && d.Held() > 0 {
+			existing.restart(d.Held())
+		}
+	}
+}
+
+// Held returns the newest version whose content this node has verified. It is
+// above the version in force while that content is refused here.
+func (d *Distributor) Held() sycamorerun.Version {
+	tree, _ := d.Current()
+	return max(tree.Version, sycamorerun.Version(d.held.Load()))
+}
+
+// Ready reports whether Bootstrap has found the newest version.
+func (d *Distributor) Ready() bool { return d.ready.Load() }
+
+// Learn takes an entry that this node committed to the store.
+func (d *Distributor) Learn(now time.Time, entry sycamorerun.Entry) {
+	data, err := persister.EncodeEntry(entry)
+	if err == nil {
+		err = d.accept(now, entry, data, "")
+	}
+	if err != nil {
+		level.Warn(d.Logger).Log("msg", "committed entry not applied", "version", entry.Version, "err", err)
+	}
+}
+
+// Heard records a peer's version, as carried by heartbeats.
+func (d *Distributor) Heard(peer string, version sycamorerun.Version) {
+	d.heard(time.Now(), peer, version, pullDelay+d.detour(peer))
+}
+
+func (d *Distributor) heard(now time.Time, peer string, version sycamorerun.Version, delay time.Duration) {
+	held := d.Held()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.wants.heard(now, peer, version, held, delay)
+	if version > held {
+		signal(d.wakePull)
+	}
+}
+
+// Entry returns a recent entry.
+func (d *Distributor) Entry(version sycamorerun.Version) (sycamorerun.Entry, bool) {
+	d.mutex.Lock()
+	data, ok := d.ring.get(version)
+	d.mutex.Unlock()
+	if !ok {
+		return sycamorerun.Entry{}, false
+	}
+	entry, err := persister.DecodeEntry(data)
+	return entry, err == nil
+}
+
+// errGap means that versions before an entry are missing.
+var errGap = errors.New("versions are missing")
+
+// accept applies entry, whose stored form is data, and forwards it. An entry
+// at or below the held version is ignored. An entry that this node refuses
+// although its content is intact is forwarded all the same, since the rules of
+// another node may differ, and becomes the base of the next one.
+func (d *Distributor) accept(now time.Time, entry sycamorerun.Entry, data []byte, source string) error {
+	d.accepting.Lock()
+	defer d.accepting.Unlock()
+	held := d.Held()
+	if entry.Version <= held {
+		return nil
+	}
+	if entry.Version != held+1 {
+		return errors.Wrapf(errGap, "version %s after %s", entry.Version, held)
+	}
+	if err := d.put(now, entry); err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	d.ring.add(entry.Version, data)
+	d.mutex.Unlock()
+	d.forward(entry.Version, data, source)
+	return nil
+}
+
+// put applies entry on the tree in force or on the refused one. It returns an
+// error only when the content does not match its hash.
+func (d *Distributor) put(now time.Time, entry sycamorerun.Entry) error {
+	base, _ := d.Current()
+	if d.refused != nil {
+		next := differ.Apply(*d.refused, entry.Version, entry.Difference)
+		return d.settle(next, entry.Hash, d.Install(now, next, entry.Hash))
+	}
+	err := d.Apply(now, entry)
+	if err == nil {
+		return d.settle(sycamorerun.Tree{Version: entry.Version}, entry.Hash, nil)
+	}
+	return d.settle(differ.Apply(base, entry.Version, entry.Difference), entry.Hash, err)
+}
+
+// settle records the version of tree as held, in force or refused with err.
+func (d *Distributor) settle(tree sycamorerun.Tree, hash sycamorerun.Hash, err error) error {
+	if err != nil && differ.Hash(tree.Items) != hash {
+		return err
+	}
+	d.refused = nil
+	if err != nil {
+		d.refused = &tree
+		d.count("distributor_refused", 1)
+	}
+	d.held.Store(uint64(tree.Version))
+	return nil
+}
+
+// install puts a whole tree in force and tells the peers.
+func (d *Distributor) install(now time.Time, tree sycamorerun.Tree, hash sycamorerun.Hash, source string) error {
+	d.accepting.Lock()
+	defer d.accepting.Unlock()
+	if tree.Version <= d.Held() {
+		return nil
+	}
+	if err := d.settle(tree, hash, d.Install(now, tree, hash)); err != nil {
+		return err
+	}
+	d.forward(tree.Version, nil, source)
+	return nil
+}
+
+// forward tells the peers about version; data is nil after a snapshot.
+func (d *Distributor) forward(version sycamorerun.Version, data []byte, source string) {
+	signal(d.wakePull)
+	switch d.Mode {
+	case Gossip:
+		d.spread(version, source)
+	case Tree:
+		var content []byte
+		if data != nil {
+			content = frame(push(version, data))
+		}
+		d.offer(targets(d.Plan().Links, source, data != nil), version, content)
+	}
+}
+
+func (d *Distributor) offer(to []target, version sycamorerun.Version, content []byte) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, target := range to {
+		link, ok := d.links[target.peer]
+		if !ok {
+			continue
+		}
+		if peer := d.wants.peers[target.peer]; peer != nil && peer.version >= version {
+			continue
+		}
+		link.offer(target, version, content)
+	}
+}
+
+func (d *Distributor) open(ctx context.Context, peer string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return d.Open(ctx, peer, Kind)
+}
+
+func (d *Distributor) count(name string, n int) {
+	if d.Scope != nil {
+		d.Scope.Counter(name).Inc(int64(n))
+	}
+}
--- /dev/null
+++ b/node/distributor/fleet_test.go
@@ -0,0 +1,466 @@
+package distributor
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/differ"
+	"sycamorerun/encoder"
+	"sycamorerun/node/applier"
+	"sycamorerun/node/planner"
+	"sycamorerun/persister"
+)
+
+// TestMain makes the compressor create its channel outside any synctest
+// bubble, since the tests share it.
+func TestMain(m *testing.M) {
+	if _, err := encoder.Pack(&encoder.Entry{}); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fakeStore is an object store in memory whose log is written by commit.
+type fakeStore struct {
+	mutex    sync.Mutex
+	objects  map[string]persister.Object
+	history  []persister.Object
+	revision persister.Revision
+	changed  chan struct{}
+	tree     sycamorerun.Tree
+	hashes   map[sycamorerun.Version]sycamorerun.Hash
+	calls    int
+
+	down      bool
+	compacted persister.Revision
+	// stale hides the writes above a revision; zero shows all.
+	stale persister.Revision
+	// damage changes what is read.
+	damage func([]byte) []byte
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{
+		objects: map[string]persister.Object{}, changed: make(chan struct{}),
+		hashes: map[sycamorerun.Version]sycamorerun.Hash{0: differ.Hash(nil)},
+	}
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) write(key string, value []byte) {
+	s.revision++
+	object := persister.Object{Key: key, Value: value, Revision: s.revision}
+	s.objects[key] = object
+	s.history = append(s.history, object)
+}
+
+// entry returns the next version: one service's slots change.
+func (s *fakeStore) next() sycamorerun.Entry {
+	version := s.tree.Version + 1
+	path := sycamorerun.NewPath("quoting", sycamorerun.KindService, fmt.Sprintf("desk-%d", version%7))
+	difference := sycamorerun.Difference{Put: map[sycamorerun.Path]sycamorerun.Item{
+		path: sycamorerun.Item(fmt.Sprintf(`{"slots":%d}`, version)),
+	}}
+	s.tree = differ.Apply(s.tree, version, difference)
+	s.hashes[version] = differ.Hash(s.tree.Items)
+	return sycamorerun.Entry{Version: version, Hash: s.hashes[version], Difference: difference}
+}
+
+// commit accepts n versions.
+func (s *fakeStore) commit(n int) {
+	s.set(func() {
+		for range n {
+			entry := s.next()
+			data, _ := persister.EncodeEntry(entry)
+			s.write(persister.LogKey(entry.Version), data)
+			if entry.Version%256 == 0 {
+				data, _ := persister.EncodeSnapshot(s.tree, entry.Hash)
+				s.write(persister.SnapshotKey, data)
+			}
+		}
+	})
+}
+
+// visible returns the objects under prefix between two revisions, as the
+// store's present state or, for a watch, as its history.
+func (s *fakeStore) visible(prefix string, after persister.Revision, watch bool) persister.Listing {
+	limit := s.revision
+	if s.stale > 0 {
+		limit = s.stale
+	}
+	latest := map[string]persister.Object{}
+	listing := persister.Listing{Revision: limit}
+	for _, object := range s.history {
+		if object.Revision <= after || object.Revision > limit || !strings.HasPrefix(object.Key, prefix) {
+			continue
+		}
+		if s.damage != nil {
+			object.Value = s.damage(object.Value)
+		}
+		if watch {
+			listing.Objects = append(listing.Objects, object)
+		}
+		latest[object.Key] = object
+	}
+	if !watch {
+		for _, object := range latest {
+			listing.Objects = append(listing.Objects, object)
+		}
+		slices.SortFunc(listing.Objects, func(a, b persister.Object) int { return cmp.Compare(a.Key, b.Key) })
+	}
+	return listing
+}
+
+// store returns the calls as seen from a node that is delay away.
+func (s *fakeStore) store(delay time.Duration, reachable func() bool) persister.Store {
+	look := func() (func(), error) {
+		time.Sleep(delay)
+		s.mutex.Lock()
+		if s.down || !reachable() {
+			s.mutex.Unlock()
+			return nil, persister.ErrUnavailable
+		}
+		return s.mutex.Unlock, nil
+	}
+	call := func() (func(), error) {
+		s.mutex.Lock()
+		s.calls++
+		s.mutex.Unlock()
+		return look()
+	}
+	return persister.Store{
+		Get: func(_ context.Context, key string) (persister.Object, error) {
+			unlock, err := call()
+			if err != nil {
+				return persister.Object{}, err
+			}
+			defer unlock()
+			listing := s.visible(key, 0, false)
+			if len(listing.Objects) == 0 {
+				return persister.Object{}, persister.ErrMissing
+			}
+			return listing.Objects[0], nil
+		},
+		List: func(_ context.Context, prefix string, after persister.Revision) (persister.Listing, error) {
+			unlock, err := call()
+			if err != nil {
+				return persister.Listing{}, err
+			}
+			defer unlock()
+			return s.visible(prefix, after, false), nil
+		},
+		Watch: func(ctx context.Context, prefix string, after persister.Revision, keysOnly bool) (persister.Listing, error) {
+			unlock, err := call()
+			for ; err == nil; unlock, err = look() {
+				changed, compacted := s.changed, after < s.compacted
+				listing := s.visible(prefix, after, true)
+				unlock()
+				if compacted {
+					return persister.Listing{}, persister.ErrCompacted
+				}
+				if len(listing.Objects) > 0 {
+					for i := range listing.Objects {
+						if keysOnly {
+							listing.Objects[i].Value = nil
+						}
+					}
+					return listing, nil
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+					return persister.Listing{}, ctx.Err()
+				}
+			}
+			return persister.Listing{}, err
+		},
+	}
+}
+
+// member is a node of the fake fleet.
+type member struct {
+	sycamorerun.Instance
+	process atomic.Pointer[process]
+	up      bool
+	// mute makes the member accept streams without reading from them.
+	mute bool
+	// cut separates the member from the store and from peers of other zones.
+	cut bool
+}
+
+// process is one life of a member.
+type process struct {
+	*Distributor
+	applier *applier.Applier
+	stop    context.CancelFunc
+}
+
+func (m *member) version() sycamorerun.Version {
+	return m.process.Load().applier.Current().Tree.Version
+}
+
+// fleet is a fake deployment: 3 regions with 2 zones each, linked by pipes.
+type fleet struct {
+	mode    Mode
+	members map[string]*member
+	store   *fakeStore
+	mutex   sync.Mutex
+	// crossed counts the bytes that peers send to other regions.
+	crossed int
+	ctx     context.Context
+	stop    context.CancelFunc
+	faults  []string
+}
+
+const localDelay, regionDelay = time.Millisecond, 20 * time.Millisecond
+
+func newFleet(mode Mode, size int) *fleet {
+	f := &fleet{mode: mode, members: map[string]*member{}, store: newStore()}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for i := range size {
+		zone := i % 6
+		f.members[fmt.Sprintf("node-%02d", i)] = &member{Instance: sycamorerun.Instance{
+			Name: fmt.Sprintf("node-%02d", i), AvailabilityZone: fmt.Sprintf("zone-%d", zone),
+			Region: fmt.Sprintf("region-%d", zone/2),
+		}}
+	}
+	go f.heartbeats()
+	return f
+}
+
+func (f *fleet) names() []string {
+	names := make([]string, 0, len(f.members))
+	for name := range f.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// instances are the members as the plan sees them: a dead one stays in it, so
+// that the tests cover the time before its failure is detected.
+func (f *fleet) instances() []sycamorerun.Instance {
+	var result []sycamorerun.Instance
+	for _, name := range f.names() {
+		result = append(result, f.members[name].Instance)
+	}
+	return result
+}
+
+func (f *fleet) start(names ...string) {
+	plans := map[string]planner.Plan{}
+	for _, name := range names {
+		plans[name] = planner.New(name, f.instances())
+	}
+	for i, name := range names {
+		m, plan := f.members[name], plans[name]
+		a, d := &applier.Applier{}, New()
+		last := sycamorerun.Version(0)
+		a.Changed = func(state applier.State) {
+			if state.Tree.Version <= last || state.Hash != f.hash(state.Tree.Version) || differ.Hash(state.Tree.Items) != state.Hash {
+				f.fault("%s: version %s after %s is older or not the accepted one", name, state.Tree.Version, last)
+			}
+			last = state.Tree.Version
+		}
+		delay := localDelay
+		if m.Region != "region-0" {
+			delay = regionDelay
+		}
+		random := uint64(i + 1)
+		d.Self, d.Mode = name, f.mode
+		d.Store = f.store.store(delay, func() bool { return f.locked(func() bool { return !m.cut }) })
+		d.Current = func() (sycamorerun.Tree, sycamorerun.Hash) { return a.Current().Tree, a.Current().Hash }
+		d.Apply, d.Install = a.Apply, a.Install
+		d.Plan = func() planner.Plan { return plan }
+		d.Peers = func() []string { return slices.DeleteFunc(f.names(), func(n string) bool { return n == name }) }
+		d.Open = func(ctx context.Context, peer, _ string) (net.Conn, error) { return f.open(ctx, m, peer) }
+		var mutex sync.Mutex
+		d.Random = func() float64 {
+			mutex.Lock()
+			defer mutex.Unlock()
+			random = random*6364136223846793005 + 1442695040888963407
+			return float64(random>>11) / (1 << 53)
+		}
+		ctx, stop := context.WithCancel(f.ctx)
+		m.process.Store(&process{d, a, stop})
+		f.locked(func() bool { m.up = true; return true })
+		go func() { _ = d.Run(ctx) }()
+		go func() { _ = d.Bootstrap(ctx) }()
+	}
+}
+
+func (f *fleet) kill(name string) {
+	m := f.members[name]
+	f.locked(func() bool { m.up = false; return true })
+	m.process.Load().stop()
+}
+
+func (f *fleet) locked(read func() bool) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return read()
+}
+
+func (f *fleet) hash(version sycamorerun.Version) sycamorerun.Hash {
+	f.store.mutex.Lock()
+	defer f.store.mutex.Unlock()
+	return f.store.hashes[version]
+}
+
+// cost returns the store calls and the bytes between peers of two regions.
+func (f *fleet) cost() (calls, crossed int) {
+	f.store.mutex.Lock()
+	calls = f.store.calls
+	f.store.mutex.Unlock()
+	f.locked(func() bool { crossed = f.crossed; return true })
+	return calls, crossed
+}
+
+func (f *fleet) fault(format string, args ...any) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.faults = append(f.faults, fmt.Sprintf(format, args...))
+}
+
+func (f *fleet) reachable(from, to *member) bool {
+	return f.locked(func() bool {
+		return from.up && to.up && (!from.cut && !to.cut || from.AvailabilityZone == to.AvailabilityZone)
+	})
+}
+
+func (f *fleet) open(ctx context.Context, from *member, name string) (net.Conn, error) {
+	to := f.members[name]
+	delay := localDelay
+	if from.Region != to.Region {
+		delay = regionDelay
+	}
+	time.Sleep(delay)
+	if !f.reachable(from, to) {
+		return nil, errors.New("unreachable")
+	}
+	near, far := net.Pipe()
+	if !f.locked(func() bool { return to.mute }) {
+		go to.process.Load().Serve(f.ctx, from.Name, &slowConn{far, f, to, from, delay})
+	}
+	return &slowConn{near, f, from, to, delay}, ctx.Err()
+}
+
+// slowConn delays what is written by the distance and counts it.
+type slowConn struct {
+	net.Conn
+	fleet    *fleet
+	from, to *member
+	delay    time.Duration
+}
+
+func (c *slowConn) Write(data []byte) (int, error) {
+	time.Sleep(c.delay)
+	if !c.fleet.reachable(c.from, c.to) {
+		_ = c.Close()
+		return 0, errors.New("connection reset")
+	}
+	if c.from.Region != c.to.Region {
+		c.fleet.locked(func() bool { c.fleet.crossed += len(data); return true })
+	}
+	return c.Conn.Write(data)
+}
+
+// heartbeats carry the versions over the links each second.
+func (f *fleet) heartbeats() {
+	for sleep(f.ctx, time.Second) {
+		for _, name := range f.names() {
+			from := f.members[name]
+			if from.process.Load() == nil {
+				continue
+			}
+			for peer := range peers(from.process.Load().Plan().Links) {
+				if to := f.members[peer]; f.reachable(from, to) {
+					to.process.Load().Heard(name, from.version())
+				}
+			}
+		}
+	}
+}
+
+// converge returns the time until all members that are up have version, or an
+// error after a bound.
+func (f *fleet) converge(version sycamorerun.Version, bound time.Duration) (time.Duration, error) {
+	begin := time.Now()
+	for {
+		var behind []string
+		for _, name := range f.names() {
+			m := f.members[name]
+			if f.locked(func() bool { return m.up }) && m.version() < version {
+				behind = append(behind, fmt.Sprintf("%s at %s", name, m.version()))
+			}
+		}
+		took := time.Since(begin)
+		if len(behind) == 0 {
+			return took, nil
+		}
+		if took > bound {
+			return took, errors.Errorf("%d members below %s after %s: %s", len(behind), version, took, behind[0])
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// first returns the member with a role in the first region's tree.
+func (f *fleet) watcher(region string, watch planner.Watch) string {
+	for _, name := range f.names() {
+		if f.members[name].Region == region && f.members[name].process.Load().Plan().Watch == watch {
+			return name
+		}
+	}
+	panic("no watcher in " + region)
+}
+
+// run runs a scenario on a settled fleet in a bubble with its own time.
+func run(t *testing.T, mode Mode, size int, scenario func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(mode, size)
+		defer func() {
+			f.stop()
+			// The delays of the fake network do not end with the context.
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			for _, fault := range f.faults {
+				t.Error(fault)
+			}
+		}()
+		f.store.commit(3)
+		f.start(f.names()...)
+		mustConverge(t, f, 3, 20*time.Second)
+		time.Sleep(2 * time.Second)
+		scenario(t, f)
+	})
+}
+
+func mustConverge(t *testing.T, f *fleet, version sycamorerun.Version, bound time.Duration) time.Duration {
+	t.Helper()
+	took, err := f.converge(version, bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return took
+}
--- /dev/null
+++ b/node/distributor/pull.go
@@ -0,0 +1,130 @@
+package distributor
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/encoder"
+	"sycamorerun/persister"
+)
+
+// pullTimeout bounds a pull; a second peer is asked before it ends.
+const pullTimeout = 10 * time.Second
+
+// errNoProgress means that a peer with a newer version sent nothing usable.
+var errNoProgress = errors.New("answer without a newer version")
+
+// pulls starts the pulls that are due.
+func (d *Distributor) pulls(ctx context.Context) {
+	for {
+		peer, wait := d.nextPull(time.Now())
+		if peer != "" {
+			go d.pullFrom(ctx, peer)
+			continue
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-d.wakePull:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+func (d *Distributor) nextPull(now time.Time) (string, time.Duration) {
+	if d.Mode == Poll {
+		return "", idle
+	}
+	held, known := d.Held(), peers(d.Plan().Links)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	peer, wait := d.wants.next(now, held, func(name string) bool { return known[name] })
+	if peer != "" {
+		d.wants.began(now, peer)
+	}
+	return peer, wait
+}
+
+// pullFrom asks peer for the versions after the held one and records how that
+// went.
+func (d *Distributor) pullFrom(ctx context.Context, peer string) {
+	before := d.Held()
+	reply, err := d.request(ctx, peer, before, false, pullTimeout)
+	if err == nil {
+		err = d.absorb(time.Now(), peer, reply)
+	}
+	held := d.Held()
+	version := sycamorerun.Version(reply.GetVersion())
+	retry := time.Duration(reply.GetRetryMs()) * time.Millisecond
+	if err == nil && version > held && held == before && retry == 0 {
+		err = errNoProgress
+	}
+	d.count("distributor_pulls", 1)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if err != nil {
+		d.wants.failed(time.Now(), peer, d.Random())
+		level.Debug(d.Logger).Log("msg", "pull failed", "peer", peer, "err", err)
+	} else {
+		d.wants.ended(time.Now(), peer, version, min(retry, pullRetryMost))
+	}
+	signal(d.wakePull)
+}
+
+// request sends Want on a new stream and reads the answer.
+func (d *Distributor) request(ctx context.Context, peer string, after sycamorerun.Version, probe bool, timeout time.Duration) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	stream, err := d.Open(ctx, peer, Kind)
+	if err != nil {
+		return nil, errors.Wrap(err, "open")
+	}
+	defer closeWith(ctx, stream)()
+	n, err := encoder.Write(stream, want(after, probe))
+	if err != nil {
+		return nil, err
+	}
+	d.count("distributor_sent_bytes", n)
+	return readReply(stream)
+}
+
+// absorb takes the content of an answer.
+func (d *Distributor) absorb(now time.Time, peer string, reply *Reply) error {
+	for _, packed := range reply.GetEntries() {
+		entry, err := unpackEntry(packed)
+		if err != nil {
+			return err
+		}
+		if err := d.accept(now, entry, packed.GetData(), peer); err != nil {
+			return err
+		}
+	}
+	if reply.GetSnapshot() == nil {
+		return nil
+	}
+	tree, hash, err := unpackSnapshot(reply.GetSnapshot())
+	if err != nil {
+		return err
+	}
+	return d.install(now, tree, hash, peer)
+}
+
+// takeObject applies a log object from the store. The slot must be that of
+// the entry, which shows a value written under a wrong key.
+func (d *Distributor) takeObject(now time.Time, object persister.Object) error {
+	entry, err := persister.DecodeEntry(object.Value)
+	if err != nil {
+		return errors.Wrapf(err, "decode %s", object.Key)
+	}
+	if persister.LogKey(entry.Version) != object.Key {
+		return errors.Errorf("%s holds version %s", object.Key, entry.Version)
+	}
+	return d.accept(now, entry, object.Value, "")
+}
--- /dev/null
+++ b/node/distributor/watch.go
@@ -0,0 +1,283 @@
+package distributor
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/node/planner"
+	"sycamorerun/persister"
+)
+
+const (
+	// watchTimeout replaces a watch whose connection has gone silent.
+	watchTimeout = 30 * time.Second
+	// storeTimeout bounds the other calls, for a store that is slow.
+	storeTimeout = 5 * time.Second
+	// storeRetryLeast and storeRetryMost bound the delay after a failed call.
+	// The upper bound leaves 2 s of the 7 s within which a change is due.
+	storeRetryLeast = 100 * time.Millisecond
+	storeRetryMost  = 5 * time.Second
+	// emptyPause keeps a store that answers each watch at once with nothing
+	// from being asked in a busy loop.
+	emptyPause = 100 * time.Millisecond
+	// maxSyncs bounds the attempts to overtake a log that is moving on.
+	maxSyncs = 3
+)
+
+var (
+	// errStale means that the store's log ends before a version that this
+	// node holds.
+	errStale = errors.New("store answers with older data than the node holds")
+	errSync  = errors.New("log moves on faster than it can be read")
+)
+
+func (d *Distributor) watchRole(plan planner.Plan) planner.Watch {
+	if d.Mode == Poll {
+		return planner.Primary
+	}
+	return plan.Watch
+}
+
+// watch follows the store in the role that the plan gives this node.
+func (d *Distributor) watch(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		role, following := d.beginWatch(ctx)
+		if role != d.watchRole(d.Plan()) {
+			continue
+		}
+		if role != planner.Primary && role != planner.Standby {
+			select {
+			case <-d.wakeWatch:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		err := d.follow(following, role, func() { failures = 0 })
+		if following.Err() != nil {
+			continue
+		}
+		failures++
+		d.count("distributor_store_failures", 1)
+		level.Warn(d.Logger).Log("msg", "store watch failed; retrying", "role", role, "err", err)
+		_ = sleep(following, backoff(failures, storeRetryLeast, storeRetryMost, d.Random()))
+	}
+}
+
+// beginWatch returns the role and a context that ends when the role changes.
+func (d *Distributor) beginWatch(ctx context.Context) (planner.Watch, context.Context) {
+	role := d.watchRole(d.Plan())
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.stopWatch != nil {
+		d.stopWatch()
+	}
+	ctx, d.stopWatch = context.WithCancel(ctx)
+	d.role = role
+	return role, ctx
+}
+
+// follow watches the log until an error. Worked is called after each answer.
+func (d *Distributor) follow(ctx context.Context, role planner.Watch, worked func()) error {
+	keysOnly := role == planner.Standby
+	after, err := d.begin(ctx, keysOnly)
+	if err != nil {
+		return err
+	}
+	synced := true
+	for ctx.Err() == nil {
+		started := time.Now()
+		listing, err := d.watchOnce(ctx, after, keysOnly)
+		switch {
+		case errors.Is(err, persister.ErrCompacted) && !synced:
+			synced = true
+			if after, err = d.sync(ctx); err != nil {
+				return err
+			}
+			continue
+		case err != nil:
+			return err
+		}
+		worked()
+		if len(listing.Objects) == 0 && time.Since(started) < emptyPause {
+			_ = sleep(ctx, emptyPause)
+		}
+		next, complete := d.observe(ctx, listing, keysOnly)
+		synced = !complete
+		if !complete {
+			if next, err = d.sync(ctx); err != nil {
+				return err
+			}
+		}
+		after = max(after, next)
+	}
+	return ctx.Err()
+}
+
+// watchOnce is one store call. The end of its own timeout is an empty answer.
+func (d *Distributor) watchOnce(ctx context.Context, after persister.Revision, keysOnly bool) (persister.Listing, error) {
+	limited, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	d.count("distributor_store_calls", 1)
+	listing, err := d.Store.Watch(limited, persister.LogPrefix, after, keysOnly)
+	if err != nil && ctx.Err() == nil && limited.Err() != nil {
+		return persister.Listing{Revision: after}, nil
+	}
+	return listing, err
+}
+
+// observe takes the objects of a watch. It returns the revision to continue
+// from and false when versions are missing and the log is to be read.
+func (d *Distributor) observe(ctx context.Context, listing persister.Listing, keysOnly bool) (persister.Revision, bool) {
+	after := listing.Revision
+	var newest sycamorerun.Version
+	for _, object := range listing.Objects {
+		after = max(after, object.Revision)
+		switch {
+		case object.Deleted:
+		case keysOnly:
+			newest = max(newest, slotVersion(object.Key, d.Held()))
+		default:
+			if err := d.takeObject(time.Now(), object); err != nil {
+				level.Warn(d.Logger).Log("msg", "log object not applied", "key", object.Key, "err", err)
+				return after, false
+			}
+		}
+	}
+	if newest > d.Held() {
+		_ = sleep(ctx, d.StandbyDelay)
+	}
+	return after, newest <= d.Held()
+}
+
+// slotVersion returns the version that a write to a slot means for a node that
+// holds version held: the one of the slot's rounds that is nearest to it.
+func slotVersion(key string, held sycamorerun.Version) sycamorerun.Version {
+	slot, err := strconv.ParseUint(strings.TrimPrefix(key, persister.LogPrefix), 10, 64)
+	if err != nil || slot >= persister.RingSlots {
+		return 0
+	}
+	version := held - held%persister.RingSlots + sycamorerun.Version(slot)
+	switch half := sycamorerun.Version(persister.RingSlots / 2); {
+	case version > held+half && version >= persister.RingSlots:
+		return version - persister.RingSlots
+	case version+half <= held:
+		return version + persister.RingSlots
+	}
+	return version
+}
+
+// begin returns the revision to watch from. A primary reads the log first,
+// since the history of a watch may not reach back to the held version.
+func (d *Distributor) begin(ctx context.Context, keysOnly bool) (persister.Revision, error) {
+	if held := d.Held(); keysOnly && held > 0 {
+		after, wrapped, err := d.anchor(ctx, held)
+		if err != nil || !wrapped {
+			return after, err
+		}
+	}
+	return d.sync(ctx)
+}
+
+// anchor returns the revision at which version was written, or true when its
+// slot has been written over.
+func (d *Distributor) anchor(ctx context.Context, version sycamorerun.Version) (persister.Revision, bool, error) {
+	entry, revision, err := d.readEntry(ctx, version)
+	switch {
+	case errors.Is(err, persister.ErrMissing):
+		return 0, false, errors.Wrapf(errStale, "version %s is missing", version)
+	case err != nil:
+		return 0, false, err
+	case entry.Version < version:
+		return 0, false, errors.Wrapf(errStale, "slot of version %s holds %s", version, entry.Version)
+	}
+	return revision, entry.Version > version, nil
+}
+
+// sync reads what the log holds above the node's version, or the snapshot when
+// the log has wrapped, and returns the revision to watch from.
+func (d *Distributor) sync(ctx context.Context) (persister.Revision, error) {
+	for range maxSyncs {
+		var after persister.Revision
+		held, wrapped := d.Held(), true
+		if held > 0 {
+			var err error
+			if after, wrapped, err = d.anchor(ctx, held); err != nil {
+				return 0, err
+			}
+		}
+		if wrapped {
+			found, err := d.readSnapshot(ctx)
+			if err != nil {
+				return 0, err
+			}
+			if found || held > 0 {
+				continue
+			}
+		}
+		revision, complete, err := d.readLog(ctx, after)
+		if err != nil || complete {
+			return revision, err
+		}
+	}
+	return 0, errSync
+}
+
+// readLog applies the log objects written after a revision in the order of
+// their versions. It returns false when versions are missing.
+func (d *Distributor) readLog(ctx context.Context, after persister.Revision) (persister.Revision, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	d.count("distributor_store_calls", 1)
+	listing, err := d.Store.List(ctx, persister.LogPrefix, after)
+	if err != nil {
+		return 0, false, err
+	}
+	slices.SortFunc(listing.Objects, func(a, b persister.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	revision := max(after, listing.Revision)
+	for _, object := range listing.Objects {
+		revision = max(revision, object.Revision)
+		if object.Deleted {
+			continue
+		}
+		err := d.takeObject(time.Now(), object)
+		switch {
+		case errors.Is(err, errGap):
+			return revision, false, nil
+		case err != nil:
+			return 0, false, err
+		}
+	}
+	return revision, true, nil
+}
+
+// readSnapshot installs the stored snapshot when it is newer than the node's
+// version.
+func (d *Distributor) readSnapshot(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	d.count("distributor_store_calls", 1)
+	tree, hash, _, err := persister.ReadSnapshot(ctx, d.Store)
+	if errors.Is(err, persister.ErrMissing) {
+		return false, nil
+	}
+	if err != nil || tree.Version <= d.Held() {
+		return false, err
+	}
+	return true, d.install(time.Now(), tree, hash, "")
+}
+
+func (d *Distributor) readEntry(ctx context.Context, version sycamorerun.Version) (sycamorerun.Entry, persister.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	d.count("distributor_store_calls", 1)
+	return persister.ReadEntry(ctx, d.Store, version)
+}
