--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -292,6 +292,10 @@
 	if err := d.settle(tree, hash, d.Install(now, tree, hash)); err != nil {
 		return err
 	}
+	// The entries end below the snapshot's version and no longer answer a pull.
+	d.mutex.Lock()
+	d.ring = ring{}
+	d.mutex.Unlock()
 	d.forward(tree.Version, nil, source)
 	return nil
 }
--- a/node/distributor/fleet_scenarios_test.go
+++ b/node/distributor/fleet_scenarios_test.go
@@ -1,23 +1,290 @@
 package distributor
 
 import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"sycamorerun"
 	"sycamorerun/node/planner"
 )
 
-func TestFleetSmoke(t *testing.T) {
-	for _, mode := range []Mode{Tree, Poll, Gossip} {
+// bound is the time within which a change is due everywhere.
+const bound = 7 * time.Second
+
+// TestScenarios guards against a fault that keeps an accepted version from a
+// node, or that lets a node go back, be ready too early or cost a call or
+// content more than the design allows.
+func TestScenarios(t *testing.T) {
+	cases := map[string]struct {
+		size int
+		run  func(t *testing.T, f *fleet)
+	}{
+		"one change": {24, func(t *testing.T, f *fleet) {
+			calls, crossed := f.cost()
+			f.store.commit(1)
+			if took := mustConverge(t, f, 4, bound); took > 100*time.Millisecond {
+				t.Errorf("took %s", took)
+			}
+			time.Sleep(3 * time.Second)
+			callsAfter, crossedAfter := f.cost()
+			// Each of the 6 watchers asks again; 12 Haves of 8 bytes cross.
+			if callsAfter-calls != 6 || crossedAfter-crossed > 12*8 {
+				t.Errorf("%d store calls, %d bytes across regions", callsAfter-calls, crossedAfter-crossed)
+			}
+		}},
+		"watchers dead": {24, func(t *testing.T, f *fleet) {
+			for _, region := range []string{"region-0", "region-1", "region-2"} {
+				f.kill(f.watcher(region, planner.Primary))
+			}
+			f.store.commit(1)
+			mustConvergeOver(t, f, 4)
+		}},
+		"watcher and standby dead": {24, func(t *testing.T, f *fleet) {
+			primary, standby := f.watcher("region-1", planner.Primary), f.watcher("region-1", planner.Standby)
+			f.kill(primary)
+			f.kill(standby)
+			f.store.commit(1)
+			mustConverge(t, f, 4, bound)
+			f.start(primary, standby)
+			mustConverge(t, f, 4, bound)
+		}},
+		"watcher paused": {24, func(t *testing.T, f *fleet) {
+			paused := f.members[f.watcher("region-1", planner.Primary)]
+			f.locked(func() bool { paused.mute, paused.cut = true, true; return true })
+			f.store.commit(2)
+			mustConverge(t, f, 5, bound)
+			time.Sleep(time.Minute)
+			f.locked(func() bool { paused.mute, paused.cut = false, false; return true })
+			mustConverge(t, f, 5, 15*time.Second)
+		}},
+		"interior nodes dead": {120, func(t *testing.T, f *fleet) {
+			dead := 0
+			for _, name := range f.names() {
+				plan := f.members[name].process.Load().Plan()
+				if dead < 3 && plan.Watch == planner.None && !plan.Seed && len(children(plan.Links)) > 0 {
+					f.kill(name)
+					dead++
+				}
+			}
+			if dead != 3 {
+				t.Fatalf("%d interior nodes", dead)
+			}
+			f.store.commit(1)
+			mustConvergeOver(t, f, 4)
+		}},
+		"peer reads nothing": {24, func(t *testing.T, f *fleet) {
+			stalled := f.members[f.names()[0]]
+			for _, name := range f.names() {
+				if plan := f.members[name].process.Load().Plan(); plan.Watch == planner.None && !plan.Seed {
+					stalled = f.members[name]
+				}
+			}
+			f.locked(func() bool { stalled.mute = true; return true })
+			for version := range sycamorerun.Version(50) {
+				f.store.commit(1)
+				if took := mustConverge(t, f, 4+version, bound); took > 100*time.Millisecond {
+					t.Errorf("took %s", took)
+				}
+			}
+			f.locked(func() bool { stalled.mute = false; return true })
+			mustConverge(t, f, 53, bound)
+		}},
+		"store outage, then old answers": {24, func(t *testing.T, f *fleet) {
+			f.store.commit(5)
+			mustConverge(t, f, 8, bound)
+			f.store.set(func() { f.store.down = true })
+			time.Sleep(time.Minute)
+			f.store.set(func() { f.store.down, f.store.stale = false, f.store.revision-4 })
+			restarted := f.names()[5]
+			f.kill(restarted)
+			f.start(restarted)
+			f.store.commit(2)
+			time.Sleep(time.Minute)
+			mustConverge(t, f, 8, 0)
+			f.store.set(func() { f.store.stale = 0 })
+			mustConverge(t, f, 10, 12*time.Second)
+		}},
+		"watch history compacted": {24, func(t *testing.T, f *fleet) {
+			f.store.set(func() { f.store.down = true })
+			time.Sleep(20 * time.Second)
+			f.store.commit(40)
+			f.store.set(func() { f.store.down, f.store.compacted = false, f.store.revision })
+			mustConverge(t, f, 43, 12*time.Second)
+		}},
+		"zone cut off while the log wraps": {24, func(t *testing.T, f *fleet) {
+			cut := func(cut bool) {
+				for _, m := range f.members {
+					if m.AvailabilityZone == "zone-3" {
+						f.locked(func() bool { m.cut = cut; return true })
+					}
+				}
+			}
+			cut(true)
+			for range 11 {
+				f.store.commit(100)
+				time.Sleep(time.Second)
+			}
+			mustConverge(t, f, 1103, 15*time.Second)
+			cut(false)
+			mustConverge(t, f, 1103, 15*time.Second)
+		}},
+		"restart in each phase": {24, func(t *testing.T, f *fleet) {
+			version := sycamorerun.Version(3)
+			for _, name := range []string{
+				f.watcher("region-0", planner.Primary), f.watcher("region-1", planner.Primary),
+				f.watcher("region-2", planner.Standby), f.names()[7],
+			} {
+				for _, phase := range []time.Duration{0, time.Millisecond, 21 * time.Millisecond, 350 * time.Millisecond, 600 * time.Millisecond} {
+					f.store.commit(1)
+					version++
+					time.Sleep(phase)
+					f.kill(name)
+					time.Sleep(phase)
+					f.start(name)
+					mustConverge(t, f, version, bound)
+				}
+			}
+		}},
+		"all restart": {60, func(t *testing.T, f *fleet) {
+			f.store.commit(300)
+			mustConverge(t, f, 303, 15*time.Second)
+			for _, name := range f.names() {
+				f.kill(name)
+			}
+			calls, _ := f.cost()
+			f.start(f.names()...)
+			mustConverge(t, f, 303, 15*time.Second)
+			time.Sleep(10 * time.Second)
+			for _, name := range f.names() {
+				if !f.members[name].process.Load().Ready() {
+					t.Errorf("%s is not ready", name)
+				}
+			}
+			// One read for each node, and a few for each of the 6 watchers.
+			if after, _ := f.cost(); after-calls > 60+6*12 {
+				t.Errorf("%d store calls", after-calls)
+			}
+		}},
+		"damaged store answers": {24, func(t *testing.T, f *fleet) {
+			reads := 0
+			f.store.set(func() {
+				f.store.damage = func(value []byte) []byte {
+					if reads++; reads%3 != 0 {
+						value = append([]byte{}, value[:len(value)-reads%2]...)
+						value[reads%len(value)] ^= 1
+					}
+					return value
+				}
+			})
+			f.store.commit(3)
+			time.Sleep(5 * time.Second)
+			f.store.set(func() { f.store.damage = nil })
+			mustConverge(t, f, 6, 12*time.Second)
+		}},
+		"survey": {60, func(t *testing.T, f *fleet) {
+			var leaves []string
+			for _, name := range f.names() {
+				if len(children(f.members[name].process.Load().Plan().Links)) == 0 {
+					leaves = append(leaves, name)
+				}
+			}
+			asked := f.members[leaves[2]].process.Load()
+			f.locked(func() bool { f.members[leaves[0]].mute = true; return true })
+			f.kill(leaves[1])
+			f.store.commit(1)
+			mustConverge(t, f, 4, bound)
+			answer, err := asked.Survey(context.Background())
+			if err != nil || answer.Target != 4 || answer.Counts[4] != 58 || !slices.Equal(answer.Unreachable, leaves[:2]) {
+				t.Errorf("%+v %v", answer, err)
+			}
+			f.locked(func() bool { f.members[leaves[0]].mute = false; return true })
+			f.start(leaves[1])
+			mustConverge(t, f, 4, bound)
+			answer, err = asked.Survey(context.Background())
+			if err != nil || answer.Counts[4] != 60 || len(answer.Lagging)+len(answer.Unreachable) != 0 {
+				t.Errorf("%+v %v", answer, err)
+			}
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { run(t, Tree, c.size, c.run) })
+	}
+}
+
+// TestBaselines guards against a baseline that does not distribute at all,
+// which would make the measurements worthless.
+func TestBaselines(t *testing.T) {
+	for _, mode := range []Mode{Poll, Gossip} {
 		t.Run(string(mode), func(t *testing.T) {
 			run(t, mode, 24, func(t *testing.T, f *fleet) {
-				calls, crossed := f.cost()
-				f.store.commit(1)
-				took := mustConverge(t, f, 4, 7*time.Second)
-				time.Sleep(3 * time.Second)
-				calls2, crossed2 := f.cost()
-				t.Log(took, calls2-calls, crossed2-crossed, f.watcher("region-1", planner.Primary))
+				f.store.commit(40)
+				mustConverge(t, f, 43, bound)
 			})
 		})
 	}
 }
+
+// TestNoise guards the invariants against lost, doubled, reordered, truncated
+// and damaged frames at random: no node goes back or puts in force what was
+// not accepted, and the fleet converges once the noise ends.
+func TestNoise(t *testing.T) {
+	for seed := range uint64(6) {
+		run(t, []Mode{Tree, Tree, Gossip}[seed%3], 18, func(t *testing.T, f *fleet) {
+			var mutex sync.Mutex
+			var late []byte
+			random := rand.New(rand.NewPCG(seed, 1))
+			noise := func(write func([]byte) error, data []byte) error {
+				mutex.Lock()
+				kind, at := random.IntN(12), random.IntN(len(data))
+				held := late
+				if kind == 3 {
+					late = data
+				} else {
+					late = nil
+				}
+				mutex.Unlock()
+				switch kind {
+				case 0, 3:
+					return nil
+				case 1:
+					_ = write(data)
+				case 2:
+					_ = write(data[:at])
+					return errors.New("connection reset")
+				case 4, 5:
+					data = append([]byte{}, data...)
+					data[at] ^= 1 << (at % 8)
+				}
+				err := write(data)
+				if held != nil {
+					_ = write(held)
+				}
+				return err
+			}
+			f.locked(func() bool { f.noise = noise; return true })
+			version := sycamorerun.Version(3)
+			for range 15 {
+				mutex.Lock()
+				n := 1 + random.IntN(40)
+				pause := time.Duration(random.IntN(500)) * time.Millisecond
+				victim := f.names()[random.IntN(18)]
+				mutex.Unlock()
+				version += sycamorerun.Version(n)
+				f.store.commit(n)
+				time.Sleep(pause)
+				if n%5 == 0 {
+					f.kill(victim)
+					f.start(victim)
+				}
+			}
+			f.locked(func() bool { f.noise = nil; return true })
+			mustConverge(t, f, version, 30*time.Second)
+		})
+	}
+}
--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -101,6 +102,16 @@
 	})
 }
 
+// newest returns the last version that a node can learn of from the store.
+func (s *fakeStore) newest() sycamorerun.Version {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down || s.stale > 0 {
+		return 0
+	}
+	return s.tree.Version
+}
+
 // visible returns the objects under prefix between two revisions, as the
 // store's present state or, for a watch, as its history.
 func (s *fakeStore) visible(prefix string, after persister.Revision, watch bool) persister.Listing {
@@ -110,8 +121,8 @@
 	}
 	latest := map[string]persister.Object{}
 	listing := persister.Listing{Revision: limit}
-	for _, object := range s.history {
-		if object.Revision <= after || object.Revision > limit || !strings.HasPrefix(object.Key, prefix) {
+	for _, object := range s.history[min(int(after), len(s.history)):] {
+		if object.Revision > limit || !strings.HasPrefix(object.Key, prefix) {
 			continue
 		}
 		if s.damage != nil {
@@ -201,11 +212,14 @@
 type member struct {
 	sycamorerun.Instance
 	process atomic.Pointer[process]
+	plan    atomic.Pointer[planner.Plan]
 	up      bool
-	// mute makes the member accept streams without reading from them.
+	// mute makes the member read nothing from its streams.
 	mute bool
 	// cut separates the member from the store and from peers of other zones.
 	cut bool
+	// lost counts the heartbeats since it was last up, not mute and not cut.
+	lost int
 }
 
 // process is one life of a member.
@@ -227,9 +241,11 @@
 	mutex   sync.Mutex
 	// crossed counts the bytes that peers send to other regions.
 	crossed int
-	ctx     context.Context
-	stop    context.CancelFunc
-	faults  []string
+	// noise disturbs what is written, when it is set.
+	noise  func(write func([]byte) error, data []byte) error
+	ctx    context.Context
+	stop   context.CancelFunc
+	faults []string
 }
 
 const localDelay, regionDelay = time.Millisecond, 20 * time.Millisecond
@@ -257,23 +273,59 @@
 	return names
 }
 
-// instances are the members as the plan sees them: a dead one stays in it, so
-// that the tests cover the time before its failure is detected.
-func (f *fleet) instances() []sycamorerun.Instance {
-	var result []sycamorerun.Instance
+// detection is the number of heartbeats after which a lost member counts as
+// failed: 3 missed, then 3 s of suspicion.
+const detection = 6
+
+// plan computes the members' plans from those that do not count as failed. A
+// member that is cut off sees its own zone.
+func (f *fleet) plan() {
+	var live []sycamorerun.Instance
+	zones := map[string][]sycamorerun.Instance{}
 	for _, name := range f.names() {
-		result = append(result, f.members[name].Instance)
+		m := f.members[name]
+		if f.locked(func() bool { return m.lost < detection }) {
+			live = append(live, m.Instance)
+		} else if f.locked(func() bool { return m.cut && m.up }) {
+			zones[m.AvailabilityZone] = append(zones[m.AvailabilityZone], m.Instance)
+		}
 	}
-	return result
+	for _, name := range f.names() {
+		m := f.members[name]
+		plan := planner.New(name, live)
+		if f.locked(func() bool { return m.cut && m.lost >= detection }) {
+			plan = planner.New(name, zones[m.AvailabilityZone])
+		}
+		if last := m.plan.Swap(&plan); last == nil || !reflect.DeepEqual(*last, plan) {
+			if running := m.process.Load(); running != nil {
+				running.Replan()
+			}
+		}
+	}
+}
+
+// detect counts the heartbeats that the lost members miss.
+func (f *fleet) detect() {
+	for _, m := range f.members {
+		f.locked(func() bool {
+			m.lost++
+			if m.up && !m.mute && !m.cut {
+				m.lost = 0
+			}
+			return true
+		})
+	}
+	f.plan()
 }
 
 func (f *fleet) start(names ...string) {
-	plans := map[string]planner.Plan{}
 	for _, name := range names {
-		plans[name] = planner.New(name, f.instances())
+		m := f.members[name]
+		f.locked(func() bool { m.up, m.lost = true, 0; return true })
 	}
+	f.plan()
 	for i, name := range names {
-		m, plan := f.members[name], plans[name]
+		m := f.members[name]
 		a, d := &applier.Applier{}, New()
 		last := sycamorerun.Version(0)
 		a.Changed = func(state applier.State) {
@@ -291,7 +343,7 @@
 		d.Store = f.store.store(delay, func() bool { return f.locked(func() bool { return !m.cut }) })
 		d.Current = func() (sycamorerun.Tree, sycamorerun.Hash) { return a.Current().Tree, a.Current().Hash }
 		d.Apply, d.Install = a.Apply, a.Install
-		d.Plan = func() planner.Plan { return plan }
+		d.Plan = func() planner.Plan { return *m.plan.Load() }
 		d.Peers = func() []string { return slices.DeleteFunc(f.names(), func(n string) bool { return n == name }) }
 		d.Open = func(ctx context.Context, peer, _ string) (net.Conn, error) { return f.open(ctx, m, peer) }
 		var mutex sync.Mutex
@@ -303,9 +355,13 @@
 		}
 		ctx, stop := context.WithCancel(f.ctx)
 		m.process.Store(&process{d, a, stop})
-		f.locked(func() bool { m.up = true; return true })
 		go func() { _ = d.Run(ctx) }()
-		go func() { _ = d.Bootstrap(ctx) }()
+		newest := f.store.newest()
+		go func() {
+			if d.Bootstrap(ctx) == nil && a.Current().Tree.Version < newest {
+				f.fault("%s: ready with version %s before %s", name, a.Current().Tree.Version, newest)
+			}
+		}()
 	}
 }
 
@@ -359,9 +415,7 @@
 		return nil, errors.New("unreachable")
 	}
 	near, far := net.Pipe()
-	if !f.locked(func() bool { return to.mute }) {
-		go to.process.Load().Serve(f.ctx, from.Name, &slowConn{far, f, to, from, delay})
-	}
+	go to.process.Load().Serve(f.ctx, from.Name, &slowConn{far, f, to, from, delay})
 	return &slowConn{near, f, from, to, delay}, ctx.Err()
 }
 
@@ -382,12 +436,25 @@
 	if c.from.Region != c.to.Region {
 		c.fleet.locked(func() bool { c.fleet.crossed += len(data); return true })
 	}
-	return c.Conn.Write(data)
+	var noise func(func([]byte) error, []byte) error
+	c.fleet.locked(func() bool { noise = c.fleet.noise; return true })
+	if noise == nil {
+		return c.Conn.Write(data)
+	}
+	return len(data), noise(func(data []byte) error { _, err := c.Conn.Write(data); return err }, data)
+}
+
+func (c *slowConn) Read(data []byte) (int, error) {
+	for c.fleet.locked(func() bool { return c.from.mute }) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	return c.Conn.Read(data)
 }
 
 // heartbeats carry the versions over the links each second.
 func (f *fleet) heartbeats() {
 	for sleep(f.ctx, time.Second) {
+		f.detect()
 		for _, name := range f.names() {
 			from := f.members[name]
 			if from.process.Load() == nil {
@@ -404,13 +471,13 @@
 
 // converge returns the time until all members that are up have version, or an
 // error after a bound.
-func (f *fleet) converge(version sycamorerun.Version, bound time.Duration) (time.Duration, error) {
+func (f *fleet) converge(version sycamorerun.Version, bound time.Duration, except map[string]bool) (time.Duration, error) {
 	begin := time.Now()
 	for {
 		var behind []string
 		for _, name := range f.names() {
 			m := f.members[name]
-			if f.locked(func() bool { return m.up }) && m.version() < version {
+			if f.locked(func() bool { return m.up && !m.mute && !m.cut && !except[name] }) && m.version() < version {
 				behind = append(behind, fmt.Sprintf("%s at %s", name, m.version()))
 			}
 		}
@@ -421,11 +488,34 @@
 		if took > bound {
 			return took, errors.Errorf("%d members below %s after %s: %s", len(behind), version, took, behind[0])
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(max(time.Millisecond, took/32))
 	}
 }
 
-// first returns the member with a role in the first region's tree.
+// orphans returns the members that no tree reaches while the dead ones count
+// as live: those whose parents are all dead or orphans themselves.
+func (f *fleet) orphans() map[string]bool {
+	result := map[string]bool{}
+	for grown := true; grown; {
+		grown = false
+		for _, name := range f.names() {
+			parents, reached := 0, false
+			for _, link := range f.members[name].plan.Load().Links {
+				if link.Role == planner.RoleParent {
+					parents++
+					up := f.locked(func() bool { return f.members[link.Name].up })
+					reached = reached || up && !result[link.Name]
+				}
+			}
+			if parents > 0 && !reached && !result[name] {
+				result[name], grown = true, true
+			}
+		}
+	}
+	return result
+}
+
+// watcher returns the member that watches the store for a region.
 func (f *fleet) watcher(region string, watch planner.Watch) string {
 	for _, name := range f.names() {
 		if f.members[name].Region == region && f.members[name].process.Load().Plan().Watch == watch {
@@ -456,9 +546,24 @@
 	})
 }
 
+// mustConvergeOver requires that the trees reach all but the orphans within
+// the delays of standby and pulls, long before the failures are detected, and
+// the orphans after that.
+func mustConvergeOver(t *testing.T, f *fleet, version sycamorerun.Version) {
+	t.Helper()
+	orphans := f.orphans()
+	if len(orphans) > len(f.members)/3 {
+		t.Fatalf("%d orphans", len(orphans))
+	}
+	if took, err := f.converge(version, 2500*time.Millisecond, orphans); err != nil {
+		t.Fatalf("%d orphans, %s: %v", len(orphans), took, err)
+	}
+	mustConverge(t, f, version, bound)
+}
+
 func mustConverge(t *testing.T, f *fleet, version sycamorerun.Version, bound time.Duration) time.Duration {
 	t.Helper()
-	took, err := f.converge(version, bound)
+	took, err := f.converge(version, bound, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
