--- a/node/applier/applier.go
+++ b/node/applier/applier.go
@@ -138,7 +138,7 @@
 			return a.refuse(now, tree.Version, ErrInvalid, faults)
 		}
 	}
-	table, faults := router.Compile(tree)
+	table, faults := router.Recompile(a.Current().Table, tree)
 	if len(faults) > 0 {
 		return a.refuse(now, tree.Version, ErrInvalid, faults)
 	}
--- /dev/null
+++ b/node/distributor/distributor_test.go
@@ -0,0 +1,360 @@
+package distributor
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sycamorerun"
+	"sycamorerun/differ"
+	"sycamorerun/encoder"
+	"sycamorerun/node/applier"
+	"sycamorerun/node/planner"
+	"sycamorerun/persister"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// solo returns a node without peers or a store, and its applier.
+func solo() (*Distributor, *applier.Applier) {
+	d, a := New(), &applier.Applier{}
+	d.Current = func() (sycamorerun.Tree, sycamorerun.Hash) { return a.Current().Tree, a.Current().Hash }
+	d.Apply, d.Install = a.Apply, a.Install
+	d.Plan = func() planner.Plan { return planner.Plan{} }
+	return d, a
+}
+
+// TestWants guards against a pull storm, a pull across regions while a near
+// peer has the version, and a version that is never pulled.
+func TestWants(t *testing.T) {
+	type step struct {
+		at   time.Duration
+		do   func(w *wants, now time.Time)
+		held sycamorerun.Version
+		peer string
+		wait time.Duration
+	}
+	heard := func(peer string, version sycamorerun.Version) func(*wants, time.Time) {
+		return func(w *wants, now time.Time) { w.heard(now, peer, version, 1, pullDelay) }
+	}
+	began := func(peer string) func(*wants, time.Time) {
+		return func(w *wants, now time.Time) { w.began(now, peer) }
+	}
+	none := func(*wants, time.Time) {}
+	const ms = time.Millisecond
+	cases := map[string][]step{
+		"waits for the push":       {{0, heard("a", 2), 1, "", pullDelay}, {300 * ms, none, 1, "a", idle}},
+		"push arrived":             {{0, heard("a", 2), 1, "", pullDelay}, {300 * ms, none, 2, "", idle}},
+		"near peer first":          {{0, heard("far", 3), 1, "", pullDelay}, {300 * ms, heard("a", 2), 1, "far", pullDelay}, {600 * ms, none, 1, "a", idle}},
+		"a later Have is no delay": {{0, heard("a", 2), 1, "", pullDelay}, {200 * ms, heard("a", 3), 1, "", 100 * ms}},
+		"direct":                   {{0, heard("a", 2), 1, "", pullDelay}, {0, func(w *wants, now time.Time) { w.heard(now, "a", 2, 1, 0) }, 1, "a", idle}},
+		"one pull, then a hedge": {
+			{0, heard("a", 2), 1, "", pullDelay},
+			{0, heard("b", 2), 1, "", pullDelay},
+			{0, heard("c", 2), 1, "", pullDelay},
+			{300 * ms, began("a"), 1, "", hedgeDelay},
+			{1300 * ms, none, 1, "b", idle},
+			{1300 * ms, began("b"), 1, "", idle},
+		},
+		"failure": {
+			{0, heard("a", 2), 1, "", pullDelay},
+			{300 * ms, began("a"), 1, "", hedgeDelay},
+			{400 * ms, func(w *wants, now time.Time) { w.failed(now, "a", 0.5) }, 1, "", 50 * ms},
+			{450 * ms, none, 1, "a", idle},
+		},
+		"busy": {
+			{0, heard("a", 2), 1, "", pullDelay},
+			{300 * ms, func(w *wants, now time.Time) { w.began(now, "a"); w.ended(now, "a", 2, 70*ms) }, 1, "", 70 * ms},
+		},
+		"peer went back": {
+			{0, heard("a", 9), 1, "", pullDelay},
+			{300 * ms, func(w *wants, now time.Time) { w.began(now, "a"); w.ended(now, "a", 1, 0) }, 1, "", idle},
+		},
+		"Have during a pull": {
+			{0, heard("a", 2), 1, "", pullDelay},
+			{300 * ms, func(w *wants, now time.Time) { w.began(now, "a"); heard("a", 3)(w, now); w.ended(now, "a", 2, 0) }, 2, "a", idle},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := &wants{peers: map[string]*standing{}}
+			for _, step := range steps {
+				now := start.Add(step.at)
+				step.do(w, now)
+				peer, wait := w.next(now, step.held, func(name string) bool { return name == "far" })
+				is.Equal(peer, step.peer)
+				if peer == "" {
+					is.Equal(wait, step.wait)
+				}
+			}
+		})
+	}
+}
+
+// TestTargets guards against content sent twice to a node or across regions.
+func TestTargets(t *testing.T) {
+	links := []planner.Link{
+		{Name: "up", Tree: 0, Role: planner.RoleParent},
+		{Name: "far", Tree: 0, Role: planner.RoleRegion},
+		{Name: "both", Tree: 0, Role: planner.RoleChild},
+		{Name: "first", Tree: 0, Role: planner.RoleChild},
+		{Name: "up2", Tree: 1, Role: planner.RoleParent},
+		{Name: "both", Tree: 1, Role: planner.RoleChild},
+		{Name: "second", Tree: 1, Role: planner.RoleChild},
+	}
+	cases := map[string]struct {
+		source  string
+		content bool
+		want    []target
+	}{
+		"from the parent":  {"up", true, []target{{"far", false, false}, {"both", true, false}, {"first", true, false}, {"second", false, false}}},
+		"learned here":     {"", true, []target{{"up", false, false}, {"far", false, false}, {"both", true, false}, {"first", true, false}, {"second", false, false}}},
+		"after a snapshot": {"up2", false, []target{{"up", false, false}, {"far", false, false}, {"both", false, true}, {"first", false, true}, {"second", false, false}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(targets(links, c.source, c.content), c.want) })
+	}
+}
+
+// TestQueue guards against a slow link that takes memory without bound, and
+// against an overflow after which the peer is not told what it lacks.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, content := queue{}, make([]byte, queueBytes)
+		sent, received, last := 0, sycamorerun.Version(0), sycamorerun.Version(0)
+		drain := func() {
+			data, ok := q.next()
+			if !ok {
+				return
+			}
+			if data[0] != 0 {
+				received++
+				return
+			}
+			message, err := readMessage(bytes.NewReader(data))
+			if err != nil {
+				t.Fatal(err)
+			}
+			// The peer pulls up to the announced version.
+			received = sycamorerun.Version(message.GetHave().GetVersion())
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "drain") == 0 {
+				drain()
+				continue
+			}
+			last++
+			size := rapid.SampledFrom([]int{1, 1 << 10, 200 << 10, queueBytes}).Draw(t, "size")
+			content[0] = 1
+			q.push(last, content[:size])
+			sent++
+			if len(q.frames) > queueFrames || q.bytes > queueBytes {
+				t.Fatalf("%d frames, %d bytes", len(q.frames), q.bytes)
+			}
+		}
+		for range sent + 1 {
+			drain()
+		}
+		if received != last {
+			t.Fatalf("peer at %s, last is %s", received, last)
+		}
+	})
+}
+
+// TestRing guards against an answer with a gap and against memory without
+// bound.
+func TestRing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r ring
+		last := sycamorerun.Version(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			last += sycamorerun.Version(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 7}).Draw(t, "step"))
+			r.add(last, make([]byte, rapid.SampledFrom([]int{1, 1000, ringBytes / 4, ringBytes}).Draw(t, "size")))
+			if r.bytes > ringBytes || len(r.entries) > ringEntries {
+				t.Fatalf("%d bytes, %d entries", r.bytes, len(r.entries))
+			}
+		}
+		after := sycamorerun.Version(rapid.IntRange(0, int(last)).Draw(t, "after"))
+		entries, _, ok := r.after(after)
+		if ok && sycamorerun.Version(len(entries)) != last-after {
+			t.Fatalf("%d entries after %s of %s", len(entries), after, last)
+		}
+		if _, held := r.get(after + 1); held != ok && after < last {
+			t.Fatalf("get %v, after %v", held, ok)
+		}
+	})
+}
+
+// TestSlotVersion guards against a standby that takes an old slot for a new
+// version or the reverse.
+func TestSlotVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		held := rapid.Uint64Range(0, 1<<40).Draw(t, "held")
+		version := held + rapid.Uint64Range(0, persister.RingSlots-1).Draw(t, "ahead")
+		version -= min(version, persister.RingSlots/2-1)
+		got := slotVersion(persister.LogKey(sycamorerun.Version(version)), sycamorerun.Version(held))
+		if got != sycamorerun.Version(version) {
+			t.Fatalf("version %d at %d became %s", version, held, got)
+		}
+	})
+}
+
+// TestReply guards against an answer larger than needed, and against one that
+// leaves a gap after a snapshot.
+func TestReply(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	d, _ := solo()
+	for range 200 {
+		d.Learn(start, store.next())
+	}
+	reply, _ := d.reply(199, false)
+	is.Equal(len(reply.GetEntries()), 1)
+	reply, large := d.reply(10, false)
+	is.True(reply.GetSnapshot() != nil && large) // 190 entries exceed the tree of 7 services
+	reply, _ = d.reply(200, false)
+	is.True(reply.GetSnapshot() == nil && reply.GetEntries() == nil)
+	follower, a := solo()
+	reply, _ = d.reply(0, false)
+	is.NoErr(follower.absorb(start, "peer", reply))
+	is.Equal(a.Current().Tree.Version, sycamorerun.Version(200))
+	reply, _ = follower.reply(199, false)
+	is.True(reply.GetSnapshot() != nil)
+	entry, ok := d.Entry(150)
+	is.True(ok)
+	is.Equal(entry.Version, sycamorerun.Version(150))
+}
+
+// TestBusy guards against a herd of pulls that takes all of a node's memory.
+func TestBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		d, _ := solo()
+		for range 200 {
+			d.Learn(start, store.next())
+		}
+		busy, served := 0, 0
+		var streams []net.Conn
+		for range 20 {
+			near, far := net.Pipe()
+			go d.Serve(t.Context(), "peer", far)
+			_, _ = encoder.Write(near, want(0, false))
+			synctest.Wait()
+			streams = append(streams, near)
+		}
+		for _, stream := range streams {
+			reply, err := readReply(stream)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if reply.GetRetryMs() > 0 {
+				busy++
+			} else if reply.GetSnapshot() != nil {
+				served++
+			}
+			_ = stream.Close()
+		}
+		if served != maxServed || busy != 20-maxServed {
+			t.Errorf("%d served, %d busy", served, busy)
+		}
+	})
+}
+
+// TestRefused guards against a node that stops at a version that it refuses:
+// the version after it takes force, and the refused one is passed on.
+func TestRefused(t *testing.T) {
+	is := is.New(t)
+	store := newStore()
+	d, a := solo()
+	a.Validate = func(items map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
+		if strings.Contains(string(items["quoting/service/desk-3"]), ":3}") {
+			return []sycamorerun.Fault{{Code: "test"}}
+		}
+		return nil
+	}
+	versions := []sycamorerun.Version{}
+	for range 12 {
+		d.Learn(start, store.next())
+		versions = append(versions, a.Current().Tree.Version)
+	}
+	is.Equal(versions, []sycamorerun.Version{1, 2, 2, 2, 2, 2, 2, 2, 2, 10, 11, 12})
+	is.Equal(a.Current().Hash, store.hashes[12])
+	_, ok := d.Entry(3)
+	is.True(ok)
+}
+
+// TestDamaged guards against content that was changed on its way taking force,
+// including a change of the version alone, which the tree's hash does not
+// cover.
+func TestDamaged(t *testing.T) {
+	store := newStore()
+	entry := store.next()
+	data, _ := persister.EncodeEntry(entry)
+	later := entry
+	later.Version = 2
+	renumbered, _ := persister.EncodeEntry(later)
+	cases := map[string]*Push{
+		"sum":               {Version: 1, Entry: &Packed{Data: data, Sum: 1}},
+		"truncated":         {Version: 1, Entry: pack(data[:len(data)-3])},
+		"empty":             {Version: 1, Entry: pack(nil)},
+		"version":           {Version: 1, Entry: pack(renumbered)},
+		"version under sum": {Version: 1, Entry: &Packed{Data: renumbered, Sum: pack(data).GetSum()}},
+		"nothing":           {Version: 1},
+	}
+	for name, message := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, a := solo()
+			err := d.pushed(start, "peer", message)
+			is.New(t).True(err != nil)
+			is.New(t).Equal(a.Current().Tree.Version, sycamorerun.Version(0))
+		})
+	}
+}
+
+// FuzzServe guards against input from a peer that panics, hangs or puts a
+// version in force that is not the accepted one.
+func FuzzServe(f *testing.F) {
+	store := newStore()
+	var frames []byte
+	for range 3 {
+		entry := store.next()
+		data, _ := persister.EncodeEntry(entry)
+		frames = append(frames, frame(push(entry.Version, data))...)
+		frames = append(frames, frame(want(0, false))...)
+	}
+	tree := differ.Hash(store.tree.Items)
+	data, _ := persister.EncodeSnapshot(store.tree, tree)
+	f.Add(frames)
+	f.Add(slices.Concat(frame(have(7, true)), frame(&Message{Kind: &Message_Survey{Survey: &Survey{}}}), []byte{0, 0, 0, 9, 1}))
+	f.Add(frame(&Reply{Version: 3, Snapshot: pack(data)}))
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		d, a := solo()
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		go func() {
+			_, _ = near.Write(input)
+			_ = near.Close()
+		}()
+		d.Serve(context.Background(), "peer", far)
+		if reply, err := readReply(bytes.NewReader(input)); err == nil {
+			_ = d.absorb(start, "peer", reply)
+		}
+		if report, err := encoder.Read[Report](bytes.NewReader(input), surveyFrameBytes); err == nil {
+			_ = toReport(fromReport(report))
+		}
+		if state := a.Current(); differ.Hash(state.Tree.Items) != state.Hash {
+			t.Fatal("tree in force does not match its hash")
+		}
+	})
+}
--- a/node/router/compile.go
+++ b/node/router/compile.go
@@ -30,11 +30,22 @@
 // Compile builds the routing table of tree. Any fault means that there is no
 // table, since a table with part of the routes would send calls elsewhere.
 func Compile(tree sycamorerun.Tree) (*Table, []sycamorerun.Fault) {
+	return Recompile(nil, tree)
+}
+
+// Recompile does the same and takes over from previous the decoded form of the
+// items that are equal: decoding is the largest part of the work, and a change
+// touches few items.
+func Recompile(previous *Table, tree sycamorerun.Tree) (*Table, []sycamorerun.Fault) {
 	c := &compiler{table: &Table{
 		version:  tree.Version,
 		services: map[string]sycamorerun.Service{},
 		hosts:    map[string]*group{},
+		decoded:  make(map[sycamorerun.Path]decoded, len(tree.Items)),
 	}}
+	if previous != nil {
+		c.previous = previous.decoded
+	}
 	paths := slices.Sorted(maps.Keys(tree.Items))
 	for _, path := range paths {
 		if _, kind, name := path.Split(); kind == sycamorerun.KindService {
@@ -58,8 +69,15 @@
 }
 
 type compiler struct {
-	table  *Table
-	faults []sycamorerun.Fault
+	table    *Table
+	previous map[sycamorerun.Path]decoded
+	faults   []sycamorerun.Fault
+}
+
+// decoded is an item and what it decodes to.
+type decoded struct {
+	item  sycamorerun.Item
+	value any
 }
 
 func (c *compiler) fault(path sycamorerun.Path, code, format string, args ...any) {
@@ -70,15 +88,26 @@
 
 // decode refuses unknown fields: a node that is older than the item would
 // otherwise ignore a condition and match too many calls.
-func decode(item sycamorerun.Item, into any) error {
+func decode[T any](c *compiler, path sycamorerun.Path, item sycamorerun.Item) (T, error) {
+	if old, ok := c.previous[path]; ok && bytes.Equal(old.item, item) {
+		if value, ok := old.value.(T); ok {
+			c.table.decoded[path] = old
+			return value, nil
+		}
+	}
+	var value T
 	decoder := json.NewDecoder(bytes.NewReader(item))
 	decoder.DisallowUnknownFields()
-	return decoder.Decode(into)
+	err := decoder.Decode(&value)
+	if err == nil {
+		c.table.decoded[path] = decoded{item, value}
+	}
+	return value, err
 }
 
 func (c *compiler) service(path sycamorerun.Path, name string, item sycamorerun.Item) {
-	var service sycamorerun.Service
-	if err := decode(item, &service); err != nil {
+	service, err := decode[sycamorerun.Service](c, path, item)
+	if err != nil {
 		c.fault(path, CodeInvalidItem, "service cannot be decoded: %v", err)
 		return
 	}
@@ -90,8 +119,8 @@
 }
 
 func (c *compiler) route(path sycamorerun.Path, item sycamorerun.Item) {
-	var source sycamorerun.Route
-	if err := decode(item, &source); err != nil {
+	source, err := decode[sycamorerun.Route](c, path, item)
+	if err != nil {
 		c.fault(path, CodeInvalidItem, "route cannot be decoded: %v", err)
 		return
 	}
--- a/node/router/table.go
+++ b/node/router/table.go
@@ -22,6 +22,8 @@
 	// hosts is keyed by host name, "*.suffix" or anyHost.
 	hosts  map[string]*group
 	routes int
+	// decoded is what Recompile takes over.
+	decoded map[sycamorerun.Path]decoded
 }
 
 // group holds the routes of one host by prefix, the most specific first.
