Add process settings, metrics set-up and the stand-in upstream

Settings come from flags and environment variables of the same names and every fault is listed at once. The stand-in upstream announces itself, keeps records of what it ran and changes its behavior at run time.

--- /dev/null
+++ b/loader/kind.go
@@ -0,0 +1,135 @@
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind says how a setting's text becomes a T and what is allowed.
+type Kind[T any] struct {
+	Allowed string
+	Secret  bool
+	Parse   func(text string) (T, error)
+}
+
+var errNotAllowed = errors.New("not allowed")
+
+// Text allows any text.
+func Text(allowed string) Kind[string] {
+	return Kind[string]{Allowed: allowed, Parse: func(text string) (string, error) { return text, nil }}
+}
+
+// Secret allows any text and never shows it.
+func Secret(allowed string) Kind[string] {
+	kind := Text(allowed)
+	kind.Secret = true
+	return kind
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Name allows names of instances, availability zones and regions.
+func Name() Kind[string] {
+	return Kind[string]{
+		Allowed: "1 to 63 of a-z, 0-9 and -",
+		Parse: func(text string) (string, error) {
+			if !namePattern.MatchString(text) {
+				return "", errNotAllowed
+			}
+			return text, nil
+		},
+	}
+}
+
+// Choice allows one of the given words.
+func Choice(words ...string) Kind[string] {
+	return Kind[string]{
+		Allowed: strings.Join(words, ", "),
+		Parse: func(text string) (string, error) {
+			if !slices.Contains(words, text) {
+				return "", errNotAllowed
+			}
+			return text, nil
+		},
+	}
+}
+
+// Duration allows durations with a unit between least and most.
+func Duration(least, most time.Duration) Kind[time.Duration] {
+	return Kind[time.Duration]{
+		Allowed: fmt.Sprintf("%s to %s", least, most),
+		Parse: func(text string) (time.Duration, error) {
+			value, err := time.ParseDuration(text)
+			if err != nil || value < least || value > most {
+				return 0, errNotAllowed
+			}
+			return value, nil
+		},
+	}
+}
+
+// Int allows whole numbers between least and most.
+func Int(least, most int) Kind[int] {
+	return Kind[int]{
+		Allowed: fmt.Sprintf("%d to %d", least, most),
+		Parse: func(text string) (int, error) {
+			value, err := strconv.Atoi(text)
+			if err != nil || value < least || value > most {
+				return 0, errNotAllowed
+			}
+			return value, nil
+		},
+	}
+}
+
+// Bool allows true and false.
+func Bool() Kind[bool] {
+	return Kind[bool]{Allowed: "true, false", Parse: strconv.ParseBool}
+}
+
+// Address allows an IP address with a port.
+func Address() Kind[netip.AddrPort] {
+	return Kind[netip.AddrPort]{Allowed: "an IP address and a port, such as 127.0.0.1:7070", Parse: netip.ParseAddrPort}
+}
+
+// Addresses allows a comma-separated list of IP addresses with ports.
+func Addresses() Kind[[]netip.AddrPort] {
+	return Kind[[]netip.AddrPort]{
+		Allowed: "IP addresses and ports, separated by commas, or nothing",
+		Parse: func(text string) ([]netip.AddrPort, error) {
+			var addresses []netip.AddrPort
+			for word := range strings.SplitSeq(text, ",") {
+				if strings.TrimSpace(word) == "" {
+					continue
+				}
+				address, err := netip.ParseAddrPort(strings.TrimSpace(word))
+				if err != nil {
+					return nil, errNotAllowed
+				}
+				addresses = append(addresses, address)
+			}
+			return addresses, nil
+		},
+	}
+}
+
+// Pattern allows text that matches expression.
+func Pattern(expression, allowed string) Kind[string] {
+	pattern := regexp.MustCompile(expression)
+	return Kind[string]{
+		Allowed: allowed,
+		Parse: func(text string) (string, error) {
+			if !pattern.MatchString(text) {
+				return "", errNotAllowed
+			}
+			return text, nil
+		},
+	}
+}
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,153 @@
+// Package loader reads a process's settings from flags and environment
+// variables of the same names and checks them as a whole.
+package loader
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/pflag"
+)
+
+// ExitUsage is the exit code of a process whose settings are faulty.
+const ExitUsage = 2
+
+// ErrHelp means that the user asked for help, which was printed.
+var ErrHelp = errors.New("help requested")
+
+// Source says where a setting's value came from.
+type Source string
+
+// Sources of values, the later ones taking precedence.
+const (
+	SourceDefault     Source = "default"
+	SourceEnvironment Source = "environment"
+	SourceFlag        Source = "flag"
+)
+
+// Fault is one faulty setting: its name, its value and what is allowed.
+type Fault struct {
+	Name    string
+	Value   string
+	Allowed string
+	Source  Source
+}
+
+// String formats f as one line.
+func (f Fault) String() string {
+	return fmt.Sprintf("--%s=%q (%s): allowed: %s", f.Name, f.Value, f.Source, f.Allowed)
+}
+
+// Setting is one registered setting.
+type setting struct {
+	name    string
+	usage   string
+	allowed string
+	secret  bool
+	text    string
+	source  Source
+	parse   func(text string) error
+}
+
+// Loader holds the settings of one program.
+type Loader struct {
+	program  string
+	settings []*setting
+	checks   []func() []Fault
+}
+
+// New returns a Loader for the program; environment variables have the prefix
+// SYCAMORERUN_.
+func New(program string) *Loader { return &Loader{program: program} }
+
+// Add registers a setting that is parsed by kind into target.
+func Add[T any](l *Loader, target *T, name, fallback string, kind Kind[T], usage string) {
+	l.settings = append(l.settings, &setting{
+		name: name, usage: usage, allowed: kind.Allowed, secret: kind.Secret,
+		text: fallback, source: SourceDefault,
+		parse: func(text string) error {
+			value, err := kind.Parse(text)
+			if err == nil {
+				*target = value
+			}
+			return err
+		},
+	})
+}
+
+// Check registers a check over several settings, run when each one is valid.
+func (l *Loader) Check(check func() []Fault) { l.checks = append(l.checks, check) }
+
+// Load reads flags from args and variables from lookup, and returns every
+// fault. It returns ErrHelp after printing the usage to help.
+func (l *Loader) Load(args []string, lookup func(string) (string, bool), help io.Writer) ([]Fault, error) {
+	flags := pflag.NewFlagSet(l.program, pflag.ContinueOnError)
+	flags.SetOutput(help)
+	flags.SortFlags = false
+	for _, s := range l.settings {
+		usage := fmt.Sprintf("%s; %s (%s)", s.usage, s.allowed, variable(s.name))
+		flags.String(s.name, s.text, usage)
+	}
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, pflag.ErrHelp) {
+			return nil, ErrHelp
+		}
+		return nil, err
+	}
+	if flags.NArg() > 0 {
+		return nil, errors.Errorf("unexpected argument %q", flags.Arg(0))
+	}
+	var faults []Fault
+	for _, s := range l.settings {
+		if text, ok := lookup(variable(s.name)); ok {
+			s.text, s.source = text, SourceEnvironment
+		}
+		if flags.Changed(s.name) {
+			s.text, s.source = flags.Lookup(s.name).Value.String(), SourceFlag
+		}
+		if err := s.parse(s.text); err != nil {
+			faults = append(faults, Fault{s.name, s.shown(), s.allowed, s.source})
+		}
+	}
+	if len(faults) > 0 {
+		return faults, nil
+	}
+	for _, check := range l.checks {
+		faults = append(faults, check()...)
+	}
+	return faults, nil
+}
+
+// Print writes the effective settings and where each came from.
+func (l *Loader) Print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "NAME\tVALUE\tSOURCE")
+	for _, s := range l.settings {
+		fmt.Fprintf(table, "%s\t%s\t%s\n", s.name, s.shown(), s.source)
+	}
+	return errors.Wrap(table.Flush(), "print settings")
+}
+
+// Names returns the names of the settings in order.
+func (l *Loader) Names() []string {
+	names := make([]string, 0, len(l.settings))
+	for _, s := range l.settings {
+		names = append(names, s.name)
+	}
+	return slices.Sorted(slices.Values(names))
+}
+
+func (s *setting) shown() string {
+	if s.secret && s.text != "" {
+		return "(hidden)"
+	}
+	return s.text
+}
+
+func variable(name string) string {
+	return "SYCAMORERUN_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,34 @@
+// Package meter sets up metrics by tally, exposed as Prometheus text.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// ReportInterval is how often counters are handed to the exporter.
+const ReportInterval = time.Second
+
+// Latency are the buckets of latency histograms, 100 µs to 26 s.
+var Latency = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
+
+// New returns a root scope with the given tags, the handler that exposes it,
+// and a closer that reports the last values.
+func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "sycamorerun",
+		Tags:            tags,
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, ReportInterval)
+	return scope, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer
+}
--- /dev/null
+++ b/upstream/announcer/announcer.go
@@ -0,0 +1,91 @@
+// Package announcer tells the node beside an upstream what the upstream is.
+package announcer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+)
+
+// Interval is the time between announcements.
+const Interval = time.Second
+
+const timeout = 2 * time.Second
+
+// Announcement is the body of PUT /v1/announcement.
+type Announcement struct {
+	Service string            `json:"service"`
+	Address netip.AddrPort    `json:"address"`
+	State   sycamorerun.State `json:"state"`
+	Slots   int               `json:"slots"`
+}
+
+// Announcer repeats the announcement. Set the fields before Run.
+type Announcer struct {
+	// Node is the node's operators' address.
+	Node    netip.AddrPort
+	Current func() Announcement
+	Logger  log.Logger
+}
+
+// Run announces until ctx ends.
+func (a *Announcer) Run(ctx context.Context) {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	failing := false
+	for {
+		err := a.announce(ctx, a.Current())
+		if err != nil && !failing && ctx.Err() == nil {
+			level.Warn(a.Logger).Log("msg", "announcement failed; retrying", "node", a.Node, "err", err)
+		}
+		if err == nil && failing {
+			level.Info(a.Logger).Log("msg", "announcement accepted again", "node", a.Node)
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave announces once that the upstream is gone.
+func (a *Announcer) Leave(ctx context.Context) error {
+	announcement := a.Current()
+	announcement.State = sycamorerun.StateLeft
+	return a.announce(ctx, announcement)
+}
+
+func (a *Announcer) announce(ctx context.Context, announcement Announcement) error {
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	url := "http://" + a.Node.String() + "/v1/announcement"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return errors.Errorf("announce: status %d", response.StatusCode)
+	}
+	return nil
+}
--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -1,4 +1,113 @@
-// Command srupstream is not built yet.
+// Command srupstream is a stand-in upstream for tests, demos and measurements.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/loader"
+	"sycamorerun/logger"
+	"sycamorerun/upstream/announcer"
+	"sycamorerun/upstream/recorder"
+	"sycamorerun/upstream/server"
+)
+
+const stopLimit = 10 * time.Second
+
+type settings struct {
+	name    string
+	service string
+	listen  netip.AddrPort
+	control netip.AddrPort
+	node    netip.AddrPort
+	slots   int
+	work    time.Duration
+	cold    time.Duration
+	level   string
+}
+
+func main() {
+	var s settings
+	l := loader.New("srupstream")
+	loader.Add(l, &s.name, "name", "upstream", loader.Name(), "name of the upstream")
+	loader.Add(l, &s.service, "service", "quote-desk", loader.Name(), "service that it belongs to")
+	loader.Add(l, &s.listen, "listen", "127.0.0.1:9000", loader.Address(), "address for calls")
+	loader.Add(l, &s.control, "control", "127.0.0.1:9100", loader.Address(), "address for tests to steer it")
+	loader.Add(l, &s.node, "node", "127.0.0.1:7070", loader.Address(), "operators' address of the node beside it")
+	loader.Add(l, &s.slots, "slots", "6", loader.Int(1, 1024), "requests run at once")
+	loader.Add(l, &s.work, "work", "0s", loader.Duration(0, time.Minute), "time that each request takes")
+	loader.Add(l, &s.cold, "cold", "0s", loader.Duration(0, 10*time.Minute), "time to announce itself as cold after the start")
+	loader.Add(l, &s.level, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
+	faults, err := l.Load(os.Args[1:], os.LookupEnv, os.Stderr)
+	if errors.Is(err, loader.ErrHelp) {
+		return
+	}
+	if err != nil || len(faults) > 0 {
+		for _, fault := range faults {
+			fmt.Fprintln(os.Stderr, fault)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(loader.ExitUsage)
+	}
+	if err := run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(s settings) error {
+	events := logger.New(os.Stderr, s.level, "upstream", s.name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+
+	started := time.Now()
+	upstream := &server.Server{
+		Name: s.name, Service: s.service, Slots: s.slots, Work: s.work,
+		Recorder: recorder.New(), Now: time.Now,
+	}
+	upstream.Behave(server.Behavior{State: sycamorerun.StateReady})
+	calls := &http.Server{Addr: s.listen.String(), Handler: upstream.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	control := &http.Server{Addr: s.control.String(), Handler: upstream.Control(), ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 2)
+	go func() { failed <- calls.ListenAndServe() }()
+	go func() { failed <- control.ListenAndServe() }()
+
+	announcer := &announcer.Announcer{
+		Node:   s.node,
+		Logger: events,
+		Current: func() announcer.Announcement {
+			state := upstream.Behavior().State
+			if state == sycamorerun.StateReady && time.Since(started) < s.cold {
+				state = sycamorerun.StateCold
+			}
+			return announcer.Announcement{Service: s.service, Address: s.listen, State: state, Slots: s.slots}
+		},
+	}
+	go announcer.Run(ctx)
+	level.Info(events).Log("msg", "upstream started", "service", s.service, "listen", s.listen)
+
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	level.Info(events).Log("msg", "upstream stopping")
+	limited, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	if err := announcer.Leave(limited); err != nil {
+		level.Warn(events).Log("msg", "leave was not announced", "err", err)
+	}
+	return errors.Wrap(calls.Shutdown(limited), "shut down")
+}
--- /dev/null
+++ b/upstream/server/behavior.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"sync"
+
+	"sycamorerun"
+)
+
+// Behavior is what can be told to the upstream at run time.
+type Behavior struct {
+	// State is what the upstream announces.
+	State sycamorerun.State `json:"state"`
+	// Shed refuses every request with status 503.
+	Shed bool `json:"shed"`
+	// Silent accepts requests and never answers.
+	Silent bool `json:"silent"`
+	// Cut closes the connection after reading the request, before an answer.
+	Cut bool `json:"cut"`
+	// Health is the status of the health endpoint, whatever the truth is.
+	Health int `json:"health"`
+	// Load overrides the reported load, a fraction of the slots, when positive.
+	Load float64 `json:"load"`
+	// Delay is added to each request, in milliseconds.
+	Delay int `json:"delay"`
+}
+
+// behaviors holds the current Behavior for concurrent readers.
+type behaviors struct {
+	mutex   sync.Mutex
+	current Behavior
+}
+
+func (b *behaviors) get() Behavior {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.current
+}
+
+func (b *behaviors) set(next Behavior) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.current = next
+}
