--- a/loader/loader.go
+++ b/loader/loader.go
@@ -91,6 +91,9 @@
 	for _, s := range l.settings {
 		usage := fmt.Sprintf("%s; %s (%s)", s.usage, s.allowed, variable(s.name))
 		flags.String(s.name, s.text, usage)
+		if s.text == "false" {
+			flags.Lookup(s.name).NoOptDefVal = "true"
+		}
 	}
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, pflag.ErrHelp) {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -79,3 +79,28 @@
 	is.True(!strings.Contains(out.String(), "hunter2"))
 	is.True(strings.Contains(out.String(), "standby-delay  500ms     default"))
 }
+
+// Guards against wrong exit codes of faulty settings, help and --print.
+func TestStart(t *testing.T) {
+	cases := map[string]struct {
+		args    []string
+		proceed bool
+		code    int
+	}{
+		"good":       {args: nil, proceed: true},
+		"help":       {args: []string{"--help"}},
+		"print":      {args: []string{"--print"}},
+		"unknown":    {args: []string{"--nothing=1"}, code: loader.ExitUsage},
+		"positional": {args: []string{"word"}, code: loader.ExitUsage},
+		"fault":      {args: []string{"--name="}, code: loader.ExitUsage},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s settings
+			proceed, code := newLoader(&s).Start(c.args, lookup(nil), loader.Streams{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}})
+			is.Equal(proceed, c.proceed)
+			is.Equal(code, c.code)
+		})
+	}
+}
--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -48,18 +48,9 @@
 	loader.Add(l, &s.work, "work", "0s", loader.Duration(0, time.Minute), "time that each request takes")
 	loader.Add(l, &s.cold, "cold", "0s", loader.Duration(0, 10*time.Minute), "time to announce itself as cold after the start")
 	loader.Add(l, &s.level, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
-	faults, err := l.Load(os.Args[1:], os.LookupEnv, os.Stderr)
-	if errors.Is(err, loader.ErrHelp) {
-		return
-	}
-	if err != nil || len(faults) > 0 {
-		for _, fault := range faults {
-			fmt.Fprintln(os.Stderr, fault)
-		}
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-		}
-		os.Exit(loader.ExitUsage)
+	proceed, code := l.Start(os.Args[1:], os.LookupEnv, loader.Streams{Out: os.Stdout, Err: os.Stderr})
+	if !proceed {
+		os.Exit(code)
 	}
 	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
