--- /dev/null
+++ b/node/manager/fleet.go
@@ -0,0 +1,92 @@
+package manager
+
+import (
+	"context"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"sycamorerun/api/gen/fleet"
+)
+
+// fleetService implements fleet.Service.
+type fleetService struct{ *Manager }
+
+var problemSurvey = problem{"unavailable", "survey-failed", "the fleet could not be asked now"}
+
+func fleetProblem(p problem) *fleet.Problem {
+	return &fleet.Problem{Name: p.name, Code: p.code, Reason: p.reason}
+}
+
+// Status implements fleet.Service.
+func (s *fleetService) Status(context.Context, *fleet.StatusPayload) (*fleet.StatusResult, error) {
+	tree, hash := s.Current()
+	status := s.Manager.Status()
+	result := &fleet.StatusResult{
+		Name: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Phase: string(status.Phase),
+		Version: uint64(tree.Version), Hash: hex.EncodeToString(hash[:]), Refused: status.Refused,
+		Sessions: status.Sessions, Members: status.Members, Watching: status.Watching,
+	}
+	if status.Fault != "" {
+		result.Fault = &status.Fault
+	}
+	return result, nil
+}
+
+// Members implements fleet.Service.
+func (s *fleetService) Members(context.Context, *fleet.MembersPayload) ([]*fleet.Member, error) {
+	results := []*fleet.Member{}
+	for _, m := range s.Manager.Members() {
+		results = append(results, &fleet.Member{
+			Name: m.Name, Zone: m.AvailabilityZone, Region: m.Region, Address: m.Address.String(),
+			Service: m.Service, State: string(m.State), Slots: m.Slots, Suspect: m.Suspect,
+		})
+	}
+	return results, nil
+}
+
+// Convergence implements fleet.Service.
+func (s *fleetService) Convergence(ctx context.Context, _ *fleet.ConvergencePayload) (*fleet.ConvergenceResult, error) {
+	convergence, err := s.Manager.Convergence(ctx)
+	if err != nil {
+		return nil, fleetProblem(problemSurvey)
+	}
+	result := &fleet.ConvergenceResult{
+		Newest: uint64(convergence.Newest), Nodes: convergence.Nodes, Silent: convergence.Silent,
+		Tallies: []*fleet.Tally{}, Laggards: []*fleet.Laggard{},
+	}
+	for _, version := range slices.Backward(slices.Sorted(maps.Keys(convergence.Versions))) {
+		result.Tallies = append(result.Tallies, &fleet.Tally{Version: uint64(version), Nodes: convergence.Versions[version]})
+	}
+	for _, laggard := range convergence.Laggards {
+		item := &fleet.Laggard{Name: laggard.Name, Version: uint64(laggard.Version), Since: laggard.Since.Format(time.RFC3339Nano)}
+		if laggard.Fault != "" {
+			item.Fault = &laggard.Fault
+		}
+		result.Laggards = append(result.Laggards, item)
+	}
+	return result, nil
+}
+
+// Explain implements fleet.Service.
+func (s *fleetService) Explain(_ context.Context, payload *fleet.ExplainPayload) (*fleet.ExplainResult, error) {
+	tree, _ := s.Current()
+	explanation := s.Manager.Explain(Query{
+		Method: payload.Method, Host: payload.Host, Path: payload.Path, Headers: payload.Headers,
+	})
+	result := &fleet.ExplainResult{
+		Version: uint64(tree.Version), Route: explanation.Route, Steps: explanation.Steps,
+		Candidates: []*fleet.Candidate{},
+	}
+	if explanation.Route != "" {
+		result.Class = pointer(string(explanation.Class))
+		result.Repeatable = &explanation.Repeatable
+	}
+	for _, c := range explanation.Candidates {
+		result.Candidates = append(result.Candidates, &fleet.Candidate{
+			Instance: c.Instance, Zone: c.AvailabilityZone, State: string(c.State), Chance: c.Chance, Reason: c.Reason,
+		})
+	}
+	return result, nil
+}
--- /dev/null
+++ b/node/manager/handler.go
@@ -0,0 +1,66 @@
+package manager
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/go-kit/log/level"
+	goahttp "goa.design/goa/v3/http"
+
+	"sycamorerun/api/gen/fleet"
+	fleetserver "sycamorerun/api/gen/http/fleet/server"
+	settingsserver "sycamorerun/api/gen/http/settings/server"
+	upstreamserver "sycamorerun/api/gen/http/upstream/server"
+	"sycamorerun/api/gen/settings"
+	"sycamorerun/api/gen/upstream"
+)
+
+// maxBody bounds a request to the API; a settings file is at most 4 MiB, and
+// JSON escapes can double it.
+const maxBody = 9 << 20
+
+// Handler returns the handler for the operators' address.
+func (m *Manager) Handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	decoder, encoder := goahttp.RequestDecoder, goahttp.ResponseEncoder
+	settingsHandlers := settingsserver.New(settings.NewEndpoints(&settingsService{m}), mux, decoder, encoder, m.logFailure, nil)
+	fleetHandlers := fleetserver.New(fleet.NewEndpoints(&fleetService{m}), mux, decoder, encoder, m.logFailure, nil)
+	upstreamHandlers := upstreamserver.New(upstream.NewEndpoints(&upstreamService{m}), mux, decoder, encoder, m.logFailure, nil)
+	upstreamHandlers.Use(loopbackOnly)
+	settingsserver.Mount(mux, settingsHandlers)
+	fleetserver.Mount(mux, fleetHandlers)
+	upstreamserver.Mount(mux, upstreamHandlers)
+	mux.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle(http.MethodGet, "/readyz", m.ready)
+	mux.Handle(http.MethodGet, "/metrics", m.Metrics.ServeHTTP)
+	return http.MaxBytesHandler(mux, maxBody)
+}
+
+// ready answers 200 only while the node takes calls.
+func (m *Manager) ready(w http.ResponseWriter, _ *http.Request) {
+	phase := m.Status().Phase
+	if phase != PhaseReady {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = w.Write([]byte(phase + "\n"))
+}
+
+func (m *Manager) logFailure(_ context.Context, _ http.ResponseWriter, err error) {
+	level.Warn(m.Logger).Log("msg", "answer to an operator could not be written", "err", err)
+}
+
+// loopbackOnly refuses requests from other hosts: only the upstream beside
+// the node may announce itself.
+func loopbackOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address, err := netip.ParseAddrPort(r.RemoteAddr)
+		if err != nil || !address.Addr().Unmap().IsLoopback() {
+			http.Error(w, "announcements are accepted from loopback only", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/node/manager/settings.go
@@ -0,0 +1,220 @@
+package manager
+
+import (
+	"context"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/api/gen/settings"
+	"sycamorerun/differ"
+	"sycamorerun/node/authenticator"
+)
+
+// settingsService implements settings.Service.
+type settingsService struct{ *Manager }
+
+func settingsProblem(p problem) *settings.Problem {
+	return &settings.Problem{Name: p.name, Code: p.code, Reason: p.reason}
+}
+
+// Read implements settings.Service.
+func (s *settingsService) Read(_ context.Context, payload *settings.ReadPayload) (*settings.ReadResult, error) {
+	tree, hash := s.Current()
+	items := tree.Items
+	if payload.Team != nil {
+		items = tree.Subtree(*payload.Team)
+	}
+	result := &settings.ReadResult{Version: uint64(tree.Version), Hash: hex.EncodeToString(hash[:])}
+	for _, path := range slices.Sorted(maps.Keys(items)) {
+		result.Items = append(result.Items, &settings.Record{Path: string(path), Item: string(items[path])})
+	}
+	return result, nil
+}
+
+// Submit implements settings.Service.
+func (s *settingsService) Submit(ctx context.Context, payload *settings.SubmitPayload) (*settings.Outcome, error) {
+	identity := identityOf(ctx)
+	if identity.Team != payload.Team {
+		return nil, settingsProblem(problemTeam)
+	}
+	change, faults := s.change(identity, payload)
+	if len(faults) > 0 {
+		return outcome(sycamorerun.Outcome{ID: payload.ID, Status: sycamorerun.StatusRefused, Faults: faults}), nil
+	}
+	return outcome(s.Manager.Submit(ctx, change)), nil
+}
+
+// change turns a payload into a change, or the faults that keep it from
+// being one.
+func (s *settingsService) change(identity authenticator.Identity, payload *settings.SubmitPayload) (sycamorerun.Change, []sycamorerun.Fault) {
+	change := sycamorerun.Change{
+		ID: payload.ID, Kind: sycamorerun.ChangeKind(payload.Kind), Team: payload.Team, Operator: identity.Operator,
+		Base: sycamorerun.Version(value(payload.Base)), Target: sycamorerun.Version(value(payload.Version)),
+		Proposal: value(payload.Proposal),
+	}
+	var faults []sycamorerun.Fault
+	switch change.Kind {
+	case sycamorerun.Apply:
+		change.Items, faults = s.parse(payload.Team, value(payload.Settings))
+	case sycamorerun.Place:
+		change.Hold, faults = s.hold(identity, payload)
+	case sycamorerun.Approve, sycamorerun.Reject:
+		change.Content, faults = parseContent(value(payload.Content))
+	}
+	return change, faults
+}
+
+func (s *settingsService) parse(team, text string) (map[sycamorerun.Path]sycamorerun.Item, []sycamorerun.Fault) {
+	owner, items, faults := s.Parse([]byte(text))
+	if len(faults) == 0 && owner != team {
+		faults = []sycamorerun.Fault{{Code: "wrong-team", Path: "team", Reason: "the settings are of team " + owner + ", the request is for team " + team}}
+	}
+	return items, faults
+}
+
+func (s *settingsService) hold(identity authenticator.Identity, payload *settings.SubmitPayload) (sycamorerun.Hold, []sycamorerun.Fault) {
+	hold := sycamorerun.Hold{Operator: identity.Operator, Reason: value(payload.Reason), Since: s.Now().UTC()}
+	if hold.Reason == "" {
+		return hold, []sycamorerun.Fault{{Code: "missing-reason", Path: "reason", Reason: "a hold needs a reason"}}
+	}
+	if payload.Until == nil {
+		return hold, nil
+	}
+	until, err := time.Parse(time.RFC3339, *payload.Until)
+	if err != nil || !until.After(s.Now()) {
+		return hold, []sycamorerun.Fault{{Code: "bad-time", Path: "until", Reason: "the end must be an RFC 3339 time in the future"}}
+	}
+	hold.Until = until.UTC()
+	return hold, nil
+}
+
+func parseContent(text string) (sycamorerun.Hash, []sycamorerun.Fault) {
+	var hash sycamorerun.Hash
+	if data, err := hex.DecodeString(text); err == nil && len(data) == len(hash) {
+		copy(hash[:], data)
+		return hash, nil
+	}
+	return hash, []sycamorerun.Fault{{Code: "bad-content", Path: "content", Reason: "the content hash must be 64 hex digits"}}
+}
+
+// OutcomeEndpoint implements settings.Service.
+func (s *settingsService) OutcomeEndpoint(ctx context.Context, payload *settings.OutcomePayload) (*settings.Outcome, error) {
+	found, ok := s.Lookup(ctx, payload.ID)
+	if !ok {
+		return nil, settingsProblem(problemID)
+	}
+	return outcome(found), nil
+}
+
+// Check implements settings.Service.
+func (s *settingsService) Check(_ context.Context, payload *settings.CheckPayload) (*settings.CheckResult, error) {
+	tree, _ := s.Current()
+	result := &settings.CheckResult{Version: uint64(tree.Version), Faults: []*settings.Fault{}, Differences: []*settings.Difference{}}
+	items, faults := s.parse(payload.Team, payload.Settings)
+	if len(faults) > 0 {
+		result.Faults = fromFaults(faults)
+		return result, nil
+	}
+	before := tree.Subtree(payload.Team)
+	difference := differ.Compare(withoutHold(before), items)
+	result.Faults = fromFaults(s.Validate(differ.Apply(tree, tree.Version, difference).Items))
+	result.Differences = differences(before, difference)
+	return result, nil
+}
+
+// withoutHold leaves out the hold, which a settings file does not contain.
+func withoutHold(items map[sycamorerun.Path]sycamorerun.Item) map[sycamorerun.Path]sycamorerun.Item {
+	rest := maps.Clone(items)
+	maps.DeleteFunc(rest, func(path sycamorerun.Path, _ sycamorerun.Item) bool {
+		_, kind, _ := path.Split()
+		return kind == sycamorerun.KindHold
+	})
+	return rest
+}
+
+// Proposals implements settings.Service.
+func (s *settingsService) Proposals(ctx context.Context, payload *settings.ProposalsPayload) ([]*settings.Proposal, error) {
+	proposals, err := s.Manager.Proposals(ctx, payload.Team)
+	if err != nil {
+		return nil, settingsProblem(problemStore)
+	}
+	tree, _ := s.Current()
+	before := tree.Subtree(payload.Team)
+	results := []*settings.Proposal{}
+	for _, p := range proposals {
+		results = append(results, &settings.Proposal{
+			ID: p.ID, Team: p.Team, Operator: p.Operator, Content: hex.EncodeToString(p.Content[:]),
+			Time: p.Time.Format(time.RFC3339), Differences: differences(before, p.Difference),
+		})
+	}
+	return results, nil
+}
+
+// History implements settings.Service.
+func (s *settingsService) History(_ context.Context, payload *settings.HistoryPayload) ([]*settings.Accepted, error) {
+	results := []*settings.Accepted{}
+	for _, entry := range s.Manager.History(value(payload.Team), payload.Limit) {
+		for _, change := range entry.Changes {
+			if payload.Team != nil && change.Team != *payload.Team {
+				continue
+			}
+			results = append(results, &settings.Accepted{
+				Version: uint64(entry.Version), ID: change.ID, Team: change.Team, Operator: change.Operator,
+				Kind: string(change.Kind), Time: entry.Time.Format(time.RFC3339Nano),
+			})
+		}
+	}
+	return results[:min(len(results), payload.Limit)], nil
+}
+
+func outcome(o sycamorerun.Outcome) *settings.Outcome {
+	result := &settings.Outcome{ID: o.ID, Status: string(o.Status), Faults: fromFaults(o.Faults)}
+	if o.Version > 0 {
+		result.Version = pointer(uint64(o.Version))
+	}
+	if o.Retry > 0 {
+		result.Retry = pointer(o.Retry.Milliseconds())
+	}
+	return result
+}
+
+func fromFaults(faults []sycamorerun.Fault) []*settings.Fault {
+	results := []*settings.Fault{}
+	for _, f := range faults {
+		result := &settings.Fault{Code: f.Code, Path: f.Path, Reason: f.Reason}
+		if f.Line > 0 {
+			result.Line = pointer(f.Line)
+		}
+		results = append(results, result)
+	}
+	return results
+}
+
+func differences(before map[sycamorerun.Path]sycamorerun.Item, difference sycamorerun.Difference) []*settings.Difference {
+	results := []*settings.Difference{}
+	for _, path := range slices.Sorted(maps.Keys(difference.Put)) {
+		result := &settings.Difference{Path: string(path), After: pointer(string(difference.Put[path]))}
+		if old, ok := before[path]; ok {
+			result.Before = pointer(string(old))
+		}
+		results = append(results, result)
+	}
+	for _, path := range difference.Remove {
+		results = append(results, &settings.Difference{Path: string(path), Before: pointer(string(before[path]))})
+	}
+	return results
+}
+
+func pointer[T any](v T) *T { return &v }
+
+// value returns what p points at, or the zero value.
+func value[T any](p *T) T {
+	var zero T
+	if p == nil {
+		return zero
+	}
+	return *p
+}
