--- /dev/null
+++ b/bench/launcher/launcher.go
@@ -0,0 +1,142 @@
+// Package launcher starts a small fleet of real processes on loopback for
+// measurements. It is a development tool; deployed programs start no process.
+package launcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// stopLimit is how long a process may take to end after SIGTERM.
+const stopLimit = 15 * time.Second
+
+// Line receives each line that a process logs.
+type Line func(process, line string)
+
+// Process is one running program.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	drained sync.WaitGroup
+}
+
+// Launcher starts programs from a directory of binaries. Set the fields
+// before Start.
+type Launcher struct {
+	Binaries string
+	Line     Line
+
+	mutex     sync.Mutex
+	processes []*Process
+}
+
+// Start starts program under a name; its log lines go to Line.
+func (l *Launcher) Start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	command := exec.CommandContext(ctx, filepath.Join(l.Binaries, program), args...)
+	logs, err := command.StderrPipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "pipe")
+	}
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	process := &Process{Name: name, command: command}
+	process.drained.Go(func() { l.read(name, logs) })
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.processes = append(l.processes, process)
+	return process, nil
+}
+
+func (l *Launcher) read(name string, logs io.Reader) {
+	scanner := bufio.NewScanner(logs)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		l.Line(name, scanner.Text())
+	}
+}
+
+// Stop ends every process in reverse order of start and waits for them.
+func (l *Launcher) Stop() {
+	l.mutex.Lock()
+	processes := l.processes
+	l.processes = nil
+	l.mutex.Unlock()
+	for _, p := range processes {
+		_ = p.Signal(syscall.SIGTERM) // Fails when the process has ended.
+	}
+	for _, p := range processes {
+		p.wait()
+	}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) error {
+	return errors.Wrapf(p.command.Process.Signal(signal), "signal %s", p.Name)
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill() // Fails when the process has ended.
+	p.wait()
+}
+
+// wait waits for the end of the process and kills it after stopLimit.
+func (p *Process) wait() {
+	_ = p.Signal(syscall.SIGCONT) // A paused process does not see SIGTERM.
+	timer := time.AfterFunc(stopLimit, func() { _ = p.command.Process.Kill() })
+	defer timer.Stop()
+	p.drained.Wait()
+	_ = p.command.Wait() // The exit status of a stopped process is not of interest.
+}
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU      time.Duration
+	Resident int64
+}
+
+// clockTick is the unit of processor times in /proc, 1/100 s on Linux.
+const clockTick = 10 * time.Millisecond
+
+// Usage reads the processor time and resident memory of the process.
+func (p *Process) Usage() (Usage, error) {
+	pid := p.command.Process.Pid
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "usage")
+	}
+	// The fields after the command name, which may contain spaces.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	const userTime, systemTime, residentPages = 11, 12, 21
+	numbers := make([]int64, 0, 3)
+	for _, i := range []int{userTime, systemTime, residentPages} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return Usage{}, errors.Wrap(err, "usage")
+		}
+		numbers = append(numbers, n)
+	}
+	return Usage{
+		CPU:      time.Duration(numbers[0]+numbers[1]) * clockTick,
+		Resident: numbers[2] * int64(os.Getpagesize()),
+	}, nil
+}
+
+// Address returns the loopback address with port.
+func Address(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+}
--- /dev/null
+++ b/node/runner/settings.go
@@ -0,0 +1,95 @@
+package runner
+
+import (
+	"net/netip"
+	"time"
+
+	"sycamorerun/loader"
+)
+
+// Settings are a node's process settings.
+type Settings struct {
+	Name             string
+	AvailabilityZone string
+	Region           string
+
+	Callers   netip.AddrPort
+	Peers     netip.AddrPort
+	Operators netip.AddrPort
+
+	Seeds []netip.AddrPort
+	Store string
+
+	CA          string
+	Certificate string
+	Key         string
+	Insecure    bool
+
+	AdminHash string
+
+	Mode         string
+	StandbyDelay time.Duration
+	StartWait    time.Duration
+	DrainDelay   time.Duration
+	DrainTimeout time.Duration
+
+	MaxBody  int
+	LogLevel string
+}
+
+// Register adds the settings to l.
+func (s *Settings) Register(l *loader.Loader) {
+	loader.Add(l, &s.Name, "name", "", loader.Name(), "name of the instance, unique in the fleet")
+	loader.Add(l, &s.AvailabilityZone, "availability-zone", "", loader.Name(), "availability zone of the instance")
+	loader.Add(l, &s.Region, "region", "", loader.Name(), "region of the availability zone")
+	loader.Add(l, &s.Callers, "callers", "127.0.0.1:8080", loader.Address(), "address for callers")
+	loader.Add(l, &s.Peers, "peers", "127.0.0.1:7060", loader.Address(), "address for peers, as they reach it")
+	loader.Add(l, &s.Operators, "operators", "127.0.0.1:7070", loader.Address(), "address for operators, metrics and the local upstream")
+	loader.Add(l, &s.Seeds, "seeds", "", loader.Addresses(), "peers to join through; without any, the store is read once")
+	loader.Add(l, &s.Store, "store", "http://127.0.0.1:7000", loader.Pattern(`^https?://[^/]+$`, "http:// or https:// and an address"), "object store")
+	loader.Add(l, &s.CA, "tls-ca", "", loader.Text("a PEM file"), "CA that signs the peers' certificates")
+	loader.Add(l, &s.Certificate, "tls-cert", "", loader.Text("a PEM file"), "certificate of this node")
+	loader.Add(l, &s.Key, "tls-key", "", loader.Text("a PEM file"), "private key of this node")
+	loader.Add(l, &s.Insecure, "insecure-peers", "false", loader.Bool(), "talk to peers without TLS; for tests on one host")
+	loader.Add(l, &s.AdminHash, "admin-hash", "", adminHash(), "hash of the first administrator's token")
+	loader.Add(l, &s.Mode, "mode", "tree", loader.Choice("tree", "poll", "gossip"), "how versions spread; all but tree are baselines to measure against")
+	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself")
+	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging that the start is held up")
+	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
+	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight")
+	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes")
+	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
+	l.Check(s.checkTLS)
+	l.Check(s.checkAddresses)
+}
+
+func adminHash() loader.Kind[string] {
+	kind := loader.Pattern(`^(sha256:[0-9a-f]{64})?$`, `"sha256:" and 64 hex digits, or nothing`)
+	kind.Secret = true
+	return kind
+}
+
+// checkTLS refuses a node that would talk to peers without authentication by
+// mistake.
+func (s *Settings) checkTLS() []loader.Fault {
+	set := s.CA != "" && s.Certificate != "" && s.Key != ""
+	some := s.CA != "" || s.Certificate != "" || s.Key != ""
+	switch {
+	case s.Insecure && some:
+		return []loader.Fault{{Name: "insecure-peers", Value: "true", Allowed: "false when a TLS file is set"}}
+	case !s.Insecure && !set:
+		return []loader.Fault{{Name: "tls-ca", Value: s.CA, Allowed: "tls-ca, tls-cert and tls-key together, or insecure-peers alone"}}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() []loader.Fault {
+	var faults []loader.Fault
+	if s.Peers.Addr().IsUnspecified() {
+		faults = append(faults, loader.Fault{Name: "peers", Value: s.Peers.String(), Allowed: "an address that peers can dial, not the unspecified one"})
+	}
+	if s.Callers == s.Operators || s.Callers == s.Peers || s.Operators == s.Peers {
+		faults = append(faults, loader.Fault{Name: "callers", Value: s.Callers.String(), Allowed: "callers, peers and operators on three addresses"})
+	}
+	return faults
+}
