--- a/persister/store.go
+++ b/persister/store.go
@@ -21,6 +21,9 @@
 	// ErrUnavailable means that the store refused or could not be reached
 	// and the call had no effect.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrInvalid means that the store rejects the call itself, such as a
+	// value above its limit; repeating the call is of no use.
+	ErrInvalid = errors.New("call rejected by the store")
 )
 
 // Revision is the store's logical time; each write gets a higher one.
@@ -28,16 +31,16 @@
 
 // Object is a stored value. Revision is that of its last write.
 type Object struct {
-	Key      string
-	Value    []byte
-	Revision Revision
-	Deleted  bool
+	Key      string   `json:"key"`
+	Value    []byte   `json:"value,omitempty"`
+	Revision Revision `json:"revision"`
+	Deleted  bool     `json:"deleted,omitempty"`
 }
 
 // Listing is the answer to a list: the objects and the store's revision.
 type Listing struct {
-	Objects  []Object
-	Revision Revision
+	Objects  []Object `json:"objects,omitempty"`
+	Revision Revision `json:"revision"`
 }
 
 // Store is the platform's object store. Each function field is one call.
@@ -52,7 +55,7 @@
 	// Delete removes the object when its revision equals expected.
 	Delete func(ctx context.Context, key string, expected Revision) error
 	// Watch waits for writes under prefix above after and returns them in
-	// order, at least one unless the wait ends empty. With keysOnly the
-	// values stay empty.
+	// order, at least one unless the wait ends empty. The next watch starts
+	// at the listing's revision. With keysOnly the values stay empty.
 	Watch func(ctx context.Context, prefix string, after Revision, keysOnly bool) (Listing, error)
 }
