Add the settings parser, the validator and the format's page

Settings files had a contract in the design page but no reader. The parser reads YAML nodes so that every fault has a code, path and line; defaults and bounds come from one table, which also checks items from the network and which docs/settings.md is tested against.

--- /dev/null
+++ b/parser/render.go
@@ -0,0 +1,126 @@
+package parser
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"sycamorerun"
+)
+
+// sectionOrder is the order of the sections in a rendered file.
+var sectionOrder = []string{"teams", "services", "routes"}
+
+// Render writes the settings file that Parse reads as items of team. Holds
+// are left out, since no settings file contains them.
+func Render(team string, items map[sycamorerun.Path]sycamorerun.Item) ([]byte, error) {
+	kinds := map[string]*yaml.Node{}
+	for _, path := range slices.Sorted(maps.Keys(items)) {
+		owner, kind, name := path.Split()
+		if owner != team {
+			return nil, errors.Errorf("item %s does not belong to team %s", path, team)
+		}
+		if kind == sycamorerun.KindHold {
+			continue
+		}
+		object, faults := Decode(path, items[path])
+		if len(faults) > 0 {
+			return nil, errors.Errorf("item %s: %s", faults[0].Path, faults[0].Reason)
+		}
+		if kinds[kind] == nil {
+			kinds[kind] = mapping(0)
+		}
+		add(kinds[kind], name, objectNode(kind, object, 0))
+	}
+	root := mapping(0)
+	add(root, "team", textNode(team))
+	for _, name := range sectionOrder {
+		if node := kinds[sections[name].kind]; node != nil {
+			add(root, name, node)
+		}
+	}
+	var text bytes.Buffer
+	encoder := yaml.NewEncoder(&text)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(root); err != nil {
+		return nil, errors.Wrap(err, "render settings")
+	}
+	return text.Bytes(), errors.Wrap(encoder.Close(), "render settings")
+}
+
+func mapping(style yaml.Style) *yaml.Node {
+	return &yaml.Node{Kind: yaml.MappingNode, Tag: "!!map", Style: style}
+}
+
+func add(node *yaml.Node, key string, value *yaml.Node) {
+	node.Content = append(node.Content, textNode(key), value)
+}
+
+func textNode(text string) *yaml.Node {
+	return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: text}
+}
+
+// objectNode writes the fields in the order of the table, without empty lists
+// and maps.
+func objectNode(kind string, object any, style yaml.Style) *yaml.Node {
+	node := mapping(style)
+	for _, field := range fieldsOf[kind] {
+		if value := valueNode(field.at(object)); value != nil {
+			add(node, field.Name, value)
+		}
+	}
+	return node
+}
+
+// valueNode returns nil for an empty list or map.
+func valueNode(value any) *yaml.Node {
+	switch value := value.(type) {
+	case *int:
+		return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!int", Value: strconv.Itoa(*value)}
+	case *float64:
+		return &yaml.Node{Kind: yaml.ScalarNode, Value: strconv.FormatFloat(*value, 'g', -1, 64)}
+	case *sycamorerun.Duration:
+		return textNode(durationText(*value))
+	case *string:
+		return textNode(*value)
+	case *[]string:
+		return sequence(*value, yaml.FlowStyle, func(text *string) *yaml.Node { return textNode(*text) })
+	case *map[string]string:
+		return textsNode(*value)
+	case *[]sycamorerun.Target:
+		return sequence(*value, 0, func(target *sycamorerun.Target) *yaml.Node {
+			return objectNode(objectTarget, target, yaml.FlowStyle)
+		})
+	case *[]sycamorerun.Operator:
+		return sequence(*value, 0, func(operator *sycamorerun.Operator) *yaml.Node {
+			return objectNode(objectOperator, operator, yaml.FlowStyle)
+		})
+	}
+	panic("no form for a field's type")
+}
+
+func sequence[T any](values []T, style yaml.Style, convert func(*T) *yaml.Node) *yaml.Node {
+	if len(values) == 0 {
+		return nil
+	}
+	node := &yaml.Node{Kind: yaml.SequenceNode, Tag: "!!seq", Style: style}
+	for i := range values {
+		node.Content = append(node.Content, convert(&values[i]))
+	}
+	return node
+}
+
+func textsNode(values map[string]string) *yaml.Node {
+	if len(values) == 0 {
+		return nil
+	}
+	node := mapping(yaml.FlowStyle)
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		add(node, key, textNode(values[key]))
+	}
+	return node
+}
--- /dev/null
+++ b/validator/validator_test.go
@@ -0,0 +1,168 @@
+package validator_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/parser"
+	"sycamorerun/validator"
+)
+
+type items = map[sycamorerun.Path]sycamorerun.Item
+
+const (
+	service = `{"slots":6,"queue":12,"connections":130,"timeout":"2s","idle":"10s","warmup":"5s","retries":0.2}`
+	team    = `{"mode":"flow"}`
+)
+
+func route(route sycamorerun.Route) sycamorerun.Item {
+	route.Class, route.Repeat = sycamorerun.Bulk, sycamorerun.RepeatDefault
+	item, err := json.Marshal(route)
+	if err != nil {
+		panic(err)
+	}
+	return item
+}
+
+func base() items {
+	return items{
+		"admin/team/a": sycamorerun.Item(team), "admin/team/b": sycamorerun.Item(team),
+		"a/service/s": sycamorerun.Item(service),
+		"b/route/r": route(sycamorerun.Route{
+			Hosts: []string{"x", "y"}, Prefix: "/", Split: []sycamorerun.Target{{Service: "s", Weight: 1}},
+		}),
+	}
+}
+
+// TestCheck guards each rule across teams and the path that its fault names.
+func TestCheck(t *testing.T) {
+	split := []sycamorerun.Target{{Service: "s", Weight: 1}}
+	operators := sycamorerun.Item(`{"mode":"flow","operators":[{"name":"ann","hash":"sha256:` + strings.Repeat("0", 64) + `"}]}`)
+	many, large, packed := items{}, items{}, items{}
+	for i := range parser.Services {
+		many[sycamorerun.Path(fmt.Sprintf("a/service/s%d", i))] = sycamorerun.Item(service)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 70 {
+		large[sycamorerun.Path(fmt.Sprintf("a/service/l%d", i))] = make(sycamorerun.Item, parser.ItemBytes)
+		item := make(sycamorerun.Item, 20<<10)
+		for at := range item {
+			item[at] = byte(random.Uint32())
+		}
+		packed[sycamorerun.Path(fmt.Sprintf("a/service/p%d", i))] = item
+	}
+	for name, test := range map[string]struct {
+		add        items
+		code, path string
+	}{
+		"valid":    {nil, "", ""},
+		"hold":     {items{"a/hold": sycamorerun.Item(`{"operator":"ann","reason":"","since":"2026-01-02T03:04:05Z"}`)}, "", ""},
+		"overlaps": {items{"a/route/r": route(sycamorerun.Route{Hosts: []string{"x"}, Prefix: "/", Split: split})}, "", ""},
+		"no service": {items{"a/route/q": route(sycamorerun.Route{
+			Prefix: "/", Split: []sycamorerun.Target{{Service: "gone", Weight: 1}},
+		})}, "no-service", "a/route/q"},
+		"removed service":   {items{"a/service/s": nil}, "malformed", "a/service/s"},
+		"two owners":        {items{"b/service/s": sycamorerun.Item(service)}, "duplicate-service", "b/service/s"},
+		"undeclared":        {items{"c/service/t": sycamorerun.Item(service)}, "no-team", "c/service/t"},
+		"same match":        {items{"b/route/q": route(sycamorerun.Route{Hosts: []string{"y", "x"}, Prefix: "/", Split: split})}, "same-match", "b/route/r"},
+		"same token":        {items{"admin/team/a": operators, "admin/team/b": operators}, "duplicate-hash", "admin/team/b"},
+		"malformed":         {items{"a/service/t": sycamorerun.Item(`{`)}, "malformed", "a/service/t"},
+		"bad path":          {items{"a/x/t": sycamorerun.Item(service)}, "bad-path", "a/x/t"},
+		"too many services": {many, "too-many", ""},
+		"too large":         {large, "too-large", ""},
+		"too large packed":  {packed, "too-large", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tree := base()
+			maps.Copy(tree, test.add)
+			var found sycamorerun.Fault
+			if faults := validator.Check(tree); len(faults) > 0 {
+				found = faults[0]
+			}
+			is.Equal(found.Code, test.code)
+			is.Equal(found.Path, test.path)
+			_, _, name := sycamorerun.Path(found.Path).Split()
+			is.True(found.Code != "no-service" || strings.Contains(found.Reason, name))
+		})
+	}
+}
+
+// TestCheckBounded guards the bound on the number of faults reported.
+func TestCheckBounded(t *testing.T) {
+	is := is.New(t)
+	tree := items{}
+	for i := range 1000 {
+		tree[sycamorerun.Path(fmt.Sprintf("a/service/%d", i))] = nil
+	}
+	is.Equal(len(validator.Check(tree)), parser.Faults)
+}
+
+// FuzzCheck guards against panics on a tree from the network, and checks that
+// an accepted tree renders to settings files that parse to the same items.
+func FuzzCheck(f *testing.F) {
+	for path, item := range base() {
+		f.Add(string(path), []byte(item), "a/hold", []byte(`{"operator":"ann"}`))
+	}
+	f.Fuzz(func(t *testing.T, path string, item []byte, other string, second []byte) {
+		tree := base()
+		tree[sycamorerun.Path(path)] = item
+		tree[sycamorerun.Path(other)] = second
+		if len(validator.Check(tree)) > 0 {
+			return
+		}
+		teams := map[string]bool{}
+		for path := range tree {
+			teams[path.Team()] = true
+		}
+		for team := range teams {
+			is := is.New(t)
+			subtree := sycamorerun.Tree{Items: tree}.Subtree(team)
+			delete(subtree, sycamorerun.NewPath(team, sycamorerun.KindHold, ""))
+			text, err := parser.Render(team, subtree)
+			is.NoErr(err)
+			parsed, faults := parser.Parse(text)
+			is.Equal(faults, nil)
+			is.True(maps.EqualFunc(parsed.Items, subtree, func(a, b sycamorerun.Item) bool { return string(a) == string(b) }))
+		}
+	})
+}
+
+// BenchmarkCheck measures the tree of the two-year plan: 430 services.
+func BenchmarkCheck(b *testing.B) {
+	tree := base()
+	for i := range 430 {
+		name := fmt.Sprintf("s%d", i)
+		tree[sycamorerun.NewPath("a", "service", name)] = sycamorerun.Item(service)
+		for j := range 4 {
+			tree[sycamorerun.NewPath("a", "route", fmt.Sprintf("%s-%d", name, j))] = route(sycamorerun.Route{
+				Prefix: fmt.Sprintf("/%s/%d", name, j), Split: []sycamorerun.Target{{Service: name, Weight: 100}},
+			})
+		}
+	}
+	for b.Loop() {
+		if faults := validator.Check(tree); faults != nil {
+			b.Fatal(faults[0])
+		}
+	}
+}
+
+// TestSettingsPage guards the codes in docs/settings.md against a drift.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/settings.md")
+	is.NoErr(err)
+	for code, meaning := range validator.Codes {
+		if row := "| `" + code + "` | " + meaning + " |"; !strings.Contains(string(page), row+"\n") {
+			t.Errorf("docs/settings.md lacks the row %s", row)
+		}
+	}
+}
