--- /dev/null
+++ b/node/connector/conn.go
@@ -0,0 +1,62 @@
+package connector
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// wire counts the bytes of a connection, TLS overhead included, and remembers
+// when the last ones arrived.
+type wire struct {
+	net.Conn
+	in, out atomic.Int64
+	// received is the time of the last read in Unix nanoseconds.
+	received atomic.Int64
+}
+
+func newWire(conn net.Conn, now time.Time) *wire {
+	w := &wire{Conn: conn}
+	w.received.Store(now.UnixNano())
+	return w
+}
+
+func (w *wire) Read(p []byte) (int, error) {
+	n, err := w.Conn.Read(p)
+	if n > 0 {
+		w.in.Add(int64(n))
+		w.received.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (w *wire) Write(p []byte) (int, error) {
+	n, err := w.Conn.Write(p)
+	w.out.Add(int64(n))
+	return n, err
+}
+
+// silence returns how long nothing has arrived.
+func (w *wire) silence(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - w.received.Load())
+}
+
+// stream counts the payload bytes of one stream.
+type stream struct {
+	net.Conn
+	in, out tally.Counter
+}
+
+func (s *stream) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	s.in.Inc(int64(n))
+	return n, err
+}
+
+func (s *stream) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	s.out.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/node/connector/metrics.go
@@ -0,0 +1,68 @@
+package connector
+
+import (
+	"net"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics caches the counters, since looking them up in a tally scope takes
+// locks and builds tag maps.
+type metrics struct {
+	scope    tally.Scope
+	sessions tally.Gauge
+	mu       sync.Mutex
+	counters map[[4]string]tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	scope = scope.SubScope("connector")
+	return &metrics{scope: scope, sessions: scope.Gauge("sessions"), counters: map[[4]string]tally.Counter{}}
+}
+
+func (m *metrics) counter(key [4]string, tags map[string]string) tally.Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counter := m.counters[key]
+	if counter == nil {
+		counter = m.scope.Tagged(tags).Counter(key[0])
+		m.counters[key] = counter
+	}
+	return counter
+}
+
+// rejected counts what a limit or a check turned down.
+func (m *metrics) rejected(reason string) {
+	m.counter([4]string{"rejected", reason}, map[string]string{"reason": reason}).Inc(1)
+}
+
+// closed counts sessions by the reason for their end.
+func (m *metrics) closed(reason string) {
+	m.counter([4]string{"closed", reason}, map[string]string{"reason": reason}).Inc(1)
+}
+
+func (m *metrics) dialled(result string) {
+	m.counter([4]string{"dials", result}, map[string]string{"result": result}).Inc(1)
+}
+
+func (m *metrics) wireBytes(scope Scope, direction string) tally.Counter {
+	return m.counter([4]string{"wire_bytes", string(scope), direction},
+		map[string]string{"scope": string(scope), "direction": direction})
+}
+
+func (m *metrics) streamBytes(scope Scope, direction, kind string) tally.Counter {
+	return m.counter([4]string{"stream_bytes", string(scope), direction, kind},
+		map[string]string{"scope": string(scope), "direction": direction, "kind": kind})
+}
+
+// stream wraps conn with the counters of its kind.
+func (m *metrics) stream(conn net.Conn, scope Scope, kind string) net.Conn {
+	return &stream{Conn: conn, in: m.streamBytes(scope, "in", kind), out: m.streamBytes(scope, "out", kind)}
+}
+
+// flush adds the bytes since the last flush to the counters.
+func (m *metrics) flush(s *session) {
+	m.wireBytes(s.scope, "in").Inc(s.wire.in.Swap(0))
+	m.wireBytes(s.scope, "out").Inc(s.wire.out.Swap(0))
+}
