--- /dev/null
+++ b/node/balancer/tier.go
@@ -0,0 +1,223 @@
+package balancer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sycamorerun"
+)
+
+const (
+	// spillFrom is the utilisation of a tier from which calls spill to the next
+	// one, spillAll the one at which all do if the next tier has the capacity.
+	// The range between them lets the share rise gradually.
+	spillFrom = 0.7
+	spillAll  = 1.3
+	// rampMin is the least share of a cold upstream.
+	rampMin = 0.1
+	// rampEjected is the slow start after an ejection.
+	rampEjected = 5 * time.Second
+	// slotsDefault stands for the slots of an instance that tells none.
+	slotsDefault = 1
+)
+
+// candidate is an instance with its statistics and their evaluation.
+type candidate struct {
+	instance sycamorerun.Instance
+	stats    *stats
+	tier     int
+	ejected  bool
+	// capacity is the slots, less while the upstream warms up or fails.
+	capacity float64
+	load     float64
+}
+
+// busy is the load per slot that one more call would bring.
+func (c *candidate) busy() float64 { return (c.load + 1) / c.capacity }
+
+// eject marks the ejected candidates, at most half of them: beyond that the
+// fault is probably not in the instances, and the rest would be overloaded.
+func eject(now time.Time, all []candidate) {
+	var out []*candidate
+	for at := range all {
+		if now.Before(all[at].stats.ejected) {
+			out = append(out, &all[at])
+		}
+	}
+	// The longest ejections belong to the instances that failed most often.
+	slices.SortStableFunc(out, func(a, b *candidate) int {
+		return cmp.Or(b.stats.ejected.Compare(a.stats.ejected), cmp.Compare(a.instance.Name, b.instance.Name))
+	})
+	for _, c := range out[:min(len(out), len(all)/2)] {
+		c.ejected = true
+	}
+}
+
+// set are the candidates of a tier.
+type set struct {
+	candidates []*candidate
+	capacity   float64
+	load       float64
+}
+
+func (s *set) add(c *candidate) { s.candidates = append(s.candidates, c) }
+
+// measure evaluates the candidates. The mean of the fresh reports stands in for
+// missing and stale ones.
+func (s *set) measure(now time.Time, warmup time.Duration) {
+	var sum, weights float64
+	for _, c := range s.candidates {
+		weight := c.stats.weight(now)
+		sum += weight * max(0, float64(c.stats.report.Running+c.stats.report.Queued-c.stats.ownAt))
+		weights += weight
+	}
+	mean := 0.0
+	if weights > 0 {
+		mean = sum / weights
+	}
+	for _, c := range s.candidates {
+		c.load = c.stats.load(now, mean)
+		c.capacity = float64(max(slotsDefault, c.instance.Slots)) * ramp(now, c, warmup) * (1 - c.stats.rate/2)
+		s.capacity += c.capacity
+		s.load += c.load
+	}
+}
+
+// ramp is the share of its capacity that an upstream gets in its slow start.
+func ramp(now time.Time, c *candidate, warmup time.Duration) float64 {
+	share := 1.0
+	if warmup > 0 && !c.instance.Since.IsZero() {
+		share = float64(now.Sub(c.instance.Since)) / float64(warmup)
+	}
+	if back := c.stats.ejected; !back.IsZero() && !now.Before(back) {
+		share = min(share, float64(now.Sub(back))/float64(rampEjected))
+	}
+	return min(1, max(rampMin, share))
+}
+
+func (s *set) spare() float64 { return max(0, s.capacity-s.load) }
+
+// pick samples two candidates by capacity and takes the one with less load.
+func (s *set) pick(random func() float64) *candidate {
+	first := s.sample(random(), nil)
+	if len(s.candidates) == 1 {
+		return first
+	}
+	second := s.sample(random(), first)
+	if second.busy() < first.busy() {
+		return second
+	}
+	return first
+}
+
+// sample returns a candidate other than skip, by capacity.
+func (s *set) sample(at float64, skip *candidate) *candidate {
+	total := s.capacity
+	if skip != nil {
+		total -= skip.capacity
+	}
+	at *= total
+	var last *candidate
+	for _, c := range s.candidates {
+		if c == skip {
+			continue
+		}
+		last = c
+		if at -= c.capacity; at < 0 {
+			return c
+		}
+	}
+	return last
+}
+
+// tiers are the candidates by nearness.
+type tiers struct {
+	all  []candidate
+	sets [3]set
+}
+
+// shares returns the share of calls of each tier. A tier passes on a share
+// that rises with its utilisation, as far as the tiers behind it have spare
+// capacity.
+func (t *tiers) shares() [3]float64 {
+	var shares [3]float64
+	left := 1.0
+	last := -1
+	for at := range t.sets {
+		near := &t.sets[at]
+		if len(near.candidates) == 0 {
+			continue
+		}
+		spill := t.spill(at)
+		shares[at] = left * (1 - spill)
+		left *= spill
+		last = at
+	}
+	if last >= 0 {
+		shares[last] += left
+	}
+	return shares
+}
+
+// spill returns the share of calls that tier at passes on.
+func (t *tiers) spill(at int) float64 {
+	near := &t.sets[at]
+	var spare float64
+	for next := at + 1; next < len(t.sets); next++ {
+		spare += t.sets[next].spare()
+	}
+	if spare <= 0 {
+		return 0
+	}
+	excess := min(1, max(0, (near.load/near.capacity-spillFrom)/(spillAll-spillFrom)))
+	return excess * spare / (spare + near.spare())
+}
+
+// choose returns the tier for a random number in [0, 1), or nil when no
+// instance can be picked.
+func (t *tiers) choose(at float64) *set {
+	var last *set
+	for tier, share := range t.shares() {
+		if len(t.sets[tier].candidates) == 0 {
+			continue
+		}
+		last = &t.sets[tier]
+		if at -= share; at < 0 {
+			return last
+		}
+	}
+	return last
+}
+
+// chances returns the expected share of every candidate. Within a tier it is
+// the probability to be sampled and to win the comparison.
+func (t *tiers) chances() []Chance {
+	shares := t.shares()
+	wins := map[string]float64{}
+	for tier := range t.sets {
+		s := &t.sets[tier]
+		for _, first := range s.candidates {
+			if len(s.candidates) == 1 {
+				wins[first.instance.Name] = shares[tier]
+			}
+			for _, second := range s.candidates {
+				if first == second {
+					continue
+				}
+				winner := first
+				if second.busy() < first.busy() {
+					winner = second
+				}
+				wins[winner.instance.Name] += shares[tier] * first.capacity / s.capacity * second.capacity / (s.capacity - first.capacity)
+			}
+		}
+	}
+	chances := make([]Chance, 0, len(t.all))
+	for _, c := range t.all {
+		chances = append(chances, Chance{
+			Instance: c.instance.Name, Tier: c.tier, Share: wins[c.instance.Name], Load: c.load, Ejected: c.ejected,
+		})
+	}
+	return chances
+}
--- /dev/null
+++ b/node/deduplicator/deduplicator.go
@@ -0,0 +1,183 @@
+// Package deduplicator keeps the records that make a request run at most once:
+// which calls started, which were refused, and what became of each idempotency
+// key.
+package deduplicator
+
+import (
+	"sync"
+	"time"
+
+	"sycamorerun"
+)
+
+// Verdict is the answer to a claim.
+type Verdict int
+
+// Verdicts.
+const (
+	// Run permits the call to start; it is recorded as started.
+	Run Verdict = iota
+	// Refused means that the call must not start, and has not.
+	Refused
+	// Mismatch means that the key stands for a different request.
+	Mismatch
+	// Recorded means that the key's request has run; Response is its response.
+	Recorded
+	// Uncertain means that the request runs, has run or may have run.
+	Uncertain
+)
+
+// Reasons of a decision.
+const (
+	ReasonRefused   = "refused"
+	ReasonDuplicate = "duplicate"
+	ReasonOwner     = "key-elsewhere"
+	ReasonRunning   = "key-running"
+	ReasonRecorded  = "key-recorded"
+	ReasonForgotten = "key-response-gone"
+	ReasonUncertain = "key-uncertain"
+	ReasonMoved     = "key-moved"
+)
+
+// Decision says whether a call may start.
+type Decision struct {
+	Verdict  Verdict
+	Reason   string
+	Response []byte
+}
+
+// Key is an idempotency key with its scope. Print identifies the request that
+// it stands for. The zero key means none.
+type Key struct {
+	Name  string
+	Print uint64
+}
+
+// Result is how a call ended.
+type Result struct {
+	Result sycamorerun.Result
+	// Response is the encoded response, or nil if it is too large to keep.
+	Response []byte
+}
+
+// State is what is known of a call.
+type State string
+
+// States of a call.
+const (
+	StateRefused  State = "refused"
+	StateStarted  State = "started"
+	StateFinished State = "finished"
+	// StateUnknown means that the call's record may have been dropped.
+	StateUnknown State = "unknown"
+)
+
+// Limits bound the records.
+type Limits struct {
+	// Calls is the number of finished calls on record, CallAge the time for
+	// which they stay.
+	Calls   int
+	CallAge time.Duration
+	// Refusals is the number of refusals on record. A refusal stays for Age.
+	Refusals int
+	// Keys is the number of keys on record with their state, for Age.
+	Keys int
+	Age  time.Duration
+	// Bytes is the size of all recorded responses together.
+	Bytes int
+	// Traces is the number of keys of which only the hash is still known, for
+	// Reach. They are answered as uncertain.
+	Traces int
+	Reach  time.Duration
+}
+
+// Defaults are limits for one upstream. At 320 calls/s, its share of 3.1 M
+// calls/s over 9,800 upstreams, a minute of calls is 19,200 records.
+var Defaults = Limits{
+	Calls: 32 << 10, CallAge: time.Minute, Refusals: 16 << 10,
+	Keys: 16 << 10, Age: 10 * time.Minute, Bytes: 8 << 20,
+	Traces: 128 << 10, Reach: 24 * time.Hour,
+}
+
+// Deduplicator holds the records of one node.
+type Deduplicator struct {
+	// Self is the name of this node's instance.
+	Self string
+	// Clean says that no call with a key can have been served before this
+	// process began. Otherwise another member, or an earlier process beside this
+	// upstream, may have run it, and unknown keys are uncertain for Limits.Age.
+	Clean bool
+
+	mutex  sync.Mutex
+	limits Limits
+	began  time.Time
+	calls  calls
+	keys   keys
+	moves  moves
+}
+
+// New returns an empty deduplicator of a process that began at now.
+func New(now time.Time, limits Limits) *Deduplicator {
+	return &Deduplicator{
+		limits: limits, began: now,
+		calls: newCalls(now), keys: newKeys(),
+	}
+}
+
+// Begin claims the execution of the call id, and of the key if there is one.
+func (d *Deduplicator) Begin(now time.Time, id string, key Key) Decision {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.expire(now)
+	if decision := d.calls.check(id); decision.Verdict != Run {
+		return decision
+	}
+	if key.Name != "" {
+		if decision := d.checkKey(now, key); decision.Verdict != Run {
+			return decision
+		}
+		d.keys.start(key)
+	}
+	d.calls.start(id)
+	return Decision{Verdict: Run}
+}
+
+// checkKey decides about a call with a key. A known key outranks a change of
+// the members, which only matters for what this node can't know.
+func (d *Deduplicator) checkKey(now time.Time, key Key) Decision {
+	if decision, known := d.keys.check(key); known {
+		return decision
+	}
+	if !d.owns(key.Name) {
+		return Decision{Verdict: Refused, Reason: ReasonOwner}
+	}
+	if d.moved(now, key.Name) {
+		return Decision{Verdict: Uncertain, Reason: ReasonMoved}
+	}
+	return Decision{Verdict: Run}
+}
+
+// Finish records the end of a call that Begin let run.
+func (d *Deduplicator) Finish(now time.Time, id string, key Key, result Result) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.calls.finish(now, id, result.Result)
+	if key.Name != "" {
+		d.keys.finish(now, key, result)
+	}
+	d.expire(now)
+}
+
+// Refuse returns the state of a call that was opened at most age ago. A call
+// that was not seen is refused: if it arrives later, Begin turns it away.
+func (d *Deduplicator) Refuse(now time.Time, id string, age time.Duration) State {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.expire(now)
+	return d.calls.refuse(now, id, age, d.limits.Refusals)
+}
+
+func (d *Deduplicator) expire(now time.Time) {
+	d.calls.expire(now, d.limits)
+	d.keys.expire(now, d.limits)
+}
--- /dev/null
+++ b/node/deduplicator/keys.go
@@ -0,0 +1,124 @@
+package deduplicator
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorerun"
+)
+
+// record is what is known of a key.
+type record struct {
+	print    uint64
+	running  bool
+	certain  bool
+	kept     bool
+	response []byte
+}
+
+// keys are the records of idempotency keys. A record that has reached its age
+// leaves a trace, the hash of its key, so that a late repetition is answered
+// as uncertain and does not run.
+type keys struct {
+	records  map[string]*record
+	ended    log[string]
+	bytes    int
+	kept     log[string]
+	traces   map[uint64]struct{}
+	vanished log[uint64]
+}
+
+func newKeys() keys {
+	return keys{records: map[string]*record{}, traces: map[uint64]struct{}{}}
+}
+
+// check decides about a key and reports whether it is known.
+func (k *keys) check(key Key) (Decision, bool) {
+	known, ok := k.records[key.Name]
+	if !ok {
+		_, traced := k.traces[xxhash.Sum64String(key.Name)]
+		return Decision{Verdict: Uncertain, Reason: ReasonForgotten}, traced
+	}
+	switch {
+	case known.print != key.Print:
+		return Decision{Verdict: Mismatch, Reason: ReasonUncertain}, true
+	case known.running:
+		return Decision{Verdict: Uncertain, Reason: ReasonRunning}, true
+	case !known.certain:
+		return Decision{Verdict: Uncertain, Reason: ReasonUncertain}, true
+	case !known.kept:
+		return Decision{Verdict: Uncertain, Reason: ReasonForgotten}, true
+	default:
+		return Decision{Verdict: Recorded, Reason: ReasonRecorded, Response: known.response}, true
+	}
+}
+
+func (k *keys) start(key Key) {
+	k.records[key.Name] = &record{print: key.Print, running: true}
+}
+
+// finish records the end. A key whose request did not run is free again.
+func (k *keys) finish(now time.Time, key Key, result Result) {
+	known, ok := k.records[key.Name]
+	if !ok || !known.running {
+		return
+	}
+	if result.Result == sycamorerun.NotRun {
+		delete(k.records, key.Name)
+		return
+	}
+	known.running = false
+	known.certain = result.Result == sycamorerun.Answered
+	if known.certain && result.Response != nil {
+		known.kept, known.response = true, result.Response
+		k.bytes += len(result.Response)
+		k.kept.push(now, key.Name)
+	}
+	k.ended.push(now, key.Name)
+}
+
+func (k *keys) expire(now time.Time, limits Limits) {
+	for k.ended.length() > limits.Keys ||
+		k.ended.length() > 0 && now.Sub(k.ended.oldest().at) >= limits.Age {
+		k.fade(now, k.ended.oldest().item)
+		k.ended.drop()
+	}
+	for k.bytes > limits.Bytes {
+		k.release(k.kept.oldest().item)
+		k.kept.drop()
+	}
+	for k.kept.length() > 0 && !k.holds(k.kept.oldest().item) {
+		k.kept.drop()
+	}
+	for k.vanished.length() > limits.Traces ||
+		k.vanished.length() > 0 && now.Sub(k.vanished.oldest().at) >= limits.Reach {
+		delete(k.traces, k.vanished.oldest().item)
+		k.vanished.drop()
+	}
+}
+
+// fade replaces a record by its trace.
+func (k *keys) fade(now time.Time, name string) {
+	k.release(name)
+	delete(k.records, name)
+	hash := xxhash.Sum64String(name)
+	if _, ok := k.traces[hash]; !ok {
+		k.traces[hash] = struct{}{}
+		k.vanished.push(now, hash)
+	}
+}
+
+// holds reports whether the response of a key is recorded.
+func (k *keys) holds(name string) bool {
+	known, ok := k.records[name]
+	return ok && known.kept
+}
+
+// release drops the recorded response of a key.
+func (k *keys) release(name string) {
+	if known, ok := k.records[name]; ok && known.kept {
+		k.bytes -= len(known.response)
+		known.kept, known.response = false, nil
+	}
+}
--- /dev/null
+++ b/node/forwarder/attempts.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"sycamorerun"
+)
+
+// attempts sends the call until an attempt is answered or may not be repeated.
+func (f *Forwarder) attempts(ctx context.Context, watch *watch, c *call) (*answer, *failure) {
+	var tried []string
+	var last *failure
+	for n := 1; ; n++ {
+		now := f.Now()
+		to, ok := f.choose(now, c, tried)
+		if !ok {
+			if last == nil {
+				last = notRun(reasonNoUpstream)
+			}
+			return nil, last
+		}
+		out, failed := f.attempt(ctx, watch, c, to, n)
+		if failed == nil {
+			if c.key == "" {
+				out.body = f.observed(now, c, to, out)
+			}
+			return out, nil
+		}
+		if c.key == "" {
+			f.Observe(f.Now(), Observation{
+				Instance: to.Name, Service: c.match.Service, Result: failed.result,
+				Reason: failed.reason, Head: f.Now().Sub(now), Load: failed.load,
+			})
+		}
+		last = merge(last, failed)
+		delay, again := f.again(c, n, failed)
+		if !again || sleep(ctx, delay) != nil {
+			return nil, last
+		}
+		tried = append(tried, to.Name)
+		watch.progress()
+	}
+}
+
+// choose returns the instance for the next attempt. A call with a key has one
+// instance only, whatever its load.
+func (f *Forwarder) choose(now time.Time, c *call, tried []string) (sycamorerun.Instance, bool) {
+	if c.key != "" {
+		return f.Owner(c.match.Service, c.key)
+	}
+	return f.Pick(now, Query{Service: c.match.Service, Tried: tried})
+}
+
+// merge returns the failure of the whole call: once an attempt may have run,
+// no later attempt makes the call not run.
+func merge(last, failed *failure) *failure {
+	if last != nil && last.result == sycamorerun.Unknown && failed.result == sycamorerun.NotRun {
+		return last
+	}
+	return failed
+}
+
+// again asks whether the call may be sent again.
+func (f *Forwarder) again(c *call, n int, failed *failure) (time.Duration, bool) {
+	if failed.fault() || failed.reason == reasonCanceled {
+		return 0, false
+	}
+	return f.Allow(f.Now(), Attempt{
+		Service: c.match.Service, Number: n, Level: c.level, Result: failed.result,
+		Reason: failed.reason, Repeatable: c.match.Repeatable,
+		Consumed: c.stream != nil && c.stream.taken.Load(),
+	})
+}
+
+// attempt sends the call to one instance.
+func (f *Forwarder) attempt(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, n int) (*answer, *failure) {
+	if ctx.Err() != nil {
+		return nil, notRun(ended(ctx, ""))
+	}
+	level := uint32(max(c.level, n))
+	if to.Name == f.Self {
+		return f.execute(ctx, watch, c, c.identity(n), c.reader(), level, func() error { return nil })
+	}
+	return f.remote(ctx, watch, c, to, n, level)
+}
+
+// reader returns the body for the upstream beside this node.
+func (c *call) reader() io.ReadCloser {
+	if !c.complete {
+		return c.stream
+	}
+	return reader(c.body, c.match.Repeatable)
+}
+
+// observed wraps the body of out so that the attempt is observed once, when
+// the body ends.
+func (f *Forwarder) observed(began time.Time, c *call, to sycamorerun.Instance, out *answer) source {
+	return &observedBody{source: out.body, done: func(now time.Time, result sycamorerun.Result) {
+		f.Observe(now, Observation{
+			Instance: to.Name, Service: c.match.Service, Result: result, Status: out.status,
+			Load: out.load, Head: out.at.Sub(began),
+		})
+	}, now: f.Now}
+}
+
+// observedBody reports how its source ended.
+type observedBody struct {
+	source
+	done func(time.Time, sycamorerun.Result)
+	now  func() time.Time
+	seen bool
+}
+
+// Next implements source.
+func (b *observedBody) Next() ([]byte, error) {
+	data, err := b.source.Next()
+	if err == io.EOF {
+		b.report(sycamorerun.Answered)
+	}
+	return data, err
+}
+
+// Close implements source.
+func (b *observedBody) Close() {
+	b.source.Close()
+	b.report(sycamorerun.Unknown)
+}
+
+func (b *observedBody) report(result sycamorerun.Result) {
+	if !b.seen {
+		b.seen = true
+		b.done(b.now(), result)
+	}
+}
--- /dev/null
+++ b/node/forwarder/call.go
@@ -0,0 +1,187 @@
+package forwarder
+
+import (
+	"hash"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+)
+
+// call is a request on its way to an upstream.
+type call struct {
+	match    Match
+	id       string
+	level    int
+	method   string
+	host     string
+	target   string
+	header   http.Header
+	trailers []string
+	// trailer holds the values of trailers once the body has ended.
+	trailer http.Header
+	length  int64
+	// body is the request body if complete, otherwise stream yields it.
+	complete bool
+	body     []byte
+	stream   *upload
+	key      string
+	print    uint64
+	deadline time.Time
+}
+
+// claim names the attempt with the given id for the deduplicator.
+func (c *call) claim(id string) Claim {
+	return Claim{ID: id, Key: c.key, Print: c.print}
+}
+
+// identity returns the id of the n-th attempt of the call. Attempts have ids
+// of their own, since the refusal of one must not refuse the next.
+func (c *call) identity(n int) string {
+	return c.id + "/" + strconv.Itoa(n)
+}
+
+// parse checks a caller's request and describes it as a call, without its body.
+func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
+	c := &call{id: uuid.NewString(), level: 1, method: r.Method, host: r.Host, length: r.ContentLength}
+	if r.Method == http.MethodConnect || r.URL.Path == "" {
+		return c, notRun(reasonRequest)
+	}
+	if dotted(r.URL.Path) {
+		return c, notRun(reasonPath)
+	}
+	if size(r.Header) > headerBytes {
+		return c, notRun(reasonHeaders)
+	}
+	if r.ContentLength > f.BodyBytes {
+		return c, notRun(reasonBody)
+	}
+	match, ok := f.Match(r)
+	if !ok {
+		return c, notRun(reasonRoute)
+	}
+	c.match = match
+	left, err := remaining(r.Header, match.Timeout)
+	if err != nil {
+		return c, notRun(reasonDeadline)
+	}
+	if left > 0 {
+		c.deadline = now.Add(left)
+	}
+	if level, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderAttempt)); err == nil && level > 1 {
+		c.level = level
+	}
+	c.target = r.URL.RequestURI()
+	c.header = clean(r.Header)
+	c.trailers = announced(r.Trailer)
+	c.trailer = blank(c.trailers)
+	if key := c.header.Get(sycamorerun.HeaderKey); key != "" {
+		c.key = match.Service + "/" + key
+	}
+	return c, nil
+}
+
+// dotted reports whether path has a segment that an upstream may resolve to a
+// path outside the prefix that the router matched.
+func dotted(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// remaining returns the shorter of timeout and the caller's deadline; zero
+// means no limit.
+func remaining(header http.Header, timeout time.Duration) (time.Duration, error) {
+	text := header.Get(sycamorerun.HeaderDeadline)
+	if text == "" {
+		return timeout, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 63)
+	if err != nil || ms == 0 {
+		return 0, errors.Errorf("deadline %q is not a positive number of milliseconds", text)
+	}
+	// A week is beyond every timeout and keeps the product in range.
+	left := time.Duration(min(ms, 7*24*3600*1000)) * time.Millisecond
+	if timeout > 0 {
+		left = min(left, timeout)
+	}
+	return left, nil
+}
+
+// fingerprint identifies what a key stands for, including who asks, so that a
+// recorded response is not given to a different request.
+func (c *call) fingerprint() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{c.method, c.host, c.target} {
+		writePart(digest, part)
+	}
+	for _, name := range []string{"Authorization", "Cookie"} {
+		for _, value := range c.header[name] {
+			writePart(digest, name)
+			writePart(digest, value)
+		}
+	}
+	writePart(digest, strconv.FormatInt(c.length, 10))
+	_, _ = digest.Write(c.body)
+	return digest.Sum64()
+}
+
+func writePart(digest hash.Hash64, part string) {
+	_, _ = io.WriteString(digest, strconv.Itoa(len(part))+":"+part)
+}
+
+// fill sets the values of the announced trailers.
+func (c *call) fill(trailer http.Header) {
+	for name := range c.trailer {
+		if values, ok := trailer[name]; ok {
+			c.trailer[name] = values
+		}
+	}
+}
+
+// request builds the request for the upstream.
+func (c *call) request(now time.Time, n uint32, body io.ReadCloser) (*http.Request, error) {
+	address, err := url.ParseRequestURI(c.target)
+	if err != nil {
+		return nil, errors.Wrap(err, "target")
+	}
+	address.Scheme, address.Host = "http", "upstream"
+	header := c.header.Clone()
+	header.Set(sycamorerun.HeaderRequest, c.id)
+	header.Set(sycamorerun.HeaderAttempt, strconv.Itoa(int(n)))
+	if !c.deadline.IsZero() {
+		header.Set(sycamorerun.HeaderDeadline, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	demoteKeys(header)
+	return &http.Request{
+		Method: c.method, URL: address, Host: c.host, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: body, ContentLength: c.length, Trailer: c.trailer,
+	}, nil
+}
+
+// demoteKeys writes idempotency keys in lower case. http.Transport repeats a
+// request with such a header by itself when a kept connection breaks, and
+// recognises the header by its canonical name only.
+func demoteKeys(header http.Header) {
+	for _, name := range []string{sycamorerun.HeaderKey, "X-Idempotency-Key"} {
+		if values, ok := header[name]; ok {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
+	}
+}
--- /dev/null
+++ b/node/forwarder/forwarder.go
@@ -0,0 +1,178 @@
+// Package forwarder takes callers' requests, sends each to one upstream,
+// directly or through the node beside it, and returns the whole response or an
+// outcome that says whether the request ran.
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
+)
+
+// Stream kinds.
+const (
+	KindCall  = "call"
+	KindQuery = "query"
+)
+
+const (
+	// wholeBytes bounds the bodies that are read before they are sent on. A
+	// request body of this size occupies no slot while its caller sends it,
+	// and can be sent again; larger bodies stream.
+	wholeBytes = 32 << 10
+	// chunkBytes is the size of the reads of a streamed body.
+	chunkBytes = 32 << 10
+	// headerBytes bounds the header of a request and of a response.
+	headerBytes = 64 << 10
+	// frameBytes holds a header of headerBytes and a body of wholeBytes with
+	// their encoding.
+	frameBytes = 2*headerBytes + wholeBytes
+	// headWait bounds the time until the head arrives on an opened stream.
+	headWait = 10 * time.Second
+)
+
+// Defaults of the fields of Forwarder.
+const (
+	DefaultBodyBytes = 1 << 30
+	DefaultQueryWait = 500 * time.Millisecond
+	DefaultGrace     = 3 * time.Second
+)
+
+// Forwarder is the data path of one node. All function fields are set before
+// the first call.
+type Forwarder struct {
+	// Self is the name of this node's instance.
+	Self string
+	// Match finds the route of a request.
+	Match func(*http.Request) (Match, bool)
+	// Pick chooses the instance for an attempt without a key. Every pick is followed by
+	// exactly one call of Observe.
+	Pick    func(now time.Time, query Query) (sycamorerun.Instance, bool)
+	Observe func(now time.Time, observation Observation)
+	// Owner returns the instance that executes the calls with a key. Such calls
+	// are neither picked nor observed.
+	Owner func(service, key string) (sycamorerun.Instance, bool)
+	// Call counts a call towards the retry budget of its service; Allow says
+	// whether and when a failed attempt may be repeated.
+	Call  func(now time.Time, service string)
+	Allow func(now time.Time, attempt Attempt) (time.Duration, bool)
+	// Acquire waits for a slot at the upstream beside this node; the reason is
+	// empty when the call is admitted.
+	Acquire func(ctx context.Context, now time.Time, class sycamorerun.Class, deadline time.Time) (release func(), reason string)
+	// Load describes the work at the upstream beside this node.
+	Load func() *Load
+	// Begin claims the execution of a call, Finish records its end, Refuse
+	// returns the state of a call that was opened age ago and has it refused
+	// from then on if it was not seen.
+	Begin  func(now time.Time, claim Claim) Decision
+	Finish func(now time.Time, claim Claim, ending Ending)
+	Refuse func(now time.Time, id string, age time.Duration) Progress
+	// Open opens a stream to the node at an address.
+	Open func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error)
+	// Upstream sends requests to the upstream beside this node, see Transport.
+	Upstream http.RoundTripper
+
+	// Now is the clock.
+	Now func() time.Time
+	// BodyBytes bounds a request body.
+	BodyBytes int64
+	// QueryWait bounds the query about a call whose stream was lost.
+	QueryWait time.Duration
+	// Grace is the time between the start of a drain and the first refusal, in
+	// which the other nodes learn of the drain.
+	Grace  time.Duration
+	Logger log.Logger
+	Scope  tally.Scope
+
+	drain drain
+}
+
+// New returns a forwarder with defaults for everything but the collaborators.
+func New(self string) *Forwarder {
+	return &Forwarder{
+		Self: self, Now: time.Now, BodyBytes: DefaultBodyBytes,
+		QueryWait: DefaultQueryWait, Grace: DefaultGrace,
+		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+	}
+}
+
+// drain counts the calls in flight and closes the entrance.
+type drain struct {
+	mutex    sync.Mutex
+	inFlight int
+	closed   bool
+	// empty is closed when the entrance is closed and no call is in flight.
+	empty chan struct{}
+}
+
+// enter counts a call, unless the entrance is closed.
+func (d *drain) enter() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.closed {
+		return false
+	}
+	d.inFlight++
+	return true
+}
+
+func (d *drain) leave() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.inFlight--
+	if d.closed && d.inFlight == 0 {
+		close(d.empty)
+	}
+}
+
+// close closes the entrance and returns a channel that is closed when the last
+// call has left.
+func (d *drain) close() <-chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.closed {
+		d.closed = true
+		d.empty = make(chan struct{})
+		if d.inFlight == 0 {
+			close(d.empty)
+		}
+	}
+	return d.empty
+}
+
+// Drain keeps serving for Grace, then refuses new calls and returns when the
+// calls in flight have ended or ctx is done.
+func (f *Forwarder) Drain(ctx context.Context) error {
+	if err := sleep(ctx, f.Grace); err != nil {
+		return err
+	}
+	select {
+	case <-f.drain.close():
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return context.Cause(ctx)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/node/forwarder/remote.go
@@ -0,0 +1,185 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+)
+
+// remote sends the call to the node beside another upstream.
+func (f *Forwarder) remote(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, n int, level uint32) (*answer, *failure) {
+	conn, err := f.Open(ctx, to.Address, KindCall)
+	if err != nil {
+		return nil, notRun(ended(ctx, reasonPeer))
+	}
+	began := f.Now()
+	peer := &link{conn: conn}
+	release := context.AfterFunc(ctx, func() { peer.cancel(time.Now()) })
+	body := &inflow{link: peer, watch: watch, release: release}
+	out, failed := f.exchange(body, c, c.identity(n), level)
+	if failed != nil {
+		body.Close()
+	}
+	if failed != nil && failed.reason == reasonLost {
+		failed = f.resolve(ctx, to, c.identity(n), began)
+	}
+	return out, failed
+}
+
+// exchange sends the head and waits for the head of the response.
+func (f *Forwarder) exchange(body *inflow, c *call, id string, level uint32) (*answer, *failure) {
+	head := toHead(f.Now(), c, id, level)
+	if head == nil {
+		return nil, notRun(reasonHeaders)
+	}
+	if err := body.link.send(&Frame{Kind: &Frame_Head{Head: head}}); err != nil {
+		return nil, unknown(reasonLost)
+	}
+	for {
+		frame, err := body.link.receive()
+		if err != nil {
+			return nil, unknown(reasonLost)
+		}
+		body.watch.progress()
+		switch kind := frame.GetKind().(type) {
+		case *Frame_Admitted:
+			if !c.complete && !body.sending {
+				body.upload(c)
+			}
+		case *Frame_Refused:
+			failed := &failure{
+				result: sycamorerun.Result(kind.Refused.GetResult()),
+				reason: kind.Refused.GetReason(), load: kind.Refused.GetLoad(),
+			}
+			if failed.result != sycamorerun.NotRun {
+				failed.result = sycamorerun.Unknown
+			}
+			if c.stream != nil && c.stream.large.Load() {
+				failed.reason = reasonBody
+			}
+			return nil, failed
+		case *Frame_Response:
+			out := fromResponse(kind.Response)
+			out.at = f.Now()
+			if !kind.Response.GetWhole() {
+				out.body = body
+			} else {
+				body.Close()
+			}
+			return out, nil
+		default:
+			return nil, unknown(reasonLost)
+		}
+	}
+}
+
+// resolve asks the peer about a call whose stream was lost before a response.
+func (f *Forwarder) resolve(ctx context.Context, to sycamorerun.Instance, id string, began time.Time) *failure {
+	reason := ended(ctx, reasonLost)
+	if reason == reasonCanceled {
+		return unknown(reason)
+	}
+	asking, stop := context.WithTimeout(context.WithoutCancel(ctx), f.QueryWait)
+	defer stop()
+	progress, err := f.query(asking, to, id, f.Now().Sub(began))
+	if err == nil && progress == Turned {
+		if reason == reasonLost {
+			reason = reasonQueried
+		}
+		return notRun(reason)
+	}
+	return unknown(reason)
+}
+
+// inflow is the response body that a peer sends, and the request body on its
+// way there.
+type inflow struct {
+	link    *link
+	watch   *watch
+	release func() bool
+	sending bool
+	trailer http.Header
+	ended   bool
+	closed  bool
+}
+
+// upload sends the request body in the background. It ends when the body has
+// been sent, or when the stream is closed.
+func (i *inflow) upload(c *call) {
+	i.sending = true
+	go func() {
+		buffer := make([]byte, chunkBytes)
+		next := func() ([]byte, error) {
+			for {
+				n, err := c.stream.Read(buffer)
+				if n > 0 {
+					return buffer[:n], nil
+				}
+				if err != nil {
+					return nil, err
+				}
+			}
+		}
+		_ = i.link.sendBody(next, func() http.Header { return c.trailer }, i.watch.progress)
+	}()
+}
+
+// Next implements source.
+func (i *inflow) Next() ([]byte, error) {
+	if i.ended {
+		return nil, io.EOF
+	}
+	frame, err := i.link.receive()
+	if err != nil {
+		return nil, err
+	}
+	i.watch.progress()
+	switch kind := frame.GetKind().(type) {
+	case *Frame_Chunk:
+		return kind.Chunk, nil
+	case *Frame_End:
+		if !kind.End.GetComplete() {
+			return nil, errors.Wrap(io.ErrUnexpectedEOF, "response")
+		}
+		i.ended, i.trailer = true, fromFields(kind.End.GetTrailers())
+		return nil, io.EOF
+	default:
+		return nil, errProtocol
+	}
+}
+
+// Trailer implements source.
+func (i *inflow) Trailer() http.Header { return i.trailer }
+
+// Close implements source.
+func (i *inflow) Close() {
+	if i.closed {
+		return
+	}
+	i.closed = true
+	i.release()
+	_ = i.link.conn.Close()
+}
+
+// toHead describes the call for a peer, or returns nil if it does not fit in a
+// frame.
+func toHead(now time.Time, c *call, id string, level uint32) *Head {
+	head := &Head{
+		Id: id, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: c.host,
+		Target: c.target, Fields: toFields(c.header), Trailers: c.trailers, Length: c.length,
+		Body: c.body, Whole: c.complete, Repeatable: c.match.Repeatable, Key: c.key, Print: c.print,
+		IdleMs: c.match.Idle.Milliseconds(), Attempt: level,
+	}
+	if !c.deadline.IsZero() {
+		head.DeadlineMs = max(1, c.deadline.Sub(now).Milliseconds())
+	}
+	if len(c.target)+size(c.header) > headerBytes {
+		return nil
+	}
+	return head
+}
--- /dev/null
+++ b/node/forwarder/serve_http.go
@@ -0,0 +1,161 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"sycamorerun"
+)
+
+// ServeHTTP handles a caller's request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := f.Now()
+	c, failed := f.parse(now, r)
+	if failed == nil && !f.drain.enter() {
+		failed = notRun(reasonDraining)
+	} else if failed == nil {
+		defer f.drain.leave()
+	}
+	if failed != nil {
+		f.fail(w, c, failed)
+		return
+	}
+	ctx, watch, stop := bound(r.Context(), c.deadline, c.match.Idle)
+	defer stop()
+	control := http.NewResponseController(w)
+	if failed := f.take(ctx, watch, control, c, r); failed != nil {
+		f.fail(w, c, failed)
+		return
+	}
+	if c.stream != nil {
+		defer func() { c.stream.finish(control, f.Now()) }()
+	}
+	if c.key != "" {
+		c.print = c.fingerprint()
+	}
+	f.Call(now, c.match.Service)
+	out, failed := f.attempts(ctx, watch, c)
+	if failed != nil {
+		f.fail(w, c, failed)
+		return
+	}
+	f.reply(ctx, watch, w, control, r, c, out)
+}
+
+// take reads a small body, or prepares the stream of a large one.
+func (f *Forwarder) take(ctx context.Context, watch *watch, control *http.ResponseController, c *call, r *http.Request) *failure {
+	if c.length == 0 || r.Body == nil || r.Body == http.NoBody {
+		c.complete, c.length = true, 0
+		return nil
+	}
+	// Unblocks a read from a caller that stopped sending.
+	release := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
+		_ = control.EnableFullDuplex()
+		c.stream = &upload{
+			body: r.Body, left: f.BodyBytes, watch: watch, release: release,
+			finished: func() { c.fill(r.Trailer) },
+		}
+		return nil
+	}
+	defer release()
+	c.body = make([]byte, c.length)
+	for at := 0; at < len(c.body); {
+		n, err := r.Body.Read(c.body[at:])
+		at += n
+		if n > 0 {
+			watch.progress()
+		}
+		if err != nil && at < len(c.body) {
+			if ctx.Err() != nil {
+				return notRun(reasonBodySlow)
+			}
+			return notRun(reasonBodyBroken)
+		}
+	}
+	// The read that returns io.EOF lets the server watch the connection, which
+	// is how it notices that the caller has gone.
+	if n, err := io.ReadFull(r.Body, make([]byte, 1)); n != 0 || err != io.EOF {
+		return notRun(reasonBodyBroken)
+	}
+	c.complete = true
+	return nil
+}
+
+// fail tells the caller that there is no response, and why.
+func (f *Forwarder) fail(w http.ResponseWriter, c *call, failed *failure) {
+	f.count(c, failed.result, failed.reason)
+	header := w.Header()
+	header.Set(sycamorerun.HeaderOutcome, string(failed.result))
+	header.Set(sycamorerun.HeaderReason, failed.reason)
+	header.Set(sycamorerun.HeaderRequest, c.id)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if failed.status() == http.StatusServiceUnavailable {
+		header.Set("Retry-After", "1")
+	}
+	if c.stream != nil && !c.stream.ended.Load() {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(failed.status())
+	_, _ = io.WriteString(w, string(failed.result)+": "+failed.reason+"\n")
+}
+
+// reply passes the response on. It aborts the caller's connection when the
+// response breaks off, so that a part is never taken for the whole.
+func (f *Forwarder) reply(ctx context.Context, watch *watch, w http.ResponseWriter, control *http.ResponseController, r *http.Request, c *call, out *answer) {
+	defer out.body.Close()
+	f.head(w, r, c, out)
+	// Unblocks a write to a caller that stopped reading.
+	release := context.AfterFunc(ctx, func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
+	defer release()
+	for {
+		data, err := out.body.Next()
+		if err == nil && ctx.Err() == nil {
+			_, err = w.Write(data)
+		}
+		if err == nil && out.length < 0 {
+			err = control.Flush()
+		}
+		if err == io.EOF && ctx.Err() == nil {
+			break
+		}
+		if err != nil || ctx.Err() != nil {
+			f.count(c, sycamorerun.Unknown, ended(ctx, reasonTruncated))
+			panic(http.ErrAbortHandler)
+		}
+		watch.progress()
+	}
+	for name, values := range clean(out.body.Trailer()) {
+		w.Header()[name] = values
+	}
+	f.count(c, sycamorerun.Answered, "")
+}
+
+// head passes the head of the response on.
+func (f *Forwarder) head(w http.ResponseWriter, r *http.Request, c *call, out *answer) {
+	header := w.Header()
+	for name, values := range out.header {
+		header[name] = values
+	}
+	if len(out.trailers) > 0 {
+		header.Set("Trailer", strings.Join(out.trailers, ", "))
+	}
+	header.Set(sycamorerun.HeaderOutcome, string(sycamorerun.Answered))
+	header.Set(sycamorerun.HeaderRequest, c.id)
+	if out.reason != "" {
+		header.Set(sycamorerun.HeaderReason, out.reason)
+	}
+	if r.ProtoMajor == 1 && c.stream != nil && !c.stream.ended.Load() {
+		// The rest of the body must not be read as the next request.
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(out.status)
+}
+
+func (f *Forwarder) count(c *call, result sycamorerun.Result, reason string) {
+	tags := map[string]string{"team": c.match.Team, "class": string(c.match.Class), "result": string(result), "reason": reason}
+	f.Scope.Tagged(tags).Counter("calls").Inc(1)
+}
--- /dev/null
+++ b/node/forwarder/types.go
@@ -0,0 +1,110 @@
+package forwarder
+
+import (
+	"time"
+
+	"sycamorerun"
+)
+
+// Match is the route of a request.
+type Match struct {
+	Team    string
+	Service string
+	Class   sycamorerun.Class
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+	// Timeout bounds the whole call, Idle a gap without progress.
+	Timeout time.Duration
+	Idle    time.Duration
+}
+
+// Query describes the instance that an attempt needs.
+type Query struct {
+	Service string
+	// Tried names the instances that earlier attempts of the call used.
+	Tried []string
+}
+
+// Observation is the end of an attempt.
+type Observation struct {
+	Instance string
+	Service  string
+	// Result is what is known of the attempt, Status the upstream's status if
+	// it answered.
+	Result sycamorerun.Result
+	Reason string
+	Status int
+	// Head is the time until the head of the response or the failure.
+	Head time.Duration
+	// Load is what the node beside the upstream reported, or nil.
+	Load *Load
+}
+
+// Attempt is a failed attempt that may be repeated.
+type Attempt struct {
+	Service string
+	// Number counts the attempts of this call from 1.
+	Number int
+	// Level is the attempt number that the caller's own request had, which is
+	// above 1 when a node nearer to the origin of the call chain is already
+	// repeating.
+	Level      int
+	Result     sycamorerun.Result
+	Reason     string
+	Repeatable bool
+	// Consumed says that a part of the request body can't be sent again.
+	Consumed bool
+	// Passed says that a part of the response reached the caller.
+	Passed bool
+}
+
+// Claim names a call that is about to run.
+type Claim struct {
+	ID string
+	// Key is the idempotency key with its scope, or empty; Print identifies
+	// the request that the key stands for.
+	Key   string
+	Print uint64
+}
+
+// Verdict is the answer to a claim.
+type Verdict int
+
+// Verdicts.
+const (
+	// Run permits the call to start.
+	Run Verdict = iota
+	// Refused means that the call must not start, and did not.
+	Refused
+	// Mismatch means that the key belongs to a different request.
+	Mismatch
+	// Recorded means that the call ran before and its response is known.
+	Recorded
+	// Uncertain means that the call runs, ran or may have run before.
+	Uncertain
+)
+
+// Decision is a verdict with its reason and the recorded response.
+type Decision struct {
+	Verdict  Verdict
+	Reason   string
+	Response []byte
+}
+
+// Ending is how a call ended at the upstream.
+type Ending struct {
+	Result sycamorerun.Result
+	// Response is the encoded response if it is small, or nil.
+	Response []byte
+}
+
+// Progress is what a node knows of a call.
+type Progress string
+
+// Values of Progress.
+const (
+	Turned   Progress = "refused"
+	Started  Progress = "started"
+	Finished Progress = "finished"
+	Lost     Progress = "unknown"
+)
