--- /dev/null
+++ b/node/runner/calls.go
@@ -0,0 +1,133 @@
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/node/applier"
+	"sycamorerun/node/balancer"
+	"sycamorerun/node/deduplicator"
+	"sycamorerun/node/forwarder"
+	"sycamorerun/node/limiter"
+	"sycamorerun/node/retrier"
+	"sycamorerun/node/router"
+)
+
+// calls holds the slices of the data path.
+type calls struct {
+	forwarder    *forwarder.Forwarder
+	balancer     *balancer.Balancer
+	limiter      *limiter.Limiter
+	retrier      *retrier.Retrier
+	deduplicator *deduplicator.Deduplicator
+	upstream     *localUpstream
+}
+
+// newCalls wires the data path over the configuration in force and the
+// members of each service.
+func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance) *calls {
+	c := &calls{upstream: &localUpstream{}}
+	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
+
+	c.limiter = limiter.New(limiter.Limits{})
+	c.retrier = retrier.New(func(name string) float64 {
+		found, _ := service(name)
+		return found.Retries
+	})
+	c.balancer = balancer.New(settings.AvailabilityZone, settings.Region)
+	c.balancer.Instances = instances
+	c.balancer.Warmup = func(name string) time.Duration {
+		found, _ := service(name)
+		return time.Duration(found.Warmup)
+	}
+	c.deduplicator = deduplicator.New(now, deduplicator.Defaults)
+	c.deduplicator.Self = settings.Name
+
+	f := forwarder.New(settings.Name)
+	f.BodyBytes = int64(settings.MaxBody)
+	f.Grace = settings.DrainDelay
+	f.Upstream = c.upstream
+	f.Match = func(request *http.Request) (forwarder.Match, bool) { return match(current().Table, request) }
+	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
+		return c.balancer.Pick(now, balancer.Query(query))
+	}
+	f.Observe = func(now time.Time, o forwarder.Observation) { c.balancer.Observe(now, observation(o)) }
+	f.Owner = func(service, key string) (sycamorerun.Instance, bool) { return owner(instances(service), key) }
+	f.Call = c.retrier.Call
+	f.Allow = func(now time.Time, a forwarder.Attempt) (time.Duration, bool) {
+		return c.retrier.Allow(now, retrier.Attempt{
+			Service: a.Service, Number: a.Number, Level: a.Level, Result: a.Result,
+			Repeatable: a.Repeatable, Consumed: a.Consumed, Passed: a.Passed,
+		})
+	}
+	f.Acquire = func(ctx context.Context, now time.Time, class sycamorerun.Class, deadline time.Time) (func(), string) {
+		release, refusal := c.limiter.Acquire(ctx, now, class, deadline)
+		return release, string(refusal)
+	}
+	f.Load = func() *forwarder.Load {
+		load := c.limiter.Load()
+		return &forwarder.Load{Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots)}
+	}
+	f.Begin = func(now time.Time, claim forwarder.Claim) forwarder.Decision {
+		d := c.deduplicator.Begin(now, claim.ID, key(claim))
+		return forwarder.Decision{Verdict: forwarder.Verdict(d.Verdict), Reason: d.Reason, Response: d.Response}
+	}
+	f.Finish = func(now time.Time, claim forwarder.Claim, ending forwarder.Ending) {
+		c.deduplicator.Finish(now, claim.ID, key(claim), deduplicator.Result(ending))
+	}
+	f.Refuse = func(now time.Time, id string, age time.Duration) forwarder.Progress {
+		return forwarder.Progress(c.deduplicator.Refuse(now, id, age))
+	}
+	c.forwarder = f
+	return c
+}
+
+// match finds the route of a request and what the forwarder needs of it.
+func match(table *router.Table, request *http.Request) (forwarder.Match, bool) {
+	found, ok := table.Match(router.Request{
+		Method: request.Method, Host: request.Host, Path: request.URL.Path,
+		Header: request.Header, Random: rand.Uint64(),
+	})
+	return forwarder.Match{
+		Team: found.Route.Team(), Service: found.Service, Class: found.Class, Repeatable: found.Repeatable,
+		Timeout: time.Duration(found.Settings.Timeout), Idle: time.Duration(found.Settings.Idle),
+	}, ok
+}
+
+func observation(o forwarder.Observation) balancer.Observation {
+	result := balancer.Observation{
+		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
+	}
+	if o.Load != nil {
+		result.Load = &balancer.Load{
+			Running: int(o.Load.GetRunning()), Queued: int(o.Load.GetQueued()), Slots: int(o.Load.GetSlots()),
+		}
+	}
+	return result
+}
+
+// owner returns the member that executes the calls with key.
+func owner(members []sycamorerun.Instance, key string) (sycamorerun.Instance, bool) {
+	name := deduplicator.Owner(key, names(members))
+	for _, member := range members {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return sycamorerun.Instance{}, false
+}
+
+func names(members []sycamorerun.Instance) []string {
+	result := make([]string, len(members))
+	for i, member := range members {
+		result[i] = member.Name
+	}
+	return result
+}
+
+func key(claim forwarder.Claim) deduplicator.Key {
+	return deduplicator.Key{Name: claim.Key, Print: claim.Print}
+}
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -18,7 +18,7 @@
 	Operators netip.AddrPort
 
 	Seeds []netip.AddrPort
-	Store string
+	Store netip.AddrPort
 
 	CA          string
 	Certificate string
@@ -46,7 +46,7 @@
 	loader.Add(l, &s.Peers, "peers", "127.0.0.1:7060", loader.Address(), "address for peers, as they reach it")
 	loader.Add(l, &s.Operators, "operators", "127.0.0.1:7070", loader.Address(), "address for operators, metrics and the local upstream")
 	loader.Add(l, &s.Seeds, "seeds", "", loader.Addresses(), "peers to join through; without any, the store is read once")
-	loader.Add(l, &s.Store, "store", "http://127.0.0.1:7000", loader.Pattern(`^https?://[^/]+$`, "http:// or https:// and an address"), "object store")
+	loader.Add(l, &s.Store, "store", "127.0.0.1:7000", loader.Address(), "object store")
 	loader.Add(l, &s.CA, "tls-ca", "", loader.Text("a PEM file"), "CA that signs the peers' certificates")
 	loader.Add(l, &s.Certificate, "tls-cert", "", loader.Text("a PEM file"), "certificate of this node")
 	loader.Add(l, &s.Key, "tls-key", "", loader.Text("a PEM file"), "private key of this node")
--- /dev/null
+++ b/node/runner/upstream.go
@@ -0,0 +1,91 @@
+package runner
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/node/forwarder"
+	"sycamorerun/node/limiter"
+	"sycamorerun/node/manager"
+)
+
+// Defaults until the service's settings are known.
+const (
+	defaultQueue       = 12
+	defaultConnections = 130
+)
+
+// errNoUpstream means that no upstream has announced itself to this node.
+var errNoUpstream = errors.New("no upstream announced here")
+
+// localUpstream is the upstream beside this node: its last announcement, the
+// transport to it and the limits that apply to it.
+type localUpstream struct {
+	mutex        sync.Mutex
+	announcement manager.Announcement
+	limits       limiter.Limits
+	transport    *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper with the current transport.
+func (u *localUpstream) RoundTrip(request *http.Request) (*http.Response, error) {
+	u.mutex.Lock()
+	transport := u.transport
+	u.mutex.Unlock()
+	if transport == nil {
+		return nil, errNoUpstream
+	}
+	return transport.RoundTrip(request)
+}
+
+// update takes an announcement and the service's settings, and returns the
+// limits in force.
+func (u *localUpstream) update(announcement manager.Announcement, service sycamorerun.Service, known bool) limiter.Limits {
+	limits := limiter.Limits{Slots: announcement.Slots, Queue: defaultQueue, Connections: defaultConnections}
+	if known {
+		limits = limiter.Limits{Slots: min(service.Slots, announcement.Slots), Queue: service.Queue, Connections: service.Connections}
+	}
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.transport == nil || u.announcement.Address != announcement.Address || u.limits.Connections != limits.Connections {
+		if u.transport != nil {
+			// Requests in flight keep their connections; idle ones go.
+			defer u.transport.CloseIdleConnections()
+		}
+		u.transport = forwarder.Transport(announcement.Address, limits.Connections)
+	}
+	u.announcement, u.limits = announcement, limits
+	return limits
+}
+
+// service returns the announced service, empty before the first announcement.
+func (u *localUpstream) service() (manager.Announcement, bool) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.announcement, u.announcement.Service != ""
+}
+
+// sessionIdle bounds how long an idle caller connection stays open.
+const sessionIdle = 2 * time.Minute
+
+// callerServer returns the HTTP server for callers with its bounds.
+func callerServer(address netip.AddrPort, handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Addr: address.String(), Handler: handler, Protocols: protocols,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: sessionIdle, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// Bounds of a caller's request head.
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
