--- /dev/null
+++ b/node/runner/fleet.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"sycamorerun"
+	"sycamorerun/node/planner"
+)
+
+// fleet is this node's view of the members, derived once for each change.
+type fleet struct {
+	view atomic.Pointer[view]
+}
+
+// view is immutable.
+type view struct {
+	plan      planner.Plan
+	live      []sycamorerun.Instance
+	byName    map[string]sycamorerun.Instance
+	byService map[string][]sycamorerun.Instance
+}
+
+func newFleet(self sycamorerun.Instance) *fleet {
+	f := &fleet{}
+	f.update(self.Name, []sycamorerun.Instance{self}, []sycamorerun.Instance{self})
+	return f
+}
+
+// update takes the live members and those among them that the plan is made
+// over.
+func (f *fleet) update(self string, live, reachable []sycamorerun.Instance) {
+	next := &view{
+		plan:      planner.New(self, reachable),
+		live:      live,
+		byName:    make(map[string]sycamorerun.Instance, len(live)),
+		byService: map[string][]sycamorerun.Instance{},
+	}
+	for _, member := range live {
+		next.byName[member.Name] = member
+		if member.Service != "" && member.Serving() {
+			next.byService[member.Service] = append(next.byService[member.Service], member)
+		}
+	}
+	f.view.Store(next)
+}
+
+func (f *fleet) plan() planner.Plan { return f.view.Load().plan }
+
+func (f *fleet) live() []sycamorerun.Instance { return f.view.Load().live }
+
+func (f *fleet) member(name string) (sycamorerun.Instance, bool) {
+	member, ok := f.view.Load().byName[name]
+	return member, ok
+}
+
+// serving returns the members of a service that take calls. The slice is
+// shared and must not be changed.
+func (f *fleet) serving(service string) []sycamorerun.Instance {
+	return f.view.Load().byService[service]
+}
+
+// others returns the names of the live members but for self.
+func (f *fleet) others(self string) []string {
+	return slices.DeleteFunc(names(f.live()), func(name string) bool { return name == self })
+}
--- /dev/null
+++ b/node/runner/node.go
@@ -0,0 +1,211 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
+	"sycamorerun/node/acceptor"
+	"sycamorerun/node/applier"
+	"sycamorerun/node/authenticator"
+	"sycamorerun/node/connector"
+	"sycamorerun/node/distributor"
+	"sycamorerun/node/forwarder"
+	"sycamorerun/node/manager"
+	"sycamorerun/node/seeder"
+	"sycamorerun/node/tracker"
+	"sycamorerun/persister"
+	"sycamorerun/validator"
+)
+
+// kindTracker is the stream kind of the membership protocol.
+const kindTracker = "tracker"
+
+// node holds the slices of one node and wires them.
+type node struct {
+	settings Settings
+	self     sycamorerun.Instance
+	logger   log.Logger
+	scope    tally.Scope
+	store    persister.Store
+	phase    atomic.Value
+
+	fleet         *fleet
+	connector     *connector.Connector
+	tracker       *tracker.Tracker
+	seeder        *seeder.Seeder
+	applier       *applier.Applier
+	distributor   *distributor.Distributor
+	acceptor      *acceptor.Acceptor
+	authenticator *authenticator.Authenticator
+	manager       *manager.Manager
+	calls         *calls
+}
+
+// newNode wires a node that starts at now.
+func newNode(now time.Time, settings Settings, logger log.Logger, scope tally.Scope, metrics http.Handler) (*node, error) {
+	security, err := loadTLS(settings)
+	if err != nil {
+		return nil, err
+	}
+	credentials, err := authenticator.New(settings.AdminHash)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{
+		settings: settings, logger: logger, scope: scope, authenticator: credentials,
+		self: sycamorerun.Instance{
+			Name: settings.Name, Incarnation: now, Address: settings.Peers,
+			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
+			State: sycamorerun.StateNone, Since: now,
+		},
+		store: persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
+	}
+	n.phase.Store(manager.PhaseStarting)
+	n.fleet = newFleet(n.self)
+	n.applier = &applier.Applier{Validate: validator.Check, Changed: n.configured, Logger: logger, Scope: scope}
+	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
+	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
+	n.wireMembership()
+	n.wireDistribution()
+	n.wireAcceptance()
+	n.wireConnector(security)
+	n.wireManager(metrics)
+	n.calls.forwarder.Open = n.connector.Open
+	return n, nil
+}
+
+func (n *node) wireMembership() {
+	n.tracker = &tracker.Tracker{
+		Self: n.self,
+		Open: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			return n.connector.Open(ctx, to, kindTracker)
+		},
+		Plan:    n.fleet.plan,
+		Version: func() sycamorerun.Version { return n.distributor.Held() },
+		Seen:    func(peer string, version sycamorerun.Version) { n.distributor.Heard(peer, version) },
+		Changed: n.membersChanged,
+		Logger:  n.logger,
+		Scope:   n.scope,
+	}
+	n.seeder = &seeder.Seeder{
+		Self: n.self, Store: n.store, Fixed: n.settings.Seeds,
+		Keeper: func() bool { return n.fleet.plan().Seed },
+		Live:   n.tracker.Live,
+		Now:    time.Now,
+		Logger: n.logger,
+	}
+	n.tracker.Seeds = n.seeder.Seeds
+}
+
+func (n *node) wireDistribution() {
+	d := distributor.New()
+	d.Self = n.settings.Name
+	d.Mode = distributor.Mode(n.settings.Mode)
+	d.StandbyDelay = n.settings.StandbyDelay
+	d.Store = n.store
+	d.Current = n.current
+	d.Apply, d.Install = n.applier.Apply, n.applier.Install
+	d.Plan = n.fleet.plan
+	d.Peers = func() []string { return n.fleet.others(n.settings.Name) }
+	d.Logger, d.Scope = n.logger, n.scope
+	d.Open = func(ctx context.Context, peer, kind string) (net.Conn, error) {
+		member, ok := n.fleet.member(peer)
+		if !ok {
+			return nil, errors.Errorf("peer %s is not a member", peer)
+		}
+		return n.connector.Open(ctx, member.Address, kind)
+	}
+	n.distributor = d
+}
+
+func (n *node) wireAcceptance() {
+	a := acceptor.New(n.store)
+	a.Current = func() sycamorerun.Tree { return n.applier.Current().Tree }
+	a.Entry = n.distributor.Entry
+	a.Learn = n.distributor.Learn
+	a.Validate = func(tree sycamorerun.Tree) []sycamorerun.Fault { return validator.Check(tree.Items) }
+	a.Logger, a.Scope = n.logger, n.scope
+	n.acceptor = a
+}
+
+func (n *node) current() (sycamorerun.Tree, sycamorerun.Hash) {
+	state := n.applier.Current()
+	return state.Tree, state.Hash
+}
+
+// membersChanged derives the view of the fleet again and tells the slices
+// that depend on it.
+func (n *node) membersChanged() {
+	now := time.Now()
+	n.fleet.update(n.settings.Name, n.tracker.Live(now), n.tracker.Reachable(now))
+	n.distributor.Replan()
+	if announcement, ok := n.calls.upstream.service(); ok {
+		n.calls.deduplicator.Moved(now, names(n.fleet.serving(announcement.Service)))
+	}
+}
+
+// configured is called after each version that came into force.
+func (n *node) configured(state applier.State) {
+	n.authenticator.Update(state.Tree.Items)
+	if announcement, ok := n.calls.upstream.service(); ok {
+		n.resize(announcement)
+	}
+	level.Info(n.logger).Log("msg", "configuration applied", "version", state.Tree.Version, "routes", state.Table.Routes())
+}
+
+// resize takes the limits of the announced upstream's service.
+func (n *node) resize(announcement manager.Announcement) {
+	service, known := n.applier.Current().Table.Service(announcement.Service)
+	n.calls.limiter.Resize(n.calls.upstream.update(announcement, service, known))
+}
+
+// announce takes the local upstream's announcement. While the node drains,
+// its upstream counts as draining whatever it says.
+func (n *node) announce(announcement manager.Announcement) error {
+	if current, ok := n.calls.upstream.service(); ok && current.Service != announcement.Service {
+		return errors.Errorf("this node serves %s already", current.Service)
+	}
+	state := announcement.State
+	if n.phase.Load() == manager.PhaseDraining && state != sycamorerun.StateLeft {
+		state = sycamorerun.StateDraining
+	}
+	n.resize(announcement)
+	switch {
+	case state == sycamorerun.StateLeft:
+		// The node stays a member; only its upstream is gone.
+		state = sycamorerun.StateNone
+	case n.phase.Load() == manager.PhaseStarting:
+		// A node without the newest version takes no calls for its upstream.
+		state = sycamorerun.StateNone
+	}
+	n.tracker.Announce(time.Now(), announcement.Service, state, announcement.Slots)
+	return nil
+}
+
+// handlers are the stream kinds that peers can open.
+func (n *node) handlers() map[string]connector.Handler {
+	return map[string]connector.Handler{
+		kindTracker: func(ctx context.Context, from connector.Peer, stream net.Conn) {
+			n.tracker.Serve(ctx, from.Name, stream)
+		},
+		distributor.Kind: func(ctx context.Context, from connector.Peer, stream net.Conn) {
+			n.distributor.Serve(ctx, from.Name, stream)
+		},
+		forwarder.KindCall: func(ctx context.Context, _ connector.Peer, stream net.Conn) {
+			n.calls.forwarder.ServeCall(ctx, stream)
+		},
+		forwarder.KindQuery: func(ctx context.Context, _ connector.Peer, stream net.Conn) {
+			n.calls.forwarder.ServeQuery(ctx, stream)
+		},
+	}
+}
--- /dev/null
+++ b/node/runner/operators.go
@@ -0,0 +1,160 @@
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"slices"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/node/balancer"
+	"sycamorerun/node/connector"
+	"sycamorerun/node/manager"
+	"sycamorerun/node/planner"
+	"sycamorerun/node/router"
+	"sycamorerun/parser"
+	"sycamorerun/validator"
+)
+
+func (n *node) wireConnector(security *tls.Config) {
+	n.connector = &connector.Connector{
+		Self: connector.Peer{
+			Name: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
+			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
+		},
+		TLS: security, Listen: n.settings.Peers, Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
+	}
+}
+
+func (n *node) wireManager(metrics http.Handler) {
+	n.manager = &manager.Manager{
+		Name: n.settings.Name, AvailabilityZone: n.settings.AvailabilityZone, Region: n.settings.Region,
+		Logger: n.logger, Metrics: metrics, Now: time.Now,
+		Identify: n.authenticator.Identify,
+		Current:  n.current,
+		Parse: func(text []byte) (string, map[sycamorerun.Path]sycamorerun.Item, []sycamorerun.Fault) {
+			subtree, faults := parser.Parse(text)
+			return subtree.Team, subtree.Items, faults
+		},
+		Validate:    validator.Check,
+		Submit:      n.acceptor.Submit,
+		Lookup:      n.lookup,
+		Proposals:   n.proposals,
+		History:     n.history,
+		Status:      n.status,
+		Members:     n.members,
+		Convergence: n.convergence,
+		Explain:     n.explain,
+		Announce:    n.announce,
+	}
+}
+
+// lookup returns the outcome of a change; it is missing when no kept version
+// and no proposal has the id.
+func (n *node) lookup(ctx context.Context, id string) (sycamorerun.Outcome, bool) {
+	return n.acceptor.Lookup(ctx, id), true
+}
+
+func (n *node) proposals(ctx context.Context, team string) ([]manager.Proposal, error) {
+	return nil, nil
+}
+
+// history returns the entries that this node still holds, newest first, until
+// limit changes of the team are found.
+func (n *node) history(team string, limit int) []sycamorerun.Entry {
+	var entries []sycamorerun.Entry
+	for version := n.applier.Current().Tree.Version; version > 0 && limit > 0; version-- {
+		entry, ok := n.distributor.Entry(version)
+		if !ok {
+			break
+		}
+		for _, change := range entry.Changes {
+			if team == "" || change.Team == team {
+				limit--
+			}
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
+func (n *node) status() manager.Status {
+	status := n.applier.Status()
+	result := manager.Status{
+		Phase: n.phase.Load().(manager.Phase), Refused: uint64(status.Refused),
+		Sessions: n.connector.Sessions(), Members: len(n.fleet.live()),
+		Watching: n.fleet.plan().Watch != planner.None,
+	}
+	if status.Refusal != nil {
+		result.Fault = "version " + status.Refusal.Version.String() + ": " + status.Refusal.Reason
+	}
+	return result
+}
+
+func (n *node) members() []manager.Member {
+	suspects := n.tracker.Suspects(time.Now())
+	var members []manager.Member
+	for _, member := range n.fleet.live() {
+		members = append(members, manager.Member{Instance: member, Suspect: slices.Contains(suspects, member.Name)})
+	}
+	return members
+}
+
+func (n *node) convergence(ctx context.Context) (manager.Convergence, error) {
+	survey, err := n.distributor.Survey(ctx)
+	if err != nil {
+		return manager.Convergence{}, err
+	}
+	result := manager.Convergence{Newest: survey.Target, Versions: survey.Counts}
+	for version, count := range survey.Counts {
+		result.Nodes += count
+		result.Newest = max(result.Newest, version)
+	}
+	result.Silent = max(0, len(n.fleet.live())-result.Nodes)
+	for _, lagging := range survey.Lagging {
+		result.Laggards = append(result.Laggards, manager.Laggard{
+			Name: lagging.Name, Version: lagging.Version, Since: lagging.Since,
+		})
+	}
+	return result, nil
+}
+
+// explain says which route and upstreams a request would take.
+func (n *node) explain(query manager.Query) manager.Explanation {
+	header := http.Header{}
+	for name, value := range query.Headers {
+		header.Set(name, value)
+	}
+	found := n.applier.Current().Table.Explain(router.Request{
+		Method: query.Method, Host: query.Host, Path: query.Path, Header: header,
+	})
+	var result manager.Explanation
+	for _, step := range found.Steps {
+		result.Steps = append(result.Steps, step.String())
+	}
+	if !found.Found {
+		return result
+	}
+	result.Route = string(found.Match.Route)
+	result.Class, result.Repeatable = found.Match.Class, found.Match.Repeatable
+	for _, chance := range n.calls.balancer.Chances(time.Now(), balancer.Query{Service: found.Match.Service}) {
+		member, _ := n.fleet.member(chance.Instance)
+		result.Candidates = append(result.Candidates, manager.Candidate{
+			Instance: chance.Instance, AvailabilityZone: member.AvailabilityZone, State: member.State,
+			Chance: chance.Share, Reason: reason(chance),
+		})
+	}
+	return result
+}
+
+// tiers name the distance of a candidate.
+var tiers = []string{"same availability zone", "same region", "other region"}
+
+func reason(chance balancer.Chance) string {
+	text := tiers[min(chance.Tier, len(tiers)-1)]
+	if chance.Ejected {
+		text += ", ejected after failures"
+	}
+	return text
+}
--- /dev/null
+++ b/node/seeder/seeder.go
@@ -0,0 +1,147 @@
+// Package seeder gives a starting node its first peers: from its settings, or
+// from the seed records that the first member of each availability zone keeps
+// in the store.
+package seeder
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"sycamorerun"
+	"sycamorerun/persister"
+)
+
+// Prefix is the prefix of the seed records' keys.
+const Prefix = "node/"
+
+const (
+	// interval is the time between checks of the own zone's record. A full
+	// jitter keeps the nodes of a herd restart apart.
+	interval = 5 * time.Second
+	// fresh is how long a record written by another node is left alone.
+	fresh = 15 * time.Second
+	// addresses is how many members a record names, so that it survives the
+	// failure of a few.
+	addresses = 4
+	// recordBytes bounds a record that is read.
+	recordBytes = 4 << 10
+)
+
+// record is the seed record of an availability zone.
+type record struct {
+	Addresses []netip.AddrPort `json:"addresses"`
+	Time      time.Time        `json:"time"`
+}
+
+// Seeder reads and keeps seed records. Set the fields before Run.
+type Seeder struct {
+	Self  sycamorerun.Instance
+	Store persister.Store
+	// Fixed are the peers from the settings; the store is not asked when
+	// there are any.
+	Fixed []netip.AddrPort
+	// Keeper reports whether this node keeps its availability zone's record.
+	Keeper func() bool
+	Live   func(now time.Time) []sycamorerun.Instance
+	Now    func() time.Time
+	Logger log.Logger
+}
+
+// Seeds returns the addresses of possible first peers, by one list of the
+// store at most.
+func (s *Seeder) Seeds(ctx context.Context) ([]netip.AddrPort, error) {
+	if len(s.Fixed) > 0 {
+		return s.Fixed, nil
+	}
+	listing, err := s.Store.List(ctx, Prefix, 0)
+	if err != nil {
+		return nil, errors.Wrap(err, "list seed records")
+	}
+	var seeds []netip.AddrPort
+	for _, object := range listing.Objects {
+		seeds = append(seeds, decode(object).Addresses...)
+	}
+	return slices.DeleteFunc(seeds, func(a netip.AddrPort) bool { return a == s.Self.Address }), nil
+}
+
+// Run keeps the zone's record while this node is the one to do so.
+func (s *Seeder) Run(ctx context.Context) error {
+	for {
+		if s.Keeper() {
+			if err := s.keep(ctx); err != nil && ctx.Err() == nil {
+				level.Debug(s.Logger).Log("msg", "seed record not written", "err", err)
+			}
+		}
+		timer := time.NewTimer(rand.N(2 * interval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Seeder) keep(ctx context.Context) error {
+	key := Prefix + s.Self.AvailabilityZone
+	object, err := s.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, persister.ErrMissing) {
+		return err
+	}
+	now := s.Now()
+	wanted := choose(s.Self, s.Live(now))
+	if !due(now, decode(object), wanted) {
+		return nil
+	}
+	value, err := json.Marshal(record{Addresses: wanted, Time: now.UTC()})
+	if err != nil {
+		return errors.Wrap(err, "encode seed record")
+	}
+	_, err = s.Store.Put(ctx, key, value, object.Revision)
+	if errors.Is(err, persister.ErrConflict) {
+		return nil // Another node of the zone wrote it; the next check looks again.
+	}
+	return err
+}
+
+// choose returns the members that the record of self's zone names: self and
+// the next ones by name.
+func choose(self sycamorerun.Instance, live []sycamorerun.Instance) []netip.AddrPort {
+	chosen := []netip.AddrPort{self.Address}
+	for _, member := range live {
+		if len(chosen) == addresses {
+			break
+		}
+		if member.AvailabilityZone == self.AvailabilityZone && member.Name != self.Name {
+			chosen = append(chosen, member.Address)
+		}
+	}
+	return chosen
+}
+
+// due reports whether the stored record has to be replaced: it names other
+// members and was not written just now. Leaving a fresh record alone lets
+// nodes that start apart find each other through it before they replace it.
+func due(now time.Time, stored record, wanted []netip.AddrPort) bool {
+	if len(stored.Addresses) == 0 {
+		return true
+	}
+	return !slices.Equal(stored.Addresses, wanted) && now.Sub(stored.Time) > fresh
+}
+
+// decode reads a record; one that can't be read counts as empty.
+func decode(object persister.Object) record {
+	var r record
+	if len(object.Value) > recordBytes || json.Unmarshal(object.Value, &r) != nil {
+		return record{}
+	}
+	return r
+}
