--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -60,3 +60,13 @@
 	s.out.Inc(int64(n))
 	return n, err
 }
+
+// Close ends both directions, as net.Conn requires. A yamux stream's own Close
+// ends only the sending one and leaves readers blocked.
+func (s *stream) Close() error {
+	_ = s.SetReadDeadline(time.Unix(1, 0))
+	return s.Conn.Close()
+}
+
+// CloseWrite ends the sending direction; the peer's bytes can still be read.
+func (s *stream) CloseWrite() error { return s.Conn.Close() }
--- a/node/connector/connector_test.go
+++ b/node/connector/connector_test.go
@@ -101,6 +101,7 @@
 	is.NoErr(echo(b, a.Self.Address))
 	stream, err := b.Open(t.Context(), a.Self.Address, "name")
 	is.NoErr(err)
+	defer stream.Close()
 	name, err := io.ReadAll(stream)
 	is.NoErr(err)
 	is.Equal(string(name), "b")
