--- /dev/null
+++ b/node/acceptor/commit_test.go
@@ -0,0 +1,234 @@
+package acceptor
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/persister"
+)
+
+// Guards against a change that is lost, accepted twice or reported wrongly
+// when the store fails at any step of a commit.
+func TestCommitFaults(t *testing.T) {
+	const forever = 1 << 30
+	cases := map[string]struct {
+		operation string
+		key       string
+		count     int
+		err       error
+		effect    bool
+		status    sycamorerun.Status
+		accepted  bool
+	}{
+		"none":                    {"", "", 0, nil, false, sycamorerun.StatusAccepted, true},
+		"read refused once":       {"get", "log/", 1, persister.ErrUnavailable, false, sycamorerun.StatusAccepted, true},
+		"write refused once":      {"put", "log/", 1, persister.ErrUnavailable, false, sycamorerun.StatusAccepted, true},
+		"answer lost with effect": {"put", "log/", 1, persister.ErrUnknown, true, sycamorerun.StatusAccepted, true},
+		"answers lost, no effect": {"put", "log/", 2, persister.ErrUnknown, false, sycamorerun.StatusAccepted, true},
+		"conflict without winner": {"put", "log/", 1, persister.ErrConflict, false, sycamorerun.StatusAccepted, true},
+		"conflict after effect":   {"put", "log/", 1, persister.ErrConflict, true, sycamorerun.StatusAccepted, true},
+		"stale empty slot":        {"get", "log/0002", 1, persister.ErrMissing, false, sycamorerun.StatusAccepted, true},
+		"outage":                  {"get", "", forever, persister.ErrUnavailable, false, sycamorerun.StatusUnknown, false},
+		"writes refused":          {"put", "", forever, persister.ErrUnavailable, false, sycamorerun.StatusUnknown, false},
+		"all answers lost":        {"put", "log/", forever, persister.ErrUnknown, false, sycamorerun.StatusUnknown, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newFake()
+			a := run(t, f.store())
+			is.Equal(a.Submit(t.Context(), bootstrap()).Version, sycamorerun.Version(1))
+			f.setFault(test.operation, test.key, test.count, test.err, test.effect)
+			outcome := a.Submit(t.Context(), apply("one", "flow", 6))
+			is.Equal(outcome.Status, test.status)
+			f.setFault("", "", 0, nil, true)
+			if test.accepted {
+				is.Equal(outcome.Version, sycamorerun.Version(2))
+				is.Equal(a.Lookup(t.Context(), "one"), outcome)
+			}
+			// The same id through another node, and another change behind it.
+			b := run(t, f.store())
+			again := b.Submit(t.Context(), apply("one", "flow", 6))
+			is.Equal(again.Version, sycamorerun.Version(2))
+			is.Equal(a.Submit(t.Context(), apply("two", "flow", 7)).Version, sycamorerun.Version(3))
+			verifyLog(t, f, 3)
+		})
+	}
+}
+
+// Guards against reporting an outcome as final when the answers to a write and
+// to all reads after it are lost.
+func TestUnknownThenFound(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := run(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	written := false
+	f.fault = func(operation, _ string) (error, bool) {
+		if operation == "put" && !written {
+			written = true
+			return persister.ErrUnknown, true
+		}
+		if written {
+			return persister.ErrUnavailable, false
+		}
+		return nil, true
+	}
+	outcome := a.Submit(t.Context(), apply("one", "flow", 6))
+	is.Equal(outcome.Status, sycamorerun.StatusUnknown)
+	is.True(outcome.Retry > 0)
+	f.setFault("", "", 0, nil, true)
+	is.Equal(a.Lookup(t.Context(), "one").Version, sycamorerun.Version(2))
+	is.Equal(code(a.Lookup(t.Context(), "never")), "no-such-change")
+}
+
+// Guards against a stale slot that makes an acceptor give up, overwrite a newer
+// entry or load the store with attempts that can't succeed.
+func TestStaleReads(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a, b := run(t, f.store()), run(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	b.Submit(t.Context(), apply("b", "other", 1))
+	f.setFault("get", "log/0002", 1<<30, persister.ErrMissing, false)
+	before := f.calls["put"]
+	is.Equal(a.Submit(t.Context(), apply("a", "flow", 1)).Status, sycamorerun.StatusUnknown)
+	is.True(f.calls["put"]-before < 10)
+	f.setFault("", "", 0, nil, true)
+	is.Equal(a.Submit(t.Context(), apply("a", "flow", 1)).Version, sycamorerun.Version(3))
+	verifyLog(t, f, 3)
+}
+
+// Guards against two acceptors that both win a version, lose a change or
+// accept an id twice.
+func TestRacingAcceptors(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	nodes := []*Acceptor{run(t, f.store()), run(t, f.store()), run(t, f.store())}
+	for _, a := range nodes {
+		a.Patience = 10 * time.Second
+	}
+	nodes[0].Submit(t.Context(), bootstrap())
+	const changes = 60
+	outcomes := make([][changes]sycamorerun.Outcome, len(nodes))
+	var wait sync.WaitGroup
+	for n, a := range nodes {
+		for i := range changes {
+			wait.Go(func() {
+				// Every id is submitted through all nodes.
+				outcomes[n][i] = a.Submit(t.Context(), apply(fmt.Sprint("id-", i), "flow", i))
+			})
+		}
+	}
+	wait.Wait()
+	last := sycamorerun.Version(0)
+	for _, a := range nodes {
+		last = max(last, a.head.Version)
+	}
+	ids := verifyLog(t, f, last)
+	is.Equal(len(ids), changes+1)
+	for n := range nodes {
+		for i, outcome := range outcomes[n] {
+			is.Equal(outcome.Status, sycamorerun.StatusAccepted)
+			is.Equal(outcome.Version, ids[fmt.Sprint("id-", i)])
+		}
+	}
+}
+
+// Guards against an acceptor that was paused before its write, wakes up after
+// the ring has gone round and overwrites a newer entry or repeats a change.
+func TestPausedAcceptor(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	paused, wake := make(chan struct{}), make(chan struct{})
+	store := f.store()
+	put, once := store.Put, sync.Once{}
+	store.Put = func(ctx context.Context, key string, value []byte, expected persister.Revision) (persister.Revision, error) {
+		once.Do(func() { close(paused); <-wake })
+		return put(ctx, key, value, expected)
+	}
+	b := run(t, f.store())
+	b.Submit(t.Context(), bootstrap())
+	a := run(t, store)
+	a.Patience = time.Minute // the ring, not the clock, has to stop the attempts
+	result := make(chan sycamorerun.Outcome)
+	go func() { result <- a.Submit(t.Context(), apply("paused", "flow", 1)) }()
+	<-paused
+	const round = persister.RingSlots + 10
+	for i := range round {
+		is.Equal(b.Submit(t.Context(), apply(fmt.Sprint(i), "other", i)).Status, sycamorerun.StatusAccepted)
+	}
+	close(wake)
+	is.Equal((<-result).Status, sycamorerun.StatusUnknown)
+	is.Equal(f.entry(t, 2).Version, sycamorerun.Version(2+persister.RingSlots))
+	// The acceptor goes on from the snapshot.
+	outcome := a.Submit(t.Context(), apply("next", "flow", 2))
+	is.Equal(outcome.Version, sycamorerun.Version(round+2))
+	is.Equal(a.head.Items["other/service/desk"], apply("", "other", round-1).Items["other/service/desk"])
+	is.Equal(a.history.first, sycamorerun.Version(round+2-persister.RingSlots+1))
+}
+
+// Guards against ring slots that are overwritten before the snapshot covers
+// them, when writers stop between the commit and the snapshot.
+func TestSnapshotCoversRing(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := run(t, f.store())
+	a.Patience = 30 * time.Millisecond
+	a.Submit(t.Context(), bootstrap())
+	f.setFault("put", persister.SnapshotKey, 1<<30, persister.ErrUnavailable, false)
+	for i := 2; i <= persister.RingSlots; i++ {
+		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i)).Status, sycamorerun.StatusAccepted)
+	}
+	is.Equal(a.Submit(t.Context(), apply("late", "flow", 1)).Status, sycamorerun.StatusUnknown)
+	is.Equal(f.entry(t, 1).Version, sycamorerun.Version(1))
+	f.setFault("", "", 0, nil, true)
+	// Another node makes good what the first one left out.
+	b := run(t, f.store())
+	is.Equal(b.Submit(t.Context(), apply("late", "flow", 1)).Version, sycamorerun.Version(persister.RingSlots+1))
+	tree, _, _, err := persister.ReadSnapshot(t.Context(), f.store())
+	is.NoErr(err)
+	is.Equal(tree.Version, sycamorerun.Version(persister.RingSlots))
+}
+
+// Guards against a batch that fails as a whole because one entry can't hold
+// it, and against a change that can never be stored.
+func TestLargeBatch(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := New(f.store())
+	noise := func(id string, items int) *job {
+		change := apply(id, "flow", 1)
+		for i := range items {
+			data := make([]byte, 40<<10)
+			_, _ = rand.Read(data)
+			change.Items[sycamorerun.Path(fmt.Sprintf("flow/service/s%s%d", id, i))] = item(data)
+		}
+		return &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+	}
+	admin := &job{ctx: t.Context(), request: Request{Change: bootstrap()}, done: make(chan sycamorerun.Outcome, 1)}
+	batch := []*job{admin, noise("a", 12), noise("b", 12), noise("c", 30)}
+	// The teams' subtrees are apart so that both fit one entry only in turn.
+	batch[2].request.Change.Team = "other"
+	items := map[sycamorerun.Path]sycamorerun.Item{}
+	for path, value := range batch[2].request.Change.Items {
+		_, kind, name := path.Split()
+		items[sycamorerun.NewPath("other", kind, name)] = value
+	}
+	batch[2].request.Change.Items = items
+	a.serve(t.Context(), batch)
+	want := []sycamorerun.Status{sycamorerun.StatusAccepted, sycamorerun.StatusAccepted, sycamorerun.StatusRefused, sycamorerun.StatusRefused}
+	for i, j := range batch {
+		outcome := <-j.done
+		is.Equal(outcome.Status, want[i])
+	}
+	verifyLog(t, f, a.head.Version)
+}
--- /dev/null
+++ b/node/acceptor/review_test.go
@@ -0,0 +1,132 @@
+package acceptor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/persister"
+)
+
+func decision(id string, kind sycamorerun.ChangeKind, proposal Proposal) sycamorerun.Change {
+	return sycamorerun.Change{
+		ID: id, Kind: kind, Team: "review", Operator: "bob",
+		Proposal: proposal.ID, Content: proposal.Content,
+	}
+}
+
+// Guards against a proposal that is decided twice, that reappears after a
+// crash between the commit and its removal, or whose id can't be looked up.
+func TestReview(t *testing.T) {
+	cases := map[string]struct {
+		kind   sycamorerun.ChangeKind
+		crash  bool
+		status sycamorerun.Status
+	}{
+		"approve":                   {sycamorerun.Approve, false, sycamorerun.StatusAccepted},
+		"approve, proposal remains": {sycamorerun.Approve, true, sycamorerun.StatusAccepted},
+		"reject":                    {sycamorerun.Reject, false, sycamorerun.StatusRefused},
+		"reject, proposal remains":  {sycamorerun.Reject, true, sycamorerun.StatusRefused},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			a, b := run(t, f.store()), run(t, f.store())
+			a.Submit(t.Context(), bootstrap())
+			f.setFault("put", persister.ProposalPrefix, 1, persister.ErrUnknown, true)
+			is.Equal(a.Submit(t.Context(), apply("p", "review", 6)).Status, sycamorerun.StatusPending)
+			is.Equal(b.Submit(t.Context(), apply("p", "review", 6)).Status, sycamorerun.StatusPending)
+			is.Equal(b.Lookup(t.Context(), "p").Status, sycamorerun.StatusPending)
+			open, err := b.Proposals(t.Context(), "review")
+			is.NoErr(err)
+			is.Equal(len(open), 1)
+			if test.crash {
+				f.setFault("delete", "", 1, persister.ErrUnavailable, false)
+			}
+			is.Equal(b.Submit(t.Context(), decision("d", test.kind, open[0])).Version, sycamorerun.Version(2))
+			is.Equal(a.Find(t.Context(), "review", "p").Status, test.status)
+			is.Equal(a.Find(t.Context(), "review", "p").Version, sycamorerun.Version(2))
+			is.Equal(a.Submit(t.Context(), apply("p", "review", 6)).Status, test.status)
+			is.Equal(code(a.Submit(t.Context(), decision("e", sycamorerun.Approve, open[0]))), "already-decided")
+			open, err = a.Proposals(t.Context(), "review")
+			is.NoErr(err)
+			is.Equal(len(open), 0)
+			_, applied := a.head.Items["review/service/desk"]
+			is.Equal(applied, test.kind == sycamorerun.Approve)
+			is.Equal(verifyLog(t, f, 2)["p"], sycamorerun.Version(2))
+		})
+	}
+}
+
+// Guards against proposals that pile up in the store.
+func TestProposalLimits(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := New(f.store())
+	now := time.Unix(1000, 0)
+	a.Now = func() time.Time { return now }
+	submit := func(change sycamorerun.Change) sycamorerun.Outcome {
+		j := &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+		a.serve(t.Context(), []*job{j})
+		return <-j.done
+	}
+	submit(bootstrap())
+	for i := range MaxProposals {
+		is.Equal(submit(apply(fmt.Sprint(i), "review", i)).Status, sycamorerun.StatusPending)
+	}
+	is.Equal(code(submit(apply("more", "review", 1))), "too-many-proposals")
+	now = now.Add(MaxAge + 1)
+	is.Equal(submit(apply("more", "review", 1)).Status, sycamorerun.StatusPending)
+	open, err := a.Proposals(t.Context(), "review")
+	is.NoErr(err)
+	is.Equal(len(open), 1)
+}
+
+// Guards against a revert to the wrong content, through the archives as well
+// as through the log alone, and against one that costs thousands of reads.
+func TestRevert(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := run(t, f.store())
+	a.Submit(t.Context(), bootstrap()) // version 1
+	const last = 1400
+	for i := 2; i <= last; i++ {
+		a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i))
+	}
+	cases := map[string]struct {
+		target sycamorerun.Version
+		code   string
+	}{
+		"newest":             {last, ""},
+		"period in progress": {1300, ""},
+		"on the archive":     {1280, ""},
+		"before the archive": {1279, ""},
+		"oldest reachable":   {512, ""},
+		"out of the ring":    {200, "target-unknown"},
+		"never":              {last + 100, "target-unknown"},
+		"none":               {0, "target-unknown"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := run(t, f.store())
+			b.Submit(t.Context(), apply("warm "+name, "other", int(test.target)))
+			f.mu.Lock()
+			before := f.calls["get"]
+			f.mu.Unlock()
+			outcome := b.Submit(t.Context(), sycamorerun.Change{ID: name, Kind: sycamorerun.Revert, Team: "flow", Operator: "ann", Target: test.target})
+			is.Equal(code(outcome), test.code)
+			f.mu.Lock()
+			is.True(f.calls["get"]-before < 20)
+			f.mu.Unlock()
+			if test.code == "" {
+				is.Equal(outcome.Status, sycamorerun.StatusAccepted)
+				is.Equal(b.head.Items["flow/service/desk"], apply("", "flow", int(test.target)).Items["flow/service/desk"])
+			}
+		})
+	}
+}
