--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/differ"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/connector"
 	"sycamorerun/node/manager"
@@ -56,8 +57,22 @@
 	return n.acceptor.Lookup(ctx, id), true
 }
 
+// proposals lists what waits for the review of a team's operators.
 func (n *node) proposals(ctx context.Context, team string) ([]manager.Proposal, error) {
-	return nil, nil
+	found, err := n.acceptor.Proposals(ctx, team)
+	if err != nil {
+		return nil, err
+	}
+	before := n.applier.Current().Tree.Subtree(team)
+	delete(before, sycamorerun.NewPath(team, sycamorerun.KindHold, ""))
+	results := make([]manager.Proposal, 0, len(found))
+	for _, p := range found {
+		results = append(results, manager.Proposal{
+			ID: p.ID, Team: p.Team, Operator: p.Operator, Content: p.Content, Time: p.Time,
+			Difference: differ.Compare(before, p.Items),
+		})
+	}
+	return results, nil
 }
 
 // history returns the entries that this node still holds, newest first, until
