Add the operators' program srctl and its page

Operators had an API but no program. srctl parses and compares settings files, submits changes with an id of its own, falls back to further nodes and resolves lost answers by that id, so that an interrupted change is never reported as failed. Exit codes separate the outcomes for scripts. The page lists commands and exit codes, and a test compares it with the commands.

The tests run the commands against the generated goa server with a fake service.

--- /dev/null
+++ b/ctl/commander/change.go
@@ -0,0 +1,201 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sycamorerun"
+	"sycamorerun/api/gen/fleet"
+	"sycamorerun/api/gen/settings"
+	"sycamorerun/ctl/printer"
+	"sycamorerun/ctl/requester"
+)
+
+func waitFlag(command *cobra.Command, wait *bool) {
+	command.Flags().BoolVar(wait, "wait", false, "wait within --timeout until every node has the version")
+}
+
+func (c *Commander) changeCommands() []*cobra.Command {
+	var wait bool
+	var reason, until string
+	hold := &cobra.Command{
+		Use: "hold TEAM", Short: "Block changes to a team's settings", GroupID: groupSettings,
+		Example: "  srctl hold quoting --reason \"harvest week\"\n  srctl hold quoting --reason \"incident 12\" --until 2h",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			payload := &settings.SubmitPayload{Kind: string(sycamorerun.Place), Reason: &reason}
+			if until != "" {
+				end, err := parseUntil(c.Now(), until)
+				if err != nil {
+					return usage(err)
+				}
+				payload.Until = &end
+			}
+			return c.teamChange(ctx, args[0], payload, wait)
+		}),
+	}
+	hold.Flags().StringVar(&reason, "reason", "", "why changes are blocked")
+	hold.Flags().StringVar(&until, "until", "", "end as a duration from now (2h) or a time (RFC 3339); without it, until release")
+	if err := hold.MarkFlagRequired("reason"); err != nil {
+		panic(err)
+	}
+	release := &cobra.Command{
+		Use: "release TEAM", Short: "End the hold on a team's settings", GroupID: groupSettings,
+		Example: "  srctl release quoting",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			return c.teamChange(ctx, args[0], &settings.SubmitPayload{Kind: string(sycamorerun.Release)}, wait)
+		}),
+	}
+	var base uint64
+	revert := &cobra.Command{
+		Use: "revert TEAM VERSION", Short: "Make a team's settings what they were at a version", GroupID: groupSettings,
+		Long: `Make a team's settings what they were at a version.
+
+This is a new version with the older content of the team; versions never go
+back, and other teams' settings stay as they are.`,
+		Example: "  srctl history quoting\n  srctl revert quoting 41 --wait",
+		Args:    cobra.ExactArgs(2),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			version, err := parseVersion(args[1])
+			if err != nil {
+				return usage(err)
+			}
+			payload := &settings.SubmitPayload{Kind: string(sycamorerun.Revert), Version: &version}
+			if base > 0 {
+				payload.Base = &base
+			}
+			return c.teamChange(ctx, args[0], payload, wait)
+		}),
+	}
+	revert.Flags().Uint64Var(&base, "base", 0, "`VERSION` that the decision was made from; a later change of the team is a conflict")
+	outcome := &cobra.Command{
+		Use: "outcome ID", Short: "Show how a change ended", GroupID: groupSettings,
+		Long:    "Show how a change ended. The exit code is that of the command that submitted it.",
+		Example: "  srctl outcome 6f1c3f2e-4f5b-4a53-9a59-3c1d9f2f7a10",
+		Args:    cobra.ExactArgs(1),
+		RunE:    c.run(c.outcome),
+	}
+	for _, command := range []*cobra.Command{hold, release, revert} {
+		waitFlag(command, &wait)
+	}
+	return []*cobra.Command{hold, release, revert, outcome}
+}
+
+func parseUntil(now time.Time, text string) (string, error) {
+	end, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		length, err := time.ParseDuration(text)
+		if err != nil {
+			return "", errors.Errorf("--until %q is neither a duration such as 2h nor a time such as 2026-01-02T15:04:05Z", text)
+		}
+		end = now.Add(length)
+	}
+	if !end.After(now) {
+		return "", errors.Errorf("--until %q is not in the future", text)
+	}
+	return end.UTC().Format(time.RFC3339), nil
+}
+
+func parseVersion(text string) (uint64, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, errors.Errorf("%q is not a version, a decimal number from 1", text)
+	}
+	return version, nil
+}
+
+// teamChange submits a change that has no settings file.
+func (c *Commander) teamChange(ctx context.Context, name string, payload *settings.SubmitPayload, wait bool) error {
+	name, err := team(name)
+	if err != nil {
+		return err
+	}
+	r, err := c.requester()
+	if err != nil {
+		return err
+	}
+	payload.Team = name
+	return c.change(ctx, r, payload, wait)
+}
+
+// change submits a change, prints its outcome and waits for the fleet.
+func (c *Commander) change(ctx context.Context, r *requester.Requester, payload *settings.SubmitPayload, wait bool) error {
+	if payload.ID == "" {
+		payload.ID = uuid.NewString()
+	}
+	outcome, err := r.Change(ctx, payload)
+	if err != nil {
+		return err
+	}
+	if err := c.printOutcome(outcome); err != nil {
+		return err
+	}
+	if outcome.Status != string(sycamorerun.StatusAccepted) || !wait || outcome.Version == nil {
+		return ended(outcome)
+	}
+	found, err := c.await(ctx, r, *outcome.Version)
+	if err != nil || c.output == printer.JSON {
+		return err
+	}
+	return c.print(nil, func(w io.Writer) {
+		fmt.Fprintf(w, "version %d is in force on all %d nodes\n", *outcome.Version, found.Nodes)
+	})
+}
+
+// await waits until every node has the version and shows progress on a
+// terminal.
+func (c *Commander) await(ctx context.Context, r *requester.Requester, version uint64) (*fleet.ConvergenceResult, error) {
+	shown := false
+	found, err := r.Wait(ctx, version, func(found *fleet.ConvergenceResult) {
+		if c.Terminal {
+			shown = true
+			fmt.Fprintf(c.Err, "\rversion %d: %d of %d nodes, %d silent\x1b[K",
+				version, requester.Reached(found, version), found.Nodes, found.Silent)
+		}
+	})
+	if shown {
+		fmt.Fprintln(c.Err)
+	}
+	return found, err
+}
+
+func (c *Commander) printOutcome(outcome *settings.Outcome) error {
+	return c.print(outcome, func(w io.Writer) {
+		fmt.Fprint(w, outcome.Status)
+		if outcome.Version != nil {
+			fmt.Fprintf(w, ", version %d", *outcome.Version)
+		}
+		fmt.Fprintf(w, ", change %s\n", outcome.ID)
+		for _, fault := range outcome.Faults {
+			fmt.Fprintf(w, "  %s: %s (%s)\n", fault.Path, fault.Reason, fault.Code)
+		}
+	})
+}
+
+func (c *Commander) outcome(ctx context.Context, _ *cobra.Command, args []string) error {
+	if uuid.Validate(args[0]) != nil {
+		return usage(errors.Errorf("%q is not a UUID", args[0]))
+	}
+	r, err := c.requester()
+	if err != nil {
+		return err
+	}
+	outcome, err := requester.Read(ctx, r, func(ctx context.Context, node *requester.Node) (*settings.Outcome, error) {
+		return node.Settings.OutcomeEndpoint(ctx, &settings.OutcomePayload{Token: r.Authorization(), ID: args[0]})
+	})
+	if err != nil {
+		return err
+	}
+	if err := c.printOutcome(outcome); err != nil {
+		return err
+	}
+	return ended(outcome)
+}
--- /dev/null
+++ b/ctl/commander/fleet.go
@@ -0,0 +1,227 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sycamorerun/api/gen/fleet"
+	"sycamorerun/api/gen/settings"
+	"sycamorerun/ctl/printer"
+	"sycamorerun/ctl/requester"
+)
+
+func (c *Commander) fleetCommands() []*cobra.Command {
+	var limit int
+	history := &cobra.Command{
+		Use: "history [TEAM]", Short: "List the newest accepted changes", GroupID: groupSettings,
+		Example: "  srctl history\n  srctl history quoting --limit 5",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			return c.history(ctx, args, limit)
+		}),
+	}
+	history.Flags().IntVar(&limit, "limit", 20, "number of changes, 1 to 1024")
+	status := &cobra.Command{
+		Use: "status", Short: "Show the state of the node", GroupID: groupFleet,
+		Example: "  srctl status --server 10.0.0.1:7070",
+		Args:    cobra.NoArgs, RunE: c.run(c.status),
+	}
+	members := &cobra.Command{
+		Use: "members", Short: "List the instances that the node knows", GroupID: groupFleet,
+		Example: "  srctl members\n  srctl members --output json",
+		Args:    cobra.NoArgs, RunE: c.run(c.members),
+	}
+	var version uint64
+	convergence := &cobra.Command{
+		Use: "convergence", Short: "Show which versions are in force in the fleet", GroupID: groupFleet,
+		Example: "  srctl convergence\n  srctl convergence --wait 42 --timeout 10s",
+		Args:    cobra.NoArgs,
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, _ []string) error {
+			return c.convergence(ctx, version)
+		}),
+	}
+	convergence.Flags().Uint64Var(&version, "wait", 0, "wait within --timeout until every node has `VERSION` or a later one")
+	var headers []string
+	explain := &cobra.Command{
+		Use: "explain METHOD URL", Short: "Show which route and upstream a request would take", GroupID: groupFleet,
+		Example: "  srctl explain GET http://quotes.example/quotes/7 -H 'x-channel: agent'",
+		Args:    cobra.ExactArgs(2),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			return c.explain(ctx, args[0], args[1], headers)
+		}),
+	}
+	explain.Flags().StringArrayVarP(&headers, "header", "H", nil, "request header, `NAME: VALUE`; repeatable")
+	return []*cobra.Command{history, status, members, convergence, explain}
+}
+
+// show reads from a node and prints the answer.
+func show[T any](ctx context.Context, c *Commander, read func(context.Context, *requester.Node, *string) (T, error), text func(io.Writer, T)) error {
+	r, err := c.requester()
+	if err != nil {
+		return err
+	}
+	answer, err := requester.Read(ctx, r, func(ctx context.Context, node *requester.Node) (T, error) {
+		return read(ctx, node, r.Authorization())
+	})
+	if err != nil {
+		return err
+	}
+	return c.print(answer, func(w io.Writer) { text(w, answer) })
+}
+
+func (c *Commander) history(ctx context.Context, args []string, limit int) error {
+	if limit < 1 || limit > 1024 {
+		return usage(errors.Errorf("--limit %d is outside 1..1024", limit))
+	}
+	payload := &settings.HistoryPayload{Limit: limit}
+	if len(args) > 0 {
+		name, err := team(args[0])
+		if err != nil {
+			return err
+		}
+		payload.Team = &name
+	}
+	return show(ctx, c, func(ctx context.Context, node *requester.Node, token *string) ([]*settings.Accepted, error) {
+		payload.Token = token
+		return node.Settings.History(ctx, payload)
+	}, func(w io.Writer, changes []*settings.Accepted) {
+		var rows [][]any
+		for _, change := range changes {
+			rows = append(rows, []any{change.Version, change.Time, change.Team, change.Operator, change.Kind, change.ID})
+		}
+		printer.Table(w, "VERSION TIME TEAM OPERATOR KIND ID", rows)
+	})
+}
+
+func (c *Commander) status(ctx context.Context, _ *cobra.Command, _ []string) error {
+	return show(ctx, c, func(ctx context.Context, node *requester.Node, token *string) (*fleet.StatusResult, error) {
+		return node.Fleet.Status(ctx, &fleet.StatusPayload{Token: token})
+	}, func(w io.Writer, status *fleet.StatusResult) {
+		printer.Table(w, "FIELD VALUE", [][]any{
+			{"name", status.Name},
+			{"zone", status.Zone},
+			{"region", status.Region},
+			{"phase", status.Phase},
+			{"version", status.Version},
+			{"hash", status.Hash},
+			{"sessions", status.Sessions},
+			{"members", status.Members},
+			{"watching", status.Watching},
+			{"refused", status.Refused},
+			{"fault", optional(status.Fault)},
+		})
+	})
+}
+
+func (c *Commander) members(ctx context.Context, _ *cobra.Command, _ []string) error {
+	return show(ctx, c, func(ctx context.Context, node *requester.Node, token *string) ([]*fleet.Member, error) {
+		return node.Fleet.Members(ctx, &fleet.MembersPayload{Token: token})
+	}, func(w io.Writer, members []*fleet.Member) {
+		var rows [][]any
+		for _, member := range members {
+			rows = append(rows, []any{
+				member.Name, member.Region, member.Zone, member.Address, member.Service, member.State, member.Slots, member.Suspect,
+			})
+		}
+		printer.Table(w, "NAME REGION ZONE ADDRESS SERVICE STATE SLOTS SUSPECT", rows)
+	})
+}
+
+func (c *Commander) convergence(ctx context.Context, version uint64) error {
+	r, err := c.requester()
+	if err != nil {
+		return err
+	}
+	var found *fleet.ConvergenceResult
+	var failed error
+	if version > 0 {
+		found, failed = c.await(ctx, r, version)
+	} else {
+		found, failed = r.Convergence(ctx)
+	}
+	if found == nil {
+		return failed
+	}
+	if err := c.print(found, func(w io.Writer) { converged(w, found) }); err != nil {
+		return err
+	}
+	return failed
+}
+
+func converged(w io.Writer, found *fleet.ConvergenceResult) {
+	fmt.Fprintf(w, "newest version %d; %d nodes answered, %d silent\n", found.Newest, found.Nodes, found.Silent)
+	var tallies, laggards [][]any
+	for _, tally := range found.Tallies {
+		tallies = append(tallies, []any{tally.Version, tally.Nodes})
+	}
+	for _, laggard := range found.Laggards {
+		laggards = append(laggards, []any{laggard.Name, laggard.Version, laggard.Since, optional(laggard.Fault)})
+	}
+	printer.Table(w, "VERSION NODES", tallies)
+	if len(laggards) > 0 {
+		printer.Table(w, "BEHIND VERSION SINCE FAULT", laggards)
+	}
+}
+
+func (c *Commander) explain(ctx context.Context, method, address string, headers []string) error {
+	request, err := url.Parse(address)
+	if err != nil || request.Host == "" {
+		return usage(errors.Errorf("%q is not a URL with a host", address))
+	}
+	payload := &fleet.ExplainPayload{
+		Method: strings.ToUpper(method), Host: strings.ToLower(request.Hostname()), Path: request.Path, Headers: map[string]string{},
+	}
+	if payload.Path == "" {
+		payload.Path = "/"
+	}
+	for _, header := range headers {
+		name, value, ok := strings.Cut(header, ":")
+		if name = strings.ToLower(strings.TrimSpace(name)); !ok || name == "" {
+			return usage(errors.Errorf("header %q is not NAME: VALUE", header))
+		}
+		payload.Headers[name] = strings.TrimSpace(value)
+	}
+	return show(ctx, c, func(ctx context.Context, node *requester.Node, token *string) (*fleet.ExplainResult, error) {
+		payload.Token = token
+		return node.Fleet.Explain(ctx, payload)
+	}, explained)
+}
+
+func explained(w io.Writer, result *fleet.ExplainResult) {
+	route := result.Route
+	if route == "" {
+		route = "no route matches"
+	}
+	fmt.Fprintf(w, "version %d: %s\n", result.Version, route)
+	if result.Class != nil {
+		fmt.Fprintf(w, "class %s\n", *result.Class)
+	}
+	if result.Repeatable != nil {
+		fmt.Fprintf(w, "may be repeated: %t\n", *result.Repeatable)
+	}
+	for i, step := range result.Steps {
+		fmt.Fprintf(w, "%3d. %s\n", i+1, step)
+	}
+	var rows [][]any
+	for _, candidate := range result.Candidates {
+		rows = append(rows, []any{
+			candidate.Instance, candidate.Zone, candidate.State, fmt.Sprintf("%.3f", candidate.Chance), candidate.Reason,
+		})
+	}
+	if len(rows) > 0 {
+		printer.Table(w, "INSTANCE ZONE STATE CHANCE REASON", rows)
+	}
+}
+
+func optional(text *string) string {
+	if text == nil {
+		return ""
+	}
+	return *text
+}
--- a/parser/field.go
+++ b/parser/field.go
@@ -280,3 +280,6 @@
 	}
 	return f.Unit
 }
+
+// ValidName reports whether name can be the name of a team or an item.
+func ValidName(name string) bool { return nameFormat.pattern.MatchString(name) }
