Add the demo of the whole path

Upstreams announce themselves every 200 ms until their node answers first: with the fixed second, a call right after the start met no upstream.

--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,7 @@
 # Fails when generated code differs from its sources.
 generated: generate
 	@git diff --exit-code --stat -- '*.pb.go' api/gen || { echo "generated code is out of date; run make generate and commit"; exit 1; }
+
+# Shows a first change and calls on a small fleet of real processes.
+demo: build
+	demo/run.sh
--- a/objectstore/cmd/srstore/main.go
+++ b/objectstore/cmd/srstore/main.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,8 +17,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
-	"github.com/spf13/cobra"
 
+	"sycamorerun/loader"
 	"sycamorerun/logger"
 	"sycamorerun/objectstore/injector"
 	"sycamorerun/objectstore/keeper"
@@ -24,37 +27,36 @@
 
 const headTimeout = 5 * time.Second
 
-type options struct {
-	listen, faults, level string
-	history               int
-	seed                  uint64
+type settings struct {
+	listen  netip.AddrPort
+	faults  string
+	history int
+	seed    int
+	level   string
 }
 
 func main() {
-	var o options
-	command := &cobra.Command{
-		Use:          "srstore",
-		Short:        "Stand-in for the platform's object store, in memory",
-		Args:         cobra.NoArgs,
-		SilenceUsage: true,
-		RunE:         func(command *cobra.Command, _ []string) error { return run(command.Context(), o) },
+	var o settings
+	l := loader.New("srstore")
+	loader.Add(l, &o.listen, "listen", "127.0.0.1:7000", loader.Address(), "address to listen on")
+	loader.Add(l, &o.faults, "faults", "", loader.Text("JSON as for PUT /faults, or nothing"), "fault plan")
+	loader.Add(l, &o.history, "history", "4096", loader.Int(1, 1<<20), "writes that a watch can still see")
+	loader.Add(l, &o.seed, "seed", "1", loader.Int(0, math.MaxInt), "seed for faults that hit a fraction of the calls")
+	loader.Add(l, &o.level, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
+	proceed, code := l.Start(os.Args[1:], os.LookupEnv, loader.Streams{Out: os.Stdout, Err: os.Stderr})
+	if !proceed {
+		os.Exit(code)
 	}
-	flags := command.Flags()
-	flags.StringVar(&o.listen, "listen", "127.0.0.1:7060", "address to listen on")
-	flags.StringVar(&o.faults, "faults", "", "fault plan as JSON, as for PUT /faults")
-	flags.IntVar(&o.history, "history", 4096, "writes that a watch can still see")
-	flags.Uint64Var(&o.seed, "seed", 1, "seed for faults that hit a fraction of the calls")
-	flags.StringVar(&o.level, "log-level", "info", "debug, info, warn or error")
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := command.ExecuteContext(ctx); err != nil {
-		stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context, o options) error {
-	s := server.New(keeper.New(o.history), injector.New(o.seed))
+func run(ctx context.Context, o settings) error {
+	s := server.New(keeper.New(o.history), injector.New(uint64(o.seed)))
 	s.Logger = logger.New(os.Stderr, o.level, "program", "srstore")
 	if o.faults != "" {
 		var plan injector.Plan
@@ -65,7 +67,7 @@
 			return errors.Wrap(err, "--faults")
 		}
 	}
-	listener, err := net.Listen("tcp", o.listen)
+	listener, err := net.Listen("tcp", o.listen.String())
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/upstream/announcer/announcer.go
+++ b/upstream/announcer/announcer.go
@@ -19,7 +19,12 @@
 // Interval is the time between announcements.
 const Interval = time.Second
 
-const timeout = 2 * time.Second
+const (
+	// retry is the time to the next try while the node does not answer; the
+	// node often starts at the same time as the upstream.
+	retry   = 200 * time.Millisecond
+	timeout = 2 * time.Second
+)
 
 // Announcement is the body of PUT /v1/announcement.
 type Announcement struct {
@@ -39,10 +44,15 @@
 
 // Run announces until ctx ends.
 func (a *Announcer) Run(ctx context.Context) {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	failing := false
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
 		err := a.announce(ctx, a.Current())
 		if err != nil && !failing && ctx.Err() == nil {
 			level.Warn(a.Logger).Log("msg", "announcement failed; retrying", "node", a.Node, "err", err)
@@ -51,10 +61,9 @@
 			level.Info(a.Logger).Log("msg", "announcement accepted again", "node", a.Node)
 		}
 		failing = err != nil
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		timer.Reset(Interval)
+		if failing {
+			timer.Reset(retry)
 		}
 	}
 }
