--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -154,4 +154,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
