--- a/loader/kind.go
+++ b/loader/kind.go
@@ -99,6 +99,19 @@
 	return Kind[netip.AddrPort]{Allowed: "an IP address and a port, such as 127.0.0.1:7070", Parse: netip.ParseAddrPort}
 }
 
+// OptionalAddress allows an IP address with a port, or nothing.
+func OptionalAddress() Kind[netip.AddrPort] {
+	return Kind[netip.AddrPort]{
+		Allowed: "an IP address and a port, or nothing",
+		Parse: func(text string) (netip.AddrPort, error) {
+			if text == "" {
+				return netip.AddrPort{}, nil
+			}
+			return netip.ParseAddrPort(text)
+		},
+	}
+}
+
 // Addresses allows a comma-separated list of IP addresses with ports.
 func Addresses() Kind[[]netip.AddrPort] {
 	return Kind[[]netip.AddrPort]{
--- a/node/connector/dial.go
+++ b/node/connector/dial.go
@@ -106,8 +106,17 @@
 	close(d.done)
 }
 
+// source is the address that dials leave from: the one listened on, so that on
+// an instance with several addresses a peer sees the one in the settings.
+func (c *Connector) source() net.Addr {
+	if !c.Listen.IsValid() || c.Listen.Addr().IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: c.Listen.Addr().AsSlice()}
+}
+
 func (c *Connector) connect(ctx context.Context, to netip.AddrPort) (*session, error) {
-	dialer := net.Dialer{KeepAlive: -1}
+	dialer := net.Dialer{KeepAlive: -1, LocalAddr: c.source()}
 	conn, err := dialer.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -24,7 +24,7 @@
 			Name: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
 			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
 		},
-		TLS: security, Listen: n.settings.Peers, Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
+		TLS: security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
 	}
 }
 
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -15,6 +15,7 @@
 
 	Callers   netip.AddrPort
 	Peers     netip.AddrPort
+	Listen    netip.AddrPort
 	Operators netip.AddrPort
 
 	Seeds []netip.AddrPort
@@ -44,6 +45,7 @@
 	loader.Add(l, &s.Region, "region", "", loader.Name(), "region of the availability zone")
 	loader.Add(l, &s.Callers, "callers", "127.0.0.1:8080", loader.Address(), "address for callers")
 	loader.Add(l, &s.Peers, "peers", "127.0.0.1:7060", loader.Address(), "address for peers, as they reach it")
+	loader.Add(l, &s.Listen, "listen-peers", "", loader.OptionalAddress(), "address to listen on for peers, when it is not the one that they reach")
 	loader.Add(l, &s.Operators, "operators", "127.0.0.1:7070", loader.Address(), "address for operators, metrics and the local upstream")
 	loader.Add(l, &s.Seeds, "seeds", "", loader.Addresses(), "peers to join through; without any, the store is read once")
 	loader.Add(l, &s.Store, "store", "127.0.0.1:7000", loader.Address(), "object store")
@@ -69,6 +71,14 @@
 	return kind
 }
 
+// listen returns the address to listen on for peers.
+func (s *Settings) listen() netip.AddrPort {
+	if s.Listen.IsValid() {
+		return s.Listen
+	}
+	return s.Peers
+}
+
 // checkTLS refuses a node that would talk to peers without authentication by
 // mistake.
 func (s *Settings) checkTLS() []loader.Fault {
