--- /dev/null
+++ b/bench/deployer/spec.go
@@ -0,0 +1,90 @@
+package deployer
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Spec describes a fleet.
+type Spec struct {
+	// Binaries is the directory of the programs, Directory a writable one.
+	Binaries  string
+	Directory string
+	// Network is the second number of the loopback addresses, 127.Network.x.y,
+	// so that fleets do not meet.
+	Network uint8
+	Zones   []Zone
+	// Services are given to the nodes in turn.
+	Services []string
+	// Upstreams starts a stand-in upstream beside each node.
+	Upstreams bool
+	// Relays puts a relay in front of each node and of the store in each
+	// availability zone, for partitions and delays.
+	Relays bool
+	// NodeArgs are further arguments of every node.
+	NodeArgs []string
+	// UpstreamArgs are further arguments of every upstream.
+	UpstreamArgs []string
+	// ZoneDelay and RegionDelay are added one way between availability zones
+	// of a region and between regions; they need Relays.
+	ZoneDelay   time.Duration
+	RegionDelay time.Duration
+}
+
+// Zone is an availability zone with its nodes.
+type Zone struct {
+	Name   string
+	Region string
+	Nodes  int
+}
+
+// Today returns the six availability zones of today's deployments with the
+// given nodes in each; the store is in the first region.
+func Today(nodes int) []Zone {
+	regions := []string{"kigali", "north", "south"}
+	var zones []Zone
+	for _, region := range regions {
+		for i := 1; i <= 2; i++ {
+			zones = append(zones, Zone{Name: fmt.Sprintf("%s-%d", region, i), Region: region, Nodes: nodes})
+		}
+	}
+	return zones
+}
+
+// Ports of the processes; each has an address of its own.
+const (
+	portStore     = 7000
+	portPeers     = 7060
+	portRelay     = 7061
+	portOperators = 7070
+	portCallers   = 8080
+	portUpstream  = 9000
+	portControl   = 9100
+	// hostStore is the last number of the store's relay in a zone.
+	hostStore = 254
+)
+
+func (s Spec) address(zone, host uint8, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.Network, zone, host}), port)
+}
+
+// zoneOf returns the zone that an address belongs to.
+func (s Spec) zoneOf(address netip.Addr) (Zone, bool) {
+	number := int(address.Unmap().As4()[2]) - 1
+	if number < 0 || number >= len(s.Zones) {
+		return Zone{}, false
+	}
+	return s.Zones[number], true
+}
+
+// delay returns the one-way delay between two zones.
+func (s Spec) delay(from, to Zone) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return s.RegionDelay
+	case from.Name != to.Name:
+		return s.ZoneDelay
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/system/doc.go
@@ -0,0 +1,2 @@
+// Package system holds the tests of failures with real processes.
+package system
