--- a/node/connector/connector_test.go
+++ b/node/connector/connector_test.go
@@ -37,13 +37,15 @@
 			},
 		},
 	}
+	if change != nil {
+		change(c)
+	}
 	address, err := c.Bind()
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Self.Address = address
-	if change != nil {
-		change(c)
+	if !c.Self.Address.IsValid() {
+		c.Self.Address = address
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- /dev/null
+++ b/node/connector/decision_test.go
@@ -0,0 +1,133 @@
+package connector
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Guards against sessions that are closed under streams, stalled ones that
+// stay, and idle ones that close before the peer knows.
+func TestNext(t *testing.T) {
+	limits := Limits{}.withDefaults()
+	cases := map[string]struct {
+		condition condition
+		want      action
+	}{
+		"busy":                         {condition{streams: 3}, keep},
+		"silent for a second":          {condition{streams: 3, silence: time.Second}, ping},
+		"stalled":                      {condition{streams: 3, silence: 3 * time.Second}, closeStalled},
+		"stalled while closing":        {condition{silence: 3 * time.Second, away: time.Second}, closeStalled},
+		"unused for a short time":      {condition{unused: 10 * time.Second}, keep},
+		"unused":                       {condition{unused: time.Minute}, stopAccepting},
+		"replaced with streams":        {condition{streams: 1, retired: true}, keep},
+		"replaced just now":            {condition{retired: true}, keep},
+		"replaced and unused":          {condition{retired: true, unused: 5 * time.Second}, stopAccepting},
+		"GoAway just sent":             {condition{unused: time.Minute, away: 1}, keep},
+		"GoAway crossed a stream":      {condition{streams: 1, away: time.Minute}, keep},
+		"GoAway sent, still no stream": {condition{unused: time.Minute, away: time.Second}, closeIdle},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(limits.next(test.condition), test.want)
+		})
+	}
+}
+
+// Guards against ends that prefer different sessions after dialling at once,
+// and against a dead session that is preferred to its replacement.
+func TestPreferOld(t *testing.T) {
+	at := func(name string, dialled bool, seconds float64) *session {
+		return &session{peer: Peer{Name: name}, dialled: dialled, opened: time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))}
+	}
+	cases := map[string]struct {
+		self       string
+		old, fresh *session
+		want       bool
+	}{
+		"at once, lower name's dial is old":  {"a", at("b", true, 0), at("b", false, 0.1), true},
+		"same, seen by the other end":        {"b", at("a", true, 0), at("a", false, 0.1), false},
+		"at once, lower name's dial is new":  {"a", at("b", false, 0), at("b", true, 0.1), false},
+		"same, the other end, other order":   {"b", at("a", false, 0), at("a", true, 0.1), true},
+		"replaced by the same end":           {"a", at("b", true, 0), at("b", true, 0.1), false},
+		"replaced by the other end":          {"a", at("b", true, 0), at("b", false, 3), false},
+		"replaced by the other, seen by it":  {"b", at("a", false, 0), at("a", true, 3), false},
+		"replaced by the higher name's dial": {"a", at("b", true, 0), at("b", false, 300), false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(preferOld(test.old, test.fresh, test.self, 3*time.Second), test.want)
+		})
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	is := is.New(t)
+	most := func(n int64) int64 { return n - 1 }
+	is.Equal(backoff(1, most), backoffLeast-1)
+	is.Equal(backoff(2, most), 2*backoffLeast-1)
+	is.Equal(backoff(7, most), 6400*time.Millisecond-1)
+	is.Equal(backoff(8, most), backoffMost-1)
+	is.Equal(backoff(1000, most), backoffMost-1)
+	is.Equal(backoff(3, func(int64) int64 { return 0 }), time.Duration(0))
+}
+
+// Guards against one dial per waiting caller and against dials without delay
+// to a peer that fails.
+func TestDialsAreShared(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	c := &Connector{Self: Peer{Name: "a"}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: Limits{Dial: time.Minute}}
+	_, err = c.Bind()
+	is.NoErr(err)
+	defer c.listener.Close()
+	to := netip.MustParseAddrPort(silent.Addr().String())
+	first, err := c.startDial(time.Now(), to)
+	is.NoErr(err)
+	second, err := c.startDial(time.Now(), to)
+	is.NoErr(err)
+	is.Equal(first, second)
+	// The accepted connection breaks before the hello.
+	conn, err := silent.Accept()
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	<-first.done
+	is.True(first.err != nil)
+	c.targets[to].retry = time.Now().Add(time.Hour)
+	_, err = c.startDial(time.Now(), to)
+	is.True(errors.Is(err, ErrBackoff))
+	is.NoErr(silent.Close())
+	third, err := c.startDial(time.Now().Add(2*time.Hour), to)
+	is.NoErr(err)
+	<-third.done
+	is.Equal(c.targets[to].failures, 2)
+}
+
+// Guards against hellos that pass the check but can't be represented.
+func FuzzHello(f *testing.F) {
+	valid, _ := proto.Marshal(Peer{
+		Name: "a", Incarnation: time.Unix(1, 0), Address: netip.MustParseAddrPort("[::1]:1"), AvailabilityZone: "z", Region: "r",
+	}.hello())
+	f.Add(valid)
+	f.Add([]byte{0x08, 0x01, 0x12, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		hello := &Hello{}
+		if proto.Unmarshal(data, hello) != nil {
+			return
+		}
+		peer, err := newPeer(hello)
+		if err != nil {
+			return
+		}
+		again, err := newPeer(peer.hello())
+		if err != nil || again != peer || len(peer.Name) > nameBytes || !peer.Address.IsValid() {
+			t.Fatalf("%v: %v becomes %v", err, peer, again)
+		}
+	})
+}
--- /dev/null
+++ b/node/connector/failure_test.go
@@ -0,0 +1,278 @@
+package connector_test
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorerun/node/connector"
+)
+
+// quick shortens the times that the tests wait for.
+func quick(c *connector.Connector) {
+	c.Limits = connector.Limits{Ping: 100 * time.Millisecond, Stall: time.Second, Linger: 200 * time.Millisecond}
+}
+
+// Guards against two sessions that stay, or none that survives, when both ends
+// dial at once.
+func TestBothEndsDialAtOnce(t *testing.T) {
+	t.Parallel()
+	a, _ := start(t, "a", nil, quick)
+	b, _ := start(t, "b", nil, quick)
+	for range 5 {
+		var wait sync.WaitGroup
+		for range 4 {
+			wait.Go(func() { noError(t, echo(a, b.Self.Address)) })
+			wait.Go(func() { noError(t, echo(b, a.Self.Address)) })
+		}
+		wait.Wait()
+		eventually(t, "one session is left", func() bool { return a.Sessions() == 1 && b.Sessions() == 1 })
+		a.Close(b.Self.Address)
+		eventually(t, "the other end notices", func() bool { return b.Sessions() == 0 })
+	}
+}
+
+func noError(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// proxy forwards TCP connections and can freeze those that are open, as a
+// middlebox does that lost its state.
+type proxy struct {
+	address netip.AddrPort
+	frozen  sync.Map
+	conns   atomic.Int64
+}
+
+func newProxy(t *testing.T, to netip.AddrPort) *proxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	p := &proxy{address: netip.MustParseAddrPort(listener.Addr().String())}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to.String())
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			number := p.conns.Add(1)
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			go p.forward(number, near, far)
+			go p.forward(number, far, near)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) forward(number int64, to, from net.Conn) {
+	data := make([]byte, 4096)
+	for {
+		n, err := from.Read(data)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if _, frozen := p.frozen.Load(number); !frozen {
+			_, _ = to.Write(data[:n])
+		}
+	}
+}
+
+func (p *proxy) freeze() { p.frozen.Store(p.conns.Load(), true) }
+
+// Guards against new work that waits for a session which went silent.
+func TestFrozenSessionIsReplaced(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	b, _ := start(t, "b", nil, quick)
+	p := newProxy(t, b.Self.Address)
+	a, _ := start(t, "a", nil, quick)
+	is.NoErr(echo(a, p.address))
+	p.freeze()
+	eventually(t, "both ends close the frozen session", func() bool { return a.Sessions() == 0 && b.Sessions() == 0 })
+	is.NoErr(echo(a, p.address))
+	is.True(p.conns.Load() >= 2)
+}
+
+// Guards against input that ends the connector, holds a session or reaches a
+// handler.
+func TestGarbage(t *testing.T) {
+	t.Parallel()
+	cluster := newAuthority(t)
+	config := cluster.config(time.Hour)
+	hello, _ := proto.Marshal(&connector.Hello{
+		Protocol: 1, Name: "x", IncarnationUnixNano: 1, Address: "127.0.0.1:1", AvailabilityZone: "z", Region: "r",
+	})
+	frame := string([]byte{0, 0, 0, byte(len(hello))}) + string(hello)
+	noise := strings.Repeat("\xff\x00garbage", 100)
+	cases := map[string]struct {
+		secure bool
+		sent   string
+	}{
+		"before the handshake": {false, noise},
+		"instead of a hello":   {true, noise},
+		"oversized hello":      {true, "\x00\x00\xff\xff" + strings.Repeat("a", 1<<16)},
+		"incomplete hello":     {true, frame[:len(frame)-3]},
+		"invalid hello":        {true, "\x00\x00\x00\x02\x08\x01"},
+		"after the handshake":  {true, frame + noise},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, _ := start(t, "a", config, func(c *connector.Connector) {
+				quick(c)
+				c.Limits.Dial = 2 * time.Second
+			})
+			conn, err := net.Dial("tcp", c.Self.Address.String())
+			is.NoErr(err)
+			defer conn.Close()
+			if test.secure {
+				// The test only sends, so the server isn't verified.
+				mine := config.Clone()
+				mine.InsecureSkipVerify = true
+				conn = tls.Client(conn, mine)
+			}
+			// The connector may reject the input before all of it is written.
+			_, _ = io.WriteString(conn, test.sent)
+			_ = conn.SetReadDeadline(time.Now().Add(patience))
+			_, err = io.Copy(io.Discard, conn)
+			timeout, ok := err.(net.Error)
+			is.True(!ok || !timeout.Timeout())
+			eventually(t, "no session is left", func() bool { return c.Sessions() == 0 })
+			b, _ := start(t, "b", config, quick)
+			is.NoErr(echo(b, c.Self.Address))
+		})
+	}
+}
+
+// Guards against streams with a bad head that reach a handler or end the
+// session for the others.
+func TestBadStreamHeads(t *testing.T) {
+	is := is.New(t)
+	a, _ := start(t, "a", nil, quick)
+	b, _ := start(t, "b", nil, quick)
+	for _, kind := range []string{"unknown", strings.Repeat("k", 100), ""} {
+		stream, err := a.Open(t.Context(), b.Self.Address, kind)
+		is.NoErr(err)
+		_ = stream.SetReadDeadline(time.Now().Add(patience))
+		_, err = stream.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		is.NoErr(stream.Close())
+	}
+	is.NoErr(echo(a, b.Self.Address))
+	is.Equal(b.Sessions(), 1)
+}
+
+// Guards against peers that take more sessions or streams than allowed.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	a, _ := start(t, "a", nil, func(c *connector.Connector) {
+		quick(c)
+		c.Limits.Sessions, c.Limits.Streams = 1, 1
+	})
+	b, _ := start(t, "b", nil, quick)
+	c, _ := start(t, "c", nil, quick)
+	held, err := b.Open(t.Context(), a.Self.Address, "echo")
+	is.NoErr(err)
+	_, err = held.Write([]byte("x"))
+	is.NoErr(err)
+	_, err = io.ReadFull(held, make([]byte, 1))
+	is.NoErr(err)
+	is.True(echo(c, a.Self.Address) != nil) // second session
+	is.True(echo(b, a.Self.Address) != nil) // second stream
+	is.NoErr(held.Close())
+	eventually(t, "the stream's slot is free again", func() bool { return echo(b, a.Self.Address) == nil })
+}
+
+// Guards against an older run of a node, paused and resumed, that takes the
+// place of the current one.
+func TestIncarnations(t *testing.T) {
+	is := is.New(t)
+	a, _ := start(t, "a", nil, quick)
+	run := func(incarnation int64, address netip.AddrPort) (*connector.Connector, context.CancelFunc) {
+		return start(t, "b", nil, func(c *connector.Connector) {
+			quick(c)
+			c.Self.Incarnation = time.Unix(incarnation, 0)
+			if address.IsValid() {
+				c.Self.Address = address
+			}
+		})
+	}
+	current, _ := run(2, netip.AddrPort{})
+	is.NoErr(echo(current, a.Self.Address))
+	older, _ := run(1, current.Self.Address)
+	is.True(echo(older, a.Self.Address) != nil)
+	is.NoErr(echo(current, a.Self.Address))
+	newer, _ := run(3, current.Self.Address)
+	is.NoErr(echo(newer, a.Self.Address))
+	eventually(t, "the session of the earlier run is closed", func() bool { return a.Sessions() == 1 })
+	self, _ := start(t, "a", nil, quick)
+	is.True(echo(self, a.Self.Address) != nil)
+}
+
+// Guards against a shutdown that breaks a stream in flight or accepts new
+// ones.
+func TestShutdownFinishesStreams(t *testing.T) {
+	is := is.New(t)
+	a, _ := start(t, "a", nil, nil)
+	b, stop := start(t, "b", nil, nil)
+	stream, err := a.Open(t.Context(), b.Self.Address, "echo")
+	is.NoErr(err)
+	read := make([]byte, 1)
+	round := func() {
+		_, err := stream.Write([]byte("x"))
+		is.NoErr(err)
+		_, err = io.ReadFull(stream, read)
+		is.NoErr(err)
+	}
+	round()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	eventually(t, "new streams are refused", func() bool { return echo(a, b.Self.Address) != nil })
+	round()
+	is.NoErr(stream.Close())
+	select {
+	case <-stopped:
+	case <-time.After(patience):
+		t.Fatal("the connector waits although no stream is open")
+	}
+}
+
+// Guards against bytes that are counted for the wrong scope or kind.
+func TestCounters(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	a, stop := start(t, "a", nil, func(c *connector.Connector) { c.Scope = scope })
+	b, _ := start(t, "b", nil, func(c *connector.Connector) { c.Self.AvailabilityZone = "north-2" })
+	is.NoErr(echo(a, b.Self.Address))
+	stop()
+	counters := scope.Snapshot().Counters()
+	is.Equal(counters["connector.stream_bytes+direction=out,kind=echo,scope=region"].Value(), int64(4))
+	is.Equal(counters["connector.stream_bytes+direction=in,kind=echo,scope=region"].Value(), int64(4))
+	is.True(counters["connector.wire_bytes+direction=out,scope=region"].Value() > 4)
+	is.Equal(counters["connector.wire_bytes+direction=out,scope=zone"], nil)
+}
