Let a standby watch after the history of its version is gone

A standby that began to watch read only its version's slot. A node that is starting without a known peer no longer counts as the region's first member, since after a mass restart every node would read the whole log.

--- a/node/distributor/bootstrap.go
+++ b/node/distributor/bootstrap.go
@@ -24,6 +24,9 @@
 	// starting too leaves the store to the region's watchers. When a whole
 	// fleet restarts, the store would otherwise get three reads from each node.
 	storePatience = 5 * time.Second
+	// solitude is how long a node without any known peer waits for the first
+	// one before it reads the store, for the same reason.
+	solitude = time.Second
 )
 
 // reported is the answer of one source about its newest version.
@@ -51,10 +54,10 @@
 // peers and the store report. It keeps trying while neither is reachable.
 func (d *Distributor) Bootstrap(ctx context.Context) error {
 	started := time.Now()
-	patience := storePatience + time.Duration(d.Random()*float64(storePatience))
+	jitter := 1 + d.Random()
 	for failures := 1; ; failures++ {
 		reports := d.probe(ctx)
-		if d.mayReadStore(reports, time.Since(started) >= patience) {
+		if d.mayReadStore(reports, time.Duration(float64(time.Since(started))/jitter)) {
 			if err := d.checkStore(ctx); err != nil {
 				level.Debug(d.Logger).Log("msg", "start without the store", "err", err)
 			} else {
@@ -64,6 +67,7 @@
 		newest, final := assess(reports)
 		if final && d.reached(newest.version) {
 			d.ready.Store(true)
+			signal(d.wakeWatch)
 			level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", len(reports))
 			return nil
 		}
@@ -92,13 +96,17 @@
 	return d.Held() >= version && (tree.Version > 0 || version == 0)
 }
 
-// mayReadStore decides whether this node asks the store now.
-func (d *Distributor) mayReadStore(reports []reported, patient bool) bool {
-	if len(reports) == 0 || patient || d.watchRole(d.Plan()) != planner.None {
+// mayReadStore decides whether this node asks the store after it has waited
+// for a time, which the caller stretches at random.
+func (d *Distributor) mayReadStore(reports []reported, waited time.Duration) bool {
+	plan := d.Plan()
+	switch _, final := assess(reports); {
+	case final || waited >= storePatience || d.watchRole(plan) != planner.None:
 		return true
+	case len(plan.Links) == 0:
+		return waited >= solitude
 	}
-	_, final := assess(reports)
-	return final
+	return len(reports) == 0
 }
 
 // probe asks all linked peers for their versions at once.
--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -55,7 +55,8 @@
 	// Apply and Install put a version in force or return why they did not.
 	Apply   func(now time.Time, entry sycamorerun.Entry) error
 	Install func(now time.Time, tree sycamorerun.Tree, hash sycamorerun.Hash) error
-	Plan    func() planner.Plan
+	// Plan is called with locks held and must not call the distributor.
+	Plan func() planner.Plan
 	// Open opens a stream of kind to the peer with name.
 	Open func(ctx context.Context, peer, kind string) (net.Conn, error)
 	// Peers returns the names of the live peers, for Gossip only.
@@ -73,6 +74,8 @@
 	// base of the entry after it.
 	refused *sycamorerun.Tree
 
+	planning sync.Mutex
+
 	mutex   sync.Mutex
 	ring    ring
 	wants   wants
@@ -129,6 +132,9 @@
 // Replan adjusts the links and the watch to the plan. It is called after each
 // change of the members.
 func (d *Distributor) Replan() {
+	// A plan that was read earlier must not replace a later one.
+	d.planning.Lock()
+	defer d.planning.Unlock()
 	plan := d.Plan()
 	known := peers(plan.Links)
 	down := map[string]bool{}
--- a/node/distributor/fleet_scenarios_test.go
+++ b/node/distributor/fleet_scenarios_test.go
@@ -124,6 +124,25 @@
 			f.store.commit(40)
 			f.store.set(func() { f.store.down, f.store.compacted = false, f.store.revision })
 			mustConverge(t, f, 43, 12*time.Second)
+			// Writes under other keys move the history beyond the whole log.
+			f.store.set(func() { f.store.down = true })
+			time.Sleep(time.Minute)
+			f.store.set(func() {
+				f.store.write("node/seed", nil)
+				f.store.down, f.store.compacted = false, f.store.revision
+			})
+			time.Sleep(time.Minute)
+			standby := f.watcher("region-0", planner.Standby)
+			for _, name := range f.names() {
+				if name != standby && f.members[name].plan.Load().Watch != planner.None {
+					f.kill(name)
+				}
+			}
+			f.store.commit(1)
+			time.Sleep(2 * time.Second)
+			if f.members[standby].version() != 44 {
+				t.Error("the standby does not watch")
+			}
 		}},
 		"zone cut off while the log wraps": {24, func(t *testing.T, f *fleet) {
 			cut := func(cut bool) {
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -39,9 +39,15 @@
 	errSync  = errors.New("log moves on faster than it can be read")
 )
 
+// watchRole is the role in the plan. A node that is starting and knows no peer
+// yet ranks first among nobody and does not watch: after a mass restart each
+// node would read the whole log.
 func (d *Distributor) watchRole(plan planner.Plan) planner.Watch {
-	if d.Mode == Poll {
+	switch {
+	case d.Mode == Poll:
 		return planner.Primary
+	case len(plan.Links) == 0 && !d.Ready():
+		return planner.None
 	}
 	return plan.Watch
 }
@@ -88,11 +94,10 @@
 // follow watches the log until an error. Worked is called after each answer.
 func (d *Distributor) follow(ctx context.Context, role planner.Watch, worked func()) error {
 	keysOnly := role == planner.Standby
-	after, err := d.begin(ctx, keysOnly)
+	after, synced, err := d.begin(ctx, keysOnly)
 	if err != nil {
 		return err
 	}
-	synced := true
 	for ctx.Err() == nil {
 		started := time.Now()
 		listing, err := d.watchOnce(ctx, after, keysOnly)
@@ -175,16 +180,18 @@
 	return version
 }
 
-// begin returns the revision to watch from. A primary reads the log first,
-// since the history of a watch may not reach back to the held version.
-func (d *Distributor) begin(ctx context.Context, keysOnly bool) (persister.Revision, error) {
+// begin returns the revision to watch from and whether the log has been read.
+// A standby reads the slot of its version alone, which is enough unless the
+// history of a watch no longer reaches back to it.
+func (d *Distributor) begin(ctx context.Context, keysOnly bool) (after persister.Revision, synced bool, err error) {
 	if held := d.Held(); keysOnly && held > 0 {
 		after, wrapped, err := d.anchor(ctx, held)
 		if err != nil || !wrapped {
-			return after, err
+			return after, false, err
 		}
 	}
-	return d.sync(ctx)
+	after, err = d.sync(ctx)
+	return after, true, err
 }
 
 // anchor returns the revision at which version was written, or true when its
