Test what a change costs in each mode of distribution

The design trades store calls and bytes between regions against convergence; nothing checked the figures.

--- a/node/distributor/fleet_scenarios_test.go
+++ b/node/distributor/fleet_scenarios_test.go
@@ -29,19 +29,6 @@
 		size int
 		run  func(t *testing.T, f *fleet)
 	}{
-		"one change": {24, func(t *testing.T, f *fleet) {
-			calls, crossed := f.cost()
-			f.store.commit(1)
-			if took := mustConverge(t, f, 4, bound); took > 100*time.Millisecond {
-				t.Errorf("took %s", took)
-			}
-			time.Sleep(3 * time.Second)
-			callsAfter, crossedAfter := f.cost()
-			// Each of the 6 watchers asks again; 12 Haves of 8 bytes cross.
-			if callsAfter-calls != 6 || crossedAfter-crossed > 12*8 {
-				t.Errorf("%d store calls, %d bytes across regions", callsAfter-calls, crossedAfter-crossed)
-			}
-		}},
 		"watchers dead": {60, func(t *testing.T, f *fleet) {
 			killed := 0
 			for _, region := range []string{"region-0", "region-1", "region-2"} {
@@ -184,7 +171,7 @@
 			for _, name := range f.names() {
 				f.kill(name)
 			}
-			calls, _ := f.cost()
+			before := f.cost()
 			f.start(f.names()...)
 			mustConverge(t, f, 303, 15*time.Second)
 			time.Sleep(10 * time.Second)
@@ -194,8 +181,8 @@
 				}
 			}
 			// One read for each node, and a few for each of the 6 watchers.
-			if after, _ := f.cost(); after-calls > 60+6*12 {
-				t.Errorf("%d store calls", after-calls)
+			if spent := f.cost().since(before, 1); spent.calls > 60+6*12 {
+				t.Errorf("%d store calls", spent.calls)
 			}
 		}},
 		"damaged store answers": {24, func(t *testing.T, f *fleet) {
@@ -244,14 +231,33 @@
 	}
 }
 
-// TestBaselines guards against a baseline that does not distribute at all,
-// which would make the measurements worthless.
-func TestBaselines(t *testing.T) {
-	for _, mode := range []Mode{Poll, Gossip} {
+// TestCost guards against a change that costs more store calls or bytes, or
+// takes longer, than the mode is meant to; -v prints the figures.
+func TestCost(t *testing.T) {
+	const changes = 20
+	// In gossip, a node that no Have reaches waits for a periodic request.
+	cases := map[Mode]struct {
+		most cost
+		took time.Duration
+	}{
+		Tree:   {cost{calls: 6, answered: 6 * 150, sent: 13 * 200, crossed: 2*160 + 12*12}, 50 * time.Millisecond},
+		Poll:   {cost{calls: 14, answered: 14 * 150, crossed: 8 * 150}, 50 * time.Millisecond},
+		Gossip: {cost{calls: 6, answered: 6 * 150, sent: 14 * 400, crossed: 14 * 400}, bound},
+	}
+	for mode, c := range cases {
 		t.Run(string(mode), func(t *testing.T) {
-			run(t, mode, 24, func(t *testing.T, f *fleet) {
-				f.store.commit(40)
-				mustConverge(t, f, 43, bound)
+			run(t, mode, 14, func(t *testing.T, f *fleet) {
+				before, worst := f.cost(), time.Duration(0)
+				for version := range sycamorerun.Version(changes) {
+					f.store.commit(1)
+					worst = max(worst, mustConverge(t, f, 4+version, bound))
+					time.Sleep(time.Second)
+				}
+				spent := f.cost().since(before, changes)
+				t.Logf("per change, 14 nodes: %+v, longest %s", spent, worst)
+				if spent.calls > c.most.calls || spent.answered > c.most.answered || spent.sent > c.most.sent || spent.crossed > c.most.crossed || worst > c.took {
+					t.Errorf("more than %+v, %s", c.most, c.took)
+				}
 			})
 		})
 	}
--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -43,7 +43,7 @@
 	changed  chan struct{}
 	tree     sycamorerun.Tree
 	hashes   map[sycamorerun.Version]sycamorerun.Hash
-	calls    int
+	cost     cost
 
 	down      bool
 	compacted persister.Revision
@@ -102,6 +102,23 @@
 	})
 }
 
+// cost counts what distribution takes: store calls, the bytes that the store
+// answers and that peers send, and of both those that cross regions.
+type cost struct{ calls, answered, sent, crossed int }
+
+func (c *cost) add(n *int, bytes int, distance time.Duration) {
+	if *n += bytes; distance >= regionDelay {
+		c.crossed += bytes
+	}
+}
+
+func (c cost) since(before cost, n int) cost {
+	return cost{
+		(c.calls - before.calls) / n, (c.answered - before.answered) / n,
+		(c.sent - before.sent) / n, (c.crossed - before.crossed) / n,
+	}
+}
+
 // newest returns the last version that a node can learn of from the store.
 func (s *fakeStore) newest() sycamorerun.Version {
 	s.mutex.Lock()
@@ -114,7 +131,7 @@
 
 // visible returns the objects under prefix between two revisions, as the
 // store's present state or, for a watch, as its history.
-func (s *fakeStore) visible(prefix string, after persister.Revision, watch bool) persister.Listing {
+func (s *fakeStore) visible(prefix string, after persister.Revision, watch, keysOnly bool, distance time.Duration) persister.Listing {
 	limit := s.revision
 	if s.stale > 0 {
 		limit = s.stale
@@ -139,6 +156,12 @@
 		}
 		slices.SortFunc(listing.Objects, func(a, b persister.Object) int { return cmp.Compare(a.Key, b.Key) })
 	}
+	for i := range listing.Objects {
+		if keysOnly {
+			listing.Objects[i].Value = nil
+		}
+		s.cost.add(&s.cost.answered, len(listing.Objects[i].Key)+len(listing.Objects[i].Value), distance)
+	}
 	return listing
 }
 
@@ -155,7 +178,7 @@
 	}
 	call := func() (func(), error) {
 		s.mutex.Lock()
-		s.calls++
+		s.cost.calls++
 		s.mutex.Unlock()
 		return look()
 	}
@@ -166,7 +189,7 @@
 				return persister.Object{}, err
 			}
 			defer unlock()
-			listing := s.visible(key, 0, false)
+			listing := s.visible(key, 0, false, false, delay)
 			if len(listing.Objects) == 0 {
 				return persister.Object{}, persister.ErrMissing
 			}
@@ -178,23 +201,18 @@
 				return persister.Listing{}, err
 			}
 			defer unlock()
-			return s.visible(prefix, after, false), nil
+			return s.visible(prefix, after, false, false, delay), nil
 		},
 		Watch: func(ctx context.Context, prefix string, after persister.Revision, keysOnly bool) (persister.Listing, error) {
 			unlock, err := call()
 			for ; err == nil; unlock, err = look() {
 				changed, compacted := s.changed, after < s.compacted
-				listing := s.visible(prefix, after, true)
+				listing := s.visible(prefix, after, true, keysOnly, delay)
 				unlock()
 				if compacted {
 					return persister.Listing{}, persister.ErrCompacted
 				}
 				if len(listing.Objects) > 0 {
-					for i := range listing.Objects {
-						if keysOnly {
-							listing.Objects[i].Value = nil
-						}
-					}
 					return listing, nil
 				}
 				select {
@@ -239,8 +257,6 @@
 	members map[string]*member
 	store   *fakeStore
 	mutex   sync.Mutex
-	// crossed counts the bytes that peers send to other regions.
-	crossed int
 	// noise disturbs what is written, when it is set.
 	noise func(write func([]byte) error, data []byte) error
 	ctx   context.Context
@@ -378,13 +394,10 @@
 	return f.store.hashes[version]
 }
 
-// cost returns the store calls and the bytes between peers of two regions.
-func (f *fleet) cost() (calls, crossed int) {
-	f.store.mutex.Lock()
-	calls = f.store.calls
-	f.store.mutex.Unlock()
-	f.set(func() { crossed = f.crossed })
-	return calls, crossed
+// cost returns the cost so far.
+func (f *fleet) cost() (c cost) {
+	f.store.set(func() { c = f.store.cost })
+	return c
 }
 
 func (f *fleet) reachable(from, to *member) bool {
@@ -422,9 +435,7 @@
 		_ = c.Close()
 		return 0, errors.New("connection reset")
 	}
-	if c.from.Region != c.to.Region {
-		c.fleet.set(func() { c.fleet.crossed += len(data) })
-	}
+	c.fleet.store.set(func() { c.fleet.store.cost.add(&c.fleet.store.cost.sent, len(data), c.delay) })
 	var noise func(func([]byte) error, []byte) error
 	c.fleet.set(func() { noise = c.fleet.noise })
 	if noise == nil {
