--- a/node/distributor/bench_test.go
+++ b/node/distributor/bench_test.go
@@ -12,6 +12,7 @@
 	"sycamorerun/differ"
 	"sycamorerun/node/applier"
 	"sycamorerun/persister"
+	"sycamorerun/validator"
 )
 
 // large returns a tree of the two-year size: 430 services and 900 routes.
@@ -24,6 +25,10 @@
 		}
 		items[sycamorerun.NewPath(fmt.Sprintf("team-%d", i%43), kind, name)] = item
 	}
+	team, _ := json.Marshal(sycamorerun.Team{Mode: sycamorerun.ModeFlow})
+	for i := range 43 {
+		items[sycamorerun.NewPath(sycamorerun.AdminTeam, sycamorerun.KindTeam, fmt.Sprintf("team-%d", i))] = team
+	}
 	for i := range 430 {
 		put(i, sycamorerun.KindService, fmt.Sprintf("service-%d", i), service(i))
 	}
@@ -60,19 +65,27 @@
 }
 
 // BenchmarkChange is the processor time of one change on one node, from the
-// received frame to the frame for its children.
+// received frame to the frame for its children, without and with validation.
 func BenchmarkChange(b *testing.B) {
+	b.Run("plain", func(b *testing.B) { benchmarkChange(b, nil) })
+	b.Run("validated", func(b *testing.B) { benchmarkChange(b, validator.Check) })
+}
+
+func benchmarkChange(b *testing.B, validate func(map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault) {
 	items := large()
 	d, a := solo()
-	_ = a.Install(start, sycamorerun.Tree{Version: 1, Items: items}, differ.Hash(items))
+	a.Validate = validate
+	if err := a.Install(start, sycamorerun.Tree{Version: 1, Items: items}, differ.Hash(items)); err != nil {
+		b.Fatal(err)
+	}
 	b.ReportAllocs()
-	size := 0
+	size, stored := 0, 0
 	for i := 0; b.Loop(); i++ {
 		b.StopTimer()
 		entry := change(a.Current().Tree, i)
 		data, _ := persister.EncodeEntry(entry)
 		received := frame(push(entry.Version, data))
-		size = len(received)
+		size, stored = len(received), len(data)
 		b.StartTimer()
 		message, err := readMessage(bytes.NewReader(received))
 		if err == nil {
@@ -84,6 +97,7 @@
 		_ = frame(push(entry.Version, data))
 	}
 	b.ReportMetric(float64(size), "bytes/push")
+	b.ReportMetric(float64(stored), "bytes/entry")
 	b.ReportMetric(float64(len(frame(have(1<<20, false)))), "bytes/have")
 }
 
