End pulls from stalled peers early

Two pulls from peers that accept a stream and send nothing lasted 10 s and kept the node from asking a third peer, longer than a change may take. A pull now fails after 2 s without bytes; the new test fails with the old limit.

--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -270,6 +270,38 @@
 	})
 }
 
+// TestSilentPeers guards against pulls from stalled peers that keep a node from
+// a peer that answers until the change is overdue.
+func TestSilentPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		source, _ := solo()
+		d, a := solo()
+		for range 5 {
+			source.Learn(start, store.next())
+		}
+		d.Open = func(_ context.Context, peer, _ string) (net.Conn, error) {
+			near, far := net.Pipe()
+			if peer == "answering" {
+				go source.Serve(t.Context(), "peer", far)
+			} else {
+				go func() { _, _ = io.Copy(io.Discard, far) }()
+			}
+			return near, nil
+		}
+		go func() { _ = d.Run(t.Context()) }()
+		synctest.Wait()
+		d.Heard("silent", 5)
+		d.Heard("stalled", 5)
+		time.Sleep(1500 * time.Millisecond)
+		d.Heard("answering", 5)
+		time.Sleep(2 * time.Second)
+		if version := a.Current().Tree.Version; version != 5 {
+			t.Errorf("version %s", version)
+		}
+	})
+}
+
 // TestRefused guards against a node that stops at a version that it refuses:
 // the version after it takes force, and the refused one is passed on.
 func TestRefused(t *testing.T) {
--- a/node/distributor/pull.go
+++ b/node/distributor/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -12,8 +13,13 @@
 	"sycamorerun/persister"
 )
 
-// pullTimeout bounds a pull; a second peer is asked before it ends.
-const pullTimeout = 10 * time.Second
+const (
+	// pullTimeout bounds a pull; a second peer is asked before it ends.
+	pullTimeout = 10 * time.Second
+	// silence is how long a pull waits for the next bytes. Two pulls from
+	// peers that stalled must not last until the change is overdue.
+	silence = 2 * time.Second
+)
 
 // errNoProgress means that a peer with a newer version sent nothing usable.
 var errNoProgress = errors.New("answer without a newer version")
@@ -82,17 +88,26 @@
 func (d *Distributor) request(ctx context.Context, peer string, after sycamorerun.Version, probe bool, timeout time.Duration) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	stream, err := d.Open(ctx, peer, Kind)
+	stream, err := d.open(ctx, peer, silence)
 	if err != nil {
 		return nil, errors.Wrap(err, "open")
 	}
 	defer closeWith(ctx, stream)()
+	_ = stream.SetWriteDeadline(time.Now().Add(silence))
 	n, err := encoder.Write(stream, want(after, probe))
 	if err != nil {
 		return nil, err
 	}
 	d.count("distributor_sent_bytes", n)
-	return readReply(stream)
+	return readReply(steady{stream})
+}
+
+// steady fails a read that waits longer than silence.
+type steady struct{ net.Conn }
+
+func (s steady) Read(data []byte) (int, error) {
+	_ = s.SetReadDeadline(time.Now().Add(silence))
+	return s.Conn.Read(data)
 }
 
 // absorb takes the content of an answer.
