--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -302,6 +302,30 @@
 	})
 }
 
+// TestAlone guards against a store that is read in full by each node of a fleet
+// that restarts, before the nodes know each other.
+func TestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		store.commit(3)
+		d, a := solo()
+		d.Store = store.store(0, func() bool { return true })
+		d.Plan = func() planner.Plan { return planner.Plan{Watch: planner.Primary} }
+		go func() { _ = d.Run(t.Context()) }()
+		go func() { _ = d.Bootstrap(t.Context()) }()
+		time.Sleep(solitude - time.Millisecond)
+		synctest.Wait()
+		if store.cost.calls != 0 {
+			t.Errorf("%d store calls", store.cost.calls)
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		if !d.Ready() || a.Current().Tree.Version != 3 || d.role != planner.Primary {
+			t.Errorf("ready %v, version %s, role %s", d.Ready(), a.Current().Tree.Version, d.role)
+		}
+	})
+}
+
 // TestRefused guards against a node that stops at a version that it refuses:
 // the version after it takes force, and the refused one is passed on.
 func TestRefused(t *testing.T) {
