Test failures of calls with real processes; add the key window setting

Bookings under kills and pauses, uploads that break off, planned stops and a silent upstream. The silent upstream's test fails: the idle limit ends the whole call, so that no other instance is tried. A look-up of a change that no kept version has now answers missing, so that srctl may submit it again.

--- /dev/null
+++ b/bench/system/calls_test.go
@@ -0,0 +1,339 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/bench/deployer"
+	"sycamorerun/upstream/recorder"
+)
+
+// few bounds "a few seconds" after which a leaving upstream gets no new work.
+const few = 5 * time.Second
+
+// keyWindow is short, so that the tests do not wait for the default of 10 min
+// after the start.
+const keyWindow = 2 * time.Second
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// call sends a request through a node and returns what the caller is told.
+// Without an answer the result is unknown.
+func call(ctx context.Context, node *deployer.Node, method, host, path, key string, body io.Reader) (sycamorerun.Result, int, []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+node.Callers.String()+path, body)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = host
+	if key != "" {
+		request.Header.Set(sycamorerun.HeaderKey, key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return sycamorerun.Unknown, 0, nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return sycamorerun.Unknown, 0, nil
+	}
+	return sycamorerun.Result(response.Header.Get(sycamorerun.HeaderOutcome)), response.StatusCode, text
+}
+
+func recordsOf(ctx context.Context, node *deployer.Node) (recorder.Records, error) {
+	var records recorder.Records
+	_, body, err := deployer.Get(ctx, node.Control, "/records")
+	if err != nil {
+		return records, err
+	}
+	return records, json.Unmarshal(body, &records)
+}
+
+// runs adds up the executions of each key over all upstreams.
+func runs(t *testing.T, fleet *deployer.Fleet) map[string]int {
+	t.Helper()
+	total := map[string]int{}
+	for _, node := range fleet.Nodes {
+		records, err := recordsOf(t.Context(), node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for key, count := range records.Runs {
+			total[key] += count
+		}
+	}
+	return total
+}
+
+func (b *booking) settle(result sycamorerun.Result) {
+	b.results = append(b.results, result)
+}
+
+// booking is one request that must run at most once, with the results of its
+// attempts.
+type booking struct {
+	key     string
+	results []sycamorerun.Result
+}
+
+// Guards against a booking that runs twice, that ran although each attempt
+// was told "not run", or that did not run although it was answered, while
+// nodes are killed, paused and restarted and the callers repeat their
+// bookings at other nodes.
+func TestBookingsUnderFailures(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{
+		Zones: deployer.Today(2), Upstreams: true, Services: []string{"quote-desk"},
+		NodeArgs: []string{"--key-window", keyWindow.String()},
+	})
+	ctx := t.Context()
+	time.Sleep(2 * keyWindow) // Until the first member sets have aged.
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	bookings := make([][]*booking, 8)
+	for worker := range bookings {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(worker), 1))
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				b := &booking{key: fmt.Sprintf("w%d-%d", worker, i)}
+				bookings[worker] = append(bookings[worker], b)
+				for range 4 {
+					node := fleet.Nodes[random.IntN(len(fleet.Nodes))]
+					result, _, _ := call(ctx, node, http.MethodPost, "bookings.example", "/book", b.key, nil)
+					b.settle(result)
+					if result == sycamorerun.Answered {
+						break
+					}
+				}
+			}
+		})
+	}
+	for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGKILL} {
+		node := fleet.Nodes[rand.IntN(len(fleet.Nodes))]
+		if signal == syscall.SIGKILL {
+			node.Process.Kill()
+			time.Sleep(time.Second)
+			is.NoErr(fleet.StartNode(ctx, node))
+			is.NoErr(fleet.WaitReady(ctx, node))
+			continue
+		}
+		is.NoErr(node.Process.Signal(signal))
+		time.Sleep(1500 * time.Millisecond)
+		is.NoErr(node.Process.Signal(syscall.SIGCONT))
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	group.Wait()
+
+	executed := runs(t, fleet)
+	counts := map[sycamorerun.Result]int{}
+	for _, b := range slices.Concat(bookings...) {
+		counts[b.results[len(b.results)-1]]++
+		if executed[b.key] > 1 {
+			t.Errorf("booking %s ran %d times: %v", b.key, executed[b.key], b.results)
+		}
+		if slices.Contains(b.results, sycamorerun.Answered) && executed[b.key] != 1 {
+			t.Errorf("booking %s was answered and ran %d times: %v", b.key, executed[b.key], b.results)
+		}
+		if !slices.ContainsFunc(b.results, func(r sycamorerun.Result) bool { return r != sycamorerun.NotRun }) && executed[b.key] != 0 {
+			t.Errorf("booking %s was told not-run each time and ran", b.key)
+		}
+	}
+	t.Logf("last results: %v", counts)
+	is.True(counts[sycamorerun.Answered] > 100) // The load was real.
+}
+
+// Guards against an upload that is stored in part or answered with the hash
+// of something else, while callers break off in the middle.
+func TestUploadsArriveWhole(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
+	ctx := t.Context()
+	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, fleet.Nodes[0], "surveys.example", "/") }))
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	whole := map[string]bool{}
+	for worker := range 6 {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(worker), 2))
+			for i := range 6 {
+				body := make([]byte, 1<<20+random.IntN(3<<20))
+				for j := range body {
+					body[j] = byte(random.Uint32())
+				}
+				sum := sha256.Sum256(body)
+				text := hex.EncodeToString(sum[:])
+				if i%2 == 1 {
+					breakOff(ctx, fleet.Nodes[worker], body)
+					continue
+				}
+				result, status, answer := call(ctx, fleet.Nodes[worker], http.MethodPost, "surveys.example", "/upload", "", bytes.NewReader(body))
+				if result != sycamorerun.Answered || status != http.StatusOK || !bytes.Contains(answer, []byte(text)) {
+					t.Errorf("upload %d-%d: %s, status %d: %s", worker, i, result, status, answer)
+				}
+				mutex.Lock()
+				whole[text] = true
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	stored := 0
+	for _, node := range fleet.Nodes {
+		records, err := recordsOf(ctx, node)
+		is.NoErr(err)
+		for _, sum := range records.Uploads {
+			stored++
+			if !whole[sum] {
+				t.Errorf("%s stored an upload that no caller finished", node.Name)
+			}
+		}
+	}
+	is.Equal(stored, len(whole))
+}
+
+// breakOff sends two thirds of a body and closes the connection.
+func breakOff(ctx context.Context, node *deployer.Node, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	reader, writer := io.Pipe()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.Callers.String()+"/upload", reader)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "surveys.example"
+	request.ContentLength = int64(len(body))
+	go func() {
+		_, _ = writer.Write(body[:len(body)*2/3])
+		cancel()
+		_ = writer.CloseWithError(context.Canceled)
+	}()
+	response, err := client.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// Guards against a planned stop that cuts requests in flight or that callers
+// at other nodes notice at all, and against new work for a leaving upstream.
+func TestPlannedStop(t *testing.T) {
+	cases := map[string]struct {
+		leave func(ctx context.Context, node *deployer.Node) error
+	}{
+		"node stops": {func(_ context.Context, node *deployer.Node) error {
+			return node.Process.Signal(syscall.SIGTERM)
+		}},
+		"upstream drains": {func(ctx context.Context, node *deployer.Node) error {
+			return deployer.Put(ctx, node.Control, "/behavior", map[string]any{"state": "draining"})
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"}})
+			ctx := t.Context()
+			leaving := fleet.Nodes[2]
+			for _, node := range fleet.Nodes {
+				is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, node, "quotes.example", "/quotes/1") }))
+			}
+			stop := make(chan struct{})
+			var group sync.WaitGroup
+			for i, node := range fleet.Nodes {
+				if node == leaving {
+					continue // Its callers go elsewhere; the others must not notice.
+				}
+				for range 2 {
+					group.Go(func() { load(ctx, t, stop, node, i) })
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+			before, err := recordsOf(ctx, leaving)
+			is.NoErr(err)
+			is.True(before.Requests > 0) // Other nodes send work here.
+			at := time.Now()
+			is.NoErr(c.leave(ctx, leaving))
+			time.Sleep(few)
+			middle, err := recordsOf(ctx, leaving)
+			is.NoErr(err)
+			time.Sleep(time.Second)
+			after, err := recordsOf(ctx, leaving)
+			is.NoErr(err)
+			close(stop)
+			group.Wait()
+			t.Logf("requests at the upstream: %d before, %d in %s, %d later", before.Requests, middle.Requests-before.Requests, few, after.Requests-middle.Requests)
+			is.Equal(after.Requests, middle.Requests)
+			if after.LastAfterDrain > few {
+				t.Errorf("last new request %s after the drain at %s", after.LastAfterDrain, at)
+			}
+		})
+	}
+}
+
+// load sends slow calls until stop and reports every one that is not answered.
+func load(ctx context.Context, t *testing.T, stop <-chan struct{}, node *deployer.Node, number int) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		result, status, text := call(ctx, node, http.MethodGet, "bookings.example", "/slow?for=200ms", "", nil)
+		if result != sycamorerun.Answered || status != http.StatusOK {
+			t.Errorf("node %d call %d: %s, status %d: %s", number, i, result, status, text)
+		}
+	}
+}
+
+// Guards against an upstream that accepts requests and goes silent: calls are
+// answered elsewhere or end in time with a true result.
+func TestSilentUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"}})
+	ctx := t.Context()
+	for _, node := range fleet.Nodes {
+		is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, node, "quotes.example", "/quotes/1") }))
+	}
+	silent := fleet.Nodes[0]
+	is.NoErr(deployer.Put(ctx, silent.Control, "/behavior", map[string]any{"silent": true}))
+	var answered int
+	for i := range 12 {
+		began := time.Now()
+		result, status, text := call(ctx, silent, http.MethodGet, "quotes.example", "/quotes/1", "", nil)
+		if result == sycamorerun.Answered {
+			answered++
+		} else {
+			t.Logf("call %d: %s, status %d: %s", i, result, status, text)
+		}
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("call %d took %s, the service's timeout is 5 s", i, took)
+		}
+	}
+	t.Logf("%d of 12 calls answered", answered)
+	is.True(answered >= 9) // The silent upstream is set aside.
+}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -43,7 +43,9 @@
 		found, _ := service(name)
 		return time.Duration(found.Warmup)
 	}
-	c.deduplicator = deduplicator.New(now, deduplicator.Defaults)
+	limits := deduplicator.Defaults
+	limits.Age = settings.KeyWindow
+	c.deduplicator = deduplicator.New(now, limits)
 	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -9,6 +9,7 @@
 
 	"sycamorerun"
 	"sycamorerun/differ"
+	"sycamorerun/node/acceptor"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/connector"
 	"sycamorerun/node/manager"
@@ -54,7 +55,10 @@
 // lookup returns the outcome of a change; it is missing when no kept version
 // and no proposal has the id.
 func (n *node) lookup(ctx context.Context, id string) (sycamorerun.Outcome, bool) {
-	return n.acceptor.Lookup(ctx, id), true
+	outcome := n.acceptor.Lookup(ctx, id)
+	missing := outcome.Status == sycamorerun.StatusUnknown && len(outcome.Faults) > 0 &&
+		outcome.Faults[0].Code == acceptor.CodeNoChange
+	return outcome, !missing
 }
 
 // proposals lists what waits for the review of a team's operators.
