Test the decisions about admission, retries, records and instances

A failing instance lost every comparison with an equal one and got no calls, so that it was neither ejected nor seen to recover.

--- /dev/null
+++ b/node/balancer/balancer_test.go
@@ -0,0 +1,223 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+)
+
+var start = time.Unix(1000, 0)
+
+// member returns a ready instance with 6 slots in zone z of region r.
+func member(name, r, z string) sycamorerun.Instance {
+	return sycamorerun.Instance{
+		Name: name, Region: r, AvailabilityZone: z, State: sycamorerun.StateReady, Slots: 6,
+		Since: start.Add(-time.Hour),
+	}
+}
+
+func group(r, z string, n int) []sycamorerun.Instance {
+	var instances []sycamorerun.Instance
+	for i := range n {
+		instances = append(instances, member(fmt.Sprint(r, z, i), r, z))
+	}
+	return instances
+}
+
+func newBalancer(instances []sycamorerun.Instance) *Balancer {
+	b := New("z1", "r1")
+	b.Instances = func(string) []sycamorerun.Instance { return instances }
+	source := rand.New(rand.NewPCG(1, 2))
+	b.Random = source.Float64
+	return b
+}
+
+// tally makes n picks at one time. Each ends at once when ending is set.
+func tally(b *Balancer, now time.Time, n int, ending func(name string) Observation) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		picked, ok := b.Pick(now, Query{Service: "s"})
+		if !ok {
+			counts["none"]++
+			continue
+		}
+		counts[picked.Name]++
+		if ending != nil {
+			observation := ending(picked.Name)
+			observation.Instance = picked.Name
+			b.Observe(now, observation)
+		}
+	}
+	return counts
+}
+
+func fine(string) Observation {
+	return Observation{Result: sycamorerun.Answered, Status: 200, Load: &Load{Slots: 6}}
+}
+
+func in(counts map[string]int, instances []sycamorerun.Instance) int {
+	total := 0
+	for _, instance := range instances {
+		total += counts[instance.Name]
+	}
+	return total
+}
+
+// Guards nearness: no call leaves the zone while it has capacity, the overflow
+// rises with the load and not all at once, and goes to the region first.
+func TestSpill(t *testing.T) {
+	near, region, beyond := group("r1", "z1", 2), group("r1", "z2", 2), group("r2", "z1", 2)
+	all := append(append(append([]sycamorerun.Instance{}, near...), region...), beyond...)
+	is := is.New(t)
+	is.Equal(in(tally(newBalancer(all), start, 100, fine), near), 100)
+	previous := 0
+	b := newBalancer(all)
+	for step := range 6 {
+		counts := tally(b, start, 3, nil) // the calls stay in flight
+		_ = counts
+		away := 0
+		for _, chance := range b.Chances(start, Query{Service: "s"}) {
+			if chance.Tier > 0 {
+				away += int(chance.Share * 100)
+			}
+		}
+		is.True(away >= previous-5)
+		is.True(away-previous <= 60) // a gradual rise
+		if step < 2 {
+			is.Equal(away, 0)
+		}
+		previous = away
+	}
+	is.True(previous > 0)
+	counts := tally(newBalancer(all), start, 18, nil)
+	is.True(in(counts, region) >= in(counts, beyond))
+	is.Equal(in(tally(newBalancer(beyond), start, 10, nil), beyond), 10) // nothing nearer
+}
+
+// Guards against a share of calls that does not follow the load.
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	instances := group("r1", "z1", 4)
+	b := newBalancer(instances)
+	busy := instances[0].Name
+	counts := tally(b, start, 400, func(name string) Observation {
+		load := &Load{Slots: 6}
+		if name == busy {
+			load.Running = 6
+		}
+		return Observation{Result: sycamorerun.Answered, Status: 200, Load: load}
+	})
+	is.True(counts[busy] < 20)
+	tried := Query{Service: "s", Tried: []string{"r1z10", "r1z11", "r1z12"}}
+	picked, ok := b.Pick(start, tried)
+	is.True(ok)
+	is.Equal(picked.Name, "r1z13")
+	_, ok = b.Pick(start, Query{Service: "s", Tried: append(tried.Tried, "r1z13")})
+	is.Equal(ok, false)
+}
+
+// Guards against a herd onto an upstream that looks idle, by its words or for
+// lack of them, and against belief in a report that is stale.
+func TestNoHerd(t *testing.T) {
+	for name, age := range map[string]time.Duration{"fresh": 0, "stale": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			instances := group("r1", "z1", 5)
+			b := newBalancer(instances)
+			for _, instance := range instances[1:] {
+				b.Observe(start.Add(age), Observation{Instance: instance.Name, Result: sycamorerun.Answered, Load: &Load{Running: 4, Slots: 6}})
+			}
+			b.Observe(start, Observation{Instance: instances[0].Name, Result: sycamorerun.Answered, Load: &Load{Slots: 6}})
+			counts := tally(b, start.Add(age), 10, nil)
+			is.True(counts[instances[0].Name] <= 5)
+			if name == "stale" {
+				is.True(counts[instances[0].Name] <= 4)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that praises itself while calls to it fail, and
+// against an ejection of more than half of a service.
+func TestEjection(t *testing.T) {
+	bad := func(names ...string) func(string) Observation {
+		return func(name string) Observation {
+			for _, n := range names {
+				if n == name {
+					return Observation{Result: sycamorerun.Answered, Status: 500, Load: &Load{Slots: 6}}
+				}
+			}
+			return fine(name)
+		}
+	}
+	instances := group("r1", "z1", 4)
+	cases := map[string]struct {
+		bad     []string
+		ejected int
+	}{
+		"one":        {[]string{"r1z10"}, 1},
+		"two":        {[]string{"r1z10", "r1z11"}, 2},
+		"half":       {[]string{"r1z10", "r1z11", "r1z12"}, 2},
+		"all of it":  {[]string{"r1z10", "r1z11", "r1z12", "r1z13"}, 2},
+		"none fails": {nil, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(instances)
+			tally(b, start, 400, bad(c.bad...))
+			ejected := 0
+			for _, chance := range b.Chances(start, Query{}) {
+				if chance.Ejected {
+					is.Equal(chance.Share, 0.0)
+					ejected++
+				}
+			}
+			is.Equal(ejected, c.ejected)
+			// It returns gradually after the ejection, and at once goes back out.
+			later := start.Add(ejectBase + time.Millisecond)
+			counts := tally(b, later, 100, bad(c.bad...))
+			if c.ejected == 1 {
+				is.True(counts["r1z10"] <= 1)
+			}
+		})
+	}
+	is := is.New(t)
+	is.Equal(tally(newBalancer(instances[:1]), start, 20, bad("r1z10"))["r1z10"], 20) // a single one stays
+}
+
+// Guards a cold upstream against its full share, and leaving ones against calls.
+func TestStates(t *testing.T) {
+	is := is.New(t)
+	instances := group("r1", "z1", 3)
+	instances[0].State, instances[0].Since = sycamorerun.StateCold, start
+	instances[1].State = sycamorerun.StateDraining
+	instances = append(instances, member("r1z14", "r1", "z1"))
+	b := newBalancer(instances)
+	b.Warmup = func(string) time.Duration { return 10 * time.Second }
+	cold := tally(b, start, 300, fine)
+	is.Equal(cold["r1z11"], 0)
+	is.True(cold["r1z10"] < 60)
+	warm := tally(b, start.Add(10*time.Second), 300, fine)
+	is.True(warm["r1z10"] > cold["r1z10"])
+	b.Observe(start, Observation{Instance: "r1z12", Result: sycamorerun.NotRun, Reason: "draining"})
+	is.Equal(tally(b, start, 50, fine)["r1z12"], 0)
+}
+
+// Guards the statistics against growth, and the count of calls in flight.
+func TestInFlight(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(group("r1", "z1", 2))
+	tally(b, start, 50, fine)
+	for _, known := range b.stats {
+		is.Equal(known.inFlight, 0)
+	}
+	b.Instances = func(string) []sycamorerun.Instance { return group("r1", "z9", 1) }
+	tally(b, start.Add(time.Hour), 1, nil)
+	is.Equal(len(b.stats), 1)
+}
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -12,6 +12,9 @@
 	// reportLife is the time in which a load report loses 63% of its weight.
 	// An upstream's load turns over within a few of its calls.
 	reportLife = time.Second
+	// rateLife is the time in which a failure rate without new outcomes loses
+	// 63%.
+	rateLife = 10 * time.Second
 	// outcomeWeight is the weight of the newest outcome in the failure rate.
 	outcomeWeight = 0.1
 	// failuresMax consecutive failures eject an instance, and so does a failure
@@ -49,6 +52,7 @@
 	outcomes  int
 	failures  int
 	ejections int
+	judged    time.Time // of the newest outcome
 	ejected   time.Time
 	avoided   time.Time
 }
@@ -85,6 +89,8 @@
 }
 
 func (s *stats) outcome(now time.Time, failed bool) {
+	s.rate = s.failing(now)
+	s.judged = now
 	s.outcomes++
 	value := 0.0
 	if failed {
@@ -98,7 +104,7 @@
 		return
 	}
 	if !failed {
-		if s.failures == 0 && s.rate < outcomeWeight {
+		if s.outcomes >= outcomesMin && s.rate < outcomeWeight {
 			s.ejections = 0
 		}
 		return
@@ -121,6 +127,14 @@
 	return float64(s.inFlight) + weight*others + (1-weight)*mean
 }
 
+// failing returns the failure rate, which fades while there are no outcomes.
+func (s *stats) failing(now time.Time) float64 {
+	if s.rate == 0 {
+		return 0
+	}
+	return s.rate * math.Exp(-float64(max(0, now.Sub(s.judged)))/float64(rateLife))
+}
+
 func (s *stats) weight(now time.Time) float64 {
 	if s.reported.IsZero() {
 		return 0
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -14,6 +14,9 @@
 	// The range between them lets the share rise gradually.
 	spillFrom = 0.7
 	spillAll  = 1.3
+	// weightMin keeps a failing upstream in the draw, so that its recovery or
+	// its ejection is noticed.
+	weightMin = 0.1
 	// rampMin is the least share of a cold upstream.
 	rampMin = 0.1
 	// rampEjected is the slow start after an ejection.
@@ -28,9 +31,13 @@
 	stats    *stats
 	tier     int
 	ejected  bool
-	// capacity is the slots, less while the upstream warms up or fails.
+	// capacity is the slots, less while the upstream warms up.
 	capacity float64
-	load     float64
+	// weight is the capacity, less while calls to the upstream fail. Samples
+	// are drawn by weight but compared by load and capacity: a failure makes an
+	// instance rarer, not the loser of every comparison with equal ones.
+	weight float64
+	load   float64
 }
 
 // busy is the load per slot that one more call would bring.
@@ -58,6 +65,7 @@
 type set struct {
 	candidates []*candidate
 	capacity   float64
+	weight     float64
 	load       float64
 }
 
@@ -78,8 +86,11 @@
 	}
 	for _, c := range s.candidates {
 		c.load = c.stats.load(now, mean)
-		c.capacity = float64(max(slotsDefault, c.instance.Slots)) * ramp(now, c, warmup) * (1 - c.stats.rate/2)
+		c.capacity = float64(max(slotsDefault, c.instance.Slots)) * ramp(now, c, warmup)
+		success := max(weightMin, 1-c.stats.failing(now))
+		c.weight = c.capacity * success * success
 		s.capacity += c.capacity
+		s.weight += c.weight
 		s.load += c.load
 	}
 }
@@ -98,7 +109,7 @@
 
 func (s *set) spare() float64 { return max(0, s.capacity-s.load) }
 
-// pick samples two candidates by capacity and takes the one with less load.
+// pick samples two candidates by weight and takes the one with less load.
 func (s *set) pick(random func() float64) *candidate {
 	first := s.sample(random(), nil)
 	if len(s.candidates) == 1 {
@@ -111,11 +122,11 @@
 	return first
 }
 
-// sample returns a candidate other than skip, by capacity.
+// sample returns a candidate other than skip, by weight.
 func (s *set) sample(at float64, skip *candidate) *candidate {
-	total := s.capacity
+	total := s.weight
 	if skip != nil {
-		total -= skip.capacity
+		total -= skip.weight
 	}
 	at *= total
 	var last *candidate
@@ -124,7 +135,7 @@
 			continue
 		}
 		last = c
-		if at -= c.capacity; at < 0 {
+		if at -= c.weight; at < 0 {
 			return c
 		}
 	}
@@ -209,7 +220,7 @@
 				if second.busy() < first.busy() {
 					winner = second
 				}
-				wins[winner.instance.Name] += shares[tier] * first.capacity / s.capacity * second.capacity / (s.capacity - first.capacity)
+				wins[winner.instance.Name] += shares[tier] * first.weight / s.weight * second.weight / (s.weight - first.weight)
 			}
 		}
 	}
--- /dev/null
+++ b/node/deduplicator/deduplicator_test.go
@@ -0,0 +1,191 @@
+package deduplicator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+)
+
+var start = time.Unix(1000, 0)
+
+var small = Limits{
+	Calls: 4, CallAge: time.Minute, Refusals: 3, Keys: 4, Age: 10 * time.Minute,
+	Bytes: 10, Traces: 6, Reach: time.Hour,
+}
+
+func clean(limits Limits) *Deduplicator {
+	d := New(start, limits)
+	d.Self, d.Clean = "a", true
+	return d
+}
+
+var answered = Result{Result: sycamorerun.Answered, Response: []byte("four")}
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards "not run" and "at most once" for calls by id: what is told of a call,
+// and whether its original still runs after that.
+func TestCalls(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(d *Deduplicator)
+		age     time.Duration
+		state   State
+		then    Verdict
+	}{
+		"never seen": {func(*Deduplicator) {}, time.Second, StateRefused, Refused},
+		"started":    {func(d *Deduplicator) { d.Begin(at(time.Minute), "x", Key{}) }, time.Second, StateStarted, Uncertain},
+		"finished": {func(d *Deduplicator) {
+			d.Begin(at(time.Minute), "x", Key{})
+			d.Finish(at(time.Minute), "x", Key{}, answered)
+		}, time.Second, StateFinished, Uncertain},
+		"started and not run": {func(d *Deduplicator) {
+			d.Begin(at(time.Minute), "x", Key{})
+			d.Finish(at(time.Minute), "x", Key{}, Result{Result: sycamorerun.NotRun})
+		}, time.Second, StateRefused, Refused},
+		"opened before this process": {func(*Deduplicator) {}, time.Minute + 1, StateUnknown, Run},
+		"record dropped, opened before": {func(d *Deduplicator) {
+			for n := range 6 {
+				id := fmt.Sprint("y", n)
+				d.Begin(at(30*time.Second), id, Key{})
+				d.Finish(at(30*time.Second), id, Key{}, answered)
+			}
+		}, 30 * time.Second, StateUnknown, Run},
+		"record dropped, opened after": {func(d *Deduplicator) {
+			for n := range 6 {
+				id := fmt.Sprint("y", n)
+				d.Begin(at(30*time.Second), id, Key{})
+				d.Finish(at(30*time.Second), id, Key{}, answered)
+			}
+		}, 30*time.Second - 1, StateRefused, Refused},
+		"no room for a promise": {func(d *Deduplicator) {
+			for n := range 3 {
+				d.Refuse(at(time.Minute), fmt.Sprint("y", n), 0)
+			}
+		}, time.Second, StateUnknown, Run},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := clean(small)
+			c.prepare(d)
+			is.Equal(d.Refuse(at(time.Minute), "x", c.age), c.state)
+			is.Equal(d.Begin(at(time.Minute), "x", Key{}).Verdict, c.then)
+		})
+	}
+}
+
+// Guards against records that grow without bound, and a call in progress
+// against losing its record to many others.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	d := clean(small)
+	d.Begin(start, "long", Key{Name: "long"})
+	for n := range 1000 {
+		id := fmt.Sprint(n)
+		now := at(time.Duration(n) * time.Second)
+		d.Refuse(now, "r"+id, 0)
+		d.Begin(now, id, Key{Name: id})
+		d.Finish(now, id, Key{Name: id}, answered)
+	}
+	is.True(len(d.calls.states) <= 1+small.Calls+small.Refusals)
+	is.True(len(d.keys.records) <= 1+small.Keys)
+	is.True(len(d.keys.traces) <= small.Traces)
+	is.True(d.keys.bytes <= small.Bytes)
+	is.True(d.keys.kept.length() <= small.Keys)
+	is.Equal(d.Refuse(at(time.Hour), "long", time.Hour), StateStarted)
+	is.Equal(d.Begin(at(time.Hour), "2", Key{Name: "long"}).Verdict, Uncertain)
+}
+
+// Guards a booking against a second run under its key, in each state that the
+// key can be in and beyond the bounds of its record.
+func TestKeys(t *testing.T) {
+	key := Key{Name: "k", Print: 1}
+	run := func(d *Deduplicator, result Result) {
+		d.Begin(start, "x", key)
+		d.Finish(start, "x", key, result)
+	}
+	cases := map[string]struct {
+		prepare func(d *Deduplicator)
+		key     Key
+		now     time.Duration
+		verdict Verdict
+		reason  string
+	}{
+		"new":                 {func(*Deduplicator) {}, key, 0, Run, ""},
+		"running":             {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, 0, Uncertain, ReasonRunning},
+		"running for long":    {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, time.Hour, Uncertain, ReasonRunning},
+		"answered":            {func(d *Deduplicator) { run(d, answered) }, key, time.Minute, Recorded, ReasonRecorded},
+		"another request":     {func(d *Deduplicator) { run(d, answered) }, Key{Name: "k", Print: 2}, 0, Mismatch, ReasonUncertain},
+		"not run":             {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.NotRun}) }, key, 0, Run, ""},
+		"unknown":             {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Unknown}) }, key, 0, Uncertain, ReasonUncertain},
+		"response too large":  {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Answered}) }, key, 0, Uncertain, ReasonForgotten},
+		"beyond the age":      {func(d *Deduplicator) { run(d, answered) }, key, small.Age, Uncertain, ReasonForgotten},
+		"beyond the bytes":    {func(d *Deduplicator) { run(d, answered); fill(d, 2) }, key, 0, Uncertain, ReasonForgotten},
+		"beyond the count":    {func(d *Deduplicator) { run(d, answered); fill(d, 5) }, key, 0, Uncertain, ReasonForgotten},
+		"beyond every record": {func(d *Deduplicator) { run(d, answered); fill(d, 20) }, key, 0, Run, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := clean(small)
+			c.prepare(d)
+			decision := d.Begin(at(c.now), "y", c.key)
+			is.Equal(decision.Verdict, c.verdict)
+			is.Equal(decision.Reason, c.reason)
+			is.Equal(string(decision.Response) == "four", c.verdict == Recorded)
+		})
+	}
+}
+
+func fill(d *Deduplicator, n int) {
+	for i := range n {
+		id := fmt.Sprint("fill", i)
+		d.Begin(start, id, Key{Name: id})
+		d.Finish(start, id, Key{Name: id}, answered)
+	}
+}
+
+// Guards a booking against a second run at another node after the members
+// changed, and keys that did not change hands against needless refusals.
+func TestMoved(t *testing.T) {
+	is := is.New(t)
+	d := clean(small)
+	all, rest := []string{"a", "b", "c"}, []string{"a", "c"}
+	own, inherited, foreign := find(t, "a", "a"), find(t, "b", "a"), find(t, "c", "c")
+	d.Moved(start, all)
+	is.Equal(d.Begin(start, "1", Key{Name: inherited}).Reason, ReasonOwner)
+	d.Moved(start, rest)
+	is.Equal(d.Begin(start, "2", Key{Name: own}).Verdict, Run)
+	is.Equal(d.Begin(start, "3", Key{Name: inherited}), Decision{Verdict: Uncertain, Reason: ReasonMoved})
+	is.Equal(d.Begin(start, "4", Key{Name: foreign}), Decision{Verdict: Refused, Reason: ReasonOwner})
+	is.Equal(d.Begin(at(small.Age), "5", Key{Name: inherited}).Verdict, Run)
+
+	restarted := New(start, small)
+	restarted.Self = "a"
+	restarted.Moved(start, all)
+	is.Equal(restarted.Begin(at(small.Age-1), "1", Key{Name: own}).Reason, ReasonMoved)
+	is.Equal(restarted.Begin(at(small.Age), "2", Key{Name: own}).Verdict, Run)
+
+	busy := clean(small)
+	for n := range 2*setsMax + 1 {
+		busy.Moved(start, [][]string{all, rest}[n%2])
+	}
+	is.True(len(busy.moves.past) <= setsMax)
+	is.Equal(busy.Begin(at(time.Minute), "1", Key{Name: own}).Reason, ReasonMoved)
+}
+
+// find returns a key that before owns among a, b and c, and after without b.
+func find(t *testing.T, before, after string) string {
+	for n := range 1000 {
+		key := fmt.Sprint("key", n)
+		if Owner(key, []string{"a", "b", "c"}) == before && Owner(key, []string{"c", "a"}) == after {
+			return key
+		}
+	}
+	t.Fatal("no such key")
+	return ""
+}
