End an attempt, not the call, when an instance makes no progress

Cause: one timer bounded the whole call, so an instance that accepted the request and went silent ended it with result unknown although the request could be repeated. Ruled out: the retry budget, which had all of its 10 retries left.

--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -21,13 +21,16 @@
 			}
 			return nil, last
 		}
-		out, failed := f.attempt(ctx, watch, c, to, n)
+		limited, cancel := watch.attempt(ctx)
+		out, failed := f.attempt(limited, watch, c, to, n)
 		if failed == nil {
+			// The context ends with the call, after the body.
 			if c.key == "" {
 				out.body = f.observed(now, c, to, out)
 			}
 			return out, nil
 		}
+		cancel(errDone)
 		if c.key == "" {
 			f.Observe(f.Now(), Observation{
 				Instance: to.Name, Service: c.match.Service, Result: failed.result,
@@ -40,7 +43,6 @@
 			return nil, last
 		}
 		tried = append(tried, to.Name)
-		watch.progress()
 	}
 }
 
--- a/node/forwarder/watch.go
+++ b/node/forwarder/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,10 +16,14 @@
 	errDone     = errors.New("the call has ended")
 )
 
-// watch cancels a call that makes no progress.
+// watch cancels a call, or the attempt that is under way, when it makes no
+// progress.
 type watch struct {
 	idle  time.Duration
 	timer *time.Timer
+
+	mutex  sync.Mutex
+	cancel context.CancelCauseFunc
 }
 
 // bound returns a context that ends at the deadline, or when progress is not
@@ -29,9 +34,9 @@
 		parent, stop = context.WithDeadline(parent, deadline)
 	}
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watch{idle: idle}
+	w := &watch{idle: idle, cancel: cancel}
 	if idle > 0 {
-		w.timer = time.AfterFunc(idle, func() { cancel(errIdle) })
+		w.timer = time.AfterFunc(idle, w.expire)
 	}
 	return ctx, w, func() {
 		if w.timer != nil {
@@ -42,6 +47,23 @@
 	}
 }
 
+// attempt returns the context of one attempt. From now on a lack of progress
+// ends the attempt and not the call, so that another instance can be tried.
+func (w *watch) attempt(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w.mutex.Lock()
+	w.cancel = cancel
+	w.mutex.Unlock()
+	w.progress()
+	return ctx, cancel
+}
+
+func (w *watch) expire() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.cancel(errIdle)
+}
+
 func (w *watch) progress() {
 	if w.timer != nil {
 		w.timer.Reset(w.idle)
