--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -1,4 +1,88 @@
-// Command srbench is not built yet.
+// Command srbench measures a fleet of real processes on loopback.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sycamorerun/bench/converger"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{Use: "srbench", Short: "Measure a fleet of real processes on loopback", SilenceUsage: true}
+	root.AddCommand(converge())
+	if err := root.ExecuteContext(ctx); err != nil {
+		stop()
+		os.Exit(1)
+	}
+}
+
+// converge returns the command that measures the distribution of changes.
+func converge() *cobra.Command {
+	var (
+		modes    []string
+		nodes    []int
+		services []int
+		c        converger.Case
+	)
+	command := &cobra.Command{
+		Use:     "converge",
+		Short:   "Measure convergence time and control bytes of changes",
+		Example: "  srbench converge --modes tree,poll --nodes 12,48 --services 430",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return errors.Wrap(err, "find the programs")
+			}
+			c.Binaries = filepath.Dir(program)
+			var results []converger.Result
+			for _, c.Services = range services {
+				for _, c.Nodes = range nodes {
+					for _, c.Mode = range modes {
+						result, err := run(command.Context(), c, len(results))
+						if err != nil {
+							return err
+						}
+						results = append(results, result)
+						fmt.Fprintf(os.Stderr, "%s, %d nodes, %d services: measured\n", c.Mode, c.Nodes, c.Services)
+					}
+				}
+			}
+			return converger.Write(os.Stdout, results)
+		},
+	}
+	flags := command.Flags()
+	flags.StringSliceVar(&modes, "modes", []string{"tree", "gossip", "poll"}, "ways of distribution to compare")
+	flags.IntSliceVar(&nodes, "nodes", []int{12, 48}, "numbers of nodes, multiples of 6")
+	flags.IntSliceVar(&services, "services", []int{20}, "numbers of services in the tree")
+	flags.IntVar(&c.Changes, "changes", 20, "changes per measurement")
+	flags.DurationVar(&c.Interval, "interval", time.Second, "time between changes")
+	flags.DurationVar(&c.Idle, "idle", 10*time.Second, "time observed without changes")
+	flags.DurationVar(&c.RegionDelay, "region-delay", 10*time.Millisecond, "one-way delay between regions")
+	flags.DurationVar(&c.ZoneDelay, "zone-delay", 500*time.Microsecond, "one-way delay between availability zones of a region")
+	flags.DurationVar(&c.StandbyDelay, "standby-delay", 500*time.Millisecond, "the nodes' setting of this name")
+	return command
+}
+
+// run measures one case in a directory of its own.
+func run(ctx context.Context, c converger.Case, number int) (converger.Result, error) {
+	directory, err := os.MkdirTemp("", "srbench")
+	if err != nil {
+		return converger.Result{}, errors.Wrap(err, "make a directory")
+	}
+	defer os.RemoveAll(directory)
+	c.Directory = directory
+	c.Network = uint8(220 + number%30)
+	return converger.Run(ctx, c)
+}
--- /dev/null
+++ b/bench/converger/converger.go
@@ -0,0 +1,281 @@
+// Package converger measures how long changes take to be in force everywhere
+// and what they cost, on a fleet of real processes.
+package converger
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"sycamorerun/bench/deployer"
+	"sycamorerun/bench/scraper"
+)
+
+const (
+	// settle is the time before and between phases, for the start's traffic
+	// to end.
+	settle = 3 * time.Second
+	// limit is how long a change may take at most in a measurement.
+	limit = 60 * time.Second
+	// teams is the number of teams that share the services of a tree.
+	teams = 10
+)
+
+// Case is one measurement.
+type Case struct {
+	Mode     string
+	Nodes    int
+	Services int
+	Changes  int
+	// Interval is the time between changes.
+	Interval time.Duration
+	// Idle is how long the fleet is observed without changes.
+	Idle         time.Duration
+	RegionDelay  time.Duration
+	ZoneDelay    time.Duration
+	StandbyDelay time.Duration
+	Binaries     string
+	Directory    string
+	Network      uint8
+}
+
+// Cost is what the fleet used in one phase.
+type Cost struct {
+	Duration time.Duration
+	// Bytes are those sent between nodes by scope, of all kinds of streams.
+	Bytes map[string]float64
+	// Content are those of the distributor alone.
+	Content map[string]float64
+	// StoreCalls are reads, writes and waiting watches.
+	StoreCalls float64
+	// StoreCross are the bytes between the store and nodes in other regions.
+	StoreCross float64
+	CPU        time.Duration
+}
+
+// Result is what a case showed.
+type Result struct {
+	Case    Case
+	Delays  *hdrhistogram.Histogram
+	Idle    Cost
+	Changes Cost
+	// Resident is the mean resident memory of a node in bytes.
+	Resident int64
+	// Worst is the largest resident memory of a node in bytes.
+	Worst int64
+	// Tree is the number of bytes of the settings files.
+	Tree int
+}
+
+// scopes are the label values of the connector's counters.
+var scopes = []string{"zone", "region", "cross_region"}
+
+// Run starts a fleet, measures and stops it.
+func Run(ctx context.Context, c Case) (Result, error) {
+	zones := deployer.Today(c.Nodes / 6)
+	fleet, err := deployer.New(deployer.Spec{
+		Binaries: c.Binaries, Directory: c.Directory, Network: c.Network, Zones: zones,
+		Services: []string{"quote-desk"}, Relays: c.RegionDelay > 0 || c.ZoneDelay > 0,
+		RegionDelay: c.RegionDelay, ZoneDelay: c.ZoneDelay,
+		NodeArgs: []string{"--mode", c.Mode, "--standby-delay", c.StandbyDelay.String(), "--drain-delay", "0s"},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Stop()
+	if err := fleet.Start(ctx); err != nil {
+		return Result{}, err
+	}
+	result := Result{Case: c, Delays: hdrhistogram.New(1, limit.Microseconds(), 3)}
+	version, err := fill(ctx, fleet, c, &result)
+	if err != nil {
+		return result, err
+	}
+	if err := fleet.WaitVersion(ctx, version, len(fleet.Nodes), limit); err != nil {
+		return result, err
+	}
+	pause(ctx, settle)
+	if result.Idle, err = measure(ctx, fleet, func() error { pause(ctx, c.Idle); return nil }); err != nil {
+		return result, err
+	}
+	result.Changes, err = measure(ctx, fleet, func() error { return changes(ctx, fleet, c, &result) })
+	if err != nil {
+		return result, err
+	}
+	return result, result.memory(fleet)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// fill applies the teams and their services.
+func fill(ctx context.Context, fleet *deployer.Fleet, c Case, result *Result) (uint64, error) {
+	modes := map[string]string{}
+	for i := range teams {
+		modes[team(i)] = "flow"
+	}
+	if err := fleet.Teams(ctx, modes); err != nil {
+		return 0, err
+	}
+	var version uint64
+	for i := range teams {
+		text := settings(i, c.Services, "/")
+		result.Tree += len(text)
+		outcome, err := fleet.Apply(ctx, team(i), team(i), text, fleet.Nodes[0])
+		if err != nil {
+			return 0, err
+		}
+		if outcome.Status != "accepted" {
+			return 0, errors.Errorf("team %d: %s %+v", i, outcome.Status, outcome.Faults)
+		}
+		version = *outcome.Version
+	}
+	return version, nil
+}
+
+func team(i int) string { return fmt.Sprintf("team-%d", i) }
+
+// settings returns the settings of one team: its share of the services, two
+// routes each.
+func settings(i, services int, prefix string) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "team: %s\nservices:\n", team(i))
+	for s := i; s < services; s += teams {
+		fmt.Fprintf(&text, "  service-%d: {slots: 6, queue: 12, connections: 130, timeout: 2s, idle: 1s}\n", s)
+	}
+	text.WriteString("routes:\n")
+	for s := i; s < services; s += teams {
+		own := "/"
+		if s == i {
+			own = prefix
+		}
+		fmt.Fprintf(&text, "  read-%d: {hosts: [service-%d.example], prefix: %s, methods: [GET], class: interactive, split: [{service: service-%d, weight: 100}]}\n", s, s, own, s)
+		fmt.Fprintf(&text, "  write-%d: {hosts: [service-%d.example], prefix: /, methods: [POST], class: bulk, repeat: never, split: [{service: service-%d, weight: 100}]}\n", s, s, s)
+	}
+	return text.String()
+}
+
+// changes applies changes of one route each through different nodes.
+func changes(ctx context.Context, fleet *deployer.Fleet, c Case, result *Result) error {
+	for i := range c.Changes {
+		began := time.Now()
+		node := fleet.Nodes[(i*7)%len(fleet.Nodes)]
+		text := settings(i%teams, c.Services, fmt.Sprintf("/change-%d", i))
+		outcome, err := fleet.Apply(ctx, team(i%teams), team(i%teams), text, node)
+		if err != nil {
+			return err
+		}
+		if outcome.Status != "accepted" {
+			return errors.Errorf("change %d: %s %+v", i, outcome.Status, outcome.Faults)
+		}
+		if err := fleet.WaitVersion(ctx, *outcome.Version, len(fleet.Nodes), limit); err != nil {
+			return err
+		}
+		for _, delay := range fleet.Observer.Delays(*outcome.Version) {
+			if err := result.Delays.RecordValue(max(1, delay.Microseconds())); err != nil {
+				return errors.Wrap(err, "record delay")
+			}
+		}
+		pause(ctx, c.Interval-time.Since(began))
+	}
+	return nil
+}
+
+// counters is a reading of everything that is counted.
+type counters struct {
+	bytes, content map[string]float64
+	store, cross   float64
+	cpu            time.Duration
+	at             time.Time
+}
+
+// measure returns what the fleet used while do ran.
+func measure(ctx context.Context, fleet *deployer.Fleet, do func() error) (Cost, error) {
+	before, err := read(ctx, fleet)
+	if err != nil {
+		return Cost{}, err
+	}
+	if err := do(); err != nil {
+		return Cost{}, err
+	}
+	pause(ctx, 1500*time.Millisecond) // Counters are reported once a second.
+	after, err := read(ctx, fleet)
+	if err != nil {
+		return Cost{}, err
+	}
+	cost := Cost{
+		Duration: after.at.Sub(before.at), Bytes: map[string]float64{}, Content: map[string]float64{},
+		StoreCalls: after.store - before.store, StoreCross: after.cross - before.cross, CPU: after.cpu - before.cpu,
+	}
+	for _, scope := range scopes {
+		cost.Bytes[scope] = after.bytes[scope] - before.bytes[scope]
+		cost.Content[scope] = after.content[scope] - before.content[scope]
+	}
+	return cost, nil
+}
+
+// storeStats is the part of the store's statistics that is used.
+type storeStats struct {
+	Total   usage            `json:"total"`
+	Callers map[string]usage `json:"callers"`
+}
+
+type usage struct {
+	Reads    float64 `json:"reads"`
+	Writes   float64 `json:"writes"`
+	Received float64 `json:"received"`
+	Sent     float64 `json:"sent"`
+}
+
+func read(ctx context.Context, fleet *deployer.Fleet) (counters, error) {
+	c := counters{bytes: map[string]float64{}, content: map[string]float64{}, at: time.Now()}
+	home := fleet.Spec.Zones[0].Region
+	var stats storeStats
+	if err := fleet.StoreStats(ctx, &stats); err != nil {
+		return c, err
+	}
+	c.store = stats.Total.Reads + stats.Total.Writes
+	for _, node := range fleet.Nodes {
+		samples, err := scraper.Scrape(ctx, node.Operators)
+		if err != nil {
+			return c, err
+		}
+		for _, scope := range scopes {
+			label := `scope="` + scope + `"`
+			c.bytes[scope] += scraper.Sum(samples, "sycamorerun_connector_wire_bytes", label, `direction="out"`)
+			c.content[scope] += scraper.Sum(samples, "sycamorerun_connector_stream_bytes", label, `direction="out"`, `kind="distributor"`)
+		}
+		spent, err := node.Process.Usage()
+		if err != nil {
+			return c, err
+		}
+		c.cpu += spent.CPU
+		if node.Zone.Region != home {
+			c.cross += stats.Callers[node.Name].Sent + stats.Callers[node.Name].Received
+		}
+	}
+	return c, nil
+}
+
+// memory reads the resident memory of the nodes.
+func (r *Result) memory(fleet *deployer.Fleet) error {
+	var total int64
+	for _, node := range fleet.Nodes {
+		spent, err := node.Process.Usage()
+		if err != nil {
+			return err
+		}
+		total += spent.Resident
+		r.Worst = max(r.Worst, spent.Resident)
+	}
+	r.Resident = total / int64(len(fleet.Nodes))
+	return nil
+}
--- a/node/acceptor/acceptor.go
+++ b/node/acceptor/acceptor.go
@@ -162,11 +162,11 @@
 	return outcome
 }
 
-// unknown is the outcome while the store or the queue keeps the acceptor from
-// deciding. The change may have been accepted, here or at another node.
 // CodeNoChange is the code of a look-up that found nothing.
 const CodeNoChange = "no-such-change"
 
+// unknown is the outcome while the store or the queue keeps the acceptor from
+// deciding. The change may have been accepted, here or at another node.
 func unknown(id string, err error) sycamorerun.Outcome {
 	code := "not-decided"
 	if errors.Is(err, errNoChange) {
