Add srbench calls and the connection limits of the stand-in upstream

The load is an open loop with latencies from the scheduled time, compared with direct calls in the same run, and multiples of an upstream's capacity. The upstream now limits connections, delays new ones and honours deadlines.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -14,13 +14,14 @@
 	"github.com/spf13/cobra"
 
 	"sycamorerun/bench/converger"
+	"sycamorerun/bench/stresser"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "srbench", Short: "Measure a fleet of real processes on loopback", SilenceUsage: true}
-	root.AddCommand(converge())
+	root.AddCommand(converge(), calls())
 	if err := root.ExecuteContext(ctx); err != nil {
 		stop()
 		os.Exit(1)
@@ -41,11 +42,10 @@
 		Example: "  srbench converge --modes tree,poll --nodes 12,48 --services 430",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			program, err := os.Executable()
-			if err != nil {
-				return errors.Wrap(err, "find the programs")
+			var err error
+			if c.Binaries, err = programs(); err != nil {
+				return err
 			}
-			c.Binaries = filepath.Dir(program)
 			var results []converger.Result
 			for _, c.Services = range services {
 				for _, c.Nodes = range nodes {
@@ -75,6 +75,44 @@
 	return command
 }
 
+// programs returns the directory of the programs, which is srbench's own.
+func programs() (string, error) {
+	program, err := os.Executable()
+	return filepath.Dir(program), errors.Wrap(err, "find the programs")
+}
+
+// calls returns the command that measures the data path.
+func calls() *cobra.Command {
+	var c stresser.Case
+	command := &cobra.Command{
+		Use:     "calls",
+		Short:   "Measure the latency that nodes add and the answers under overload",
+		Example: "  srbench calls --rate 500 --duration 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var err error
+			if c.Binaries, err = programs(); err != nil {
+				return err
+			}
+			if c.Directory, err = os.MkdirTemp("", "srbench"); err != nil {
+				return errors.Wrap(err, "make a directory")
+			}
+			defer os.RemoveAll(c.Directory)
+			c.Network = 200
+			if err := stresser.Latency(command.Context(), c, os.Stdout); err != nil {
+				return err
+			}
+			fmt.Println()
+			return stresser.Overload(command.Context(), c, os.Stdout)
+		},
+	}
+	flags := command.Flags()
+	flags.Float64Var(&c.Rate, "rate", 500, "calls per second to each way")
+	flags.DurationVar(&c.Duration, "duration", 10*time.Second, "time of each measurement")
+	flags.DurationVar(&c.Work, "work", 10*time.Millisecond, "time that an upstream takes for a call under overload")
+	return command
+}
+
 // run measures one case in a directory of its own.
 func run(ctx context.Context, c converger.Case, number int) (converger.Result, error) {
 	directory, err := os.MkdirTemp("", "srbench")
--- /dev/null
+++ b/bench/generator/generator.go
@@ -0,0 +1,129 @@
+// Package generator sends calls in an open loop: each call starts at its
+// scheduled time whatever became of the earlier ones, and its latency counts
+// from that time, so that waiting is not hidden.
+package generator
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sycamorerun"
+)
+
+const (
+	// slowest is the largest latency that is recorded.
+	slowest = time.Minute
+	// precision is the number of significant digits of a latency.
+	precision = 3
+	// idleConnections is kept to each target.
+	idleConnections = 512
+)
+
+// Target is where a share of the calls goes.
+type Target struct {
+	Name    string
+	Address netip.AddrPort
+	Method  string
+	Host    string
+	Path    string
+	// Rate is in calls per second.
+	Rate float64
+	// Timeout bounds each call.
+	Timeout time.Duration
+}
+
+// Result is what a target's calls showed.
+type Result struct {
+	Target Target
+	// Latency has the answered calls in microseconds.
+	Latency *hdrhistogram.Histogram
+	// Results counts the calls by what the caller was told; an answer without
+	// the header, as from an upstream itself, counts by its status.
+	Results map[sycamorerun.Result]int
+	mutex   sync.Mutex
+}
+
+// Calls is the number of calls sent.
+func (r *Result) Calls() int {
+	total := 0
+	for _, count := range r.Results {
+		total += count
+	}
+	return total
+}
+
+// Run sends calls to all targets at once for a duration and waits for the
+// last one to end.
+func Run(ctx context.Context, targets []Target, duration time.Duration) []*Result {
+	results := make([]*Result, len(targets))
+	var group sync.WaitGroup
+	for i, target := range targets {
+		results[i] = &Result{
+			Target: target, Results: map[sycamorerun.Result]int{},
+			Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
+		}
+		group.Go(func() { results[i].run(ctx, duration) })
+	}
+	group.Wait()
+	return results
+}
+
+func (r *Result) run(ctx context.Context, duration time.Duration) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	defer client.CloseIdleConnections()
+	interval := time.Duration(float64(time.Second) / r.Target.Rate)
+	var group sync.WaitGroup
+	defer group.Wait()
+	start := time.Now()
+	for due := start; due.Sub(start) < duration && ctx.Err() == nil; due = due.Add(interval) {
+		time.Sleep(time.Until(due))
+		group.Go(func() { r.call(ctx, client, due) })
+	}
+}
+
+func (r *Result) call(ctx context.Context, client *http.Client, due time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, r.Target.Timeout)
+	defer cancel()
+	result := send(ctx, client, r.Target)
+	took := time.Since(due)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Results[result]++
+	if result == sycamorerun.Answered {
+		// A latency above the histogram's range can't occur within the timeout.
+		_ = r.Latency.RecordValue(max(1, took.Microseconds()))
+	}
+}
+
+// send returns what the caller is told about one call.
+func send(ctx context.Context, client *http.Client, target Target) sycamorerun.Result {
+	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, nil)
+	if err != nil {
+		return sycamorerun.Unknown
+	}
+	request.Host = target.Host
+	response, err := client.Do(request)
+	if err != nil {
+		return sycamorerun.Unknown
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return sycamorerun.Unknown
+	}
+	if told := response.Header.Get(sycamorerun.HeaderOutcome); told != "" && response.StatusCode != http.StatusOK {
+		if told == string(sycamorerun.Answered) {
+			return sycamorerun.NotRun // The upstream shed the call.
+		}
+		return sycamorerun.Result(told)
+	}
+	if response.StatusCode != http.StatusOK {
+		return sycamorerun.NotRun
+	}
+	return sycamorerun.Answered
+}
--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -18,6 +18,7 @@
 	"sycamorerun/loader"
 	"sycamorerun/logger"
 	"sycamorerun/upstream/announcer"
+	"sycamorerun/upstream/listener"
 	"sycamorerun/upstream/recorder"
 	"sycamorerun/upstream/server"
 )
@@ -25,15 +26,18 @@
 const stopLimit = 10 * time.Second
 
 type settings struct {
-	name    string
-	service string
-	listen  netip.AddrPort
-	control netip.AddrPort
-	node    netip.AddrPort
-	slots   int
-	work    time.Duration
-	cold    time.Duration
-	level   string
+	name        string
+	service     string
+	listen      netip.AddrPort
+	control     netip.AddrPort
+	node        netip.AddrPort
+	slots       int
+	connections int
+	connect     time.Duration
+	probe       time.Duration
+	work        time.Duration
+	cold        time.Duration
+	level       string
 }
 
 func main() {
@@ -45,6 +49,9 @@
 	loader.Add(l, &s.control, "control", "127.0.0.1:9100", loader.Address(), "address for tests to steer it")
 	loader.Add(l, &s.node, "node", "127.0.0.1:7070", loader.Address(), "operators' address of the node beside it")
 	loader.Add(l, &s.slots, "slots", "6", loader.Int(1, 1024), "requests run at once")
+	loader.Add(l, &s.connections, "connections", "130", loader.Int(1, 65535), "open connections at once")
+	loader.Add(l, &s.connect, "connect", "0s", loader.Duration(0, time.Second), "time that each new connection takes")
+	loader.Add(l, &s.probe, "probe", "0s", loader.Duration(0, time.Second), "time that each health probe takes")
 	loader.Add(l, &s.work, "work", "0s", loader.Duration(0, time.Minute), "time that each request takes")
 	loader.Add(l, &s.cold, "cold", "0s", loader.Duration(0, 10*time.Minute), "time to announce itself as cold after the start")
 	loader.Add(l, &s.level, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
@@ -65,14 +72,18 @@
 
 	started := time.Now()
 	upstream := &server.Server{
-		Name: s.name, Service: s.service, Slots: s.slots, Work: s.work,
+		Name: s.name, Service: s.service, Slots: s.slots, Work: s.work, Probe: s.probe,
 		Recorder: recorder.New(), Now: time.Now,
 	}
 	upstream.Behave(server.Behavior{State: sycamorerun.StateReady})
-	calls := &http.Server{Addr: s.listen.String(), Handler: upstream.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	connections, err := listener.New(s.listen, s.connections, s.connect)
+	if err != nil {
+		return err
+	}
+	calls := &http.Server{Handler: upstream.Handler(), ReadHeaderTimeout: 10 * time.Second}
 	control := &http.Server{Addr: s.control.String(), Handler: upstream.Control(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
-	go func() { failed <- calls.ListenAndServe() }()
+	go func() { failed <- calls.Serve(connections) }()
 	go func() { failed <- control.ListenAndServe() }()
 
 	announcer := &announcer.Announcer{
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -30,10 +30,12 @@
 
 // Server is the upstream's HTTP handler. Set the fields before use.
 type Server struct {
-	Name     string
-	Service  string
-	Slots    int
-	Work     time.Duration
+	Name    string
+	Service string
+	Slots   int
+	Work    time.Duration
+	// Probe is the time that a health probe takes.
+	Probe    time.Duration
 	Recorder *recorder.Recorder
 	Now      func() time.Time
 
@@ -103,8 +105,13 @@
 			return
 		}
 		s.Recorder.Start(s.Now())
-		if left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline)); err == nil && left <= 0 {
-			s.Recorder.Expire()
+		if left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline)); err == nil {
+			if left <= 0 {
+				s.Recorder.Expire()
+			}
+			ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+			defer cancel()
+			r = r.WithContext(ctx)
 		}
 		switch {
 		case behavior.Silent:
@@ -121,7 +128,8 @@
 	})
 }
 
-// wait sleeps for d and reports false when the client went away first.
+// wait sleeps for d and reports false when the client went away or the deadline
+// passed first.
 func (s *Server) wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return true
@@ -141,7 +149,8 @@
 	writeJSON(w, map[string]string{"service": s.Service, "upstream": s.Name, "path": r.URL.RequestURI()})
 }
 
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	s.wait(r.Context(), s.Probe)
 	if status := s.Behavior().Health; status != 0 {
 		w.WriteHeader(status)
 	}
