--- a/node/acceptor/acceptor.go
+++ b/node/acceptor/acceptor.go
@@ -46,10 +46,12 @@
 	queue chan *job
 	// busy is held by whoever uses the fields below; a channel lets a waiting
 	// caller give up.
-	busy     chan struct{}
-	head     sycamorerun.Tree
-	history  *history
+	busy    chan struct{}
+	head    sycamorerun.Tree
+	history *history
+	// snapshot is the newest version known to be in the snapshot object.
 	snapshot sycamorerun.Version
+	verified bool
 }
 
 // job is a change on its way through the queue.
@@ -160,12 +162,15 @@
 	return outcome
 }
 
+// CodeNoChange is the code of a look-up that found nothing.
+const CodeNoChange = "no-such-change"
+
 // unknown is the outcome while the store or the queue keeps the acceptor from
 // deciding. The change may have been accepted, here or at another node.
 func unknown(id string, err error) sycamorerun.Outcome {
 	code := "not-decided"
 	if errors.Is(err, errNoChange) {
-		code = "no-such-change"
+		code = CodeNoChange
 	}
 	return sycamorerun.Outcome{
 		ID: id, Status: sycamorerun.StatusUnknown, Retry: retryAfter,
@@ -174,6 +179,9 @@
 }
 
 func (a *Acceptor) acquire(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	select {
 	case a.busy <- struct{}{}:
 		return nil
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -21,13 +21,16 @@
 			}
 			return nil, last
 		}
-		out, failed := f.attempt(ctx, watch, c, to, n)
+		limited, cancel := watch.attempt(ctx)
+		out, failed := f.attempt(limited, watch, c, to, n)
 		if failed == nil {
+			// The context ends with the call, after the body.
 			if c.key == "" {
 				out.body = f.observed(now, c, to, out)
 			}
 			return out, nil
 		}
+		cancel(errDone)
 		if c.key == "" {
 			f.Observe(f.Now(), Observation{
 				Instance: to.Name, Service: c.match.Service, Result: failed.result,
@@ -40,7 +43,6 @@
 			return nil, last
 		}
 		tried = append(tried, to.Name)
-		watch.progress()
 	}
 }
 
@@ -81,17 +83,17 @@
 	}
 	level := uint32(max(c.level, n))
 	if to.Name == f.Self {
-		return f.execute(ctx, watch, c, c.identity(n), c.reader(), level, func() error { return nil })
+		return f.execute(ctx, watch, c, c.identity(n), c.source(), level, func() error { return nil })
 	}
 	return f.remote(ctx, watch, c, to, n, level)
 }
 
-// reader returns the body for the upstream beside this node.
-func (c *call) reader() io.ReadCloser {
+// source returns the body for the upstream beside this node.
+func (c *call) source() io.ReadCloser {
 	if !c.complete {
 		return c.stream
 	}
-	return reader(c.body, c.match.Repeatable)
+	return c.reader()
 }
 
 // observed wraps the body of out so that the attempt is observed once, when
