--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -314,12 +314,14 @@
 		go func() { _ = d.Run(t.Context()) }()
 		go func() { _ = d.Bootstrap(t.Context()) }()
 		time.Sleep(solitude - time.Millisecond)
-		synctest.Wait()
-		if store.cost.calls != 0 {
-			t.Errorf("%d store calls", store.cost.calls)
-		}
+		store.set(func() {
+			if store.cost.calls != 0 {
+				t.Errorf("%d store calls", store.cost.calls)
+			}
+		})
 		time.Sleep(5 * time.Second)
-		synctest.Wait()
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
 		if !d.Ready() || a.Current().Tree.Version != 3 || d.role != planner.Primary {
 			t.Errorf("ready %v, version %s, role %s", d.Ready(), a.Current().Tree.Version, d.role)
 		}
--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -37,7 +37,6 @@
 // fakeStore is an object store in memory whose log is written by commit.
 type fakeStore struct {
 	mutex    sync.Mutex
-	objects  map[string]persister.Object
 	history  []persister.Object
 	revision persister.Revision
 	changed  chan struct{}
@@ -55,7 +54,7 @@
 
 func newStore() *fakeStore {
 	return &fakeStore{
-		objects: map[string]persister.Object{}, changed: make(chan struct{}),
+		changed: make(chan struct{}),
 		hashes: map[sycamorerun.Version]sycamorerun.Hash{0: differ.Hash(nil)},
 	}
 }
@@ -70,12 +69,10 @@
 
 func (s *fakeStore) write(key string, value []byte) {
 	s.revision++
-	object := persister.Object{Key: key, Value: value, Revision: s.revision}
-	s.objects[key] = object
-	s.history = append(s.history, object)
+	s.history = append(s.history, persister.Object{Key: key, Value: value, Revision: s.revision})
 }
 
-// entry returns the next version: one service's slots change.
+// next makes the next version: one service's slots change.
 func (s *fakeStore) next() sycamorerun.Entry {
 	version := s.tree.Version + 1
 	path := sycamorerun.NewPath("quoting", sycamorerun.KindService, fmt.Sprintf("desk-%d", version%7))
