--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -55,7 +55,7 @@
 func newStore() *fakeStore {
 	return &fakeStore{
 		changed: make(chan struct{}),
-		hashes: map[sycamorerun.Version]sycamorerun.Hash{0: differ.Hash(nil)},
+		hashes:  map[sycamorerun.Version]sycamorerun.Hash{0: differ.Hash(nil)},
 	}
 }
 
