--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -76,11 +76,13 @@
 
 	planning sync.Mutex
 
-	mutex   sync.Mutex
-	ring    ring
-	wants   wants
-	links   map[string]*link
-	running context.Context
+	mutex sync.Mutex
+	ring  ring
+	wants wants
+	links map[string]*link
+	// lastFallback is when a node that hears no parent last asked elsewhere.
+	lastFallback time.Time
+	running      context.Context
 	// role is the watch that is running and stopWatch ends it.
 	role      planner.Watch
 	stopWatch context.CancelFunc
@@ -175,6 +177,7 @@
 			ctx, stop := context.WithCancel(d.running)
 			existing = &link{peer: name, stop: stop, wake: make(chan struct{}, 1)}
 			d.links[name] = existing
+			d.wants.peer(name).seen = time.Now()
 			go existing.run(ctx, d)
 		}
 		existing.setDown(down[name])
--- a/node/distributor/fleet_scenarios_test.go
+++ b/node/distributor/fleet_scenarios_test.go
@@ -43,6 +43,20 @@
 			f.store.commit(1)
 			mustConverge(t, f, 4, undetected)
 		}},
+		"only peer dead": {24, func(t *testing.T, f *fleet) {
+			for _, name := range f.names() {
+				if linked := peers(f.members[name].plan.Load().Links); len(linked) == 1 {
+					for only := range linked {
+						f.kill(only)
+					}
+					f.store.commit(1)
+					// Before the plan changes, 6 s after the failure.
+					t.Log(mustConverge(t, f, 4, 4500*time.Millisecond))
+					return
+				}
+			}
+			t.Fatal("each member has several peers")
+		}},
 		"watcher and standby dead": {24, func(t *testing.T, f *fleet) {
 			primary, standby := f.watcher("region-1", planner.Primary), f.watcher("region-1", planner.Standby)
 			f.kill(primary)
--- a/node/distributor/pull.go
+++ b/node/distributor/pull.go
@@ -48,14 +48,18 @@
 	if d.Mode == Poll {
 		return "", idle
 	}
-	held, known := d.Held(), peers(d.Plan().Links)
+	held, plan := d.Held(), d.Plan()
+	known := peers(plan.Links)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	peer, wait := d.wants.next(now, held, func(name string) bool { return known[name] })
+	if peer == "" {
+		peer = d.fallback(now, plan)
+	}
 	if peer != "" {
 		d.wants.began(now, peer)
 	}
-	return peer, wait
+	return peer, min(wait, fallbackPeriod)
 }
 
 // pullFrom asks peer for the versions after the held one and records how that
--- a/node/distributor/wants.go
+++ b/node/distributor/wants.go
@@ -23,6 +23,8 @@
 // standing is what a node knows about a peer's version.
 type standing struct {
 	version sycamorerun.Version
+	// seen is when the peer last reported its version.
+	seen time.Time
 	// due is when to pull from the peer while its version is above ours.
 	due time.Time
 	// notBefore is the end of the delay after a failure or a busy answer.
@@ -60,7 +62,7 @@
 			peer.due = due
 		}
 	}
-	peer.version = version
+	peer.version, peer.seen = version, now
 }
 
 // next returns the peer to pull from at now, or how long to wait. Peers for
