Measure the cost of a call and cut copies, contexts and lookups from it

Chunks are read and written through buffers that a stream keeps, one timer and one context serve both limits of a call, and counters are looked up by value.

Found on review: header values that are not UTF-8 could not be sent to a peer and are bytes now; a caller whose small body broke off kept its connection, on which the rest would be read as a request; a caller that left in the middle of a response counted as a failure of the instance; calls that did not run filled the records of refusals.

--- a/node/deduplicator/calls.go
+++ b/node/deduplicator/calls.go
@@ -66,12 +66,10 @@
 	if c.states[id] != StateStarted {
 		return
 	}
+	c.states[id] = StateFinished
 	if result == sycamorerun.NotRun {
 		c.states[id] = StateRefused
-		c.refused.push(now, id)
-		return
 	}
-	c.states[id] = StateFinished
 	c.finished.push(now, id)
 }
 
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -24,7 +24,7 @@
 		out, failed := f.attempt(ctx, watch, c, to, n)
 		if failed == nil {
 			if c.key == "" {
-				out.body = f.observed(now, c, to, out)
+				out.body = f.observed(ctx, now, c, to, out)
 			}
 			return out, nil
 		}
@@ -96,41 +96,47 @@
 
 // observed wraps the body of out so that the attempt is observed once, when
 // the body ends.
-func (f *Forwarder) observed(began time.Time, c *call, to sycamorerun.Instance, out *answer) source {
-	return &observedBody{source: out.body, done: func(now time.Time, result sycamorerun.Result) {
-		f.Observe(now, Observation{
-			Instance: to.Name, Service: c.match.Service, Result: result, Status: out.status,
+func (f *Forwarder) observed(ctx context.Context, began time.Time, c *call, to sycamorerun.Instance, out *answer) source {
+	return &observedBody{source: out.body, ctx: ctx, done: func(result sycamorerun.Result, reason string) {
+		f.Observe(f.Now(), Observation{
+			Instance: to.Name, Service: c.match.Service, Result: result, Reason: reason, Status: out.status,
 			Load: out.load, Head: out.at.Sub(began),
 		})
-	}, now: f.Now}
+	}}
 }
 
 // observedBody reports how its source ended.
 type observedBody struct {
 	source
-	done func(time.Time, sycamorerun.Result)
-	now  func() time.Time
-	seen bool
+	ctx    context.Context
+	done   func(sycamorerun.Result, string)
+	broken bool
+	seen   bool
 }
 
 // Next implements source.
 func (b *observedBody) Next() ([]byte, error) {
 	data, err := b.source.Next()
 	if err == io.EOF {
-		b.report(sycamorerun.Answered)
+		b.report(sycamorerun.Answered, "")
 	}
+	b.broken = err != nil
 	return data, err
 }
 
 // Close implements source.
 func (b *observedBody) Close() {
 	b.source.Close()
-	b.report(sycamorerun.Unknown)
+	reason := reasonCanceled // the caller took no more of the response
+	if b.broken {
+		reason = ended(b.ctx, reasonTruncated)
+	}
+	b.report(sycamorerun.Unknown, reason)
 }
 
-func (b *observedBody) report(result sycamorerun.Result) {
+func (b *observedBody) report(result sycamorerun.Result, reason string) {
 	if !b.seen {
 		b.seen = true
-		b.done(b.now(), result)
+		b.done(result, reason)
 	}
 }
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -33,6 +33,10 @@
 	complete bool
 	body     []byte
 	stream   *upload
+	// unread says that a body is left on an HTTP/1 connection of the caller. The
+	// connection must then be closed, since the rest of the body would be read
+	// as the next request.
+	unread   bool
 	key      string
 	print    uint64
 	deadline time.Time
@@ -51,7 +55,7 @@
 
 // parse checks a caller's request and describes it as a call, without its body.
 func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
-	c := &call{id: uuid.NewString(), level: 1, method: r.Method, host: r.Host, length: r.ContentLength}
+	c := &call{id: uuid.NewString(), level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
 	if r.Method == http.MethodConnect || r.URL.Path == "" {
 		return c, notRun(reasonRequest)
 	}
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -446,6 +446,36 @@
 	})
 }
 
+// Guards responses without a body, and values that are not UTF-8, which a
+// protobuf string can't carry.
+func TestUnusualResponses(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		for method, status := range map[string]int{
+			http.MethodHead: http.StatusOK, http.MethodGet: http.StatusNotModified, http.MethodDelete: http.StatusNoContent,
+		} {
+			t.Run(method, func(t *testing.T) {
+				is := is.New(t)
+				b := newBed(t, local, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("X-Name", r.Header.Get("X-Name"))
+					if status != http.StatusNoContent {
+						w.Header().Set("Content-Length", "70000")
+					}
+					w.WriteHeader(status)
+				})
+				r, err := http.NewRequest(method, b.caller.URL+"/x", nil)
+				is.NoErr(err)
+				r.Header.Set("X-Name", "caf\xe9")
+				response, err := b.caller.Client().Do(r)
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				is.Equal(response.StatusCode, status)
+				is.Equal(response.Header.Get("X-Name"), "caf\xe9")
+				is.Equal(response.ContentLength == 70000, method == http.MethodHead)
+			})
+		}
+	})
+}
+
 // Guards against work for a caller that has gone, and against an upload that
 // the upstream takes for complete.
 func TestCallerGone(t *testing.T) {
@@ -500,6 +530,7 @@
 				is.NoErr(err)
 				is.NoErr(response.Body.Close())
 				is.Equal(response.StatusCode, c.status)
+				is.True(response.Close) // the rest of the body is no request
 				is.Equal(b.executed.Load(), c.executed)
 			})
 		}
@@ -545,7 +576,7 @@
 	is.Equal(late.GetRefused().GetReason(), "refused")
 	is.Equal(b.executed.Load(), int64(0))
 
-	head := &Head{Id: "twice/1", Method: http.MethodGet, Target: "/x", Whole: true}
+	head := &Head{Id: "twice/1", Method: http.MethodGet, Target: []byte("/x"), Whole: true}
 	is.Equal(string(deliver(t, b, head).GetResponse().GetBody()), "ok")
 	is.Equal(deliver(t, b, head).GetRefused().GetReason(), "duplicate")
 	is.Equal(b.executed.Load(), int64(1))
@@ -671,7 +702,7 @@
 func FuzzServeCall(f *testing.F) {
 	var seed strings.Builder
 	for _, frame := range []*Frame{
-		{Kind: &Frame_Head{Head: &Head{Id: "a/1", Method: "POST", Target: "/x", Length: -1}}},
+		{Kind: &Frame_Head{Head: &Head{Id: "a/1", Method: "POST", Target: []byte("/x"), Length: -1}}},
 		{Kind: &Frame_Chunk{Chunk: []byte("abc")}},
 		{Kind: &Frame_End{End: &End{Complete: true}}},
 	} {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -92,7 +92,8 @@
 	Logger log.Logger
 	Scope  tally.Scope
 
-	drain drain
+	drain    drain
+	counters sync.Map
 }
 
 // New returns a forwarder with defaults for everything but the collaborators.
@@ -104,6 +105,14 @@
 	}
 }
 
+// Server returns a server for callers. It bounds the header, and the time that
+// a caller may take to send it.
+func (f *Forwarder) Server() *http.Server {
+	return &http.Server{
+		Handler: f, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headWait, IdleTimeout: 2 * time.Minute,
+	}
+}
+
 // drain counts the calls in flight and closes the entrance.
 type drain struct {
 	mutex    sync.Mutex
--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"encoding/binary"
 	"io"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorerun/encoder"
 )
@@ -16,8 +19,12 @@
 
 // link writes and reads the frames of one stream.
 type link struct {
-	conn  net.Conn
-	mutex sync.Mutex
+	conn net.Conn
+	// buffer and chunk hold the frame received last.
+	buffer []byte
+	chunk  Frame_Chunk
+	mutex  sync.Mutex
+	out    []byte
 }
 
 func (l *link) send(frame *Frame) error {
@@ -27,8 +34,66 @@
 	return err
 }
 
+// receive reads a frame. The bytes of a chunk are valid until the next call.
 func (l *link) receive() (*Frame, error) {
-	return encoder.Read[Frame](l.conn, frameBytes)
+	var prefix [4]byte
+	if _, err := io.ReadFull(l.conn, prefix[:]); err != nil {
+		return nil, broken(err)
+	}
+	size := int(binary.BigEndian.Uint32(prefix[:]))
+	if size > frameBytes {
+		return nil, errors.Wrapf(encoder.ErrTooLarge, "%d bytes", size)
+	}
+	if cap(l.buffer) < size {
+		l.buffer = make([]byte, size)
+	}
+	data := l.buffer[:size]
+	if _, err := io.ReadFull(l.conn, data); err != nil {
+		return nil, broken(err)
+	}
+	if chunk, ok := chunkOf(data); ok {
+		l.chunk.Chunk = chunk
+		return &Frame{Kind: &l.chunk}, nil
+	}
+	frame := &Frame{}
+	return frame, errors.Wrap(proto.Unmarshal(data, frame), "decode frame")
+}
+
+// broken describes the end of a stream. It is never io.EOF, which stands for
+// the end of a complete body.
+func broken(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return errors.Wrap(err, "read frame")
+}
+
+// chunkField is the number of the field chunk of Frame.
+const chunkField = 5
+
+// chunkOf returns the bytes of a frame that is exactly one chunk. Chunks are
+// the bulk of the traffic, and proto.Unmarshal would copy them.
+func chunkOf(data []byte) ([]byte, bool) {
+	number, kind, n := protowire.ConsumeTag(data)
+	if n < 0 || number != chunkField || kind != protowire.BytesType {
+		return nil, false
+	}
+	chunk, rest := protowire.ConsumeBytes(data[n:])
+	return chunk, rest >= 0 && n+rest == len(data)
+}
+
+// sendChunk sends a frame with a chunk, in the form of encoder.Write but with a
+// buffer that is used again.
+func (l *link) sendChunk(data []byte) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	frame := append(l.out[:0], 0, 0, 0, 0)
+	frame = protowire.AppendTag(frame, chunkField, protowire.BytesType)
+	frame = protowire.AppendBytes(frame, data)
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
+	l.out = frame
+	_, err := l.conn.Write(frame)
+	return errors.Wrap(err, "write chunk")
 }
 
 // cancel tells the other side that the call is no longer awaited, if the
@@ -57,7 +122,7 @@
 			_ = l.send(&Frame{Kind: &Frame_End{End: &End{}}})
 			return err
 		}
-		if err := l.send(&Frame{Kind: &Frame_Chunk{Chunk: data}}); err != nil {
+		if err := l.sendChunk(data); err != nil {
 			return err
 		}
 		progress()
--- a/node/forwarder/header.go
+++ b/node/forwarder/header.go
@@ -66,7 +66,7 @@
 	fields := make([]*Field, 0, len(header))
 	for name, values := range header {
 		for _, value := range values {
-			fields = append(fields, &Field{Name: name, Value: value})
+			fields = append(fields, &Field{Name: name, Value: []byte(value)})
 		}
 	}
 	return fields
@@ -75,7 +75,7 @@
 func fromFields(fields []*Field) http.Header {
 	header := make(http.Header, len(fields)+4)
 	for _, field := range fields {
-		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
+		header[field.GetName()] = append(header[field.GetName()], string(field.GetValue()))
 	}
 	return header
 }
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -170,9 +170,9 @@
 // frame.
 func toHead(now time.Time, c *call, id string, level uint32) *Head {
 	head := &Head{
-		Id: id, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: c.host,
-		Target: c.target, Fields: toFields(c.header), Trailers: c.trailers, Length: c.length,
-		Body: c.body, Whole: c.complete, Repeatable: c.match.Repeatable, Key: c.key, Print: c.print,
+		Id: id, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: []byte(c.host),
+		Target: []byte(c.target), Fields: toFields(c.header), Trailers: c.trailers, Length: c.length,
+		Body: c.body, Whole: c.complete, Repeatable: c.match.Repeatable, Key: []byte(c.key), Print: c.print,
 		IdleMs: c.match.Idle.Milliseconds(), Attempt: level,
 	}
 	if !c.deadline.IsZero() {
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -28,15 +28,13 @@
 	defer f.drain.leave()
 	head := frame.GetHead()
 	c := fromHead(f.Now(), head)
-	parent, cancel := context.WithCancelCause(ctx)
-	defer cancel(errDone)
-	ctx, watch, stop := bound(parent, c.deadline, c.match.Idle)
-	defer stop()
+	ctx, watch, stop := bound(ctx, c.deadline, c.match.Idle)
+	defer stop(errDone)
 	body := newIntake(peer, c, watch)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		cancel(body.run())
+		stop(body.run())
 	}()
 	defer func() {
 		_ = stream.Close()
@@ -85,9 +83,9 @@
 			Service: head.GetService(), Class: sycamorerun.Class(head.GetClass()), Repeatable: head.GetRepeatable(),
 			Idle: time.Duration(head.GetIdleMs()) * time.Millisecond,
 		},
-		id: head.GetCall(), method: head.GetMethod(), host: head.GetHost(), target: head.GetTarget(),
+		id: head.GetCall(), method: head.GetMethod(), host: string(head.GetHost()), target: string(head.GetTarget()),
 		header: fromFields(head.GetFields()), trailers: head.GetTrailers(), length: head.GetLength(),
-		complete: head.GetWhole(), body: head.GetBody(), key: head.GetKey(), print: head.GetPrint(),
+		complete: head.GetWhole(), body: head.GetBody(), key: string(head.GetKey()), print: head.GetPrint(),
 	}
 	c.trailer = blank(c.trailers)
 	if c.complete {
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"sycamorerun"
 )
 
@@ -24,7 +26,7 @@
 		return
 	}
 	ctx, watch, stop := bound(r.Context(), c.deadline, c.match.Idle)
-	defer stop()
+	defer stop(errDone)
 	control := http.NewResponseController(w)
 	if failed := f.take(ctx, watch, control, c, r); failed != nil {
 		f.fail(w, c, failed)
@@ -42,13 +44,13 @@
 		f.fail(w, c, failed)
 		return
 	}
-	f.reply(ctx, watch, w, control, r, c, out)
+	f.reply(ctx, watch, w, control, c, out)
 }
 
 // take reads a small body, or prepares the stream of a large one.
 func (f *Forwarder) take(ctx context.Context, watch *watch, control *http.ResponseController, c *call, r *http.Request) *failure {
 	if c.length == 0 || r.Body == nil || r.Body == http.NoBody {
-		c.complete, c.length = true, 0
+		c.complete, c.unread, c.length = true, false, 0
 		return nil
 	}
 	// Unblocks a read from a caller that stopped sending.
@@ -81,7 +83,7 @@
 	if n, err := io.ReadFull(r.Body, make([]byte, 1)); n != 0 || err != io.EOF {
 		return notRun(reasonBodyBroken)
 	}
-	c.complete = true
+	c.complete, c.unread = true, false
 	return nil
 }
 
@@ -96,16 +98,14 @@
 	if failed.status() == http.StatusServiceUnavailable {
 		header.Set("Retry-After", "1")
 	}
-	if c.stream != nil && !c.stream.ended.Load() {
-		header.Set("Connection", "close")
-	}
+	c.closing(header)
 	w.WriteHeader(failed.status())
 	_, _ = io.WriteString(w, string(failed.result)+": "+failed.reason+"\n")
 }
 
 // reply passes the response on. It aborts the caller's connection when the
 // response breaks off, so that a part is never taken for the whole.
-func (f *Forwarder) reply(ctx context.Context, watch *watch, w http.ResponseWriter, control *http.ResponseController, r *http.Request, c *call, out *answer) {
+func (f *Forwarder) reply(ctx context.Context, watch *watch, w http.ResponseWriter, control *http.ResponseController, c *call, out *answer) {
 	defer out.body.Close()
 	var data []byte
 	var err error
@@ -117,7 +117,7 @@
 			return
 		}
 	}
-	f.head(w, r, c, out)
+	f.head(w, c, out)
 	// Unblocks a write to a caller that stopped reading.
 	release := context.AfterFunc(ctx, func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
 	defer release()
@@ -144,7 +144,7 @@
 }
 
 // head passes the head of the response on.
-func (f *Forwarder) head(w http.ResponseWriter, r *http.Request, c *call, out *answer) {
+func (f *Forwarder) head(w http.ResponseWriter, c *call, out *answer) {
 	header := w.Header()
 	for name, values := range out.header {
 		header[name] = values
@@ -157,14 +157,34 @@
 	if out.reason != "" {
 		header.Set(sycamorerun.HeaderReason, out.reason)
 	}
-	if r.ProtoMajor == 1 && c.stream != nil && !c.stream.ended.Load() {
-		// The rest of the body must not be read as the next request.
+	c.closing(header)
+	w.WriteHeader(out.status)
+}
+
+// closing asks the server to close the connection if the body is not read.
+func (c *call) closing(header http.Header) {
+	if c.unread && (c.stream == nil || !c.stream.ended.Load()) {
 		header.Set("Connection", "close")
 	}
-	w.WriteHeader(out.status)
+}
+
+// counter names the counter of calls that ended in one way. A tagged scope is
+// looked up by a string that is built from its tags, which is too slow for
+// every call.
+type counter struct {
+	team   string
+	class  sycamorerun.Class
+	result sycamorerun.Result
+	reason string
 }
 
 func (f *Forwarder) count(c *call, result sycamorerun.Result, reason string) {
-	tags := map[string]string{"team": c.match.Team, "class": string(c.match.Class), "result": string(result), "reason": reason}
-	f.Scope.Tagged(tags).Counter("calls").Inc(1)
+	key := counter{c.match.Team, c.match.Class, result, reason}
+	known, ok := f.counters.Load(key)
+	if !ok {
+		known, _ = f.counters.LoadOrStore(key, f.Scope.Tagged(map[string]string{
+			"team": key.team, "class": string(key.class), "result": string(key.result), "reason": key.reason,
+		}).Counter("calls"))
+	}
+	known.(tally.Counter).Inc(1)
 }
--- a/node/forwarder/watch.go
+++ b/node/forwarder/watch.go
@@ -15,36 +15,54 @@
 	errDone     = errors.New("the call has ended")
 )
 
-// watch cancels a call that makes no progress.
+// watch ends a call at its deadline, or when it makes no progress.
 type watch struct {
-	idle  time.Duration
-	timer *time.Timer
+	deadline time.Time
+	idle     time.Duration
+	timer    *time.Timer
+	cancel   context.CancelCauseFunc
 }
 
-// bound returns a context that ends at the deadline, or when progress is not
-// called for idle. A limit of zero means none.
-func bound(parent context.Context, deadline time.Time, idle time.Duration) (context.Context, *watch, context.CancelFunc) {
-	stop := context.CancelFunc(func() {})
-	if !deadline.IsZero() {
-		parent, stop = context.WithDeadline(parent, deadline)
-	}
+// bound returns a context that ends at the deadline, when progress is not
+// called for idle, or with the cause given to stop. A limit of zero means none.
+// One timer serves both limits.
+func bound(parent context.Context, deadline time.Time, idle time.Duration) (context.Context, *watch, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watch{idle: idle}
-	if idle > 0 {
-		w.timer = time.AfterFunc(idle, func() { cancel(errIdle) })
+	w := &watch{deadline: deadline, idle: idle, cancel: cancel}
+	if next := w.next(time.Now()); next > 0 {
+		w.timer = time.AfterFunc(next, w.expire)
 	}
-	return ctx, w, func() {
+	return ctx, w, func(cause error) {
 		if w.timer != nil {
 			w.timer.Stop()
 		}
-		cancel(errDone)
-		stop()
+		cancel(cause)
+	}
+}
+
+// next returns the time until the first limit, or zero if there is none.
+func (w *watch) next(now time.Time) time.Duration {
+	if w.deadline.IsZero() {
+		return w.idle
+	}
+	left := max(1, w.deadline.Sub(now))
+	if w.idle > 0 {
+		left = min(left, w.idle)
+	}
+	return left
+}
+
+func (w *watch) expire() {
+	if !w.deadline.IsZero() && !time.Now().Before(w.deadline) {
+		w.cancel(context.DeadlineExceeded)
+		return
 	}
+	w.cancel(errIdle)
 }
 
 func (w *watch) progress() {
 	if w.timer != nil {
-		w.timer.Reset(w.idle)
+		w.timer.Reset(w.next(time.Now()))
 	}
 }
 
