Confirm refusals with a conditional write

A trial with stale answers from srstore showed a change that was refused on a stale read although the store held a newer version; for a resubmitted id such a refusal hides an acceptance. Before an outcome that is not in the log yet, an acceptor now checks its slot with a conditional write, unless the same batch commits an entry anyway.

--- a/node/acceptor/commit.go
+++ b/node/acceptor/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -131,7 +132,7 @@
 // no step of its own: the next attempt reads the slot first, and the ids in it
 // tell which changes were accepted.
 func (a *Acceptor) attempt(ctx context.Context, t *try) ([]*job, error) {
-	expected, err := a.locate(ctx)
+	at, err := a.locate(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -154,11 +155,15 @@
 		if t.written == 0 {
 			t.written = next
 		}
-		if _, err := a.Store.Put(ctx, persister.LogKey(next), plan.value, expected); err != nil {
+		if _, err := a.Store.Put(ctx, persister.LogKey(next), plan.value, at.revision); err != nil {
 			return nil, err
 		}
 		a.adopt(plan.entry, plan.tree)
 		_ = level.Info(a.Logger).Log("msg", "version accepted", "version", next, "changes", len(plan.entry.Changes), "bytes", len(plan.value))
+	} else if plan.fresh() {
+		if err := a.fence(ctx, at); err != nil {
+			return nil, err
+		}
 	}
 	a.finish(ctx, t.jobs, plan)
 	return t.jobs[len(plan.verdicts):], nil
@@ -192,6 +197,11 @@
 	value    []byte
 }
 
+// fresh reports whether a verdict depends on the head being the newest version.
+func (p plan) fresh() bool {
+	return slices.ContainsFunc(p.verdicts, func(verdict Verdict) bool { return !verdict.Known })
+}
+
 // plan decides on as many of the jobs, from the first on, as fit one entry. A
 // single change that does not fit is refused.
 func (a *Acceptor) plan(jobs []*job) plan {
@@ -232,7 +242,7 @@
 		if len(verdict.Records) == 0 {
 			continue
 		}
-		mark(view.Changed, next, differ.Compare(view.Tree.Items, verdict.Items))
+		mark(view.Changed, next, verdict.Difference)
 		view.Tree.Items = verdict.Items
 		for _, record := range verdict.Records {
 			here[record.ID] = decided{version: next, rejected: record.Kind == Rejected}.outcome(record.ID)
--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -107,6 +107,47 @@
 	verifyLog(t, f, 3)
 }
 
+// Guards against a refusal that follows from a stale read, for a change that
+// has been accepted since.
+func TestStaleRefusal(t *testing.T) {
+	for name, round := range map[string]int{"first round": 0, "later": persister.RingSlots} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			b := run(t, f.store())
+			b.Submit(t.Context(), bootstrap())
+			for i := range round {
+				b.Submit(t.Context(), apply(fmt.Sprint(i), "other", i))
+			}
+			hold := b.Submit(t.Context(), sycamorerun.Change{ID: "hold", Kind: sycamorerun.Place, Team: "flow"})
+			store, stale := f.store(), 0
+			get := store.Get
+			key := persister.LogKey(hold.Version + 1)
+			old, missing := get(t.Context(), key)
+			store.Get = func(ctx context.Context, k string) (persister.Object, error) {
+				if k == key && stale > 0 {
+					stale--
+					return old, missing
+				}
+				return get(ctx, k)
+			}
+			a := run(t, store)
+			a.Patience = time.Minute
+			is.Equal(a.Lookup(t.Context(), "hold"), hold)
+			stale = 3
+			b.Submit(t.Context(), sycamorerun.Change{ID: "release", Kind: sycamorerun.Release, Team: "flow"})
+			accepted := b.Submit(t.Context(), apply("one", "flow", 1))
+			is.Equal(accepted.Version, hold.Version+2)
+			is.Equal(a.Submit(t.Context(), apply("one", "flow", 1)), accepted)
+			is.Equal(stale, 0)
+			// A refusal that is true changes nothing in the log.
+			is.Equal(code(a.Submit(t.Context(), apply("two", "nobody", 1))), "no-such-team")
+			is.Equal(b.Submit(t.Context(), apply("three", "flow", 1)).Version, hold.Version+3)
+			is.Equal(f.entry(t, hold.Version+2).Version, hold.Version+2)
+		})
+	}
+}
+
 // Guards against two acceptors that both win a version, lose a change or
 // accept an id twice.
 func TestRacingAcceptors(t *testing.T) {
--- a/node/acceptor/decide.go
+++ b/node/acceptor/decide.go
@@ -36,8 +36,12 @@
 // Verdict is a decision on a request.
 type Verdict struct {
 	Outcome sycamorerun.Outcome
+	// Known means that the log already holds the outcome.
+	Known bool
 	// Items is the whole tree after an accepted change.
 	Items map[sycamorerun.Path]sycamorerun.Item
+	// Difference is that of the change alone.
+	Difference sycamorerun.Difference
 	// Records name the changes that the entry contains. They are empty when
 	// nothing is to be committed.
 	Records []sycamorerun.Accepted
@@ -69,7 +73,7 @@
 func (r Rules) Decide(now time.Time, view View, request Request) Verdict {
 	change := request.Change
 	if outcome, ok := view.Decided(change.ID); ok {
-		return Verdict{Outcome: outcome}
+		return Verdict{Outcome: outcome, Known: true}
 	}
 	list, known := checks[change.Kind]
 	if !known {
@@ -80,7 +84,8 @@
 			return Verdict{Outcome: outcome}
 		}
 	}
-	items := replace(view.Tree.Items, change.Team, subtree(now, view, request))
+	difference := differ.Compare(view.Tree.Subtree(change.Team), subtree(now, view, request))
+	items := differ.Apply(view.Tree, view.Tree.Version+1, difference).Items
 	if faults := r.faults(view, change, items); len(faults) > 0 {
 		return Verdict{Outcome: sycamorerun.Outcome{ID: change.ID, Status: sycamorerun.StatusRefused, Faults: faults}}
 	}
@@ -91,6 +96,8 @@
 		Outcome: sycamorerun.Outcome{ID: change.ID, Status: sycamorerun.StatusAccepted, Version: view.Tree.Version + 1},
 		Items:   items,
 		Records: records(request),
+
+		Difference: difference,
 	}
 }
 
@@ -187,18 +194,6 @@
 	return after
 }
 
-// replace returns items with the team's subtree exchanged.
-func replace(items map[sycamorerun.Path]sycamorerun.Item, team string, subtree map[sycamorerun.Path]sycamorerun.Item) map[sycamorerun.Path]sycamorerun.Item {
-	after := make(map[sycamorerun.Path]sycamorerun.Item, len(items)+len(subtree))
-	for path, item := range items {
-		if path.Team() != team {
-			after[path] = item
-		}
-	}
-	maps.Copy(after, subtree)
-	return after
-}
-
 // content returns the team's items without its hold.
 func content(items map[sycamorerun.Path]sycamorerun.Item, team string) map[sycamorerun.Path]sycamorerun.Item {
 	subtree := sycamorerun.Tree{Items: items}.Subtree(team)
--- a/node/acceptor/decide_test.go
+++ b/node/acceptor/decide_test.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -97,11 +98,12 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			view := View{
-				Tree:    sycamorerun.Tree{Version: 20, Items: replace(bootstrap().Items, "", test.tree)},
+				Tree:    sycamorerun.Tree{Version: 20, Items: bootstrap().Items},
 				Oldest:  9,
 				Changed: map[sycamorerun.Path]sycamorerun.Version{"flow/service/desk": 12, "other/service/desk": 19, "flow/hold": 18},
 				Decided: func(id string) (sycamorerun.Outcome, bool) { return decided{version: 11}.outcome(id), id == "old" },
 			}
+			maps.Copy(view.Tree.Items, test.tree)
 			verdict := rules.Decide(now, view, Request{Change: test.change, Target: test.target, Proposal: test.proposal})
 			is.Equal(verdict.Outcome.Status, test.status)
 			is.Equal(code(verdict.Outcome), test.code)
@@ -111,7 +113,14 @@
 			if fresh {
 				is.Equal(verdict.Outcome.Version, sycamorerun.Version(21))
 				// Nothing outside the team's subtree changes.
-				is.Equal(replace(verdict.Items, test.change.Team, nil), replace(view.Tree.Items, test.change.Team, nil))
+				difference := differ.Compare(view.Tree.Items, verdict.Items)
+				for path := range difference.Put {
+					is.Equal(path.Team(), test.change.Team)
+				}
+				for _, path := range difference.Remove {
+					is.Equal(path.Team(), test.change.Team)
+				}
+				is.Equal(difference, verdict.Difference)
 			}
 		})
 	}
--- a/node/acceptor/fake_test.go
+++ b/node/acceptor/fake_test.go
@@ -103,6 +103,9 @@
 		},
 		Delete: func(_ context.Context, key string, expected persister.Revision) error {
 			return f.call("delete", key, func() error {
+				if _, ok := f.objects[key]; !ok {
+					return persister.ErrMissing
+				}
 				if f.objects[key].Revision != expected {
 					return persister.ErrConflict
 				}
--- a/node/acceptor/head.go
+++ b/node/acceptor/head.go
@@ -25,29 +25,36 @@
 // costs less than single reads.
 const listAbove = 8
 
+// slot is the place of the next version: the entry of the round before and the
+// revision that a write expects, zero when the slot is empty.
+type slot struct {
+	entry    sycamorerun.Entry
+	revision persister.Revision
+}
+
 // locate moves the head to the newest version that the store shows and returns
-// the revision that the slot of the next version is expected to have.
-func (a *Acceptor) locate(ctx context.Context) (persister.Revision, error) {
+// the slot of the next version.
+func (a *Acceptor) locate(ctx context.Context) (slot, error) {
 	if err := a.follow(ctx); err != nil {
-		return 0, err
+		return slot{}, err
 	}
 	for read := 0; ; read++ {
 		if read == listAbove {
 			if err := a.catchUp(ctx); err != nil {
-				return 0, err
+				return slot{}, err
 			}
 		}
 		next := a.head.Version + 1
 		entry, revision, err := persister.ReadEntry(ctx, a.Store, next)
 		switch {
 		case errors.Is(err, persister.ErrMissing) && next <= persister.RingSlots:
-			return 0, a.verify(ctx)
+			return slot{}, a.verify(ctx)
 		case errors.Is(err, persister.ErrMissing):
-			return 0, errors.Wrapf(errStale, "no entry in the slot of version %d", next)
+			return slot{}, errors.Wrapf(errStale, "no entry in the slot of version %d", next)
 		case err != nil:
-			return 0, err
+			return slot{}, err
 		case entry.Version+persister.RingSlots == next:
-			return revision, nil
+			return slot{entry: entry, revision: revision}, nil
 		case entry.Version == next:
 			err = a.accept(entry)
 		case entry.Version > next:
@@ -56,11 +63,31 @@
 			err = errors.Wrapf(errStale, "version %d in the slot of version %d", entry.Version, next)
 		}
 		if err != nil {
-			return 0, err
+			return slot{}, err
 		}
 	}
 }
 
+// noRevision is one that no object has.
+const noRevision persister.Revision = 1 << 62
+
+// fence makes sure that the read of the slot was not stale, since a refusal
+// that follows from a stale read would be wrong, above all for an id that has
+// been accepted since. Conditional writes are checked against the true state:
+// writing the old entry again succeeds only if it is still there, and a
+// conditional delete that can't match tells whether an empty slot is empty.
+func (a *Acceptor) fence(ctx context.Context, at slot) error {
+	if at.revision != 0 {
+		_, err := persister.WriteEntry(ctx, a.Store, at.entry, at.revision)
+		return err
+	}
+	err := a.Store.Delete(ctx, persister.LogKey(a.head.Version+1), noRevision)
+	if errors.Is(err, persister.ErrMissing) {
+		return nil
+	}
+	return errors.Wrap(cmp.Or(err, errStale), "slot is not empty")
+}
+
 // verify makes sure once that the store holds the head's entry before the
 // first write to an empty slot. A store that lost its objects would otherwise
 // start a second history.
