Test the acceptor against a slow store

A store that answers after the submitter gave up was the one kind of failure without a test. The outcome is unknown and a look-up then finds the version.

--- a/node/acceptor/acceptor.go
+++ b/node/acceptor/acceptor.go
@@ -35,7 +35,8 @@
 	Current func() sycamorerun.Tree
 	// Entry returns a log entry that this node still has.
 	Entry func(sycamorerun.Version) (sycamorerun.Entry, bool)
-	// Learn is told each entry that the acceptor committed or read.
+	// Learn is told each entry that the acceptor committed or read. It must
+	// not wait for a call of the acceptor.
 	Learn    func(now time.Time, entry sycamorerun.Entry)
 	Now      func() time.Time
 	Validate func(sycamorerun.Tree) []sycamorerun.Fault
--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -90,6 +90,22 @@
 	is.Equal(code(a.Lookup(t.Context(), "never")), "no-such-change")
 }
 
+// Guards against a change that is lost or reported as refused when the store
+// answers after its submitter gave up.
+func TestSlowStore(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := run(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	f.mu.Lock()
+	f.fault = func(string, string) (error, bool) { time.Sleep(40 * time.Millisecond); return nil, true }
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	is.Equal(a.Submit(ctx, apply("one", "flow", 6)).Status, sycamorerun.StatusUnknown)
+	is.Equal(a.Lookup(t.Context(), "one").Version, sycamorerun.Version(2))
+}
+
 // Guards against a stale slot that makes an acceptor give up, overwrite a newer
 // entry or load the store with attempts that can't succeed.
 func TestStaleReads(t *testing.T) {
