Test a batch that one entry can't hold

The earlier test refused its large changes by the limit of the tree and never split a batch. The new one fills an entry with a tree just below the limit and long operators' names: the batch takes two versions, and a tree one item larger is refused without the rest of the batch. Without the halving the test does not pass.

--- a/node/acceptor/bench_test.go
+++ b/node/acceptor/bench_test.go
@@ -30,14 +30,11 @@
 		a.Store = persister.NewClient(persister.ClientConfig{Address: netip.MustParseAddrPort(address)})
 	}
 	submit := func(changes []sycamorerun.Change) {
-		var batch []*job
-		for _, change := range changes {
-			change.ID = uuid.NewString()
-			batch = append(batch, &job{ctx: b.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)})
+		for i := range changes {
+			changes[i].ID = uuid.NewString()
 		}
-		a.serve(b.Context(), batch)
-		for _, j := range batch {
-			if outcome := <-j.done; outcome.Status != sycamorerun.StatusAccepted {
+		for _, outcome := range serve(b, a, changes...) {
+			if outcome.Status != sycamorerun.StatusAccepted {
 				b.Fatal(outcome)
 			}
 		}
--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -319,14 +319,8 @@
 func TestSameIDInBatch(t *testing.T) {
 	is := is.New(t)
 	f := newFake()
-	a := New(f.store())
-	var batch []*job
-	for _, change := range []sycamorerun.Change{bootstrap(), apply("one", "flow", 1), apply("one", "flow", 1)} {
-		batch = append(batch, &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)})
-	}
-	a.serve(t.Context(), batch)
-	for _, j := range batch {
-		is.Equal((<-j.done).Version, sycamorerun.Version(1))
+	for _, outcome := range serve(t, New(f.store()), bootstrap(), apply("one", "flow", 1), apply("one", "flow", 1)) {
+		is.Equal(outcome.Version, sycamorerun.Version(1))
 	}
 	verifyLog(t, f, 1)
 }
@@ -334,33 +328,44 @@
 // Guards against a batch that fails as a whole because one entry can't hold
 // it, and against a change that can never be stored.
 func TestLargeBatch(t *testing.T) {
-	is := is.New(t)
-	f := newFake()
-	a := New(f.store())
-	noise := func(id string, items int) *job {
-		change := apply(id, "flow", 1)
+	noise := func(n int) []byte {
+		data := make([]byte, n)
+		_, _ = rand.Read(data)
+		return data
+	}
+	large := func(items int) sycamorerun.Change {
+		change := apply("large", "flow", 1)
 		for i := range items {
-			data := make([]byte, 40<<10)
-			_, _ = rand.Read(data)
-			change.Items[sycamorerun.Path(fmt.Sprintf("flow/service/s%s%d", id, i))] = item(data)
+			change.Items[sycamorerun.Path(fmt.Sprint("flow/service/s", i))] = item(noise(40 << 10))
 		}
-		return &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+		return change
 	}
-	admin := &job{ctx: t.Context(), request: Request{Change: bootstrap()}, done: make(chan sycamorerun.Outcome, 1)}
-	batch := []*job{admin, noise("a", 12), noise("b", 12), noise("c", 30)}
-	// The teams' subtrees are apart so that both fit one entry only in turn.
-	batch[2].request.Change.Team = "other"
-	items := map[sycamorerun.Path]sycamorerun.Item{}
-	for path, value := range batch[2].request.Change.Items {
-		_, kind, name := path.Split()
-		items[sycamorerun.NewPath("other", kind, name)] = value
+	cases := map[string]struct {
+		items int
+		want  sycamorerun.Status
+		last  sycamorerun.Version
+	}{
+		"just fits the tree": {16, sycamorerun.StatusAccepted, 3},
+		"never fits":         {17, sycamorerun.StatusRefused, 2},
 	}
-	batch[2].request.Change.Items = items
-	a.serve(t.Context(), batch)
-	want := []sycamorerun.Status{sycamorerun.StatusAccepted, sycamorerun.StatusAccepted, sycamorerun.StatusRefused, sycamorerun.StatusRefused}
-	for i, j := range batch {
-		outcome := <-j.done
-		is.Equal(outcome.Status, want[i])
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			a := New(f.store())
+			serve(t, a, bootstrap())
+			batch := []sycamorerun.Change{large(test.items)}
+			for i := range 16 {
+				// The operators' names fill what the tree leaves of an entry.
+				change := apply(fmt.Sprint(i), "other", i)
+				change.Operator = fmt.Sprintf("%x", noise(4<<10))
+				batch = append(batch, change)
+			}
+			for i, outcome := range serve(t, a, batch...) {
+				is.Equal(outcome.Status == test.want, i == 0 || test.want == sycamorerun.StatusAccepted)
+			}
+			is.Equal(a.head.Version, test.last)
+			verifyLog(t, f, test.last)
+		})
 	}
-	verifyLog(t, f, a.head.Version)
 }
--- a/node/acceptor/fake_test.go
+++ b/node/acceptor/fake_test.go
@@ -140,6 +140,21 @@
 	return a
 }
 
+// serve commits changes as one batch, without the queue.
+func serve(t testing.TB, a *Acceptor, changes ...sycamorerun.Change) []sycamorerun.Outcome {
+	t.Helper()
+	batch := make([]*job, len(changes))
+	for i, change := range changes {
+		batch[i] = &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+	}
+	a.serve(t.Context(), batch)
+	outcomes := make([]sycamorerun.Outcome, len(batch))
+	for i, j := range batch {
+		outcomes[i] = <-j.done
+	}
+	return outcomes
+}
+
 func item(value any) sycamorerun.Item {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/node/acceptor/review_test.go
+++ b/node/acceptor/review_test.go
@@ -69,11 +69,7 @@
 	a := New(f.store())
 	now := time.Unix(1000, 0)
 	a.Now = func() time.Time { return now }
-	submit := func(change sycamorerun.Change) sycamorerun.Outcome {
-		j := &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
-		a.serve(t.Context(), []*job{j})
-		return <-j.done
-	}
+	submit := func(change sycamorerun.Change) sycamorerun.Outcome { return serve(t, a, change)[0] }
 	submit(bootstrap())
 	for i := range MaxProposals {
 		is.Equal(submit(apply(fmt.Sprint(i), "review", i)).Status, sycamorerun.StatusPending)
