--- a/node/acceptor/fake_test.go
+++ b/node/acceptor/fake_test.go
@@ -103,6 +103,9 @@
 		},
 		Delete: func(_ context.Context, key string, expected persister.Revision) error {
 			return f.call("delete", key, func() error {
+				if _, ok := f.objects[key]; !ok {
+					return persister.ErrMissing
+				}
 				if f.objects[key].Revision != expected {
 					return persister.ErrConflict
 				}
@@ -137,6 +140,21 @@
 	return a
 }
 
+// serve commits changes as one batch, without the queue.
+func serve(t testing.TB, a *Acceptor, changes ...sycamorerun.Change) []sycamorerun.Outcome {
+	t.Helper()
+	batch := make([]*job, len(changes))
+	for i, change := range changes {
+		batch[i] = &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+	}
+	a.serve(t.Context(), batch)
+	outcomes := make([]sycamorerun.Outcome, len(batch))
+	for i, j := range batch {
+		outcomes[i] = <-j.done
+	}
+	return outcomes
+}
+
 func item(value any) sycamorerun.Item {
 	data, err := json.Marshal(value)
 	if err != nil {
