Test the tracker over links that fail

Crash, restart, herd restart, a partitioned availability zone, a lost node that returns and frozen links run over in-memory streams with periods five times shorter, and a frozen TCP session runs over the connector with those of production.

--- a/node/connector/connector_test.go
+++ b/node/connector/connector_test.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.Listen = address
 	if !c.Self.Address.IsValid() {
 		c.Self.Address = address
 	}
--- a/node/connector/failure_test.go
+++ b/node/connector/failure_test.go
@@ -54,11 +54,12 @@
 // middlebox does that lost its state.
 type proxy struct {
 	address netip.AddrPort
-	frozen  sync.Map
-	conns   atomic.Int64
+	// conns numbers the connections; those up to frozen drop everything.
+	conns, frozen atomic.Int64
+	to            atomic.Pointer[netip.AddrPort]
 }
 
-func newProxy(t *testing.T, to netip.AddrPort) *proxy {
+func newProxy(t *testing.T) *proxy {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -71,7 +72,7 @@
 			if err != nil {
 				return
 			}
-			far, err := net.Dial("tcp", to.String())
+			far, err := net.Dial("tcp", p.to.Load().String())
 			if err != nil {
 				_ = near.Close()
 				continue
@@ -93,26 +94,27 @@
 			_ = to.Close()
 			return
 		}
-		if _, frozen := p.frozen.Load(number); !frozen {
+		if number > p.frozen.Load() {
 			_, _ = to.Write(data[:n])
 		}
 	}
 }
 
-func (p *proxy) freeze() { p.frozen.Store(p.conns.Load(), true) }
+func (p *proxy) freeze() { p.frozen.Store(p.conns.Load()) }
 
 // Guards against new work that waits for a session which went silent.
 func TestFrozenSessionIsReplaced(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	b, _ := start(t, "b", nil, quick)
-	p := newProxy(t, b.Self.Address)
+	p := newProxy(t)
+	p.to.Store(&b.Listen)
 	a, _ := start(t, "a", nil, quick)
 	is.NoErr(echo(a, p.address))
 	p.freeze()
 	eventually(t, "both ends close the frozen session", func() bool { return a.Sessions() == 0 && b.Sessions() == 0 })
 	is.NoErr(echo(a, p.address))
-	is.True(p.conns.Load() >= 2)
+	is.True(p.conns.Load() > p.frozen.Load())
 }
 
 // Guards against input that ends the connector, holds a session or reaches a
--- a/node/tracker/contact.go
+++ b/node/tracker/contact.go
@@ -14,8 +14,6 @@
 	joinMost  = 10 * time.Second
 	// contacts is the number of seeds that one round tries.
 	contacts = 3
-	// healing is the mean interval of attempts to reach lost nodes.
-	healing = 5 * time.Second
 	// healers is the expected number of nodes on each side of a partition
 	// that try to reach a lost node in an interval. It bounds the dials to a
 	// failed node's address, whatever the size of the fleet.
@@ -86,7 +84,7 @@
 // one of them exchanges the records of both sides.
 func (t *Tracker) heal(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, healing/2+rand.N(healing))
+		sleep(ctx, t.timing.healing/2+rand.N(t.timing.healing))
 		for _, zone := range t.claimedZones() {
 			t.retryZone(ctx, zone)
 		}
--- a/node/tracker/link.go
+++ b/node/tracker/link.go
@@ -18,11 +18,8 @@
 	// batch is how long records wait for others on the same link. Ten hops
 	// from a leaf to a leaf in another region take half a second.
 	batch = 50 * time.Millisecond
-	// heartbeat is the interval of heartbeats, silence the time after which a
-	// link without any frame is given up: three missed heartbeats and some
-	// slack for the delivery.
-	heartbeat = time.Second
-	silence   = 3*time.Second + 250*time.Millisecond
+	// writing bounds the sending of one frame.
+	writing = 3 * time.Second
 	// mismatchMost is the number of heartbeats with a differing digest after
 	// which the records are exchanged again. Records that are on their way
 	// make digests differ for a moment.
@@ -74,7 +71,7 @@
 // holding the writer.
 func (l *link) write(frames []*Frame) error {
 	for _, frame := range frames {
-		_ = l.conn.SetWriteDeadline(time.Now().Add(silence))
+		_ = l.conn.SetWriteDeadline(time.Now().Add(writing))
 		if _, err := encoder.Write(l.conn, frame); err != nil {
 			return err
 		}
@@ -85,8 +82,8 @@
 // preferOld decides between two links to the same peer. Both ends may have
 // opened one at about the same time and have to keep the same one: the one
 // that the lower name opened. Later, the newer one counts.
-func preferOld(old, fresh *link, self string) bool {
-	if old.opened == fresh.opened || fresh.started.Sub(old.started) >= heartbeat {
+func preferOld(old, fresh *link, self string, window time.Duration) bool {
+	if old.opened == fresh.opened || fresh.started.Sub(old.started) >= window {
 		return false
 	}
 	return old.opened == (self < old.peer)
--- a/node/tracker/neighbour.go
+++ b/node/tracker/neighbour.go
@@ -12,21 +12,6 @@
 	"sycamorerun/node/planner"
 )
 
-const (
-	// retry is the pause between attempts to link with a peer. The dials
-	// themselves back off in the connector.
-	retry = 250 * time.Millisecond
-	// grace is how long the end that is not meant to open a link waits for
-	// the other one. Both ends may have different plans for a while.
-	grace = time.Second
-	// patience bounds the opening of a stream and the wait for its first
-	// frame. It is shorter than the connector's dial limit and adds to the time
-	// in which a host that drops all packets is found.
-	patience = 2 * time.Second
-	// probing bounds the probes that follow.
-	probing = time.Second
-)
-
 // neighbour is a peer that the plan links to.
 type neighbour struct {
 	name    string
@@ -89,8 +74,8 @@
 			heard = t.lastHeard(l, lost)
 			continue
 		}
-		if !n.opens && time.Since(lost) < grace {
-			sleep(ctx, retry)
+		if !n.opens && time.Since(lost) < t.timing.grace {
+			sleep(ctx, t.timing.retry)
 			continue
 		}
 		err := t.connect(ctx, n.address, n.name)
@@ -98,11 +83,11 @@
 			continue
 		}
 		level.Debug(t.Logger).Log("msg", "link not opened", "peer", n.name, "address", n.address, "err", err)
-		if time.Since(heard) >= silence && ctx.Err() == nil {
+		if time.Since(heard) >= t.timing.silence && ctx.Err() == nil {
 			t.investigate(ctx, n)
 			heard = time.Now()
 		}
-		sleep(ctx, retry)
+		sleep(ctx, t.timing.retry)
 	}
 }
 
@@ -134,7 +119,7 @@
 // probe opens a stream to each member and returns the names of those where
 // that fails.
 func (t *Tracker) probe(ctx context.Context, members []*record) []string {
-	ctx, cancel := context.WithTimeout(ctx, probing)
+	ctx, cancel := context.WithTimeout(ctx, t.timing.probing)
 	defer cancel()
 	var mu sync.Mutex
 	var lost []string
@@ -157,7 +142,7 @@
 
 // connect opens a link. An empty name takes whoever answers.
 func (t *Tracker) connect(ctx context.Context, to netip.AddrPort, name string) error {
-	opening, cancel := context.WithTimeout(ctx, patience)
+	opening, cancel := context.WithTimeout(ctx, t.timing.patience)
 	defer cancel()
 	conn, err := t.Open(opening, to)
 	if err != nil {
--- a/node/tracker/table.go
+++ b/node/tracker/table.go
@@ -8,10 +8,8 @@
 	"sycamorerun"
 )
 
-// Periods of the failure detection.
+// Periods after which records are forgotten.
 const (
-	// suspicion is the time that a suspect has to refute.
-	suspicion = 3 * time.Second
 	// retention is how long failed and left records are kept, so that an old
 	// record that is still on its way can't bring the node back.
 	retention = 10 * time.Minute
@@ -25,8 +23,10 @@
 // table holds the records and makes the decisions about them. It does no
 // input or output and reads no clock.
 type table struct {
-	own     own
-	records map[string]*record
+	// suspicion is the time that a suspect has to refute.
+	suspicion time.Duration
+	own       own
+	records   map[string]*record
 	// timed names the records that the passing of time changes.
 	timed   map[string]*record
 	buckets [bucketCount]uint64
@@ -41,18 +41,19 @@
 	list []sycamorerun.Instance
 }
 
-func newTable(now time.Time, self sycamorerun.Instance) *table {
+func newTable(now time.Time, self sycamorerun.Instance, suspicion time.Duration) *table {
 	self.Sequence = max(self.Sequence, 1)
 	if self.State == "" {
 		self.State = sycamorerun.StateNone
 	}
 	self.Since = now.Truncate(time.Millisecond).UTC()
 	t := &table{
-		own:     own{name: self.Name},
-		records: map[string]*record{},
-		timed:   map[string]*record{},
-		claims:  map[string]map[string]struct{}{},
-		down:    map[string]time.Time{},
+		suspicion: suspicion,
+		own:       own{name: self.Name},
+		records:   map[string]*record{},
+		timed:     map[string]*record{},
+		claims:    map[string]map[string]struct{}{},
+		down:      map[string]time.Time{},
 	}
 	t.replace(now, &record{Instance: self, key: newKey(self.Name)})
 	return t
@@ -167,7 +168,7 @@
 // expire moves one record on: suspect, failed, not shared, forgotten.
 func (t *table) expire(now time.Time, r *record) (changed bool) {
 	age := now.Sub(r.since)
-	if r.health == suspect && age >= suspicion {
+	if r.health == suspect && age >= t.suspicion {
 		next := *r
 		next.health, next.shared = failed, false
 		// Every node has the suspicion and its own timer, so there is nothing
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -69,7 +69,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			table := newTable(start, instance(0, "a1"))
+			table := newTable(start, instance(0, "a1"), standard.suspicion)
 			for _, step := range test.steps {
 				table.tick(at(step.at))
 				in := *step.in
@@ -89,7 +89,7 @@
 	for name, change := range map[string]func(*record){"failed": dead, "left": left} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			table, other := newTable(start, instance(0, "a1")), newTable(start, instance(0, "a1"))
+			table, other := newTable(start, instance(0, "a1"), standard.suspicion), newTable(start, instance(0, "a1"), standard.suspicion)
 			table.merge(start, about(1, 1, change))
 			table.tick(at(538))
 			is.True(table.digest() != other.digest())
@@ -128,7 +128,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			table := newTable(start, instance(0, "a1"))
+			table := newTable(start, instance(0, "a1"), standard.suspicion)
 			is.True(!table.merge(start, test.in))
 			table.tick(at(1))
 			got := table.records["node-0000"]
@@ -144,7 +144,7 @@
 // failed whose refutations it has not read yet.
 func TestResume(t *testing.T) {
 	is := is.New(t)
-	table := newTable(start, instance(0, "a1"))
+	table := newTable(start, instance(0, "a1"), standard.suspicion)
 	table.merge(start, about(1, 1, nil))
 	table.suspect(at(1), "node-0001")
 	table.resume(at(100))
@@ -157,7 +157,7 @@
 // Guards against an upstream that stays in use after its last announcement.
 func TestLapse(t *testing.T) {
 	is := is.New(t)
-	table := newTable(start, instance(0, "a1"))
+	table := newTable(start, instance(0, "a1"), standard.suspicion)
 	state := func(seconds float64) sycamorerun.State {
 		table.tick(at(seconds))
 		return table.records["node-0000"].State
@@ -176,7 +176,7 @@
 
 // fill returns a table with n records in zones availability zones.
 func fill(n, zones int) *table {
-	table := newTable(start, instance(0, "a0"))
+	table := newTable(start, instance(0, "a0"), standard.suspicion)
 	for i := 1; i < n; i++ {
 		self := instance(i, fmt.Sprintf("a%d", i%zones))
 		self.Sequence, self.State, self.Service, self.Slots = 1, sycamorerun.StateReady, "quote-desk", 6
@@ -209,8 +209,8 @@
 func TestExchange(t *testing.T) {
 	cases := map[string]func(a, b *table){
 		"equal":            func(_, _ *table) {},
-		"one is empty":     func(_, b *table) { *b = *newTable(start, instance(5000, "b1")) },
-		"the other one is": func(a, _ *table) { *a = *newTable(start, instance(5000, "b1")) },
+		"one is empty":     func(_, b *table) { *b = *newTable(start, instance(5000, "b1"), standard.suspicion) },
+		"the other one is": func(a, _ *table) { *a = *newTable(start, instance(5000, "b1"), standard.suspicion) },
 		"both changed": func(a, b *table) {
 			random := rand.New(rand.NewPCG(1, 2))
 			for i := range 200 {
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -21,17 +21,8 @@
 )
 
 const (
-	// step is the interval of the decisions that time drives.
-	step = 250 * time.Millisecond
-	// pause is a gap between two steps from which on this process counts as
-	// having been paused: what it didn't hear in that time says nothing about
-	// its peers.
-	pause = 2 * time.Second
 	// settle is how long changes are collected before the plan is made again.
 	settle = 50 * time.Millisecond
-	// linger is how long a link that the plan doesn't want any more stays
-	// open, so that an exchange can finish.
-	linger = 10 * time.Second
 	// linksMost bounds the links that peers open.
 	linksMost = 256
 )
@@ -57,6 +48,7 @@
 	Scope   tally.Scope
 
 	once    sync.Once
+	timing  timing
 	metrics *metrics
 	// changes signals that Changed has to be called.
 	changes chan struct{}
@@ -103,7 +95,10 @@
 		}
 		t.metrics = newMetrics(t.Scope)
 		t.changes = make(chan struct{}, 1)
-		t.table = newTable(now, t.Self)
+		if t.timing == (timing{}) {
+			t.timing = standard
+		}
+		t.table = newTable(now, t.Self, t.timing.suspicion)
 		t.links = map[string]*link{}
 		t.neighbours = map[string]*neighbour{}
 		t.stepped, t.beaten = now, now
@@ -120,7 +115,7 @@
 	t.tasks.Go(func() { t.notify(ctx) })
 	t.tasks.Go(func() { t.join(ctx) })
 	t.tasks.Go(func() { t.heal(ctx) })
-	ticker := time.NewTicker(step)
+	ticker := time.NewTicker(t.timing.step)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -220,7 +215,7 @@
 // greet exchanges the first frames and adds the link. The opening end speaks
 // first.
 func (t *Tracker) greet(l *link, expected string) error {
-	_ = l.conn.SetReadDeadline(time.Now().Add(patience))
+	_ = l.conn.SetReadDeadline(time.Now().Add(t.timing.patience))
 	defer l.conn.SetReadDeadline(time.Time{})
 	if l.opened {
 		if err := l.write(t.greeting(l)); err != nil {
@@ -273,7 +268,7 @@
 	name := frame.GetFrom()
 	old := t.links[name]
 	switch {
-	case old != nil && preferOld(old, l, t.Self.Name):
+	case old != nil && preferOld(old, l, t.Self.Name, t.timing.heartbeat):
 		return errors.Errorf("link with %s already open", name)
 	case old != nil:
 		old.close()
@@ -436,7 +431,7 @@
 func (t *Tracker) tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.stepped) >= pause {
+	if now.Sub(t.stepped) >= t.timing.pause {
 		level.Warn(t.Logger).Log("msg", "process was paused", "time", now.Sub(t.stepped))
 		t.table.resume(now)
 		for _, l := range t.links {
@@ -453,7 +448,7 @@
 		t.changed()
 	}
 	t.spread(nil)
-	beat := now.Sub(t.beaten) >= heartbeat-step/2
+	beat := now.Sub(t.beaten) >= t.timing.heartbeat-t.timing.step/2
 	if beat {
 		t.beaten = now
 		t.metrics.members.Update(float64(len(t.table.live())))
@@ -477,7 +472,7 @@
 	} else if l.unwanted.IsZero() {
 		l.unwanted = now
 	}
-	if now.Sub(l.heard) >= silence || !l.unwanted.IsZero() && now.Sub(l.unwanted) >= linger {
+	if now.Sub(l.heard) >= t.timing.silence || !l.unwanted.IsZero() && now.Sub(l.unwanted) >= t.timing.linger {
 		delete(t.links, l.peer)
 		l.close()
 	}
@@ -494,7 +489,7 @@
 func (t *Tracker) lastHeard(l *link, now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.stepped) >= pause {
+	if now.Sub(t.stepped) >= t.timing.pause {
 		return now
 	}
 	return l.heard
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -25,6 +26,17 @@
 	mu       sync.Mutex
 	trackers map[netip.AddrPort]*Tracker
 	cut      func(from, to *Tracker) bool
+	// opened numbers the streams; those up to frozen drop everything.
+	opened, frozen int64
+}
+
+// divided returns the periods n times shorter.
+func (t timing) divided(n time.Duration) timing {
+	return timing{
+		step: t.step / n, heartbeat: t.heartbeat / n, silence: t.silence / n, suspicion: t.suspicion / n,
+		pause: t.pause / n, grace: t.grace / n, retry: t.retry / n, patience: t.patience / n,
+		probing: t.probing / n, healing: t.healing / n, linger: t.linger / n,
+	}
 }
 
 func newFabric(t *testing.T) *fabric {
@@ -44,7 +56,7 @@
 
 // start runs a tracker and returns it with its stop function.
 func (f *fabric) start(self sycamorerun.Instance) (*Tracker, context.CancelFunc) {
-	t := &Tracker{Self: self}
+	t := &Tracker{Self: self, timing: standard.divided(5)}
 	t.Plan = func() planner.Plan { return planner.New(self.Name, t.Reachable(time.Now())) }
 	t.Seeds = func(context.Context) ([]netip.AddrPort, error) { return []netip.AddrPort{address(0)}, nil }
 	t.Open = func(_ context.Context, to netip.AddrPort) (net.Conn, error) { return f.open(t, to) }
@@ -76,29 +88,36 @@
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
-	go peer.Serve(context.Background(), from.Self.Name, far)
-	return near, nil
+	f.opened++
+	go peer.Serve(context.Background(), from.Self.Name, pipe{far, f, f.opened, peer, from})
+	return pipe{near, f, f.opened, from, peer}, nil
+}
+
+// pipe is one end of a stream. It drops what is written when its number is
+// frozen or a partition lies between its ends.
+type pipe struct {
+	net.Conn
+	fabric   *fabric
+	number   int64
+	from, to *Tracker
 }
 
-// partition cuts the links for which cut holds; nil heals all.
+func (p pipe) Write(data []byte) (int, error) {
+	p.fabric.mu.Lock()
+	lost := p.number <= p.fabric.frozen || p.fabric.cut != nil && p.fabric.cut(p.from, p.to)
+	p.fabric.mu.Unlock()
+	if lost {
+		return len(data), nil
+	}
+	return p.Conn.Write(data)
+}
+
+// partition cuts the paths for which cut holds, without a sign to the ends;
+// nil heals all.
 func (f *fabric) partition(cut func(from, to *Tracker) bool) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.cut = cut
-	f.mu.Unlock()
-	if cut == nil {
-		return
-	}
-	for _, t := range f.trackers {
-		t.mu.Lock()
-		for name, l := range t.links {
-			for _, other := range f.trackers {
-				if other.Self.Name == name && cut(t, other) {
-					l.close()
-				}
-			}
-		}
-		t.mu.Unlock()
-	}
 }
 
 func eventually(t *testing.T, what string, condition func() bool) {
@@ -112,45 +131,176 @@
 
 func count(t *Tracker) int { return len(t.Live(time.Now())) }
 
+// fleet starts n nodes round robin in some availability zones and waits until
+// each of them lists all.
+func (f *fabric) fleet(n int, zones ...string) (trackers []*Tracker, stops []context.CancelFunc) {
+	f.t.Helper()
+	for i := range n {
+		tracker, stop := f.start(instance(i, zones[i%len(zones)]))
+		trackers, stops = append(trackers, tracker), append(stops, stop)
+	}
+	f.all("list all", trackers, func(t *Tracker) bool { return count(t) == n })
+	return trackers, stops
+}
+
+// all waits until a condition holds for each of some trackers.
+func (f *fabric) all(what string, trackers []*Tracker, condition func(*Tracker) bool) {
+	f.t.Helper()
+	eventually(f.t, what, func() bool {
+		for _, tracker := range trackers {
+			if !condition(tracker) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// find returns a node's record in a tracker's list, the zero one without it.
+func find(t *Tracker, name string) sycamorerun.Instance {
+	for _, member := range t.Live(time.Now()) {
+		if member.Name == name {
+			return member
+		}
+	}
+	return sycamorerun.Instance{}
+}
+
 // Guards against members that a joining node or the others don't learn, and
 // against leaving nodes that stay in the list.
 func TestJoinAndLeave(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
 	f := newFabric(t)
-	const members = 30
-	var trackers []*Tracker
-	for i := range members {
-		tracker, _ := f.start(instance(i, []string{"a1", "a2", "b1"}[i%3]))
-		trackers = append(trackers, tracker)
+	trackers, _ := f.fleet(30, "a1", "a2", "b1")
+	leaver := trackers[7]
+	leaver.Announce(time.Now(), "quote-desk", sycamorerun.StateReady, 6)
+	f.all("know the announcement", trackers, func(t *Tracker) bool {
+		return find(t, leaver.Self.Name).State == sycamorerun.StateReady
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	leaver.Leave(ctx)
+	is.NoErr(ctx.Err())
+	f.all("know that it left", trackers, func(t *Tracker) bool {
+		return t == leaver || find(t, leaver.Self.Name) == sycamorerun.Instance{}
+	})
+}
+
+// Guards against a crashed node that stays in the list, and a restarted one
+// that stays out of it.
+func TestCrashAndRestart(t *testing.T) {
+	t.Parallel()
+	f := newFabric(t)
+	trackers, stops := f.fleet(20, "a1", "a2")
+	const crashed = 11
+	stops[crashed]()
+	others := slices.Delete(slices.Clone(trackers), crashed, crashed+1)
+	f.all("drop the crashed node and no other", others, func(t *Tracker) bool { return count(t) == len(others) })
+	self := trackers[crashed].Self
+	self.Incarnation = self.Incarnation.Add(time.Second)
+	f.start(self)
+	f.all("list the new run", others, func(t *Tracker) bool {
+		return find(t, self.Name).Incarnation.Equal(self.Incarnation)
+	})
+}
+
+// Guards against nodes that stay away after a restart of most of the fleet.
+func TestHerdRestart(t *testing.T) {
+	t.Parallel()
+	f := newFabric(t)
+	trackers, stops := f.fleet(30, "a1", "a2", "b1")
+	for _, stop := range stops[3:] {
+		stop()
 	}
-	eventually(t, "every node lists all", func() bool {
-		for _, tracker := range trackers {
-			if count(tracker) != members {
+	for i := range trackers[3:] {
+		self := trackers[3+i].Self
+		self.Incarnation = self.Incarnation.Add(time.Second)
+		trackers[3+i], _ = f.start(self)
+	}
+	f.all("list all new runs", trackers, func(t *Tracker) bool {
+		for _, other := range trackers {
+			if !find(t, other.Self.Name).Incarnation.Equal(other.Self.Incarnation) {
 				return false
 			}
 		}
 		return true
 	})
-	trackers[7].Announce(time.Now(), "quote-desk", sycamorerun.StateReady, 6)
-	eventually(t, "the announcement reaches all", func() bool {
-		for _, tracker := range trackers {
-			if tracker.Live(time.Now())[7].State != sycamorerun.StateReady {
-				return false
-			}
+}
+
+// Guards against a cut-off availability zone whose members are planned with,
+// or have to refute when the partition heals.
+func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFabric(t)
+	trackers, _ := f.fleet(24, "a1", "a2", "a3")
+	f.partition(func(from, to *Tracker) bool {
+		return (from.Self.AvailabilityZone == "a3") != (to.Self.AvailabilityZone == "a3")
+	})
+	f.all("plan without the other side", trackers, func(t *Tracker) bool {
+		want := 16
+		if t.Self.AvailabilityZone == "a3" {
+			want = 8
 		}
-		return true
+		return len(t.Reachable(time.Now())) == want && count(t) == want
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), within)
-	defer cancel()
-	trackers[7].Leave(ctx)
-	is.NoErr(ctx.Err())
-	eventually(t, "no other node lists the one that left", func() bool {
-		for i, tracker := range trackers {
-			if i != 7 && count(tracker) != members-1 {
+	f.partition(nil)
+	f.all("plan with both sides again", trackers, func(t *Tracker) bool {
+		return len(t.Reachable(time.Now())) == len(trackers) && len(t.Suspects(time.Now())) == 0
+	})
+	changed := 0
+	for _, member := range trackers[0].Live(time.Now()) {
+		if member.Sequence > 1 {
+			changed++
+		}
+	}
+	// Only the nodes that link to the zones claim and withdraw.
+	is.True(changed < len(trackers)/2)
+}
+
+// Guards against a node that was paused or cut off, counts as failed, and
+// stays so when it is back.
+func TestLostNodeReturns(t *testing.T) {
+	t.Parallel()
+	f := newFabric(t)
+	trackers, _ := f.fleet(12, "a1")
+	lost := trackers[5]
+	others := slices.Delete(slices.Clone(trackers), 5, 6)
+	f.partition(func(from, to *Tracker) bool { return from == lost || to == lost })
+	f.all("drop the lost node", others, func(t *Tracker) bool { return count(t) == len(others) })
+	eventually(t, "the lost node is on its own", func() bool { return len(lost.Reachable(time.Now())) == 1 })
+	f.partition(nil)
+	f.all("list it again", trackers, func(t *Tracker) bool {
+		return len(t.Reachable(time.Now())) == len(trackers) && find(t, lost.Self.Name).Sequence > 1
+	})
+}
+
+// Guards against a peer that is declared failed because a stream to it froze.
+func TestFrozenLinkIsReplaced(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFabric(t)
+	trackers, _ := f.fleet(3, "a1")
+	f.mu.Lock()
+	f.frozen = f.opened
+	frozen := f.frozen
+	f.mu.Unlock()
+	f.all("replace all links", trackers, func(t *Tracker) bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for _, l := range t.links {
+			if l.conn.(pipe).number <= frozen {
 				return false
 			}
 		}
-		return true
+		return len(t.links) > 0
 	})
+	trackers[1].Announce(time.Now(), "quote-desk", sycamorerun.StateReady, 6)
+	f.all("know an announcement over the new links", trackers, func(t *Tracker) bool {
+		return find(t, trackers[1].Self.Name).State == sycamorerun.StateReady
+	})
+	for _, member := range trackers[0].Live(time.Now()) {
+		is.True(member.Sequence <= 2) // nobody had to refute
+	}
 }
