Bound the tracker's work under load

Eight concurrent test processes under -race on a machine with a load of 37 didn't settle: links broke faster than plans were made.

--- a/node/tracker/neighbour.go
+++ b/node/tracker/neighbour.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -75,7 +76,7 @@
 			continue
 		}
 		if !n.opens && time.Since(lost) < t.timing.grace {
-			sleep(ctx, t.timing.retry)
+			sleep(ctx, t.timing.grace/4)
 			continue
 		}
 		err := t.connect(ctx, n.address, n.name)
@@ -87,7 +88,7 @@
 			t.investigate(ctx, n)
 			heard = time.Now()
 		}
-		sleep(ctx, t.timing.retry)
+		sleep(ctx, rand.N(t.timing.retry))
 	}
 }
 
--- a/node/tracker/timing.go
+++ b/node/tracker/timing.go
@@ -19,8 +19,8 @@
 	// grace is how long the end that is not meant to open a link waits for
 	// the other one. Both ends may have different plans for a while.
 	grace time.Duration
-	// retry is the pause between attempts to link with a peer. The dials
-	// themselves back off in the connector.
+	// retry bounds the random pause between attempts to link with a peer. The
+	// dials themselves back off in the connector.
 	retry time.Duration
 	// patience bounds the opening of a stream and the wait for its first
 	// frame. It is shorter than the connector's dial limit, since it adds to
@@ -43,7 +43,7 @@
 	suspicion: 3 * time.Second,
 	pause:     2 * time.Second,
 	grace:     time.Second,
-	retry:     250 * time.Millisecond,
+	retry:     time.Second,
 	patience:  2 * time.Second,
 	probing:   time.Second,
 	healing:   5 * time.Second,
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -21,8 +21,12 @@
 )
 
 const (
-	// settle is how long changes are collected before the plan is made again.
-	settle = 50 * time.Millisecond
+	// settle is how long changes are collected before the plan is made again,
+	// at least: the collection takes settleFactor times as long as the last
+	// update did, so that a flood of changes to a large fleet takes at most a
+	// few percent of a core.
+	settle       = 50 * time.Millisecond
+	settleFactor = 30
 	// linksMost bounds the links that peers open.
 	linksMost = 256
 )
@@ -411,19 +415,22 @@
 // notify calls Changed and follows the plan, once for changes that come close
 // together.
 func (t *Tracker) notify(ctx context.Context) {
+	cost := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.changes:
 		}
-		sleep(ctx, settle)
+		sleep(ctx, max(settle, settleFactor*cost))
+		started := time.Now()
 		if t.Changed != nil {
 			t.Changed()
 		}
 		if ctx.Err() == nil {
 			t.reconcile(ctx, t.Plan())
 		}
+		cost = min(time.Since(started), settle)
 	}
 }
 
