Measure and lower the cost of membership

Yamux wrote header and body of a frame separately, so a heartbeat of 20 bytes took two TLS records and 76 bytes; joined they take 54.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"encoding/binary"
 	"net"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,50 @@
 	return time.Duration(now.UnixNano() - w.received.Load())
 }
 
+// Parts of a yamux frame: the header has the version, the type, two bytes of
+// flags, four of the stream and four of the length.
+const (
+	headerBytes = 12
+	joinedBytes = 1400
+)
+
+// joiner sends a short yamux frame's header and body in one write. Yamux
+// writes them one after the other, which would cost a second TLS record and a
+// second packet for each message.
+type joiner struct {
+	net.Conn
+	// header is the one that waits for its body. Only yamux's sending
+	// goroutine writes.
+	header []byte
+}
+
+func (j *joiner) Write(p []byte) (int, error) {
+	if len(j.header) == 0 && dataHeader(p) {
+		j.header = append(j.header, p...)
+		return len(p), nil
+	}
+	if len(j.header) == 0 {
+		return j.Conn.Write(p)
+	}
+	frame := j.header
+	j.header = j.header[:0]
+	if len(p) <= joinedBytes {
+		joined := append(frame, p...)
+		j.header = joined[:0]
+		n, err := j.Conn.Write(joined)
+		return max(n-headerBytes, 0), err
+	}
+	if _, err := j.Conn.Write(frame); err != nil {
+		return 0, err
+	}
+	return j.Conn.Write(p)
+}
+
+// dataHeader reports whether p is the header of a data frame with a body.
+func dataHeader(p []byte) bool {
+	return len(p) == headerBytes && p[0] == 0 && p[1] == 0 && binary.BigEndian.Uint32(p[8:]) > 0
+}
+
 // stream counts the payload bytes of one stream.
 type stream struct {
 	net.Conn
--- a/node/connector/connector.go
+++ b/node/connector/connector.go
@@ -160,7 +160,7 @@
 		level.Debug(c.Logger).Log("msg", "inbound session rejected", "remote", conn.RemoteAddr(), "err", err)
 		return
 	}
-	<-s.mux.CloseChan()
+	c.accept(s)
 }
 
 // drain waits until no stream is open or the drain time has passed.
--- a/node/connector/connector_test.go
+++ b/node/connector/connector_test.go
@@ -22,7 +22,7 @@
 
 // start runs a connector that answers streams of kind "echo". A zero
 // address announces the one it listens on.
-func start(t *testing.T, name string, config *tls.Config, change func(*connector.Connector)) (*connector.Connector, context.CancelFunc) {
+func start(t testing.TB, name string, config *tls.Config, change func(*connector.Connector)) (*connector.Connector, context.CancelFunc) {
 	t.Helper()
 	c := &connector.Connector{
 		Self: connector.Peer{
@@ -62,7 +62,7 @@
 	return c, stop
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
--- a/node/connector/decision_test.go
+++ b/node/connector/decision_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +132,42 @@
 		}
 	})
 }
+
+// Guards against frames that are cut or reordered when a header waits for its
+// body.
+func TestJoiner(t *testing.T) {
+	header := func(kind, length byte) string { return string([]byte{0, kind, 0, 0, 0, 0, 0, 1, 0, 0, 0, length}) }
+	long := strings.Repeat("l", joinedBytes+1)
+	cases := map[string]struct{ writes, want []string }{
+		"data":                  {[]string{header(0, 3), "abc"}, []string{header(0, 3) + "abc"}},
+		"data twice":            {[]string{header(0, 1), "a", header(0, 1), "b"}, []string{header(0, 1) + "a", header(0, 1) + "b"}},
+		"long data":             {[]string{header(0, 9), long}, []string{header(0, 9), long}},
+		"data without a body":   {[]string{header(0, 0)}, []string{header(0, 0)}},
+		"ping":                  {[]string{header(2, 7)}, []string{header(2, 7)}},
+		"body like a header":    {[]string{header(0, 12), header(0, 1)}, []string{header(0, 12) + header(0, 1)}},
+		"header and body joint": {[]string{header(0, 3) + "abc"}, []string{header(0, 3) + "abc"}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sink := &writes{}
+			j := &joiner{Conn: sink}
+			for _, data := range test.writes {
+				n, err := j.Write([]byte(data))
+				is.NoErr(err)
+				is.Equal(n, len(data))
+			}
+			is.Equal(sink.data, test.want)
+		})
+	}
+}
+
+type writes struct {
+	net.Conn
+	data []string
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.data = append(w.data, string(p))
+	return len(p), nil
+}
--- a/node/connector/dial.go
+++ b/node/connector/dial.go
@@ -86,6 +86,9 @@
 	if err == nil {
 		err = c.register(s, to)
 	}
+	if err == nil {
+		go c.accept(s)
+	}
 	c.mu.Lock()
 	t.current = nil
 	if err != nil {
--- a/node/connector/failure_test.go
+++ b/node/connector/failure_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-func noError(t *testing.T, err error) {
+func noError(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Error(err)
--- a/node/connector/registry.go
+++ b/node/connector/registry.go
@@ -22,8 +22,8 @@
 	return old.diallerName(self) < fresh.diallerName(self)
 }
 
-// register makes an established session available for streams. The address
-// that was dialled may differ from the one that the peer announces.
+// register makes an established session available for streams; the caller runs
+// accept afterwards. The address that was dialled may differ from the one that the peer announces.
 func (c *Connector) register(s *session, dialled netip.AddrPort) error {
 	stale, err := c.add(s, dialled)
 	for _, old := range stale {
@@ -35,7 +35,6 @@
 		return err
 	}
 	level.Debug(c.Logger).Log("msg", "session opened", "peer", s.peer.Name, "address", s.peer.Address, "dialled", s.dialled)
-	go c.accept(s)
 	return nil
 }
 
--- a/node/connector/session.go
+++ b/node/connector/session.go
@@ -108,7 +108,7 @@
 	if s.dialled {
 		create = yamux.Client
 	}
-	s.mux, err = create(secured, c.muxConfig())
+	s.mux, err = create(&joiner{Conn: secured}, c.muxConfig())
 	return errors.Wrap(err, "session")
 }
 
@@ -118,7 +118,6 @@
 	// bytes of keepalives beside heartbeats, and any received byte counts.
 	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = c.limits.Stall
-	config.AcceptBacklog = 1024
 	config.LogOutput = nil
 	config.Logger = muxLogger{level.Debug(c.Logger)}
 	return config
--- a/node/connector/tls_test.go
+++ b/node/connector/tls_test.go
@@ -17,12 +17,12 @@
 
 // authority issues the certificates of one cluster.
 type authority struct {
-	t           *testing.T
+	t           testing.TB
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
 }
 
-func newAuthority(t *testing.T) authority {
+func newAuthority(t testing.TB) authority {
 	a := authority{t: t}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
--- a/node/planner/order.go
+++ b/node/planner/order.go
@@ -39,6 +39,22 @@
 	return other.member == nil || r.compare(other) < 0
 }
 
+// place is an availability zone.
+type place struct{ region, zone string }
+
+// firsts are the members of one place that rank first and second in each
+// order.
+type firsts [Trees][2]ranked
+
+func (f *firsts) add(tree int, r ranked) {
+	switch pair := &f[tree]; {
+	case r.before(pair[0]):
+		pair[0], pair[1] = r, pair[0]
+	case r.before(pair[1]):
+		pair[1] = r
+	}
+}
+
 // order is one order of the members as far as one node needs it: the full
 // order of its availability zone, but only the firsts of all others. This
 // keeps the cost linear in the number of members.
@@ -54,37 +70,57 @@
 	regionFirst, regionSecond ranked
 }
 
-func newOrder(tree int, me *sycamorerun.Instance, members []sycamorerun.Instance) order {
-	o := order{tree: tree, zoneFirsts: map[string]ranked{}, regionFirsts: map[string]ranked{}}
-	digest := xxhash.NewWithSeed(seeds[tree])
+// newOrders looks up the place of each member once, since that costs as much
+// as its hashes.
+func newOrders(me *sycamorerun.Instance, members []sycamorerun.Instance) (orders [Trees]order) {
+	home := place{me.Region, me.AvailabilityZone}
+	places := map[place]*firsts{}
+	var digests [Trees]xxhash.Digest
 	for i := range members {
-		digest.ResetWithSeed(seeds[tree])
-		_, _ = digest.WriteString(members[i].Name)
-		o.add(me, ranked{hash: digest.Sum64(), member: &members[i]})
+		member := &members[i]
+		where := place{member.Region, member.AvailabilityZone}
+		found := places[where]
+		if found == nil {
+			found = &firsts{}
+			places[where] = found
+		}
+		for tree := range orders {
+			digests[tree].ResetWithSeed(seeds[tree])
+			_, _ = digests[tree].WriteString(member.Name)
+			r := ranked{hash: digests[tree].Sum64(), member: member}
+			found.add(tree, r)
+			if where == home {
+				orders[tree].zone = append(orders[tree].zone, r)
+			}
+		}
 	}
-	slices.SortFunc(o.zone, ranked.compare)
-	return o
+	for tree := range orders {
+		orders[tree].finish(tree, me.Region, places)
+	}
+	return orders
 }
 
-func (o *order) add(me *sycamorerun.Instance, r ranked) {
-	if r.before(o.regionFirsts[r.member.Region]) {
-		o.regionFirsts[r.member.Region] = r
-	}
-	if r.member.Region != me.Region {
-		return
-	}
-	switch {
-	case r.before(o.regionFirst):
-		o.regionFirst, o.regionSecond = r, o.regionFirst
-	case r.before(o.regionSecond):
-		o.regionSecond = r
-	}
-	if r.before(o.zoneFirsts[r.member.AvailabilityZone]) {
-		o.zoneFirsts[r.member.AvailabilityZone] = r
-	}
-	if r.member.AvailabilityZone == me.AvailabilityZone {
-		o.zone = append(o.zone, r)
+func (o *order) finish(tree int, region string, places map[place]*firsts) {
+	o.tree = tree
+	o.zoneFirsts, o.regionFirsts = map[string]ranked{}, map[string]ranked{}
+	var regional firsts
+	for where, found := range places {
+		first := found[tree][0]
+		if first.before(o.regionFirsts[where.region]) {
+			o.regionFirsts[where.region] = first
+		}
+		if where.region != region {
+			continue
+		}
+		o.zoneFirsts[where.zone] = first
+		for _, r := range found[tree] {
+			if r.member != nil {
+				regional.add(tree, r)
+			}
+		}
 	}
+	o.regionFirst, o.regionSecond = regional[tree][0], regional[tree][1]
+	slices.SortFunc(o.zone, ranked.compare)
 }
 
 // rank returns the position of the member called name within the zone.
--- a/node/planner/plan.go
+++ b/node/planner/plan.go
@@ -71,9 +71,8 @@
 		return Plan{Watch: None}
 	}
 	plan := Plan{}
-	var orders [Trees]order
+	orders := newOrders(me, members)
 	for tree := range orders {
-		orders[tree] = newOrder(tree, me, members)
 		plan.Links = append(plan.Links, orders[tree].links(me)...)
 	}
 	plan.Watch = watch(self, &orders)
--- /dev/null
+++ b/node/tracker/cost_test.go
@@ -0,0 +1,120 @@
+package tracker
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamorerun"
+	"sycamorerun/node/planner"
+)
+
+// fleetSize is the number of nodes in two years.
+const fleetSize = 9800
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// received returns a table whose records came in frames, as on a node that
+// joined, so that strings are not shared with the benchmark.
+func received(n int) *table {
+	table := newTable(start, instance(0, "a0"), standard.suspicion)
+	for i := 1; i < n; i++ {
+		self := instance(i, fmt.Sprintf("a%d", i%11))
+		self.Name = fmt.Sprintf("quote-desk-%05d.node", i)
+		self.Sequence, self.State, self.Service, self.Slots = 3, sycamorerun.StateReady, fmt.Sprintf("service-%03d", i%430), 6
+		self.Since = start
+		data, _ := proto.Marshal(encode(start, &record{Instance: self}))
+		message := &Record{}
+		_ = proto.Unmarshal(data, message)
+		r, _ := decode(start, message)
+		table.merge(start, r)
+	}
+	table.news = nil
+	return table
+}
+
+func BenchmarkRecordMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		table := received(fleetSize)
+		records := heap()
+		table.live()
+		list := heap()
+		b.ReportMetric(float64(records-before)/fleetSize, "B/record")
+		b.ReportMetric(float64(list-records)/fleetSize, "B/record-listed")
+		runtime.KeepAlive(table)
+	}
+}
+
+// BenchmarkChange takes one changed record from a frame and makes the list and
+// the plan again.
+func BenchmarkChange(b *testing.B) {
+	table := received(fleetSize)
+	r := *table.records["quote-desk-00700.node"]
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Sequence++
+		frame := &Frame{Records: []*Record{encode(start, &r)}}
+		_ = table.take(start, &link{peer: "x", dirty: map[string]struct{}{}}, frame)
+		table.news = nil
+		planner.New("node-0000", table.reachable())
+	}
+	b.ReportMetric(float64(proto.Size(encode(start, &r))), "B/record-sent")
+}
+
+// BenchmarkTake is the part of a change that isn't shared by the changes of
+// one collection time.
+func BenchmarkTake(b *testing.B) {
+	table := received(fleetSize)
+	r := *table.records["quote-desk-00700.node"]
+	for b.Loop() {
+		r.Sequence++
+		_ = table.take(start, &link{peer: "x", dirty: map[string]struct{}{}}, &Frame{Records: []*Record{encode(start, &r)}})
+		table.news = nil
+	}
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	table := received(fleetSize)
+	l := &link{peer: "x", dirty: map[string]struct{}{}}
+	size := 0
+	for b.Loop() {
+		l.beat = true
+		frame := table.compose(start, l, 1_000_000)[0]
+		size = proto.Size(frame)
+		_ = table.take(start, l, frame)
+	}
+	b.ReportMetric(float64(size), "B/heartbeat")
+}
+
+func BenchmarkTick(b *testing.B) {
+	table := received(fleetSize)
+	for b.Loop() {
+		table.tick(start.Add(time.Second))
+	}
+}
+
+// BenchmarkExchange reports the bytes of a join and of an exchange after ten
+// changes.
+func BenchmarkExchange(b *testing.B) {
+	for b.Loop() {
+		full := received(fleetSize)
+		other := newTable(start, instance(1, "a1"), standard.suspicion)
+		b.ReportMetric(float64(exchange(start, other, full)), "B/join")
+		for i := range 10 {
+			r := *full.records[fmt.Sprintf("quote-desk-%05d.node", 100+i)]
+			r.Sequence, r.shared = 4, false
+			full.put(start, &r)
+		}
+		b.ReportMetric(float64(exchange(start, other, full)), "B/ten-changes")
+	}
+}
--- a/node/tracker/table.go
+++ b/node/tracker/table.go
@@ -37,8 +37,10 @@
 	claims map[string]map[string]struct{}
 	// down maps the availability zones that nobody reaches to the time since.
 	down map[string]time.Time
-	// list caches the live instances; nil after a change.
-	list []sycamorerun.Instance
+	// list caches the live instances, but for the records in stale. It is nil
+	// when it has to be made anew.
+	list  []sycamorerun.Instance
+	stale map[string]struct{}
 }
 
 func newTable(now time.Time, self sycamorerun.Instance, suspicion time.Duration) *table {
@@ -54,6 +56,7 @@
 		timed:     map[string]*record{},
 		claims:    map[string]map[string]struct{}{},
 		down:      map[string]time.Time{},
+		stale:     map[string]struct{}{},
 	}
 	t.replace(now, &record{Instance: self, key: newKey(self.Name)})
 	return t
@@ -76,7 +79,7 @@
 	t.share(now, r)
 	t.addClaims(r)
 	t.schedule(r)
-	t.list = nil
+	t.outdate(r.Name)
 }
 
 func (t *table) schedule(r *record) {
@@ -92,7 +95,7 @@
 	t.dropClaims(r)
 	delete(t.records, r.Name)
 	delete(t.timed, r.Name)
-	t.list = nil
+	t.outdate(r.Name)
 }
 
 // merge takes a record received from a peer and reports whether it is news
@@ -197,21 +200,67 @@
 	}
 }
 
+// staleMost is the number of changes up to which the list is patched. Sorting
+// a large list anew costs many times as much as copying it.
+const staleMost = 256
+
 // live returns the instances that take part, sorted by name. The result is
 // shared and must not be changed.
 func (t *table) live() []sycamorerun.Instance {
-	if t.list == nil {
+	switch {
+	case t.list == nil:
 		t.list = make([]sycamorerun.Instance, 0, len(t.records))
 		for _, r := range t.records {
-			if _, down := t.down[r.AvailabilityZone]; r.live() && !down {
+			if t.listed(r) {
 				t.list = append(t.list, r.Instance)
 			}
 		}
-		slices.SortFunc(t.list, func(a, b sycamorerun.Instance) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(t.list, compareNames)
+	case len(t.stale) > 0:
+		t.list = slices.Clone(t.list)
+		for name := range t.stale {
+			t.patch(name)
+		}
 	}
+	clear(t.stale)
 	return t.list
 }
 
+// outdate notes a change for the list.
+func (t *table) outdate(name string) {
+	if t.list == nil {
+		return
+	}
+	t.stale[name] = struct{}{}
+	if len(t.stale) > staleMost {
+		t.list = nil
+		clear(t.stale)
+	}
+}
+
+func compareNames(a, b sycamorerun.Instance) int { return cmp.Compare(a.Name, b.Name) }
+
+func (t *table) listed(r *record) bool {
+	_, down := t.down[r.AvailabilityZone]
+	return r.live() && !down
+}
+
+// patch brings one node's place in the list up to date.
+func (t *table) patch(name string) {
+	r := t.records[name]
+	i, found := slices.BinarySearchFunc(t.list, name, func(a sycamorerun.Instance, name string) int {
+		return cmp.Compare(a.Name, name)
+	})
+	switch listed := r != nil && t.listed(r); {
+	case listed && found:
+		t.list[i] = r.Instance
+	case listed:
+		t.list = slices.Insert(t.list, i, r.Instance)
+	case found:
+		t.list = slices.Delete(t.list, i, i+1)
+	}
+}
+
 // suspects returns the names of the suspects in order.
 func (t *table) suspects() []string {
 	var names []string
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -331,3 +331,21 @@
 		}
 	})
 }
+
+// Guards against a patched list that differs from one made anew.
+func TestLiveIsPatched(t *testing.T) {
+	is := is.New(t)
+	table := fill(300, 3)
+	random := rand.New(rand.NewPCG(3, 4))
+	for round := range 100 {
+		for range 1 + random.IntN(10) {
+			i := 1 + random.IntN(400)
+			r := &record{Instance: instance(i, fmt.Sprintf("a%d", i%3)), health: health(random.IntN(3)), since: at(float64(round))}
+			r.key = newKey(r.Name)
+			table.replace(at(float64(round)), r)
+		}
+		patched := table.live()
+		table.list = nil
+		is.Equal(patched, table.live())
+	}
+}
