--- a/node/tracker/neighbour.go
+++ b/node/tracker/neighbour.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/pkg/errors"
 
 	"sycamorerun/node/planner"
 )
@@ -166,5 +165,3 @@
 	case <-timer.C:
 	}
 }
-
-var errNotRunning = errors.New("tracker not running")
