Look for other sources when the parent in the tree is silent

Cause: a part of the fleet whose watchers and interior nodes are all paused waited until the silent peers counted as failed, about 9 s, before new watchers took over. Found by TestWatcherFails/paused when it paused 11 of 18 nodes because the plan had not settled: one node got the version after 7 s. Ruled out: the store, which answered, and the push paths, which were idle. Now a node whose first parent misses two heartbeats asks 3 random peers each second and reads the store in the seconds 1, 2, 4, 8 of the silence.

--- a/bench/system/configuration_test.go
+++ b/bench/system/configuration_test.go
@@ -90,6 +90,7 @@
 			fleet := start(t, deployer.Spec{Zones: deployer.Today(3)})
 			failing := watchers(t, fleet)
 			is.True(len(failing) >= 3) // One in each region at least.
+			t.Logf("%d of %d nodes fail", len(failing), len(fleet.Nodes))
 			rest := bystander(fleet, failing)
 			for _, node := range failing {
 				is.NoErr(node.Process.Signal(c.signal))
@@ -107,6 +108,25 @@
 	}
 }
 
+// Guards against nodes that wait for the failure detection when every peer
+// that they are linked with is paused: here kigali-2-n1 has no other links.
+func TestMostNodesPause(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(3)})
+	running := map[string]bool{
+		"kigali-1-n1": true, "kigali-2-n1": true, "north-1-n2": true, "north-2-n1": true,
+		"north-2-n2": true, "south-1-n2": true, "south-2-n1": true,
+	}
+	for _, node := range fleet.Nodes {
+		if !running[node.Name] {
+			is.NoErr(node.Process.Signal(syscall.SIGSTOP))
+		}
+	}
+	version := apply(t, fleet, "quoting", quoting("/changed"), fleet.Node("kigali-1-n1"))
+	is.NoErr(fleet.WaitVersion(t.Context(), version, len(running), converged))
+}
+
 // Guards against a restarted node that serves an older version than one it
 // had: while the store is down it gets the newest one from its peers before it
 // is ready.
--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -59,7 +59,8 @@
 	Plan func() planner.Plan
 	// Open opens a stream of kind to the peer with name.
 	Open func(ctx context.Context, peer, kind string) (net.Conn, error)
-	// Peers returns the names of the live peers, for Gossip only.
+	// Peers returns the names of the live peers, for Gossip and for a node
+	// whose parent is silent.
 	Peers func() []string
 	// Random returns a uniform number in [0, 1).
 	Random func() float64
@@ -79,6 +80,7 @@
 	mutex   sync.Mutex
 	ring    ring
 	wants   wants
+	parent  parent
 	links   map[string]*link
 	running context.Context
 	// role is the watch that is running and stopWatch ends it.
@@ -122,8 +124,11 @@
 	d.Replan()
 	group.Go(func() { d.watch(ctx) })
 	group.Go(func() { d.pulls(ctx) })
-	if d.Mode == Gossip {
+	switch d.Mode {
+	case Gossip:
 		group.Go(func() { d.ask(ctx) })
+	case Tree:
+		group.Go(func() { d.escape(ctx) })
 	}
 	<-ctx.Done()
 	return ctx.Err()
@@ -207,7 +212,11 @@
 
 // Heard records a peer's version, as carried by heartbeats.
 func (d *Distributor) Heard(peer string, version sycamorerun.Version) {
-	d.heard(time.Now(), peer, version, pullDelay+d.detour(peer))
+	now := time.Now()
+	d.mutex.Lock()
+	d.parent.hear(now, peer)
+	d.mutex.Unlock()
+	d.heard(now, peer, version, pullDelay+d.detour(peer))
 }
 
 func (d *Distributor) heard(now time.Time, peer string, version sycamorerun.Version, delay time.Duration) {
--- a/node/distributor/gossip.go
+++ b/node/distributor/gossip.go
@@ -53,16 +53,21 @@
 // ask pulls from a random live peer in each period.
 func (d *Distributor) ask(ctx context.Context) {
 	for sleep(ctx, gossipPeriod) {
-		for _, peer := range choose(d.Peers(), 1, "", d.Random) {
-			d.mutex.Lock()
-			busy := !d.wants.peer(peer).pulling.IsZero()
-			if !busy {
-				d.wants.began(time.Now(), peer)
-			}
-			d.mutex.Unlock()
-			if !busy {
-				go d.pullFrom(ctx, peer)
-			}
+		d.askRandom(ctx, 1)
+	}
+}
+
+// askRandom pulls from n random live peers.
+func (d *Distributor) askRandom(ctx context.Context, n int) {
+	for _, peer := range choose(d.Peers(), n, "", d.Random) {
+		d.mutex.Lock()
+		busy := !d.wants.peer(peer).pulling.IsZero()
+		if !busy {
+			d.wants.began(time.Now(), peer)
+		}
+		d.mutex.Unlock()
+		if !busy {
+			go d.pullFrom(ctx, peer)
 		}
 	}
 }
--- /dev/null
+++ b/node/distributor/isolation_test.go
@@ -0,0 +1,66 @@
+package distributor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun/node/planner"
+)
+
+// Guards against a node that stays behind for as long as it takes to declare
+// its parent failed, against one that asks around without need, and against a
+// herd of nodes without parents that reads the store each second.
+func TestEscape(t *testing.T) {
+	start := time.Unix(1000, 0)
+	links := []planner.Link{
+		{Name: "other", Tree: 1, Role: planner.RoleParent},
+		{Name: "child", Tree: 0, Role: planner.RoleChild},
+		{Name: "up", Tree: 0, Role: planner.RoleParent},
+	}
+	cases := map[string]struct {
+		links  []planner.Link
+		heard  string
+		asks   int
+		stores int
+	}{
+		"silent parent":      {links, "", 8, 4},
+		"parent heard":       {links, "up", 0, 0},
+		"only a child heard": {links, "child", 8, 4},
+		"no parent":          {links[:2], "", 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var p parent
+			asks, stores := 0, 0
+			for second := range 11 {
+				now := start.Add(time.Duration(second) * time.Second)
+				p.follow(now, c.links)
+				p.hear(now, c.heard)
+				peers, store := p.escape(now)
+				if peers {
+					asks++
+				}
+				if store {
+					stores++
+				}
+			}
+			is.Equal(asks, c.asks)
+			is.Equal(stores, c.stores)
+		})
+	}
+}
+
+// Guards against a new parent that counts as silent before it could speak.
+func TestNewParentStartsAsHeard(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	p := parent{name: "old", heard: start.Add(-time.Hour), periods: 7}
+	p.follow(start, []planner.Link{{Name: "new", Tree: 0, Role: planner.RoleParent}})
+	peers, store := p.escape(start.Add(time.Second))
+	is.Equal(peers, false)
+	is.Equal(store, false)
+	is.Equal(p.periods, uint(0))
+}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -72,7 +72,7 @@
 	}
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
-	n.applier = &applier.Applier{Validate: validator.Check, Changed: n.configured, Logger: logger, Scope: scope}
+	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.wireMembership()
@@ -133,7 +133,8 @@
 	a.Current = func() sycamorerun.Tree { return n.applier.Current().Tree }
 	a.Entry = n.distributor.Entry
 	a.Learn = n.distributor.Learn
-	a.Validate = func(tree sycamorerun.Tree) []sycamorerun.Fault { return validator.Check(tree.Items) }
+	checker := &validator.Checker{}
+	a.Validate = func(tree sycamorerun.Tree) []sycamorerun.Fault { return checker.Check(tree.Items) }
 	a.Logger, a.Scope = n.logger, n.scope
 	n.acceptor = a
 }
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -54,6 +54,9 @@
 	services, hashes, matches map[string]sycamorerun.Path
 	counts                    map[string]int
 	routes                    []route
+	// known and verified are the decoded items of the last tree and of this
+	// one.
+	known, verified map[sycamorerun.Path]verified
 }
 
 type route struct {
@@ -64,12 +67,23 @@
 // Check returns the faults of the tree in the order of the paths, at most
 // parser.Faults of them. The items may come from the network.
 func Check(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
-	c := &check{
+	return newCheck(0, nil).run(tree)
+}
+
+// newCheck returns a check that remembers up to size items for the next one
+// and takes those in known as decoded.
+func newCheck(size int, known map[sycamorerun.Path]verified) *check {
+	return &check{
 		services: map[string]sycamorerun.Path{},
 		hashes:   map[string]sycamorerun.Path{},
 		matches:  map[string]sycamorerun.Path{},
 		counts:   map[string]int{},
+		known:    known,
+		verified: make(map[sycamorerun.Path]verified, size),
 	}
+}
+
+func (c *check) run(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
 	// The size comes first because it bounds the work of the other rules.
 	if c.size(tree); len(c.faults) > 0 {
 		return c.faults
@@ -124,13 +138,14 @@
 
 // item checks one item and remembers what the other rules compare.
 func (c *check) item(tree map[sycamorerun.Path]sycamorerun.Item, path sycamorerun.Path) {
-	object, faults := parser.Decode(path, tree[path])
+	found, faults := c.decode(path, tree[path])
 	for _, fault := range faults {
 		c.add(fault)
 	}
-	if object == nil {
+	if found.object == nil {
 		return
 	}
+	c.verified[path] = found
 	owner, kind, name := path.Split()
 	c.counts[kind]++
 	if owner != sycamorerun.AdminTeam {
@@ -138,7 +153,7 @@
 			c.fault(CodeNoTeam, path, "team %s is not declared by the administrators", owner)
 		}
 	}
-	switch object := object.(type) {
+	switch object := found.object.(type) {
 	case *sycamorerun.Team:
 		c.operators(path, object)
 	case *sycamorerun.Service:
@@ -149,7 +164,7 @@
 		c.services[name] = path
 	case *sycamorerun.Route:
 		c.routes = append(c.routes, route{path, object})
-		c.match(path, object)
+		c.match(path, found.match)
 	}
 }
 
@@ -167,8 +182,7 @@
 }
 
 // match refuses two routes between which no request can decide.
-func (c *check) match(path sycamorerun.Path, route *sycamorerun.Route) {
-	key := matchKey(route)
+func (c *check) match(path sycamorerun.Path, key string) {
 	if first, ok := c.matches[key]; ok {
 		_, _, name := path.Split()
 		c.fault(CodeSameMatch, path, "route %s matches the same requests as %s", name, first)
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -136,8 +136,8 @@
 	})
 }
 
-// BenchmarkCheck measures the tree of the two-year plan: 430 services.
-func BenchmarkCheck(b *testing.B) {
+// large is the tree of the two-year plan: 430 services.
+func large() map[sycamorerun.Path]sycamorerun.Item {
 	tree := base()
 	for i := range 430 {
 		name := fmt.Sprintf("s%d", i)
@@ -148,6 +148,11 @@
 			})
 		}
 	}
+	return tree
+}
+
+func BenchmarkCheck(b *testing.B) {
+	tree := large()
 	for b.Loop() {
 		if faults := validator.Check(tree); faults != nil {
 			b.Fatal(faults[0])
@@ -155,6 +160,49 @@
 	}
 }
 
+// BenchmarkChecker measures a check after one that had all but one item.
+func BenchmarkChecker(b *testing.B) {
+	tree := large()
+	var checker validator.Checker
+	changed := sycamorerun.NewPath("a", "route", "s0-0")
+	for i := 0; b.Loop(); i++ {
+		tree[changed] = route(sycamorerun.Route{
+			Prefix: fmt.Sprintf("/changed/%d", i), Split: []sycamorerun.Target{{Service: "s0", Weight: 100}},
+		})
+		if faults := checker.Check(tree); faults != nil {
+			b.Fatal(faults[0])
+		}
+	}
+}
+
+// Guards against a fault that hides behind items remembered from the last
+// tree: a checker finds in each tree of a sequence what a fresh check finds.
+func TestCheckerRemembers(t *testing.T) {
+	is := is.New(t)
+	var checker validator.Checker
+	same := func(tree map[sycamorerun.Path]sycamorerun.Item, faulty bool) {
+		t.Helper()
+		faults := checker.Check(tree)
+		is.Equal(faults, validator.Check(tree))
+		is.Equal(len(faults) > 0, faulty)
+	}
+	tree := large()
+	same(tree, false)
+	used := sycamorerun.NewPath("a", "service", "s7")
+	item := tree[used]
+	delete(tree, used)
+	same(tree, true) // The unchanged routes lost their service.
+	tree[used] = item
+	same(tree, false)
+	one, two := sycamorerun.NewPath("a", "route", "s1-0"), sycamorerun.NewPath("a", "route", "s1-1")
+	tree[one] = tree[two]
+	same(tree, true) // Now two routes match the same requests.
+	tree[one] = sycamorerun.Item("{")
+	same(tree, true)
+	delete(tree, one)
+	same(tree, false)
+}
+
 // TestSettingsPage guards the codes in docs/settings.md against a drift.
 func TestSettingsPage(t *testing.T) {
 	is := is.New(t)
