--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -90,6 +90,22 @@
 	is.Equal(code(a.Lookup(t.Context(), "never")), "no-such-change")
 }
 
+// Guards against a change that is lost or reported as refused when the store
+// answers after its submitter gave up.
+func TestSlowStore(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := run(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	f.mu.Lock()
+	f.fault = func(string, string) (error, bool) { time.Sleep(40 * time.Millisecond); return nil, true }
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	is.Equal(a.Submit(ctx, apply("one", "flow", 6)).Status, sycamorerun.StatusUnknown)
+	is.Equal(a.Lookup(t.Context(), "one").Version, sycamorerun.Version(2))
+}
+
 // Guards against a stale slot that makes an acceptor give up, overwrite a newer
 // entry or load the store with attempts that can't succeed.
 func TestStaleReads(t *testing.T) {
@@ -107,6 +123,47 @@
 	verifyLog(t, f, 3)
 }
 
+// Guards against a refusal that follows from a stale read, for a change that
+// has been accepted since.
+func TestStaleRefusal(t *testing.T) {
+	for name, round := range map[string]int{"first round": 0, "later": persister.RingSlots} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			b := run(t, f.store())
+			b.Submit(t.Context(), bootstrap())
+			for i := range round {
+				b.Submit(t.Context(), apply(fmt.Sprint(i), "other", i))
+			}
+			hold := b.Submit(t.Context(), sycamorerun.Change{ID: "hold", Kind: sycamorerun.Place, Team: "flow"})
+			store, stale := f.store(), 0
+			get := store.Get
+			key := persister.LogKey(hold.Version + 1)
+			old, missing := get(t.Context(), key)
+			store.Get = func(ctx context.Context, k string) (persister.Object, error) {
+				if k == key && stale > 0 {
+					stale--
+					return old, missing
+				}
+				return get(ctx, k)
+			}
+			a := run(t, store)
+			a.Patience = time.Minute
+			is.Equal(a.Lookup(t.Context(), "hold"), hold)
+			stale = 3
+			b.Submit(t.Context(), sycamorerun.Change{ID: "release", Kind: sycamorerun.Release, Team: "flow"})
+			accepted := b.Submit(t.Context(), apply("one", "flow", 1))
+			is.Equal(accepted.Version, hold.Version+2)
+			is.Equal(a.Submit(t.Context(), apply("one", "flow", 1)), accepted)
+			is.Equal(stale, 0)
+			// A refusal that is true changes nothing in the log.
+			is.Equal(code(a.Submit(t.Context(), apply("two", "nobody", 1))), "no-such-team")
+			is.Equal(b.Submit(t.Context(), apply("three", "flow", 1)).Version, hold.Version+3)
+			is.Equal(f.entry(t, hold.Version+2).Version, hold.Version+2)
+		})
+	}
+}
+
 // Guards against two acceptors that both win a version, lose a change or
 // accept an id twice.
 func TestRacingAcceptors(t *testing.T) {
@@ -262,14 +319,8 @@
 func TestSameIDInBatch(t *testing.T) {
 	is := is.New(t)
 	f := newFake()
-	a := New(f.store())
-	var batch []*job
-	for _, change := range []sycamorerun.Change{bootstrap(), apply("one", "flow", 1), apply("one", "flow", 1)} {
-		batch = append(batch, &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)})
-	}
-	a.serve(t.Context(), batch)
-	for _, j := range batch {
-		is.Equal((<-j.done).Version, sycamorerun.Version(1))
+	for _, outcome := range serve(t, New(f.store()), bootstrap(), apply("one", "flow", 1), apply("one", "flow", 1)) {
+		is.Equal(outcome.Version, sycamorerun.Version(1))
 	}
 	verifyLog(t, f, 1)
 }
@@ -277,33 +328,44 @@
 // Guards against a batch that fails as a whole because one entry can't hold
 // it, and against a change that can never be stored.
 func TestLargeBatch(t *testing.T) {
-	is := is.New(t)
-	f := newFake()
-	a := New(f.store())
-	noise := func(id string, items int) *job {
-		change := apply(id, "flow", 1)
+	noise := func(n int) []byte {
+		data := make([]byte, n)
+		_, _ = rand.Read(data)
+		return data
+	}
+	large := func(items int) sycamorerun.Change {
+		change := apply("large", "flow", 1)
 		for i := range items {
-			data := make([]byte, 40<<10)
-			_, _ = rand.Read(data)
-			change.Items[sycamorerun.Path(fmt.Sprintf("flow/service/s%s%d", id, i))] = item(data)
+			change.Items[sycamorerun.Path(fmt.Sprint("flow/service/s", i))] = item(noise(40 << 10))
 		}
-		return &job{ctx: t.Context(), request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1)}
+		return change
 	}
-	admin := &job{ctx: t.Context(), request: Request{Change: bootstrap()}, done: make(chan sycamorerun.Outcome, 1)}
-	batch := []*job{admin, noise("a", 12), noise("b", 12), noise("c", 30)}
-	// The teams' subtrees are apart so that both fit one entry only in turn.
-	batch[2].request.Change.Team = "other"
-	items := map[sycamorerun.Path]sycamorerun.Item{}
-	for path, value := range batch[2].request.Change.Items {
-		_, kind, name := path.Split()
-		items[sycamorerun.NewPath("other", kind, name)] = value
+	cases := map[string]struct {
+		items int
+		want  sycamorerun.Status
+		last  sycamorerun.Version
+	}{
+		"just fits the tree": {16, sycamorerun.StatusAccepted, 3},
+		"never fits":         {17, sycamorerun.StatusRefused, 2},
 	}
-	batch[2].request.Change.Items = items
-	a.serve(t.Context(), batch)
-	want := []sycamorerun.Status{sycamorerun.StatusAccepted, sycamorerun.StatusAccepted, sycamorerun.StatusRefused, sycamorerun.StatusRefused}
-	for i, j := range batch {
-		outcome := <-j.done
-		is.Equal(outcome.Status, want[i])
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			a := New(f.store())
+			serve(t, a, bootstrap())
+			batch := []sycamorerun.Change{large(test.items)}
+			for i := range 16 {
+				// The operators' names fill what the tree leaves of an entry.
+				change := apply(fmt.Sprint(i), "other", i)
+				change.Operator = fmt.Sprintf("%x", noise(4<<10))
+				batch = append(batch, change)
+			}
+			for i, outcome := range serve(t, a, batch...) {
+				is.Equal(outcome.Status == test.want, i == 0 || test.want == sycamorerun.StatusAccepted)
+			}
+			is.Equal(a.head.Version, test.last)
+			verifyLog(t, f, test.last)
+		})
 	}
-	verifyLog(t, f, a.head.Version)
 }
--- a/node/distributor/bench_test.go
+++ b/node/distributor/bench_test.go
@@ -68,7 +68,7 @@
 // received frame to the frame for its children, without and with validation.
 func BenchmarkChange(b *testing.B) {
 	b.Run("plain", func(b *testing.B) { benchmarkChange(b, nil) })
-	b.Run("validated", func(b *testing.B) { benchmarkChange(b, validator.Check) })
+	b.Run("validated", func(b *testing.B) { benchmarkChange(b, new(validator.Checker).Check) })
 }
 
 func benchmarkChange(b *testing.B, validate func(map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault) {
--- a/node/distributor/wants.go
+++ b/node/distributor/wants.go
@@ -23,8 +23,6 @@
 // standing is what a node knows about a peer's version.
 type standing struct {
 	version sycamorerun.Version
-	// seen is when the peer last reported its version.
-	seen time.Time
 	// due is when to pull from the peer while its version is above ours.
 	due time.Time
 	// notBefore is the end of the delay after a failure or a busy answer.
@@ -62,7 +60,7 @@
 			peer.due = due
 		}
 	}
-	peer.version, peer.seen = version, now
+	peer.version = version
 }
 
 // next returns the peer to pull from at now, or how long to wait. Peers for
--- a/node/forwarder/watch.go
+++ b/node/forwarder/watch.go
@@ -16,57 +16,77 @@
 	errDone     = errors.New("the call has ended")
 )
 
-// watch cancels a call, or the attempt that is under way, when it makes no
-// progress.
+// watch ends a call at its deadline, and the attempt that is under way when it
+// makes no progress.
 type watch struct {
-	idle  time.Duration
-	timer *time.Timer
-
-	mutex  sync.Mutex
+	deadline time.Time
+	idle     time.Duration
+	timer    *time.Timer
+	// cancel ends the call.
 	cancel context.CancelCauseFunc
+
+	mutex sync.Mutex
+	// stalled ends the attempt, or the call outside of attempts.
+	stalled context.CancelCauseFunc
 }
 
-// bound returns a context that ends at the deadline, or when progress is not
-// called for idle. A limit of zero means none.
-func bound(parent context.Context, deadline time.Time, idle time.Duration) (context.Context, *watch, context.CancelFunc) {
-	stop := context.CancelFunc(func() {})
-	if !deadline.IsZero() {
-		parent, stop = context.WithDeadline(parent, deadline)
-	}
+// bound returns a context that ends at the deadline, when progress is not
+// called for idle, or with the cause given to stop. A limit of zero means none.
+// One timer serves both limits.
+func bound(parent context.Context, deadline time.Time, idle time.Duration) (context.Context, *watch, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watch{idle: idle, cancel: cancel}
-	if idle > 0 {
-		w.timer = time.AfterFunc(idle, w.expire)
+	w := &watch{deadline: deadline, idle: idle, cancel: cancel, stalled: cancel}
+	if next := w.next(time.Now()); next > 0 {
+		w.timer = time.AfterFunc(next, w.expire)
 	}
-	return ctx, w, func() {
+	return ctx, w, func(cause error) {
 		if w.timer != nil {
 			w.timer.Stop()
 		}
-		cancel(errDone)
-		stop()
+		cancel(cause)
 	}
 }
 
 // attempt returns the context of one attempt. From now on a lack of progress
-// ends the attempt and not the call, so that another instance can be tried.
-func (w *watch) attempt(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+// ends the attempt and not the call, so that another instance can be tried. A
+// streamed body can't be sent again, and the caller who stopped sending it may
+// be the cause, so there the call ends.
+func (w *watch) attempt(ctx context.Context, c *call) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w.mutex.Lock()
-	w.cancel = cancel
-	w.mutex.Unlock()
+	if c.complete {
+		w.mutex.Lock()
+		w.stalled = cancel
+		w.mutex.Unlock()
+	}
 	w.progress()
 	return ctx, cancel
 }
 
+// next returns the time until the first limit, or zero if there is none.
+func (w *watch) next(now time.Time) time.Duration {
+	if w.deadline.IsZero() {
+		return w.idle
+	}
+	left := max(1, w.deadline.Sub(now))
+	if w.idle > 0 {
+		left = min(left, w.idle)
+	}
+	return left
+}
+
 func (w *watch) expire() {
+	if !w.deadline.IsZero() && !time.Now().Before(w.deadline) {
+		w.cancel(context.DeadlineExceeded)
+		return
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.cancel(errIdle)
+	w.stalled(errIdle)
 }
 
 func (w *watch) progress() {
 	if w.timer != nil {
-		w.timer.Reset(w.idle)
+		w.timer.Reset(w.next(time.Now()))
 	}
 }
 
