--- a/node/connector/tracker_test.go
+++ b/node/connector/tracker_test.go
@@ -115,8 +115,9 @@
 		return true
 	})
 	for b.Loop() {
-		// The links of the first contacts close after a while.
-		time.Sleep(12 * time.Second)
+		// The links of the first contacts close after 10 s, their sessions a
+		// minute later.
+		time.Sleep(80 * time.Second)
 		before, used := wireBytes(scopes), processor()
 		time.Sleep(seconds * time.Second)
 		used = processor() - used
--- a/node/tracker/serve.go
+++ b/node/tracker/serve.go
@@ -55,7 +55,18 @@
 			return err
 		}
 	}
-	return t.add(l, frame)
+	if err := t.add(l, frame); err != nil {
+		return err
+	}
+	t.seen(name, frame)
+	return nil
+}
+
+// seen passes on the version that a frame carries.
+func (t *Tracker) seen(peer string, frame *Frame) {
+	if beat := frame.GetHeartbeat(); beat != nil && t.Seen != nil {
+		t.Seen(peer, sycamorerun.Version(beat.GetVersion()))
+	}
 }
 
 func (t *Tracker) greeting(l *link) []*Frame {
@@ -98,9 +109,9 @@
 		return err
 	}
 	t.links[name] = l
-	t.reached(name)
 	t.metrics.links.Update(float64(len(t.links)))
 	t.spread(l)
+	t.reached(name)
 	l.wake()
 	return nil
 }
@@ -148,9 +159,7 @@
 			t.metrics.invalid.Inc(1)
 			return err
 		}
-		if beat := frame.GetHeartbeat(); beat != nil && t.Seen != nil {
-			t.Seen(l.peer, sycamorerun.Version(beat.GetVersion()))
-		}
+		t.seen(l.peer, frame)
 	}
 }
 
