Wait for the first call at the leaving upstream in TestPlannedStop

The fixed 500 ms were shorter than the time in which nodes that just started learn of each other, so the precondition failed in 3 of 5 runs on a busy machine.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -275,10 +275,13 @@
 					group.Go(func() { load(ctx, t, stop, node, i) })
 				}
 			}
-			time.Sleep(500 * time.Millisecond)
-			before, err := recordsOf(ctx, leaving)
-			is.NoErr(err)
-			is.True(before.Requests > 0) // Other nodes send work here.
+			// Other nodes send work here once they know the instance.
+			var before recorder.Records
+			is.NoErr(deployer.Eventually(ctx, converged, func() bool {
+				var err error
+				before, err = recordsOf(ctx, leaving)
+				return err == nil && before.Requests > 0
+			}))
 			at := time.Now()
 			is.NoErr(c.leave(ctx, leaving))
 			time.Sleep(few)
