--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -46,6 +46,8 @@
 // Start starts program under a name; its log lines go to Line.
 func (l *Launcher) Start(ctx context.Context, name, program string, args ...string) (*Process, error) {
 	command := exec.CommandContext(ctx, filepath.Join(l.Binaries, program), args...)
+	// The process ends with this one, also when a test panics.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	logs, err := command.StderrPipe()
 	if err != nil {
 		return nil, errors.Wrap(err, "pipe")
