--- a/bench/stresser/stresser.go
+++ b/bench/stresser/stresser.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,8 +55,12 @@
 // start starts two nodes in one availability zone; the first one has an
 // upstream of the measured service, the second one another service.
 func (c Case) start(ctx context.Context, upstreamArgs ...string) (*deployer.Fleet, error) {
+	directory, err := os.MkdirTemp(c.Directory, "fleet")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a directory")
+	}
 	fleet, err := deployer.New(deployer.Spec{
-		Binaries: c.Binaries, Directory: c.Directory, Upstreams: true,
+		Binaries: c.Binaries, Directory: directory, Upstreams: true,
 		Zones:    []deployer.Zone{{Name: "kigali-1", Region: "kigali", Nodes: 2}},
 		Services: []string{"quote-desk", "other"}, NodeArgs: []string{"--drain-delay", "0s"},
 		UpstreamArgs: upstreamArgs,
