Record call latency per team and class, log calls, keep label values

Operators need histograms for each team and class, and a request's id in the logs of each node that handled it.

--- a/bench/converger/converger.go
+++ b/bench/converger/converger.go
@@ -72,7 +72,7 @@
 }
 
 // scopes are the label values of the connector's counters.
-var scopes = []string{"zone", "region", "cross_region"}
+var scopes = []string{"zone", "region", "cross-region"}
 
 // Run starts a fleet, measures and stops it.
 func Run(ctx context.Context, c Case) (Result, error) {
--- a/bench/converger/table.go
+++ b/bench/converger/table.go
@@ -48,17 +48,17 @@
 	perChange := func(total, idleTotal float64) string {
 		return fmt.Sprintf("%.0f", max(0, total-idleTotal/idle*busy)/changes)
 	}
-	idleBytes := r.Idle.Bytes["zone"] + r.Idle.Bytes["region"] + r.Idle.Bytes["cross_region"]
+	idleBytes := r.Idle.Bytes["zone"] + r.Idle.Bytes["region"] + r.Idle.Bytes["cross-region"]
 	cpu := float64(r.Changes.CPU) - float64(r.Idle.CPU)/idle*busy
 	const mega = 1e6
 	return []string{
 		r.Case.Mode, fmt.Sprint(r.Case.Nodes), fmt.Sprint(r.Case.Services), ms(50), ms(99), ms(100),
 		perChange(r.Changes.Content["zone"], r.Idle.Content["zone"]),
 		perChange(r.Changes.Content["region"], r.Idle.Content["region"]),
-		perChange(r.Changes.Content["cross_region"], r.Idle.Content["cross_region"]),
+		perChange(r.Changes.Content["cross-region"], r.Idle.Content["cross-region"]),
 		perChange(r.Changes.StoreCross, r.Idle.StoreCross),
 		fmt.Sprintf("%.0f", idleBytes/idle/nodes),
-		fmt.Sprintf("%.0f", r.Idle.Bytes["cross_region"]/idle),
+		fmt.Sprintf("%.0f", r.Idle.Bytes["cross-region"]/idle),
 		perChange(r.Changes.StoreCalls, r.Idle.StoreCalls),
 		fmt.Sprintf("%.1f", r.Idle.StoreCalls/idle),
 		fmt.Sprintf("%.2f", r.Idle.CPU.Seconds()/idle/nodes*100),
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -18,6 +18,17 @@
 // Latency are the buckets of latency histograms, 100 µs to 26 s.
 var Latency = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
 
+// sanitizer keeps metric names and label names as Prometheus takes them, and
+// the characters that occur in names of instances in label values.
+func sanitizer() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'-', '_', '.', ':', '/'},
+	}
+	return &options
+}
+
 // New returns a root scope with the given tags, the handler that exposes it,
 // and a closer that reports the last values.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
@@ -28,7 +39,7 @@
 		Tags:            tags,
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: sanitizer(),
 	}, ReportInterval)
 	return scope, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), closer
 }
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -40,6 +40,8 @@
 	key      string
 	print    uint64
 	deadline time.Time
+	// began is when the call entered at this node.
+	began time.Time
 }
 
 // claim names the attempt with the given id for the deduplicator.
@@ -55,7 +57,7 @@
 
 // parse checks a caller's request and describes it as a call, without its body.
 func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
-	c := &call{id: uuid.NewString(), level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
+	c := &call{id: uuid.NewString(), began: now, level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
 	if r.Method == http.MethodConnect || r.URL.Path == "" {
 		return c, notRun(reasonRequest)
 	}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -96,8 +96,8 @@
 	drain drain
 	pool  pool
 	// waiting counts the streams of peers that wait for their next call.
-	waiting  atomic.Int64
-	counters sync.Map
+	waiting atomic.Int64
+	metrics metrics
 }
 
 // New returns a forwarder with defaults for everything but the collaborators.
--- /dev/null
+++ b/node/forwarder/metrics.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
+)
+
+// latencyBuckets cover 100 µs to 26 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
+
+// metrics caches counters and histograms, since a look-up in a tally scope
+// takes locks and builds maps.
+type metrics struct {
+	counters, latencies sync.Map
+}
+
+// counter identifies a counter of calls.
+type counter struct {
+	team   string
+	class  sycamorerun.Class
+	result sycamorerun.Result
+	reason string
+}
+
+// latency identifies a histogram.
+type latency struct {
+	team  string
+	class sycamorerun.Class
+}
+
+// record counts a call that ended at now, with its latency, and logs it.
+func (f *Forwarder) record(c *call, result sycamorerun.Result, reason string) {
+	took := f.Now().Sub(c.began)
+	f.counter(counter{c.match.Team, c.match.Class, result, reason}).Inc(1)
+	f.latency(latency{c.match.Team, c.match.Class}).RecordDuration(took)
+	_ = level.Debug(f.Logger).Log("msg", "call ended", "request", c.id, "service", c.match.Service,
+		"class", c.match.Class, "result", result, "reason", reason, "took", took)
+}
+
+func (f *Forwarder) counter(key counter) tally.Counter {
+	known, ok := f.metrics.counters.Load(key)
+	if !ok {
+		known, _ = f.metrics.counters.LoadOrStore(key, f.Scope.Tagged(map[string]string{
+			"team": key.team, "class": string(key.class), "result": string(key.result), "reason": key.reason,
+		}).Counter("calls"))
+	}
+	return known.(tally.Counter)
+}
+
+func (f *Forwarder) latency(key latency) tally.Histogram {
+	known, ok := f.metrics.latencies.Load(key)
+	if !ok {
+		known, _ = f.metrics.latencies.LoadOrStore(key, f.Scope.Tagged(map[string]string{
+			"team": key.team, "class": string(key.class),
+		}).Histogram("call_latency", latencyBuckets))
+	}
+	return known.(tally.Histogram)
+}
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"sycamorerun"
 )
 
@@ -56,8 +58,12 @@
 	}
 	out, failed := f.execute(ctx, watch, c, in.head.GetId(), in.reader(c), in.head.GetAttempt(), admitted)
 	if failed != nil {
+		_ = level.Debug(f.Logger).Log("msg", "call of a peer not answered", "request", in.head.GetId(),
+			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
 		return f.turn(peer, failed)
 	}
+	_ = level.Debug(f.Logger).Log("msg", "call of a peer answered", "request", in.head.GetId(),
+		"service", c.match.Service, "status", out.status)
 	defer out.body.Close()
 	// Unblocks a write to a peer that stopped reading.
 	release := context.AfterFunc(ctx, func() { _ = peer.conn.Close() })
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"sycamorerun"
 )
 
@@ -89,7 +87,7 @@
 
 // fail tells the caller that there is no response, and why.
 func (f *Forwarder) fail(w http.ResponseWriter, c *call, failed *failure) {
-	f.count(c, failed.result, failed.reason)
+	f.record(c, failed.result, failed.reason)
 	header := w.Header()
 	header.Set(sycamorerun.HeaderOutcome, string(failed.result))
 	header.Set(sycamorerun.HeaderReason, failed.reason)
@@ -132,7 +130,7 @@
 			err = control.Flush()
 		}
 		if err != nil {
-			f.count(c, sycamorerun.Unknown, ended(ctx, reasonTruncated))
+			f.record(c, sycamorerun.Unknown, ended(ctx, reasonTruncated))
 			panic(http.ErrAbortHandler)
 		}
 		watch.progress()
@@ -140,7 +138,7 @@
 	for name, values := range clean(out.body.Trailer()) {
 		w.Header()[name] = values
 	}
-	f.count(c, sycamorerun.Answered, "")
+	f.record(c, sycamorerun.Answered, "")
 }
 
 // head passes the head of the response on.
@@ -167,24 +165,3 @@
 		header.Set("Connection", "close")
 	}
 }
-
-// counter names the counter of calls that ended in one way. A tagged scope is
-// looked up by a string that is built from its tags, which is too slow for
-// every call.
-type counter struct {
-	team   string
-	class  sycamorerun.Class
-	result sycamorerun.Result
-	reason string
-}
-
-func (f *Forwarder) count(c *call, result sycamorerun.Result, reason string) {
-	key := counter{c.match.Team, c.match.Class, result, reason}
-	known, ok := f.counters.Load(key)
-	if !ok {
-		known, _ = f.counters.LoadOrStore(key, f.Scope.Tagged(map[string]string{
-			"team": key.team, "class": string(key.class), "result": string(key.result), "reason": key.reason,
-		}).Counter("calls"))
-	}
-	known.(tally.Counter).Inc(1)
-}
