--- a/node/acceptor/limits.go
+++ b/node/acceptor/limits.go
@@ -7,20 +7,22 @@
 	"slices"
 
 	"sycamorerun"
+	"sycamorerun/parser"
 	"sycamorerun/persister"
+	"sycamorerun/validator"
 )
 
 // Limits of the tree. The compressed tree has to fit one store value.
 const (
-	MaxTreeBytes = 4 << 20
-	MaxItemBytes = 64 << 10
+	MaxTreeBytes = validator.TreeBytes
+	MaxItemBytes = parser.ItemBytes
 )
 
 // counts bounds the items of each kind.
 var counts = map[string]int{
-	sycamorerun.KindTeam:    512,
-	sycamorerun.KindService: 1024,
-	sycamorerun.KindRoute:   4096,
+	sycamorerun.KindTeam:    parser.Teams,
+	sycamorerun.KindService: parser.Services,
+	sycamorerun.KindRoute:   parser.Routes,
 }
 
 // limits returns the limits that items exceed.
