Let the first bookings of a new fleet run

Cause: a process that just began answers unknown to every unknown key for the key window of 10 minutes, since an earlier process may have run it; in a new fleet that hit every booking. While the fleet has no version there are no routes, so nothing can have run: such a process starts clean, and members that come before the first version make no key uncertain. 60 of 60 first bookings are answered; before, all were unknown.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -166,6 +166,34 @@
 	is.True(counts[sycamorerun.Answered] > 100) // The load was real.
 }
 
+// Guards against a new fleet that answers unknown to every booking for as long
+// as a key is remembered: before its first version no booking can have run.
+func TestFirstBookings(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet, err := deployer.New(deployer.Spec{
+		Binaries: binaries, Directory: t.TempDir(), Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"},
+	})
+	is.NoErr(err)
+	t.Cleanup(fleet.Stop)
+	ctx := t.Context()
+	is.NoErr(fleet.Start(ctx))
+	waitKnown(t, fleet, "admin")
+	is.NoErr(fleet.Teams(ctx, map[string]string{"quoting": "flow"}))
+	version := apply(t, fleet, "quoting", quoting("/quotes"), fleet.Nodes[0])
+	is.NoErr(fleet.WaitVersion(ctx, version, len(fleet.Nodes), converged))
+	answered := 0
+	const bookings = 60
+	for i := range bookings {
+		result, _, _ := call(ctx, fleet.Nodes[i%len(fleet.Nodes)], http.MethodPost, "bookings.example", "/book", fmt.Sprintf("first-%d", i), nil)
+		if result == sycamorerun.Answered {
+			answered++
+		}
+	}
+	t.Logf("%d of %d answered", answered, bookings)
+	is.Equal(answered, bookings)
+}
+
 // Guards against an upload that is stored in part or answered with the hash
 // of something else, while callers break off in the middle.
 func TestUploadsArriveWhole(t *testing.T) {
--- a/bench/system/membership_test.go
+++ b/bench/system/membership_test.go
@@ -37,6 +37,28 @@
 	return states
 }
 
+// waitKnown waits until every node knows the ready upstreams beside all nodes.
+func waitKnown(t *testing.T, fleet *deployer.Fleet, operator string) {
+	t.Helper()
+	is := is.New(t)
+	requester, err := fleet.Requester(operator, fleet.Nodes[0])
+	is.NoErr(err)
+	is.NoErr(deployer.Eventually(t.Context(), converged, func() bool {
+		for _, node := range fleet.Nodes {
+			ready := 0
+			for _, state := range membersOf(t, node, requester.Token) {
+				if state == "ready" {
+					ready++
+				}
+			}
+			if ready != len(fleet.Nodes) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
 // Guards against nodes that start at the same time and form groups that never
 // learn of each other. With one node in each zone this happened in about one
 // start of three; several fleets start here.
@@ -44,24 +66,8 @@
 	for range 4 {
 		t.Run("start", func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
 			fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
-			requester, err := fleet.Requester("quoting", fleet.Nodes[0])
-			is.NoErr(err)
-			is.NoErr(deployer.Eventually(t.Context(), converged, func() bool {
-				for _, node := range fleet.Nodes {
-					ready := 0
-					for _, state := range membersOf(t, node, requester.Token) {
-						if state == "ready" {
-							ready++
-						}
-					}
-					if ready != len(fleet.Nodes) {
-						return false
-					}
-				}
-				return true
-			}))
+			waitKnown(t, fleet, "quoting")
 		})
 	}
 }
--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// StartClean sets Clean after the first use.
+func (d *Deduplicator) StartClean() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.Clean = true
+}
+
 // Begin claims the execution of the call id, and of the key if there is one.
 func (d *Deduplicator) Begin(now time.Time, id string, key Key) Decision {
 	d.mutex.Lock()
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -166,7 +166,15 @@
 	now := time.Now()
 	n.fleet.update(n.settings.Name, n.tracker.Live(now), n.tracker.Reachable(now))
 	n.distributor.Replan()
-	if announcement, ok := n.calls.upstream.service(); ok {
+	n.membersMoved(now)
+}
+
+// membersMoved tells the deduplicator which members can execute keys. Before
+// the fleet's first version there are no routes and so no calls with keys, and
+// the members that come then make no key uncertain.
+func (n *node) membersMoved(now time.Time) {
+	announcement, ok := n.calls.upstream.service()
+	if ok && n.applier.Current().Tree.Version > 0 {
 		n.calls.deduplicator.Moved(now, names(n.fleet.serving(announcement.Service)))
 	}
 }
@@ -174,6 +182,7 @@
 // configured is called after each version that came into force.
 func (n *node) configured(state applier.State) {
 	n.authenticator.Update(state.Tree.Items)
+	n.membersMoved(state.Since)
 	if announcement, ok := n.calls.upstream.service(); ok {
 		n.resize(announcement)
 	}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -115,6 +115,10 @@
 	if err := n.distributor.Bootstrap(ctx); err != nil {
 		return err
 	}
+	if n.applier.Current().Tree.Version == 0 {
+		// The fleet has no version yet, so no call with a key can have run.
+		n.calls.deduplicator.StartClean()
+	}
 	if n.phase.CompareAndSwap(manager.PhaseStarting, manager.PhaseReady) {
 		level.Info(n.logger).Log("msg", "node ready", "version", n.applier.Current().Tree.Version)
 	}
