--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,8 @@
 # Shows a first change and calls on a small fleet of real processes.
 demo: build
 	demo/run.sh
+
+# Measures convergence, control bytes and calls on this machine; about 10 minutes.
+bench: build
+	$(BIN)/srbench converge --nodes 12,48,96 --services 430 --changes 20 --idle 10s --modes tree,poll
+	$(BIN)/srbench calls --rate 300 --duration 8s
