End a node whose start fails; serve HTTP/2 callers with the forwarder's bounds

Cause: when one listener failed, Run waited for the other HTTP servers, which nothing closed, and the process hung with an open port. The test fails for all three addresses without the change and passes with it. The bounds of the callers' server stood in two packages; the forwarder's are used now, and a test sends uploads over HTTP/2 through every node.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -345,6 +345,34 @@
 	}
 }
 
+// Guards against callers over HTTP/2 that get something else than callers over
+// HTTP/1.1.
+func TestHTTP2Callers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
+	waitKnown(t, fleet, "quoting")
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}, Timeout: 10 * time.Second}
+	defer client.CloseIdleConnections()
+	body := bytes.Repeat([]byte("meter drawing "), 100_000)
+	sum := sha256.Sum256(body)
+	for _, node := range fleet.Nodes {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+node.Callers.String()+"/upload", bytes.NewReader(body))
+		is.NoErr(err)
+		request.Host = "surveys.example"
+		response, err := client.Do(request)
+		is.NoErr(err)
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.ProtoMajor, 2)
+		is.Equal(response.Header.Get(sycamorerun.HeaderOutcome), string(sycamorerun.Answered))
+		is.True(bytes.Contains(text, []byte(hex.EncodeToString(sum[:]))))
+	}
+}
+
 // Guards against an upstream that accepts requests and goes silent: calls are
 // answered elsewhere or end in time with a true result.
 func TestSilentUpstream(t *testing.T) {
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// headerTimeout bounds the wait for the head of an operator's request.
+	headerTimeout = 10 * time.Second
 	// leaveTimeout bounds the announcement that the node is gone.
 	leaveTimeout = 2 * time.Second
 	// closeTimeout bounds the end of the HTTP servers after the drain.
@@ -71,7 +73,7 @@
 	operators := &http.Server{
 		Addr: n.settings.Operators.String(), Handler: n.manager.Handler(), ReadHeaderTimeout: headerTimeout,
 	}
-	callers := callerServer(n.settings.Callers, n.ready(n.calls.forwarder))
+	callers := callerServer(n.settings.Callers, n.calls.forwarder.Server(), n.ready)
 	start("connector", n.connector.Run)
 	start("tracker", n.tracker.Run)
 	start("seeder", n.seeder.Run)
@@ -96,9 +98,11 @@
 	return nil
 }
 
-// serve runs an HTTP server as a function for start.
+// serve runs an HTTP server as a function for start. The end of the context
+// closes it at once, for a start that failed elsewhere.
 func serve(server *http.Server) func(context.Context) error {
-	return func(context.Context) error {
+	return func(ctx context.Context) error {
+		defer context.AfterFunc(ctx, func() { _ = server.Close() })()
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
--- /dev/null
+++ b/node/runner/runner_test.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun/loader"
+)
+
+// free returns a loopback address that nothing listens on.
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a node that hangs instead of ending with an error when one
+// of its addresses is in use.
+func TestAddressInUse(t *testing.T) {
+	cases := map[string]func(*Settings, netip.AddrPort){
+		"callers":   func(s *Settings, used netip.AddrPort) { s.Callers = used },
+		"peers":     func(s *Settings, used netip.AddrPort) { s.Peers = used },
+		"operators": func(s *Settings, used netip.AddrPort) { s.Operators = used },
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			settings := Settings{
+				Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t),
+				Store: free(t), Insecure: true, Mode: "tree", StartWait: time.Minute, KeyWindow: time.Minute, LogLevel: "error",
+			}
+			set(&settings, listener.Addr().(*net.TCPAddr).AddrPort())
+			ended := make(chan error, 1)
+			go func() { ended <- New(settings, &bytes.Buffer{}).Run(t.Context()) }()
+			select {
+			case err := <-ended:
+				is.True(err != nil)
+				is.True(strings.Contains(err.Error(), "address already in use"))
+			case <-time.After(20 * time.Second):
+				t.Fatal("the node neither ran nor ended")
+			}
+		})
+	}
+}
+
+// Guards against nodes that start with settings that contradict each other.
+func TestSettingsFaults(t *testing.T) {
+	base := []string{"--name=n", "--availability-zone=z", "--region=r"}
+	cases := map[string]struct {
+		args   []string
+		faulty string
+	}{
+		"insecure":              {[]string{"--insecure-peers"}, ""},
+		"neither TLS nor not":   {nil, "tls-ca"},
+		"TLS in part":           {[]string{"--tls-ca=x"}, "tls-ca"},
+		"TLS and insecure":      {[]string{"--insecure-peers", "--tls-ca=x"}, "insecure-peers"},
+		"unspecified peers":     {[]string{"--insecure-peers", "--peers=0.0.0.0:7060"}, "peers"},
+		"one address twice":     {[]string{"--insecure-peers", "--callers=127.0.0.1:7070"}, "callers"},
+		"bad hash":              {[]string{"--insecure-peers", "--admin-hash=sha256:12"}, "admin-hash"},
+		"unknown mode":          {[]string{"--insecure-peers", "--mode=star"}, "mode"},
+		"delay without unit":    {[]string{"--insecure-peers", "--standby-delay=5"}, "standby-delay"},
+		"delay out of bounds":   {[]string{"--insecure-peers", "--standby-delay=1h"}, "standby-delay"},
+		"seed without a port":   {[]string{"--insecure-peers", "--seeds=127.0.0.1"}, "seeds"},
+		"negative body limit":   {[]string{"--insecure-peers", "--max-body=-1"}, "max-body"},
+		"store by name":         {[]string{"--insecure-peers", "--store=store:7000"}, "store"},
+		"zone with upper case":  {[]string{"--insecure-peers", "--availability-zone=Z"}, "availability-zone"},
+		"second listen address": {[]string{"--insecure-peers", "--listen-peers=0.0.0.0:7060"}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var settings Settings
+			l := loader.New("srnode")
+			settings.Register(l)
+			faults, err := l.Load(append(base, c.args...), func(string) (string, bool) { return "", false }, &bytes.Buffer{})
+			is.NoErr(err)
+			if c.faulty == "" {
+				is.Equal(len(faults), 0)
+				return
+			}
+			is.Equal(len(faults), 1)
+			is.Equal(faults[0].Name, c.faulty)
+		})
+	}
+}
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -70,22 +69,13 @@
 	return u.announcement, u.announcement.Service != ""
 }
 
-// sessionIdle bounds how long an idle caller connection stays open.
-const sessionIdle = 2 * time.Minute
-
-// callerServer returns the HTTP server for callers with its bounds.
-func callerServer(address netip.AddrPort, handler http.Handler) *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Addr: address.String(), Handler: handler, Protocols: protocols,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: sessionIdle, MaxHeaderBytes: maxHeaderBytes,
-	}
+// callerServer returns the HTTP server for callers, over HTTP/1.1 or HTTP/2
+// without TLS.
+func callerServer(address netip.AddrPort, server *http.Server, wrap func(http.Handler) http.Handler) *http.Server {
+	server.Addr = address.String()
+	server.Handler = wrap(server.Handler)
+	server.Protocols = new(http.Protocols)
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server
 }
-
-// Bounds of a caller's request head.
-const (
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
-)
