Use the field's terms in three places of the node

Fallback sources for a silent parent, discovery of other groups, and states of a query had names that needed explaining. No behavior changes.

--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -128,7 +128,7 @@
 	case Gossip:
 		group.Go(func() { d.ask(ctx) })
 	case Tree:
-		group.Go(func() { d.escape(ctx) })
+		group.Go(func() { d.fallback(ctx) })
 	}
 	<-ctx.Done()
 	return ctx.Err()
--- a/node/distributor/isolation.go
+++ b/node/distributor/fallback.go
@@ -16,9 +16,9 @@
 	// parent counts as failed takes about 9 s, more than a change may take to
 	// be in force.
 	parentSilence = 2500 * time.Millisecond
-	// escapePeers is how many random peers are asked in each period, so that
+	// fallbackPeers is how many random peers are asked in each period, so that
 	// an answer comes in time although some of them are silent as well.
-	escapePeers = 3
+	fallbackPeers = 3
 )
 
 // parent is the node's parent in the first tree and when it was last heard.
@@ -48,10 +48,10 @@
 	}
 }
 
-// escape says what to do at now: ask random peers, and read the store. The
+// fallback says what to do at now: ask random peers, and read the store. The
 // store is read in the periods 1, 2, 4, 8 and so on of a silence, which bounds
 // its load when many nodes lose their parents at once.
-func (p *parent) escape(now time.Time) (peers, store bool) {
+func (p *parent) fallback(now time.Time) (peers, store bool) {
 	if p.name == "" || now.Sub(p.heard) < parentSilence {
 		return false, false
 	}
@@ -59,19 +59,19 @@
 	return true, bits.OnesCount(p.periods) == 1
 }
 
-// escape looks for new versions elsewhere while the parent is silent. Each
+// fallback looks for new versions elsewhere while the parent is silent. Each
 // part of the fleet that is cut off from the watchers has a topmost node whose
 // parent is silent, and that node brings the version to those below it.
-func (d *Distributor) escape(ctx context.Context) {
+func (d *Distributor) fallback(ctx context.Context) {
 	for sleep(ctx, gossipPeriod) {
 		links := d.Plan().Links
 		now := time.Now()
 		d.mutex.Lock()
 		d.parent.follow(now, links)
-		peers, store := d.parent.escape(now)
+		peers, store := d.parent.fallback(now)
 		d.mutex.Unlock()
 		if peers {
-			d.askRandom(ctx, escapePeers)
+			d.askRandom(ctx, fallbackPeers)
 		}
 		if !store {
 			continue
--- a/node/distributor/isolation_test.go
+++ b/node/distributor/fallback_test.go
@@ -12,7 +12,7 @@
 // Guards against a node that stays behind for as long as it takes to declare
 // its parent failed, against one that asks around without need, and against a
 // herd of nodes without parents that reads the store each second.
-func TestEscape(t *testing.T) {
+func TestFallback(t *testing.T) {
 	start := time.Unix(1000, 0)
 	links := []planner.Link{
 		{Name: "other", Tree: 1, Role: planner.RoleParent},
@@ -39,7 +39,7 @@
 				now := start.Add(time.Duration(second) * time.Second)
 				p.follow(now, c.links)
 				p.hear(now, c.heard)
-				peers, store := p.escape(now)
+				peers, store := p.fallback(now)
 				if peers {
 					asks++
 				}
@@ -59,7 +59,7 @@
 	start := time.Unix(1000, 0)
 	p := parent{name: "old", heard: start.Add(-time.Hour), periods: 7}
 	p.follow(start, []planner.Link{{Name: "new", Tree: 0, Role: planner.RoleParent}})
-	peers, store := p.escape(start.Add(time.Second))
+	peers, store := p.fallback(start.Add(time.Second))
 	is.Equal(peers, false)
 	is.Equal(store, false)
 	is.Equal(p.periods, uint(0))
--- a/node/forwarder/query.go
+++ b/node/forwarder/query.go
@@ -16,17 +16,17 @@
 func (f *Forwarder) query(ctx context.Context, to sycamorerun.Instance, id string, age time.Duration) (Progress, error) {
 	conn, err := f.Open(ctx, to.Address, KindQuery)
 	if err != nil {
-		return Lost, err
+		return ProgressUnknown, err
 	}
 	defer func() { _ = conn.Close() }()
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer release()
 	if _, err := encoder.Write(conn, &Ask{Id: id, AgeMs: age.Milliseconds() + 1}); err != nil {
-		return Lost, err
+		return ProgressUnknown, err
 	}
 	state, err := encoder.Read[State](conn, queryBytes)
 	if err != nil {
-		return Lost, err
+		return ProgressUnknown, err
 	}
 	return Progress(state.GetState()), nil
 }
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -108,7 +108,7 @@
 	asking, stop := context.WithTimeout(context.WithoutCancel(ctx), f.QueryWait)
 	defer stop()
 	progress, err := f.query(asking, to, id, f.Now().Sub(began))
-	if err == nil && progress == Turned {
+	if err == nil && progress == ProgressRefused {
 		if reason == reasonLost {
 			reason = reasonQueried
 		}
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -43,7 +43,7 @@
 func (f *Forwarder) serve(ctx context.Context, peer *link, in *inbound) bool {
 	defer in.close()
 	if !f.drain.enter() {
-		return f.turn(peer, notRun(reasonDraining))
+		return f.sendRefusal(peer, notRun(reasonDraining))
 	}
 	defer f.drain.leave()
 	c := fromHead(f.Now(), in.head)
@@ -60,7 +60,7 @@
 	if failed != nil {
 		_ = level.Debug(f.Logger).Log("msg", "call of a peer not answered", "request", in.head.GetId(),
 			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
-		return f.turn(peer, failed)
+		return f.sendRefusal(peer, failed)
 	}
 	_ = level.Debug(f.Logger).Log("msg", "call of a peer answered", "request", in.head.GetId(),
 		"service", c.match.Service, "status", out.status)
@@ -83,9 +83,9 @@
 	return err == nil && keep
 }
 
-// turn tells the peer that there is no response, and reports whether the stream
+// sendRefusal tells the peer that there is no response, and reports whether the stream
 // can carry another call.
-func (f *Forwarder) turn(peer *link, failed *failure) bool {
+func (f *Forwarder) sendRefusal(peer *link, failed *failure) bool {
 	keep := f.keep()
 	_ = peer.conn.SetWriteDeadline(f.Now().Add(headWait))
 	err := peer.send(&Frame{Kind: &Frame_Refused{Refused: &Refusal{
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -103,8 +103,8 @@
 
 // Values of Progress.
 const (
-	Turned   Progress = "refused"
-	Started  Progress = "started"
-	Finished Progress = "finished"
-	Lost     Progress = "unknown"
+	ProgressRefused  Progress = "refused"
+	ProgressStarted  Progress = "started"
+	ProgressFinished Progress = "finished"
+	ProgressUnknown  Progress = "unknown"
 )
--- a/node/tracker/contact.go
+++ b/node/tracker/contact.go
@@ -82,25 +82,25 @@
 	}
 }
 
-// explore looks for groups of nodes that this one does not know. Nodes that
+// discover looks for groups of nodes that this one does not know. Nodes that
 // start at the same time can form such groups: each has links within its own
 // and so contacts no more seeds. Only the first member of an availability
 // zone does this, so that the seeds are read once per zone and interval.
-func (t *Tracker) explore(ctx context.Context) {
+func (t *Tracker) discover(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		bound := t.timing.exploringMost
+		bound := t.timing.discoveryMost
 		if n < 4 {
-			bound = min(bound, t.timing.exploring<<n)
+			bound = min(bound, t.timing.discovery<<n)
 		}
 		sleep(ctx, bound/2+rand.N(bound/2))
 		if ctx.Err() == nil && t.Plan().Seed {
-			t.contactStrangers(ctx)
+			t.contactUnknown(ctx)
 		}
 	}
 }
 
-// contactStrangers opens links to a few seeds that are no known member's.
-func (t *Tracker) contactStrangers(ctx context.Context) {
+// contactUnknown opens links to a few seeds that are no known member's.
+func (t *Tracker) contactUnknown(ctx context.Context) {
 	if t.Seeds == nil {
 		return
 	}
--- a/node/tracker/timing.go
+++ b/node/tracker/timing.go
@@ -30,9 +30,9 @@
 	probing time.Duration
 	// healing is the mean interval of attempts to reach lost nodes.
 	healing time.Duration
-	// exploring and exploringMost bound the intervals between reads of the
+	// discovery and discoveryMost bound the intervals between reads of the
 	// seeds by the first member of an availability zone.
-	exploring, exploringMost time.Duration
+	discovery, discoveryMost time.Duration
 	// linger is how long a link that the plan doesn't want any more stays
 	// open, so that an exchange can finish.
 	linger time.Duration
@@ -50,9 +50,9 @@
 	patience:  2 * time.Second,
 	probing:   time.Second,
 	healing:   5 * time.Second,
-	exploring: time.Second,
+	discovery: time.Second,
 	// Four reads in the first 15 s join groups that formed at the start; then
 	// each zone's first member reads the seeds every 12 s on average.
-	exploringMost: 16 * time.Second,
+	discoveryMost: 16 * time.Second,
 	linger:        10 * time.Second,
 }
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -97,7 +97,7 @@
 	t.tasks.Go(func() { t.notify(ctx) })
 	t.tasks.Go(func() { t.join(ctx) })
 	t.tasks.Go(func() { t.heal(ctx) })
-	t.tasks.Go(func() { t.explore(ctx) })
+	t.tasks.Go(func() { t.discover(ctx) })
 	ticker := time.NewTicker(t.timing.step)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -36,7 +36,7 @@
 		step: t.step / n, heartbeat: t.heartbeat / n, silence: t.silence / n, suspicion: t.suspicion / n,
 		pause: t.pause / n, grace: t.grace / n, retry: t.retry / n, patience: t.patience / n,
 		probing: t.probing / n, healing: t.healing / n, linger: t.linger / n,
-		exploring: t.exploring / n, exploringMost: t.exploringMost / n,
+		discovery: t.discovery / n, discoveryMost: t.discoveryMost / n,
 	}
 }
 
