Wait until all nodes know each other before the uploads of a test

Right after the start a node may know no upstream and answers not-run, which is allowed; the test asked one of six nodes only. It failed in one of three runs of the package: upload 1-0 and 2-0, not-run, no-upstream.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -201,7 +201,7 @@
 	is := is.New(t)
 	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
 	ctx := t.Context()
-	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, fleet.Nodes[0], "surveys.example", "/") }))
+	waitKnown(t, fleet, "quoting")
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	whole := map[string]bool{}
