--- /dev/null
+++ b/bench/system/stop_test.go
@@ -0,0 +1,37 @@
+package system
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun/bench/deployer"
+)
+
+// Guards against a draining node that looks dead or ready to its supervisor,
+// and against one that can't be ended before its drain is over.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(1)[:2], NodeArgs: []string{"--drain-delay", "1m"}})
+	ctx := t.Context()
+	node := fleet.Nodes[1]
+	is.NoErr(node.Process.Signal(syscall.SIGTERM))
+	is.NoErr(deployer.Eventually(ctx, 5*time.Second, func() bool {
+		status, _, err := deployer.Get(ctx, node.Operators, "/readyz")
+		return err == nil && status == http.StatusServiceUnavailable
+	}))
+	status, _, err := deployer.Get(ctx, node.Operators, "/healthz")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.NoErr(node.Process.Signal(syscall.SIGTERM))
+	is.NoErr(deployer.Eventually(ctx, 5*time.Second, func() bool {
+		_, _, err := deployer.Get(ctx, node.Operators, "/healthz")
+		return err != nil
+	}))
+	is.NoErr(fleet.Nodes[0].Process.Signal(syscall.SIGTERM))
+	is.NoErr(fleet.Nodes[0].Process.Signal(syscall.SIGTERM))
+}
--- a/node/tracker/contact.go
+++ b/node/tracker/contact.go
@@ -61,6 +61,9 @@
 		return
 	}
 	seeds, err := t.Seeds(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		level.Warn(t.Logger).Log("msg", "no seeds", "err", err)
 		return
