Wait until all nodes know each other in the stop and silence tests

In one of six runs TestPlannedStop began the stop 0.3 s after the fleet's start, when two nodes knew the leaving upstream only and told not-run, no-upstream, which is true and allowed while a fleet forms. The check on every call stays.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -287,9 +287,7 @@
 			fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
 			ctx := t.Context()
 			leaving := fleet.Nodes[2]
-			for _, node := range fleet.Nodes {
-				is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, node, "quotes.example", "/quotes/1") }))
-			}
+			waitKnown(t, fleet, "quoting")
 			stop := make(chan struct{})
 			end := sync.OnceFunc(func() { close(stop) })
 			var group sync.WaitGroup
@@ -380,9 +378,7 @@
 	is := is.New(t)
 	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"}})
 	ctx := t.Context()
-	for _, node := range fleet.Nodes {
-		is.NoErr(deployer.Eventually(ctx, converged, func() bool { return answers(ctx, node, "quotes.example", "/quotes/1") }))
-	}
+	waitKnown(t, fleet, "quoting")
 	silent := fleet.Nodes[0]
 	is.NoErr(deployer.Put(ctx, silent.Control, "/behavior", map[string]any{"silent": true}))
 	var answered int
