Read the operators' API of test fleets in one place; drop unused code

Three system tests each wrote the same authenticated GET; Fleet.Read serves them and also fails on any status but 200. differ.Empty, launcher.Address and meter.Latency had no caller.

--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -285,7 +285,19 @@
 
 // Get reads a page of a process.
 func Get(ctx context.Context, address netip.AddrPort, path string) (int, []byte, error) {
-	return exchange(ctx, http.MethodGet, address, path, nil)
+	return exchange(ctx, http.MethodGet, address, path, "", nil)
+}
+
+// Read reads a page of a node's API as an operator into value.
+func (f *Fleet) Read(ctx context.Context, operator string, node *Node, path string, value any) error {
+	status, body, err := exchange(ctx, http.MethodGet, node.Operators, path, f.tokens[operator], nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return errors.Errorf("read %s of %s: status %d: %s", path, node.Name, status, body)
+	}
+	return errors.Wrapf(json.Unmarshal(body, value), "read %s of %s", path, node.Name)
 }
 
 // Put sends a JSON value to a process.
@@ -294,20 +306,23 @@
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	status, text, err := exchange(ctx, http.MethodPut, address, path, body)
+	status, text, err := exchange(ctx, http.MethodPut, address, path, "", body)
 	if err == nil && status >= http.StatusBadRequest {
 		err = errors.Errorf("PUT %s%s: status %d: %s", address, path, status, text)
 	}
 	return err
 }
 
-func exchange(ctx context.Context, method string, address netip.AddrPort, path string, body []byte) (int, []byte, error) {
+func exchange(ctx context.Context, method string, address netip.AddrPort, path, token string, body []byte) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "request")
 	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "request")
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -137,8 +136,3 @@
 		Resident: numbers[2] * int64(os.Getpagesize()),
 	}, nil
 }
-
-// Address returns the loopback address with port.
-func Address(port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-}
--- a/bench/system/chaos_test.go
+++ b/bench/system/chaos_test.go
@@ -74,10 +74,8 @@
 	last := apply(t, fleet, "quoting", quoting("/last"), fleet.Nodes[5])
 	// Dials back off up to 10 s during a partition.
 	is.NoErr(fleet.WaitVersion(ctx, last, len(fleet.Nodes), 10*time.Second+converged))
-	requester, err := fleet.Requester("quoting", fleet.Nodes[5])
-	is.NoErr(err)
 	inHistory := map[uint64]int{}
-	for _, change := range historyOf(t, fleet.Nodes[5], requester.Token) {
+	for _, change := range historyOf(t, fleet, fleet.Nodes[5]) {
 		inHistory[change.Version]++
 	}
 	t.Logf("%d acceptances were reported, %d versions in all", len(found), last)
--- a/bench/system/configuration_test.go
+++ b/bench/system/configuration_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -24,24 +23,11 @@
 
 func statusOf(t *testing.T, fleet *deployer.Fleet, node *deployer.Node) (status, error) {
 	t.Helper()
-	requester, err := fleet.Requester("quoting", node)
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node.Operators.String()+"/v1/status", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+requester.Token)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return status{}, err
-	}
-	defer response.Body.Close()
 	var s status
-	return s, json.NewDecoder(response.Body).Decode(&s)
+	err := fleet.Read(ctx, "quoting", node, "/v1/status", &s)
+	return s, err
 }
 
 // watchers returns the nodes that watch the store.
@@ -254,9 +240,7 @@
 	is.NoErr(fleet.WaitVersion(ctx, newest, len(fleet.Nodes), converged))
 	// Every accepted change is in the history under its version, and nothing
 	// else of the team is.
-	requester, err := fleet.Requester("quoting", fleet.Nodes[0])
-	is.NoErr(err)
-	history := historyOf(t, fleet.Nodes[0], requester.Token)
+	history := historyOf(t, fleet, fleet.Nodes[0])
 	inHistory := map[uint64]int{}
 	for _, change := range history {
 		if change.Team == "quoting" && change.Version > 3 {
@@ -271,20 +255,10 @@
 	Team    string `json:"team"`
 }
 
-func historyOf(t *testing.T, node *deployer.Node, token string) []accepted {
+func historyOf(t *testing.T, fleet *deployer.Fleet, node *deployer.Node) []accepted {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node.Operators.String()+"/v1/history?limit=1024", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
 	var history []accepted
-	if err := json.NewDecoder(response.Body).Decode(&history); err != nil {
+	if err := fleet.Read(t.Context(), "quoting", node, "/v1/history?limit=1024", &history); err != nil {
 		t.Fatal(err)
 	}
 	return history
--- a/bench/system/membership_test.go
+++ b/bench/system/membership_test.go
@@ -1,8 +1,6 @@
 package system
 
 import (
-	"encoding/json"
-	"net/http"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,23 +9,13 @@
 )
 
 // membersOf returns the members that a node knows, with their states.
-func membersOf(t *testing.T, node *deployer.Node, token string) map[string]string {
+func membersOf(t *testing.T, fleet *deployer.Fleet, node *deployer.Node, operator string) map[string]string {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node.Operators.String()+"/v1/members", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+token)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
 	var members []struct {
 		Name  string `json:"name"`
 		State string `json:"state"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&members); err != nil {
+	if err := fleet.Read(t.Context(), operator, node, "/v1/members", &members); err != nil {
 		t.Fatal(err)
 	}
 	states := map[string]string{}
@@ -41,12 +29,10 @@
 func waitKnown(t *testing.T, fleet *deployer.Fleet, operator string) {
 	t.Helper()
 	is := is.New(t)
-	requester, err := fleet.Requester(operator, fleet.Nodes[0])
-	is.NoErr(err)
 	is.NoErr(deployer.Eventually(t.Context(), converged, func() bool {
 		for _, node := range fleet.Nodes {
 			ready := 0
-			for _, state := range membersOf(t, node, requester.Token) {
+			for _, state := range membersOf(t, fleet, node, operator) {
 				if state == "ready" {
 					ready++
 				}
--- a/differ/differ.go
+++ b/differ/differ.go
@@ -27,11 +27,6 @@
 	return difference
 }
 
-// Empty reports whether the difference changes nothing.
-func Empty(difference sycamorerun.Difference) bool {
-	return len(difference.Put) == 0 && len(difference.Remove) == 0
-}
-
 // Apply returns a copy of tree at version with the difference applied.
 func Apply(tree sycamorerun.Tree, version sycamorerun.Version, difference sycamorerun.Difference) sycamorerun.Tree {
 	next := tree.Clone()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -15,9 +15,6 @@
 // ReportInterval is how often counters are handed to the exporter.
 const ReportInterval = time.Second
 
-// Latency are the buckets of latency histograms, 100 µs to 26 s.
-var Latency = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
-
 // sanitizer keeps metric names and label names as Prometheus takes them, and
 // the characters that occur in names of instances in label values.
 func sanitizer() *tally.SanitizeOptions {
