Count upstream executions in tests once they have happened

Cause: the request's bytes had been written, so the node rightly told the caller "unknown", and the caller's outcome came before the goroutine of the upstream's server had counted the execution. The test read the counter at that moment.

Ruled out: an upstream that was never reached, and an outcome that is wrong.

The check now waits up to 5 s for the expected count, and reads it again after the node and the upstream have ended, which also sees executions that come too late; before, those were missed.

--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
 	"sycamorerun"
@@ -158,6 +159,17 @@
 	return b.do(r)
 }
 
+// reached waits until the upstream has counted the executions. When a stream is
+// cut while a request is on its way, the caller may have its outcome before the
+// upstream's server has started the handler.
+func (b *bed) reached(t *testing.T, executions int64) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); b.executed.Load() < executions && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.New(t).Equal(b.executed.Load(), executions)
+}
+
 func (b *bed) do(r *http.Request) result {
 	response, err := b.caller.Client().Do(r)
 	if err != nil {
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -298,7 +298,10 @@
 				if c.handler == nil {
 					c.handler = reply("ok")
 				}
-				b := newBed(t, onLocal, c.handler)
+				var b *bed
+				// Runs after the bed has ended, so that it sees late executions.
+				t.Cleanup(func() { is.Equal(b.executed.Load(), c.executed) })
+				b = newBed(t, onLocal, c.handler)
 				if c.setUp != nil {
 					c.setUp(b)
 				}
@@ -315,7 +318,7 @@
 					got.err, got.body = c.want.err, ""
 				}
 				is.Equal(got, c.want)
-				is.Equal(b.executed.Load(), c.executed)
+				b.reached(t, c.executed)
 			})
 		})
 	}
