--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -502,3 +502,27 @@
 		s.callAt(s.processes["a"], "key")
 	})
 }
+
+// BenchmarkLeave hands full records over to 22 members: 16,384 keys, 8 MiB of
+// responses. Setting up is part of an operation.
+func BenchmarkLeave(b *testing.B) {
+	names := make([]string, 23)
+	for i := range names {
+		names[i] = fmt.Sprint("member", i)
+	}
+	response := bytes.Repeat([]byte("x"), 512)
+	for b.Loop() {
+		b.StopTimer()
+		s := newService(names...)
+		p := s.processes[names[0]]
+		p.Records.limits = Defaults
+		for n := range Defaults.Keys {
+			key := Key{Name: fmt.Sprintf("booking-0123456789-%d", n)}
+			p.Records.take(s.now, []Record{{Key: key, Certain: true, Kept: true, Response: response}})
+		}
+		b.StartTimer()
+		if !p.Leave(context.Background()) {
+			b.Fatal("hand-over failed")
+		}
+	}
+}
