Ask members that meet after a partition for their keys; fix a stale join

Two causes of a second run of a key: - A joiner counted an announced member as alive that it had not asked, because it had left since. After a join, only the members that were asked count as members. - Members that met without either having asked the other, as when a partition heals that lasted longer than the key window, knew nothing of each other's keys. Each one now asks the other, and until it has answered every unknown key is uncertain.

An upstream that was silent for so long that its record lapsed now asks for its keys again before it serves.

Ruled out for the second: doubt for a window after each meeting, which would make all keys of a healed service uncertain for 10 minutes.

Before: seed 137 fails; the cases of a long partition and of a stale view run a key twice.

--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -118,6 +118,8 @@
 	calls  calls
 	keys   keys
 	moves  moves
+	// appeared signals that there are strangers.
+	appeared chan struct{}
 }
 
 // New returns an empty deduplicator of a process that began at now.
@@ -125,6 +127,7 @@
 	return &Deduplicator{
 		limits: limits, began: now,
 		calls: newCalls(now), keys: newKeys(), moves: newMoves(),
+		appeared: make(chan struct{}, 1),
 	}
 }
 
@@ -134,6 +137,7 @@
 	defer d.mutex.Unlock()
 	d.Clean = true
 	d.moves.left, d.moves.joining, d.moves.joined = false, false, true
+	clear(d.moves.strangers)
 	d.moves.known, d.moves.past, d.moves.blind = false, nil, time.Time{}
 }
 
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -93,8 +93,28 @@
 func (s *service) announce(names ...string) {
 	for name, p := range s.processes {
 		if !p.dead && (len(names) == 0 || slices.Contains(names, name)) {
-			p.view = s.announced()
-			p.Records.Moved(s.now, p.view)
+			s.see(name, s.announced())
+		}
+	}
+}
+
+// see gives a process a view of the members that serve.
+func (s *service) see(name string, view []Member) {
+	p := s.processes[name]
+	p.view = view
+	p.Records.Moved(s.now, view)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	p.Meet(ctx)
+}
+
+// separate gives each side of a partition a view of its own.
+func (s *service) separate(sides ...string) {
+	all := s.announced()
+	for _, side := range sides {
+		for _, name := range strings.Split(side, "") {
+			other := func(member Member) bool { return !strings.Contains(side, member.Name) }
+			s.see(name, slices.DeleteFunc(slices.Clone(all), other))
 		}
 	}
 }
@@ -318,7 +338,7 @@
 func TestHandOverSteps(t *testing.T) {
 	cases := map[string]func(is *is.I, s *service, a, b *process){
 		"a member that the joiner does not see keeps its keys": func(is *is.I, s *service, a, b *process) {
-			grant := a.Records.Grant(s.now, Member{"d", 1}, 1, []Member{a.member, b.member})
+			grant := a.Records.Grant(s.now, Member{"d", 1}, 1, []Member{a.member, b.member}, false)
 			is.True(!grant.Granted)
 			is.Equal(grant.Set, s.announced())
 		},
@@ -331,7 +351,7 @@
 			key := find(t, "b", "a")
 			is.True(s.leave("b"))
 			s.announce()
-			is.True(a.Records.Grant(s.now, b.member, 1, s.announced()).Granted)
+			is.True(a.Records.Grant(s.now, b.member, 1, s.announced(), false).Granted)
 			s.now = s.now.Add(joinAge) // b may have executed the key and is gone
 			is.Equal(s.callAt(a, key).Verdict, Uncertain)
 		},
@@ -366,6 +386,57 @@
 			is.True(len(a.Records.keys.records) <= 1000)
 			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
 		},
+		"keys that ran in a long partition": func(is *is.I, s *service, a, b *process) {
+			s.separate("a", "bc")
+			s.now = s.now.Add(11 * time.Minute) // what was lost then is no longer in doubt
+			key := ownedBy(s, "a")
+			is.Equal(s.callAt(b, key).Verdict+s.callAt(s.processes["c"], key).Verdict, Run+Refused)
+			for _, name := range []string{"b", "c", "a"} { // a is asked before it notices
+				s.see(name, s.announced())
+			}
+			is.Equal(s.callAt(a, key).Verdict, Recorded)
+			is.Equal(s.callAt(a, "new-"+ownedBy(s, "a")).Verdict == Uncertain, false)
+		},
+		"a stranger that can't be asked": func(is *is.I, s *service, a, _ *process) {
+			s.separate("a", "bc")
+			s.now = s.now.Add(11 * time.Minute)
+			s.unreachable["b"] = true
+			s.announce("a")
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			s.crash("b")
+			s.announce("a")
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+		},
+		"a stranger that is gone before it answers": func(is *is.I, s *service, a, _ *process) {
+			s.separate("a", "bc")
+			s.now = s.now.Add(11 * time.Minute)
+			s.unreachable["b"], s.unreachable["c"] = true, true
+			s.announce("a")
+			s.separate("a", "bc")
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			s.now = s.now.Add(11 * time.Minute)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Run)
+		},
+		"two partitions, one after the other": func(is *is.I, s *service, _, b *process) {
+			key := ownedBy(s, "a")
+			for _, name := range []string{key + "-1", key + "-2"} {
+				s.separate("a", "bc")
+				s.now = s.now.Add(11 * time.Minute)
+				for _, p := range []*process{b, s.processes["c"]} {
+					s.callAt(p, name)
+				}
+				s.announce()
+				is.True(s.call(name).Verdict == Recorded)
+			}
+		},
+		"no exchange with members that asked": func(is *is.I, s *service, _, b *process) {
+			is.True(s.leave("b"))
+			s.announce()
+			is.True(s.join("b"))
+			s.unreachable["b"] = true
+			s.announce()
+			is.Equal(len(s.processes["a"].Records.Strangers()), 0)
+		},
 		"another service": func(is *is.I, s *service, a, _ *process) {
 			a.Service = func() string { return "other" }
 			is.True(s.leave("b"))
@@ -388,6 +459,30 @@
 	}
 }
 
+// Guards against a joiner that relies on a member that it did not ask: one
+// that has left since it was last announced here, and got the key back from
+// another one that had not noticed either. Found by seed 137 of
+// TestHandOverAtRandom.
+func TestJoinWithStaleView(t *testing.T) {
+	is := is.New(t)
+	s := newService("a", "b", "c", "d")
+	is.True(s.leave("c"))
+	s.announce()
+	key := ""
+	for n := 0; key == ""; n++ {
+		name := fmt.Sprint("key", n)
+		if Owner(name, []string{"a", "b", "c", "d"}) == "c" && Owner(name, []string{"a", "b", "d"}) == "d" && Owner(name, []string{"a", "b"}) == "b" {
+			key = name
+		}
+	}
+	is.Equal(s.callAt(s.processes["d"], key).Verdict, Run)
+	is.True(s.leave("d"))
+	s.leave("b")
+	s.announce("a")
+	is.True(s.join("c"))
+	is.Equal(s.callAt(s.processes["c"], key).Verdict, Uncertain)
+}
+
 // Guards results that arrive between the hand-over and the end of a drain.
 func TestFinish(t *testing.T) {
 	is := is.New(t)
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -86,6 +86,12 @@
 	// joined says that a join has ended, so that keys may have run here.
 	joined bool
 	seals  map[Member]seal
+	// strangers are members that appeared without having asked this process for
+	// their keys, as after a partition. They may have executed any key.
+	strangers map[Member]struct{}
+	// met are the members that this process has asked for its keys, or that had
+	// executed none before they asked for theirs.
+	met map[Member]struct{}
 	// doubted are members that, when they handed this process its keys, did not
 	// know what ran before them, and when that was.
 	doubted map[Member]time.Time
@@ -96,7 +102,7 @@
 
 func newMoves() moves {
 	return moves{
-		joiners: map[Member]time.Time{}, seals: map[Member]seal{},
+		joiners: map[Member]time.Time{}, seals: map[Member]seal{}, strangers: map[Member]struct{}{}, met: map[Member]struct{}{},
 		doubted: map[Member]time.Time{}, terms: map[Member]uint64{},
 	}
 }
@@ -110,6 +116,7 @@
 	for _, member := range announced {
 		if !slices.Contains(m.announced, member) {
 			delete(m.seals, member) // it executes keys again
+			d.notice(member)
 		}
 		for joiner := range m.joiners {
 			if joiner.Name == member.Name && joiner.Incarnation <= member.Incarnation {
@@ -117,11 +124,37 @@
 			}
 		}
 	}
+	for stranger := range m.strangers {
+		if !slices.Contains(announced, stranger) { // gone with what it knew
+			delete(m.strangers, stranger)
+			m.blind = now.Add(d.limits.Age)
+		}
+	}
+	for _, member := range m.announced {
+		if !slices.Contains(announced, member) {
+			delete(m.met, member)
+		}
+	}
 	m.announced = slices.Clone(announced)
 	d.recompose(now)
 	m.known = true
 }
 
+// notice marks a member as a stranger unless it is met, or this process asks
+// all members anyway.
+func (d *Deduplicator) notice(member Member) {
+	m := &d.moves
+	_, met := m.met[member]
+	if !m.known || m.joining || m.left || met || member.Name == d.Self {
+		return
+	}
+	m.strangers[member] = struct{}{}
+	select {
+	case d.appeared <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Deduplicator) member() Member { return Member{Name: d.Self, Incarnation: d.Incarnation} }
 
 // recompose derives the current set and keeps the one that it replaces.
@@ -188,7 +221,7 @@
 
 // moved reports whether another process may have executed key within the age.
 func (d *Deduplicator) moved(now time.Time, key string) bool {
-	if d.doubtful(now) {
+	if d.doubtful(now) || len(d.moves.strangers) > 0 {
 		return true
 	}
 	for _, past := range d.moves.past {
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -31,6 +31,8 @@
 	// retryWait is the pause of a join after which members that have not granted
 	// are asked again.
 	retryWait = 50 * time.Millisecond
+	// meetWait is the same for strangers, whose view takes longer to agree.
+	meetWait = 250 * time.Millisecond
 )
 
 var errProtocol = errors.New("unexpected frame")
@@ -73,7 +75,8 @@
 			_ = level.Info(e.Logger).Log("msg", "keys taken over", "members", len(view), "missing", len(missing), "complete", complete)
 			return complete
 		}
-		for member, grant := range e.askAll(ctx, missing, term, view) {
+		take := &Take{Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term, View: toProcesses(view)}
+		for member, grant := range e.askAll(ctx, missing, take) {
 			grants[member] = grant
 			learned = merge(learned, grant.Set, e.Records.Self)
 		}
@@ -83,6 +86,36 @@
 	}
 }
 
+// Run asks strangers for the keys of this process until ctx ends.
+func (e *Exchanger) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.Records.appeared:
+			e.Meet(ctx)
+		}
+	}
+}
+
+// Meet asks strangers until all have granted or are gone, or ctx ends.
+func (e *Exchanger) Meet(ctx context.Context) {
+	for strangers := e.Records.Strangers(); len(strangers) > 0 && ctx.Err() == nil; strangers = e.Records.Strangers() {
+		e.mutex.Lock()
+		term := e.term
+		e.mutex.Unlock()
+		e.Records.Meet(e.Now(), e.askAll(ctx, strangers, &Take{
+			Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term,
+			View: toProcesses(e.view(nil)), Executing: true,
+		}))
+		left := len(e.Records.Strangers())
+		_ = level.Info(e.Logger).Log("msg", "members met", "strangers", len(strangers), "left", left)
+		if left > 0 {
+			pause(ctx, meetWait)
+		}
+	}
+}
+
 // valid reports whether a grant still holds when the joiner owns keys among view:
 // the member must know nobody beyond it, since a larger view owns fewer keys.
 func valid(grant Grant, view []Member, self Member) bool {
@@ -115,12 +148,12 @@
 }
 
 // askAll asks members at the same time.
-func (e *Exchanger) askAll(ctx context.Context, members []Member, term uint64, view []Member) map[Member]Grant {
+func (e *Exchanger) askAll(ctx context.Context, members []Member, take *Take) map[Member]Grant {
 	grants := make([]Grant, len(members))
 	var group sync.WaitGroup
 	for i, member := range members {
 		group.Go(func() {
-			grant, err := e.ask(ctx, member, term, view)
+			grant, err := e.ask(ctx, member, take)
 			if err != nil {
 				_ = level.Debug(e.Logger).Log("msg", "keys not granted", "peer", member.Name, "err", err)
 			}
@@ -136,12 +169,11 @@
 }
 
 // ask sends a Take and reads the grant with its records.
-func (e *Exchanger) ask(ctx context.Context, member Member, term uint64, view []Member) (Grant, error) {
+func (e *Exchanger) ask(ctx context.Context, member Member, take *Take) (Grant, error) {
 	var grant Grant
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
 	err := e.exchange(ctx, member, func(stream net.Conn) error {
-		take := &Take{Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term, View: toProcesses(view)}
 		if err := write(stream, &Frame{Kind: &Frame_Take{Take: take}}); err != nil {
 			return err
 		}
@@ -282,7 +314,7 @@
 	}
 	var grant Grant
 	if take.GetService() == e.Service() {
-		grant = e.Records.Grant(e.Now(), joiner, take.GetTerm(), fromProcesses(take.GetView()))
+		grant = e.Records.Grant(e.Now(), joiner, take.GetTerm(), fromProcesses(take.GetView()), take.GetExecuting())
 	}
 	if err := write(stream, &Frame{Kind: &Frame_Granted{Granted: toGranted(e.Now(), grant)}}); err != nil {
 		return err
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -51,7 +51,7 @@
 		}
 	}
 	early := !d.keys.faded.IsZero() && now.Sub(d.keys.faded) < d.limits.Age
-	return records, slices.Clone(d.moves.current), !d.doubtful(now) && !early
+	return records, slices.Clone(d.moves.current), !d.doubtful(now) && len(d.moves.strangers) == 0 && !early
 }
 
 // Unfinished returns the records of Leave whose requests have ended since.
@@ -101,8 +101,9 @@
 }
 
 // Grant hands joiner the keys that it owns, if view has every member that this
-// process knows. Otherwise the joiner would own keys that belong to another one here.
-func (d *Deduplicator) Grant(now time.Time, joiner Member, term uint64, view []Member) Grant {
+// process knows. Otherwise the joiner would own keys that belong to another one
+// here. A joiner that has executed keys already becomes a stranger.
+func (d *Deduplicator) Grant(now time.Time, joiner Member, term uint64, view []Member, executing bool) Grant {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.expire(now)
@@ -115,7 +116,14 @@
 	d.forgetTerms()
 	m.terms[joiner] = term
 	delete(m.seals, joiner)
-	m.joiners[joiner] = now
+	if !slices.Contains(m.announced, joiner) {
+		m.joiners[joiner] = now
+	}
+	if executing {
+		d.notice(joiner)
+	} else {
+		m.met[joiner] = struct{}{}
+	}
 	d.recompose(now)
 	grant := Grant{
 		Granted: true, Set: slices.Clone(m.current), Joining: m.joining && !m.joined, Doubtful: d.doubtful(now),
@@ -171,8 +179,15 @@
 		if grant.Doubtful && !grant.Joining {
 			m.doubted[member] = now
 		}
+		if grant.Granted {
+			m.met[member] = struct{}{}
+		}
 		d.adopt(now, grant, view)
 	}
+	clear(m.strangers)
+	// Only members that were asked count as members: one that is no longer in
+	// view may have handed its keys to another process that has left as well.
+	m.announced = slices.DeleteFunc(slices.Clone(view), func(member Member) bool { return grants[member].Joining })
 	d.recompose(now)
 	d.Clean = complete
 	if !complete {
@@ -181,6 +196,30 @@
 	return complete
 }
 
+// Strangers returns the members that this process has to ask for its keys.
+func (d *Deduplicator) Strangers() []Member {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Collect(maps.Keys(d.moves.strangers))
+}
+
+// Meet takes the grants of strangers.
+func (d *Deduplicator) Meet(now time.Time, grants map[Member]Grant) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for member, grant := range grants {
+		if _, ok := d.moves.strangers[member]; !ok || !grant.Granted {
+			continue
+		}
+		delete(d.moves.strangers, member)
+		d.moves.met[member] = struct{}{}
+		if grant.Doubtful && !grant.Joining {
+			d.moves.doubted[member] = now
+		}
+		d.adopt(now, grant, d.moves.current)
+	}
+}
+
 // adopt takes a member's records and what it knows of past members.
 func (d *Deduplicator) adopt(now time.Time, grant Grant, view []Member) {
 	d.take(now, grant.Records)
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -218,6 +218,9 @@
 		// A node without the newest version takes no calls for its upstream.
 		state = sycamorerun.StateNone
 	}
+	if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
+		n.publisher.lapse(time.Now())
+	}
 	n.publisher.want(presence{announcement.Service, state, announcement.Slots})
 	return nil
 }
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"sycamorerun"
 )
@@ -15,6 +16,8 @@
 
 func (p presence) serving() bool { return sycamorerun.Instance{State: p.state}.Serving() }
 
+const lapseDelay = 2 * time.Second
+
 // publisher publishes the presence of the upstream. Before the upstream starts
 // or stops serving, its keys change hands, which takes a moment.
 type publisher struct {
@@ -24,6 +27,8 @@
 	mutex   sync.Mutex
 	wanted  presence
 	serving bool
+	// since is when serving last changed.
+	since time.Time
 	// changing is closed when the change in progress has ended.
 	changing chan struct{}
 }
@@ -43,12 +48,24 @@
 	}
 }
 
+// lapse records that the members no longer count the upstream as serving, since
+// it was silent for too long: others may have executed its keys. A record that
+// was published less than lapseDelay ago may not be in view yet.
+func (p *publisher) lapse(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.changing == nil && now.Sub(p.since) >= lapseDelay {
+		p.serving = false
+	}
+}
+
 // change moves the keys until the wanted presence can be published.
 func (p *publisher) change() {
 	for {
 		p.mutex.Lock()
 		if p.wanted.serving() == p.serving {
 			p.publish(p.wanted)
+			p.since = time.Now()
 			close(p.changing)
 			p.changing = nil
 			p.mutex.Unlock()
--- a/node/runner/publisher_test.go
+++ b/node/runner/publisher_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -17,6 +18,8 @@
 	none, ready, draining := sycamorerun.StateNone, sycamorerun.StateReady, sycamorerun.StateDraining
 	cases := map[string]struct {
 		wanted []sycamorerun.State
+		// lapsed says for how long the upstream is out of view before the last one.
+		lapsed time.Duration
 		// during are wanted while the first change is in progress.
 		during []sycamorerun.State
 		want   []string
@@ -25,6 +28,8 @@
 		"serves":                 {wanted: []sycamorerun.State{none, ready, ready}, want: []string{"none", "join", "ready", "ready"}},
 		"drains":                 {wanted: []sycamorerun.State{ready, draining, draining}, want: []string{"join", "ready", "leave", "draining", "draining"}},
 		"returns":                {wanted: []sycamorerun.State{ready, draining, ready}, want: []string{"join", "ready", "leave", "draining", "join", "ready"}},
+		"lapses":                 {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay, want: []string{"join", "ready", "join", "ready"}},
+		"is not in view yet":     {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay / 2, want: []string{"join", "ready", "ready"}},
 		"drains while it joins":  {wanted: []sycamorerun.State{ready}, during: []sycamorerun.State{draining}, want: []string{"join", "leave", "draining"}},
 		"repeats while it joins": {wanted: []sycamorerun.State{ready}, during: []sycamorerun.State{ready, ready}, want: []string{"join", "ready"}},
 	}
@@ -47,7 +52,10 @@
 				}
 				during = nil
 			}
-			for _, state := range c.wanted {
+			for i, state := range c.wanted {
+				if i == len(c.wanted)-1 && c.lapsed > 0 {
+					p.lapse(p.since.Add(c.lapsed))
+				}
 				p.want(presence{state: state})
 				p.settle()
 			}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -79,6 +79,7 @@
 	start("seeder", n.seeder.Run)
 	start("distributor", n.distributor.Run)
 	start("acceptor", n.acceptor.Run)
+	start("keys", n.keys.Run)
 	start("operators", serve(operators))
 	start("callers", serve(callers))
 	start("bootstrap", n.bootstrap)
