--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -429,7 +429,7 @@
 				is.True(s.call(name).Verdict == Recorded)
 			}
 		},
-		"no exchange with members that asked": func(is *is.I, s *service, _, b *process) {
+		"no exchange with members that asked": func(is *is.I, s *service, _, _ *process) {
 			is.True(s.leave("b"))
 			s.announce()
 			is.True(s.join("b"))
