Decode large settings files in parts; bound the parser's memory

A hostile file of 1 MiB made the parser hold up to 181 MB, and the largest ordinary file 34 to 56 MB, while a node has 64 MB for everything. The cause is the YAML library's tree of nodes: 160 bytes and more for each value, and the shortest values take two bytes of text. The parser's own map of lines came on top.

A scan estimates the values of a text, never too low. Up to 16,384 the text is decoded as a whole. A larger one is cut at the lines on which its items begin; each part is decoded alone, with the anchors of earlier parts where it needs them, and is refused with path and line above the same bound.

Ruled out: one limit on the values of the whole file (the largest ordinary file has 120,000, 24 MB), and counting comments apart (a quoted text over several lines can hide values behind a #).

A node reads one file at a time. Values of items with faults are not kept. TestParseExpansion: its text of 20,000 headers in one route is now refused before it expands, so it uses 60 routes with 5,000 headers, which exceed the same bound. Too many aliases are now reported with the line.

Tests: with the split switched off 23 shapes of TestParseMemory fail (up to 178 MB); with the order of anchors ignored TestParseParts fails; both pass again.

--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	scope    tally.Scope
 	store    persister.Store
 	phase    atomic.Value
+	parsing  sync.Mutex
 
 	fleet         *fleet
 	connector     *connector.Connector
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -36,12 +36,9 @@
 	n.manager = &manager.Manager{
 		Name: n.settings.Name, AvailabilityZone: n.settings.AvailabilityZone, Region: n.settings.Region,
 		Logger: n.logger, Metrics: metrics, Now: time.Now,
-		Identify: n.authenticator.Identify,
-		Current:  n.current,
-		Parse: func(text []byte) (string, map[sycamorerun.Path]sycamorerun.Item, []sycamorerun.Fault) {
-			subtree, faults := parser.Parse(text)
-			return subtree.Team, subtree.Items, faults
-		},
+		Identify:    n.authenticator.Identify,
+		Current:     n.current,
+		Parse:       n.parse,
 		Validate:    validator.Check,
 		Submit:      n.acceptor.Submit,
 		Lookup:      n.lookup,
@@ -55,6 +52,15 @@
 	}
 }
 
+// parse reads one settings file at a time, because the parser bounds the
+// memory of one.
+func (n *node) parse(text []byte) (string, map[sycamorerun.Path]sycamorerun.Item, []sycamorerun.Fault) {
+	n.parsing.Lock()
+	defer n.parsing.Unlock()
+	subtree, faults := parser.Parse(text)
+	return subtree.Team, subtree.Items, faults
+}
+
 // lookup returns the outcome of a change; it is missing when no kept version
 // and no proposal has the id.
 func (n *node) lookup(ctx context.Context, id string) (sycamorerun.Outcome, bool) {
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -39,13 +39,30 @@
 
 // Parse reads a team's or the administrators' settings file. It returns either
 // the subtree or at least one fault, at most Faults of them in the order of
-// the text.
+// the text. A text of more than Values values is decoded in parts.
 func Parse(text []byte) (Subtree, []sycamorerun.Fault) {
-	root, faults := parseDocument(text)
+	return parse(text, Values, partValues)
+}
+
+// parse decodes a text of more than whole values in parts of size values.
+func parse(text []byte, whole, size int) (Subtree, []sycamorerun.Fault) {
+	if len(text) > TextBytes {
+		return Subtree{}, one(CodeTooLong, "", "%d bytes are more than %d", len(text), TextBytes)
+	}
+	if !utf8.Valid(text) {
+		return Subtree{}, one(CodeNotUTF8, "", "the text is not UTF-8")
+	}
+	r := newReader()
+	var root *yaml.Node
+	var faults []sycamorerun.Fault
+	if values(text) > whole {
+		root, faults = r.openParts(text, size)
+	} else {
+		root, faults = r.open(text)
+	}
 	if faults != nil {
 		return Subtree{}, faults
 	}
-	r := newReader()
 	subtree := r.file(root)
 	if len(r.faults) > 0 {
 		return Subtree{}, r.sorted()
@@ -53,14 +70,45 @@
 	return subtree, nil
 }
 
-// parseDocument returns the root node of the only document in text.
-func parseDocument(text []byte) (*yaml.Node, []sycamorerun.Fault) {
-	if len(text) > TextBytes {
-		return nil, one(CodeTooLong, "", "%d bytes are more than %d", len(text), TextBytes)
+// open returns the root node of text.
+func (r *reader) open(text []byte) (*yaml.Node, []sycamorerun.Fault) {
+	root, faults := decode(text)
+	if faults != nil {
+		return nil, faults
 	}
-	if !utf8.Valid(text) {
-		return nil, one(CodeNotUTF8, "", "the text is not UTF-8")
+	if faults := tooManyAliases("", references(root, nil), Aliases); faults != nil {
+		return nil, faults
+	}
+	return root, nil
+}
+
+// openParts returns a root node whose sections are decoded when they are read.
+func (r *reader) openParts(text []byte, size int) (*yaml.Node, []sycamorerun.Fault) {
+	s := splitter{partSize: size}
+	entries, faults := s.split(text)
+	if faults != nil {
+		return nil, faults
+	}
+	root := &yaml.Node{Kind: yaml.MappingNode, Line: 1}
+	for _, entry := range entries {
+		mapping, faults := r.decoder.decode(entry)
+		if faults != nil {
+			return nil, faults
+		}
+		last := len(mapping.Content) - 1
+		if mapping.Kind != yaml.MappingNode || last < 0 || entry.items != nil && !null(mapping.Content[last]) {
+			return nil, entry.place(tooDense(entry.path()))
+		}
+		root.Content = append(root.Content, mapping.Content...)
+		if entry.items != nil {
+			r.items[mapping.Content[last]] = entry.items
+		}
 	}
+	return root, nil
+}
+
+// decode returns the root node of the only document in text.
+func decode(text []byte) (*yaml.Node, []sycamorerun.Fault) {
 	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	var document, other yaml.Node
 	if err := decoder.Decode(&document); err == io.EOF {
@@ -75,9 +123,6 @@
 	} else if err != io.EOF {
 		return nil, syntax(err)
 	}
-	if count := references(&document); count > Aliases {
-		return nil, one(CodeTooManyAliases, "", "%d anchors and aliases are more than %d", count, Aliases)
-	}
 	if len(document.Content) == 0 {
 		return nil, one(CodeEmpty, "", "the file has no content")
 	}
@@ -96,17 +141,26 @@
 	return faults
 }
 
-// references counts anchors and aliases. It does not follow aliases, which
-// can form cycles.
-func references(node *yaml.Node) int {
-	count := 0
+// references appends the lines of anchors and aliases. It does not follow
+// aliases, which can form cycles.
+func references(node *yaml.Node, lines []int) []int {
 	if node.Anchor != "" || node.Kind == yaml.AliasNode {
-		count++
+		lines = append(lines, node.Line)
 	}
 	for _, child := range node.Content {
-		count += references(child)
+		lines = references(child, lines)
 	}
-	return count
+	return lines
+}
+
+// tooManyAliases refuses more references on lines than are left.
+func tooManyAliases(at string, lines []int, left int) []sycamorerun.Fault {
+	if len(lines) <= left {
+		return nil
+	}
+	faults := one(CodeTooManyAliases, at, "more than %d anchors and aliases", Aliases)
+	faults[0].Line = lines[left]
+	return faults
 }
 
 // file reads the root mapping.
@@ -143,27 +197,62 @@
 
 // section reads the items of one kind.
 func (r *reader) section(subtree Subtree, in pair, section section) {
+	if items, ok := r.items[in.value]; ok {
+		r.parts(subtree, in, section, items)
+		return
+	}
 	pairs, _ := r.pairs(in.at, in.value)
 	if limit := int(section.field.High); len(pairs) > limit {
 		r.fault(CodeTooMany, in.at, in.value, "%d %s are more than %d", len(pairs), section.field.Unit, limit)
 		return
 	}
 	for _, pair := range pairs {
-		r.take(section.field.Format.check(pair.at, pair.name))
-		object := section.make()
-		r.object(section.kind, pair.at, pair.value, object)
-		if r.failed[pair.at] {
-			continue
+		r.item(subtree, pair, section)
+	}
+}
+
+// parts reads the items of one kind that are decoded one after the other.
+func (r *reader) parts(subtree Subtree, in pair, section section, items []part) {
+	first := map[string]int{}
+	for _, p := range items {
+		if r.full() {
+			return
+		}
+		mapping, faults := r.decoder.decode(p)
+		if faults != nil {
+			r.take(faults)
+			return
 		}
-		r.take(check(section.kind, pair.at, object))
-		item, err := json.Marshal(object)
-		if err != nil {
-			panic(fmt.Sprintf("marshal %T: %s", object, err))
+		pairs, _ := r.pairsAfter(first, in.at, mapping)
+		if limit := int(section.field.High); len(first) > limit {
+			r.fault(CodeTooMany, in.at, mapping, "there are more than %d %s", limit, section.field.Unit)
+			return
 		}
-		if len(item) > ItemBytes {
-			r.fault(CodeTooLarge, pair.at, pair.value, "%d bytes are more than %d", len(item), ItemBytes)
-			continue
+		for _, pair := range pairs {
+			r.item(subtree, pair, section)
 		}
-		subtree.Items[sycamorerun.NewPath(subtree.Team, section.kind, pair.name)] = item
+	}
+}
+
+func (r *reader) item(subtree Subtree, in pair, section section) {
+	// The lines of other items are not looked up any more.
+	r.lines = map[string]int{in.at: in.key.Line}
+	r.take(section.field.Format.check(in.at, in.name))
+	object := section.make()
+	r.object(section.kind, in.at, in.value, object)
+	if r.failed[in.at] {
+		return
+	}
+	r.take(check(section.kind, in.at, object))
+	item, err := json.Marshal(object)
+	if err != nil {
+		panic(fmt.Sprintf("marshal %T: %s", object, err))
+	}
+	if len(item) > ItemBytes {
+		r.fault(CodeTooLarge, in.at, in.value, "%d bytes are more than %d", len(item), ItemBytes)
+		return
+	}
+	if len(r.faults) == 0 {
+		subtree.Items[sycamorerun.NewPath(subtree.Team, section.kind, in.name)] = item
 	}
 }
--- a/parser/reader.go
+++ b/parser/reader.go
@@ -20,16 +20,19 @@
 // reader walks YAML nodes and collects faults.
 type reader struct {
 	faults []sycamorerun.Fault
-	// lines has the line of every path read.
+	// lines has the line of every path of the present item, and of the file.
 	lines map[string]int
 	// failed has every path with a fault, so that a value that could not be
 	// read is not checked as well.
 	failed map[string]bool
 	visits int
+	// items has the parts of the sections that are decoded when they are read.
+	items   map[*yaml.Node][]part
+	decoder partDecoder
 }
 
 func newReader() *reader {
-	return &reader{lines: map[string]int{}, failed: map[string]bool{}}
+	return &reader{lines: map[string]int{}, failed: map[string]bool{}, items: map[*yaml.Node][]part{}}
 }
 
 // pair is one key and value of a mapping.
@@ -94,6 +97,12 @@
 // pairs returns the keys and values of a mapping, without duplicates, and
 // whether node is a mapping.
 func (r *reader) pairs(at string, node *yaml.Node) ([]pair, bool) {
+	return r.pairsAfter(map[string]int{}, at, node)
+}
+
+// pairsAfter is pairs for a mapping that continues others, whose keys have
+// the lines first.
+func (r *reader) pairsAfter(first map[string]int, at string, node *yaml.Node) ([]pair, bool) {
 	mapping := r.resolve(node)
 	if null(mapping) {
 		return nil, true
@@ -103,7 +112,6 @@
 		return nil, false
 	}
 	var pairs []pair
-	first := map[string]int{}
 	for i := 0; i+1 < len(mapping.Content) && !r.full(); i += 2 {
 		key, value := r.resolve(mapping.Content[i]), mapping.Content[i+1]
 		if key.Kind != yaml.ScalarNode || tagged(key) {
