Measure what one call costs each node: srbench costs

The new command starts two nodes, makes calls with bodies of 1 KiB and 1 MiB one at a time and reads /proc/PID/io, the context switches of all threads, the processor time and the memory statistics of each node before and after; what an idle node uses is taken off. Nodes expose the Go memory statistics on /metrics for it.

Ruled out: tracing system calls, which needs a tracer and slows the nodes.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -21,7 +21,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "srbench", Short: "Measure a fleet of real processes on loopback", SilenceUsage: true}
-	root.AddCommand(converge(), calls())
+	root.AddCommand(converge(), calls(), costs())
 	if err := root.ExecuteContext(ctx); err != nil {
 		stop()
 		os.Exit(1)
@@ -90,19 +90,13 @@
 		Example: "  srbench calls --rate 500 --duration 20s",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			var err error
-			if c.Binaries, err = programs(); err != nil {
-				return err
-			}
-			if c.Directory, err = os.MkdirTemp("", "srbench"); err != nil {
-				return errors.Wrap(err, "make a directory")
-			}
-			defer os.RemoveAll(c.Directory)
-			if err := stresser.Latency(command.Context(), c, os.Stdout); err != nil {
-				return err
-			}
-			fmt.Println()
-			return stresser.Overload(command.Context(), c, os.Stdout)
+			return inDirectory(&c, func() error {
+				if err := stresser.Latency(command.Context(), c, os.Stdout); err != nil {
+					return err
+				}
+				fmt.Println()
+				return stresser.Overload(command.Context(), c, os.Stdout)
+			})
 		},
 	}
 	flags := command.Flags()
@@ -112,6 +106,47 @@
 	return command
 }
 
+// costs returns the command that measures what one call costs the nodes.
+func costs() *cobra.Command {
+	var (
+		c     stresser.Case
+		calls int
+		file  string
+	)
+	command := &cobra.Command{
+		Use:     "costs",
+		Short:   "Measure system calls, wake-ups and allocations of a call at each node",
+		Example: "  srbench costs --calls 2000 --file costs.json",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return inDirectory(&c, func() error {
+				costs, err := stresser.Costs(command.Context(), c, calls)
+				if err != nil {
+					return err
+				}
+				return stresser.WriteCosts(os.Stdout, costs, file)
+			})
+		},
+	}
+	flags := command.Flags()
+	flags.IntVar(&calls, "calls", 1000, "small calls of each measurement; a tenth of it are made with large bodies")
+	flags.StringVar(&file, "file", "", "file for the rows as JSON")
+	return command
+}
+
+// inDirectory runs a measurement with the programs and a directory of its own.
+func inDirectory(c *stresser.Case, run func() error) error {
+	var err error
+	if c.Binaries, err = programs(); err != nil {
+		return err
+	}
+	if c.Directory, err = os.MkdirTemp("", "srbench"); err != nil {
+		return errors.Wrap(err, "make a directory")
+	}
+	defer os.RemoveAll(c.Directory)
+	return run()
+}
+
 // run measures one case in a directory of its own.
 func run(ctx context.Context, c converger.Case) (converger.Result, error) {
 	directory, err := os.MkdirTemp("", "srbench")
--- a/bench/generator/generator.go
+++ b/bench/generator/generator.go
@@ -4,6 +4,7 @@
 package generator
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -32,6 +33,7 @@
 	Method  string
 	Host    string
 	Path    string
+	Body    []byte
 	// Rate is in calls per second.
 	Rate float64
 	// Timeout bounds each call.
@@ -64,16 +66,31 @@
 	results := make([]*Result, len(targets))
 	var group sync.WaitGroup
 	for i, target := range targets {
-		results[i] = &Result{
-			Target: target, Results: map[sycamorerun.Result]int{},
-			Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
-		}
+		results[i] = newResult(target)
 		group.Go(func() { results[i].run(ctx, duration) })
 	}
 	group.Wait()
 	return results
 }
 
+// Sequence sends calls one after the other over one connection.
+func Sequence(ctx context.Context, target Target, calls int) *Result {
+	result := newResult(target)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for range calls {
+		result.call(ctx, client, time.Now())
+	}
+	return result
+}
+
+func newResult(target Target) *Result {
+	return &Result{
+		Target: target, Results: map[sycamorerun.Result]int{},
+		Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
+	}
+}
+
 func (r *Result) run(ctx context.Context, duration time.Duration) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	defer client.CloseIdleConnections()
@@ -103,7 +120,7 @@
 
 // send returns what the caller is told about one call.
 func send(ctx context.Context, client *http.Client, target Target) sycamorerun.Result {
-	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, nil)
+	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, bytes.NewReader(target.Body))
 	if err != nil {
 		return sycamorerun.Unknown
 	}
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -136,3 +136,55 @@
 		Resident: numbers[2] * int64(os.Getpagesize()),
 	}, nil
 }
+
+// Counters are what the kernel has counted for a process so far.
+type Counters struct {
+	// Reads and Writes are system calls that read or wrote, also those that
+	// found nothing to read. Other system calls are not counted.
+	Reads, Writes int64
+	// BytesRead and BytesWritten are the bytes that these moved.
+	BytesRead, BytesWritten int64
+	// Switches are context switches of all threads. A thread that waits and
+	// wakes up makes one.
+	Switches int64
+}
+
+// Counters reads the counters of the process. Those of threads that ended are
+// missing; the Go runtime keeps its threads.
+func (p *Process) Counters() (Counters, error) {
+	directory := fmt.Sprintf("/proc/%d", p.command.Process.Pid)
+	numbers, err := fields(filepath.Join(directory, "io"))
+	if err != nil {
+		return Counters{}, err
+	}
+	counters := Counters{
+		Reads: numbers["syscr"], Writes: numbers["syscw"], BytesRead: numbers["rchar"], BytesWritten: numbers["wchar"],
+	}
+	threads, err := filepath.Glob(filepath.Join(directory, "task", "*", "status"))
+	if err != nil {
+		return Counters{}, errors.Wrap(err, "threads")
+	}
+	for _, thread := range threads {
+		if numbers, err = fields(thread); err != nil {
+			return Counters{}, err
+		}
+		counters.Switches += numbers["voluntary_ctxt_switches"] + numbers["nonvoluntary_ctxt_switches"]
+	}
+	return counters, nil
+}
+
+// fields reads the numbers of a file with lines such as "name: 12".
+func fields(path string) (map[string]int64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "counters")
+	}
+	numbers := map[string]int64{}
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(line, ":")
+		if n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64); err == nil {
+			numbers[name] = n
+		}
+	}
+	return numbers, nil
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -26,10 +27,11 @@
 	return &options
 }
 
-// New returns a root scope with the given tags, the handler that exposes it,
-// and a closer that reports the last values.
+// New returns a root scope with the given tags, the handler that exposes it
+// together with the memory statistics of the process, and a closer that reports the last values.
 func New(tags map[string]string) (tally.Scope, http.Handler, io.Closer) {
 	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "sycamorerun",
