Free the receive buffers of waiting streams, except after small calls

A stream that waits for its next call frees its buffers, but the connector's wrapper hid yamux' Shrink, so in real processes the receive buffer stayed: up to 256 KiB for each of up to 512 waiting streams, more than a node's memory.

Ruled out for now: keeping the buffers of a few waiting streams, which needs a count over all streams of the node.

Tests: without the wrapper's method TestStreamShrinks fails, with a Shrink after each call TestShrinkAfterLargeCalls fails; both pass again.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -126,5 +126,13 @@
 	return s.Conn.Close()
 }
 
+// Shrink frees the receive buffer when it is empty. Yamux keeps it at the size
+// of the largest backlog, up to 256 KiB.
+func (s *stream) Shrink() {
+	if shrinker, ok := s.Conn.(interface{ Shrink() }); ok {
+		shrinker.Shrink()
+	}
+}
+
 // CloseWrite ends the sending direction; the peer's bytes can still be read.
 func (s *stream) CloseWrite() error { return s.Conn.Close() }
--- a/node/connector/decision_test.go
+++ b/node/connector/decision_test.go
@@ -173,3 +173,22 @@
 	w.data = append(w.data, string(p))
 	return len(p), nil
 }
+
+// shrinker is a yamux stream's part that frees its receive buffer.
+type shrinker struct {
+	net.Conn
+	shrunk int
+}
+
+func (s *shrinker) Shrink() { s.shrunk++ }
+
+// Guards against streams that wait for their next call with the receive
+// buffer of a large one, because the wrapper hides yamux' Shrink.
+func TestStreamShrinks(t *testing.T) {
+	is := is.New(t)
+	inner := &shrinker{}
+	outer, ok := net.Conn(&stream{Conn: inner}).(interface{ Shrink() })
+	is.True(ok)
+	outer.Shrink()
+	is.Equal(inner.shrunk, 1)
+}
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -807,3 +807,33 @@
 		}
 	})
 }
+
+// shrinker is a stream that counts how often its receive buffer is freed.
+type shrinker struct {
+	net.Conn
+	shrunk int
+}
+
+func (s *shrinker) Shrink() { s.shrunk++ }
+
+// Guards the memory of waiting streams, and against a receive buffer that
+// each small call allocates again.
+func TestShrinkAfterLargeCalls(t *testing.T) {
+	for name, test := range map[string]struct{ size, want int }{
+		"small": {smallBytes / 2, 0},
+		"large": {smallBytes, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := net.Pipe()
+			conn := &shrinker{Conn: near}
+			l := &link{conn: conn}
+			go func() { _ = (&link{conn: far}).sendChunk(make([]byte, test.size)) }()
+			_, err := l.receive()
+			is.NoErr(err)
+			l.shrink()
+			l.shrink()
+			is.Equal(conn.shrunk, test.want)
+		})
+	}
+}
--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +24,10 @@
 	// buffer and chunk hold the frame received last.
 	buffer []byte
 	chunk  Frame_Chunk
-	mutex  sync.Mutex
-	out    []byte
+	// received counts the bytes since the last shrink.
+	received atomic.Int64
+	mutex    sync.Mutex
+	out      []byte
 }
 
 func (l *link) send(frame *Frame) error {
@@ -47,6 +50,7 @@
 	if cap(l.buffer) < size {
 		l.buffer = make([]byte, size)
 	}
+	l.received.Add(int64(size))
 	data := l.buffer[:size]
 	if _, err := io.ReadFull(l.conn, data); err != nil {
 		return nil, broken(err)
@@ -62,11 +66,15 @@
 	return frame, errors.Wrap(proto.Unmarshal(data, frame), "decode frame")
 }
 
-// shrink frees the send buffers of a stream that waits for its next call.
+// shrink frees the buffers of a stream that waits for its next call. The
+// receive buffer of small calls is kept, since each would allocate it again.
 func (l *link) shrink() {
 	l.mutex.Lock()
 	l.out = nil
 	l.mutex.Unlock()
+	if l.received.Swap(0) <= smallBytes {
+		return
+	}
 	if shrinker, ok := l.conn.(interface{ Shrink() }); ok {
 		shrinker.Shrink()
 	}
