Measure the time from a drain to the last new request

srbench calls did not report how long an upstream that leaves still gets new requests.

TestLastRequestAfterDrain bounds both by the 3 s after which a node refuses new calls. The stand-in's TestRecords checks the new time apart from the exact comparison, in which a time of day can't be written.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -86,7 +86,7 @@
 	var c stresser.Case
 	command := &cobra.Command{
 		Use:     "calls",
-		Short:   "Measure the latency that nodes add and the answers under overload",
+		Short:   "Measure the latency that nodes add, the last calls at a leaving upstream and the answers under overload",
 		Example: "  srbench calls --rate 500 --duration 20s",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -95,6 +95,12 @@
 					return err
 				}
 				fmt.Println()
+				leaves, err := stresser.Leaves(command.Context(), c)
+				if err != nil {
+					return err
+				}
+				stresser.WriteLeaves(os.Stdout, leaves)
+				fmt.Println()
 				return stresser.Overload(command.Context(), c, os.Stdout)
 			})
 		},
--- a/bench/stresser/stresser.go
+++ b/bench/stresser/stresser.go
@@ -55,42 +55,50 @@
 // start starts two nodes in one availability zone; the first one has an
 // upstream of the measured service, the second one another service.
 func (c Case) start(ctx context.Context, upstreamArgs ...string) (*deployer.Fleet, error) {
-	directory, err := os.MkdirTemp(c.Directory, "fleet")
-	if err != nil {
-		return nil, errors.Wrap(err, "make a directory")
-	}
-	fleet, err := deployer.New(deployer.Spec{
-		Binaries: c.Binaries, Directory: directory, Upstreams: true,
+	return c.deploy(ctx, deployer.Spec{
 		Zones:    []deployer.Zone{{Name: "kigali-1", Region: "kigali", Nodes: 2}},
 		Services: []string{"quote-desk", "other"}, NodeArgs: []string{"--drain-delay", "0s"},
 		UpstreamArgs: upstreamArgs,
-	})
+	}, settings)
+}
+
+// deploy starts a fleet with the service's settings in force.
+func (c Case) deploy(ctx context.Context, spec deployer.Spec, text string) (*deployer.Fleet, error) {
+	var err error
+	if spec.Directory, err = os.MkdirTemp(c.Directory, "fleet"); err != nil {
+		return nil, errors.Wrap(err, "make a directory")
+	}
+	spec.Binaries, spec.Upstreams = c.Binaries, true
+	fleet, err := deployer.New(spec)
 	if err != nil {
 		return nil, err
 	}
-	if err := prepare(ctx, fleet); err != nil {
+	if err := prepare(ctx, fleet, text); err != nil {
 		fleet.Stop()
 		return nil, err
 	}
 	return fleet, nil
 }
 
-func prepare(ctx context.Context, fleet *deployer.Fleet) error {
+func prepare(ctx context.Context, fleet *deployer.Fleet, text string) error {
 	if err := fleet.Start(ctx); err != nil {
 		return err
 	}
 	if err := fleet.Teams(ctx, map[string]string{"quoting": "flow"}); err != nil {
 		return err
 	}
-	outcome, err := fleet.Apply(ctx, "quoting", "quoting", settings, fleet.Nodes[0])
+	outcome, err := fleet.Apply(ctx, "quoting", "quoting", text, fleet.Nodes[0])
 	if err != nil {
 		return err
 	}
 	if outcome.Status != "accepted" {
 		return errors.Errorf("settings: %s %+v", outcome.Status, outcome.Faults)
 	}
+	probe := targets(fleet, 10)[:1]
+	for _, node := range fleet.Nodes {
+		probe = append(probe, through(node, 10))
+	}
 	return deployer.Eventually(ctx, readyLimit, func() bool {
-		probe := targets(fleet, 10)
 		for _, result := range generator.Run(ctx, probe, 100*time.Millisecond) {
 			if result.Results[sycamorerun.Answered] != result.Calls() {
 				return false
@@ -103,14 +111,21 @@
 // targets are a direct call, one through the node beside the upstream and one
 // through another node.
 func targets(fleet *deployer.Fleet, rate float64) []generator.Target {
-	base := generator.Target{Method: http.MethodGet, Host: "quotes.example", Path: "/quotes/1", Rate: rate, Timeout: timeout}
-	direct, local, peer := base, base, base
+	local, peer := through(fleet.Nodes[0], rate), through(fleet.Nodes[1], rate)
+	direct := local
 	direct.Name, direct.Address = "direct", fleet.Nodes[0].Upstream
-	local.Name, local.Address = "node beside the upstream", fleet.Nodes[0].Callers
-	peer.Name, peer.Address = "another node", fleet.Nodes[1].Callers
+	local.Name, peer.Name = "node beside the upstream", "another node"
 	return []generator.Target{direct, local, peer}
 }
 
+// through are calls that enter at a node.
+func through(node *deployer.Node, rate float64) generator.Target {
+	return generator.Target{
+		Name: node.Name, Address: node.Callers, Method: http.MethodGet, Host: "quotes.example", Path: "/quotes/1",
+		Rate: rate, Timeout: timeout,
+	}
+}
+
 // Latency compares the three ways to an upstream in the same run and writes a
 // table.
 func Latency(ctx context.Context, c Case, w io.Writer) error {
--- a/bench/system/stop_test.go
+++ b/bench/system/stop_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"sycamorerun/bench/deployer"
+	"sycamorerun/bench/stresser"
 )
 
 // Guards against a draining node that looks dead or ready to its supervisor,
@@ -35,3 +36,20 @@
 	is.NoErr(fleet.Nodes[0].Process.Signal(syscall.SIGTERM))
 	is.NoErr(fleet.Nodes[0].Process.Signal(syscall.SIGTERM))
 }
+
+// Guards against new work for a leaving upstream, measured under load by the
+// upstream's own records. The node refuses new calls from 3 s after the drain
+// began (design, section 7), and the others know of it earlier.
+func TestLastRequestAfterDrain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const refused = 3 * time.Second
+	leaves, err := stresser.Leaves(t.Context(), stresser.Case{Binaries: binaries, Directory: t.TempDir(), Rate: 200})
+	is.NoErr(err)
+	for _, l := range leaves {
+		t.Logf("%+v", l)
+		is.True(l.Before > 0)
+		is.True(l.Last <= refused)
+		is.Equal(l.Failed, 0)
+	}
+}
--- a/upstream/recorder/recorder.go
+++ b/upstream/recorder/recorder.go
@@ -29,6 +29,8 @@
 	AfterDrain int `json:"after"`
 	// LastAfterDrain is the time from the drain to the last such request.
 	LastAfterDrain time.Duration `json:"last"`
+	// Last is when the last request started.
+	Last time.Time `json:"time"`
 }
 
 // Recorder collects Records. It is safe for concurrent use.
@@ -48,6 +50,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.records.Requests++
+	r.records.Last = now
 	if !r.drained.IsZero() {
 		r.records.AfterDrain++
 		r.records.LastAfterDrain = now.Sub(r.drained)
--- a/upstream/server/server_test.go
+++ b/upstream/server/server_test.go
@@ -64,7 +64,8 @@
 			s.Handler().ServeHTTP(answer, c.request())
 			is.Equal(answer.Code, c.status)
 			got := s.Recorder.Records()
-			got.LastAfterDrain = 0
+			is.Equal(got.Last.IsZero(), c.wanted.Requests == 0)
+			got.LastAfterDrain, got.Last = 0, time.Time{}
 			is.Equal(got, c.wanted)
 		})
 	}
