Compare the balancer with round robin: srbench balance

There was no measurement of the balancer on many nodes. 24 nodes in six zones have 20 upstreams of one service; one is slow, one cold, one announces 1,024 slots instead of 6 and reports a load of 0.001, and the first zone's callers send 1.5 times what its upstreams can run, the others' 0.4 times.

TestRoundRobin fails when a draining member is not passed over (seen), and passes again.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -21,7 +21,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "srbench", Short: "Measure a fleet of real processes on loopback", SilenceUsage: true}
-	root.AddCommand(converge(), calls(), costs())
+	root.AddCommand(converge(), calls(), costs(), balance())
 	if err := root.ExecuteContext(ctx); err != nil {
 		stop()
 		os.Exit(1)
@@ -140,6 +140,31 @@
 	return command
 }
 
+// balance returns the command that compares policies of balancing.
+func balance() *cobra.Command {
+	var c stresser.Case
+	command := &cobra.Command{
+		Use:     "balance",
+		Short:   "Compare the balancer with round robin on 20 upstreams, some of them slow, cold or misleading",
+		Example: "  srbench balance --duration 20s",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return inDirectory(&c, func() error {
+				balances, err := stresser.Balancing(command.Context(), c)
+				if err != nil {
+					return err
+				}
+				stresser.WriteBalances(os.Stdout, balances)
+				return nil
+			})
+		},
+	}
+	flags := command.Flags()
+	flags.DurationVar(&c.Duration, "duration", 10*time.Second, "time of each measurement")
+	flags.DurationVar(&c.Work, "work", 100*time.Millisecond, "time that an upstream takes for a call")
+	return command
+}
+
 // inDirectory runs a measurement with the programs and a directory of its own.
 func inDirectory(c *stresser.Case, run func() error) error {
 	var err error
--- a/bench/generator/generator.go
+++ b/bench/generator/generator.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"sycamorerun"
+	"sycamorerun/upstream/server"
 )
 
 const (
@@ -48,7 +49,9 @@
 	// Results counts the calls by what the caller was told; an answer without
 	// the header, as from an upstream itself, counts by its status.
 	Results map[sycamorerun.Result]int
-	mutex   sync.Mutex
+	// Upstreams counts the answered calls by the upstream that names itself.
+	Upstreams map[string]int
+	mutex     sync.Mutex
 }
 
 // Calls is the number of calls sent.
@@ -86,7 +89,7 @@
 
 func newResult(target Target) *Result {
 	return &Result{
-		Target: target, Results: map[sycamorerun.Result]int{},
+		Target: target, Results: map[sycamorerun.Result]int{}, Upstreams: map[string]int{},
 		Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
 	}
 }
@@ -107,40 +110,42 @@
 func (r *Result) call(ctx context.Context, client *http.Client, due time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, r.Target.Timeout)
 	defer cancel()
-	result := send(ctx, client, r.Target)
+	result, upstream := send(ctx, client, r.Target)
 	took := time.Since(due)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.Results[result]++
 	if result == sycamorerun.Answered {
+		r.Upstreams[upstream]++
 		// A latency above the histogram's range can't occur within the timeout.
 		_ = r.Latency.RecordValue(max(1, took.Microseconds()))
 	}
 }
 
-// send returns what the caller is told about one call.
-func send(ctx context.Context, client *http.Client, target Target) sycamorerun.Result {
+// send returns what the caller is told about one call, and which upstream
+// answered.
+func send(ctx context.Context, client *http.Client, target Target) (sycamorerun.Result, string) {
 	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, bytes.NewReader(target.Body))
 	if err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	request.Host = target.Host
 	response, err := client.Do(request)
 	if err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	if told := response.Header.Get(sycamorerun.HeaderOutcome); told != "" && response.StatusCode != http.StatusOK {
 		if told == string(sycamorerun.Answered) {
-			return sycamorerun.NotRun // The upstream shed the call.
+			return sycamorerun.NotRun, "" // The upstream shed the call.
 		}
-		return sycamorerun.Result(told)
+		return sycamorerun.Result(told), ""
 	}
 	if response.StatusCode != http.StatusOK {
-		return sycamorerun.NotRun
+		return sycamorerun.NotRun, ""
 	}
-	return sycamorerun.Answered
+	return sycamorerun.Answered, response.Header.Get(server.HeaderUpstream)
 }
--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -57,7 +57,11 @@
 	Warmup func(service string) time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// RoundRobin takes the serving instances in turn, whatever their zone,
+	// load and outcomes: the simplest policy, as a baseline to measure against.
+	RoundRobin bool
 
+	turn  uint64
 	mutex sync.Mutex
 	stats map[string]*stats
 	swept time.Time
@@ -69,6 +73,8 @@
 		AvailabilityZone: availabilityZone, Region: region,
 		Warmup: func(string) time.Duration { return 0 },
 		Random: rand.Float64, stats: map[string]*stats{},
+		// Nodes that start together do not begin with the same instance.
+		turn: uint64(rand.Uint32()),
 	}
 }
 
@@ -79,6 +85,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.sweep(now)
+	if b.RoundRobin {
+		return b.next(instances, query.Tried)
+	}
 	tiers := b.tiers(now, instances, query.Tried, warmup)
 	tier := tiers.choose(b.Random())
 	if tier == nil {
@@ -90,6 +99,18 @@
 	return chosen.instance, true
 }
 
+// next returns the serving instance whose turn it is.
+func (b *Balancer) next(instances []sycamorerun.Instance, tried []string) (sycamorerun.Instance, bool) {
+	for range instances {
+		b.turn++
+		instance := instances[b.turn%uint64(len(instances))]
+		if instance.Serving() && !slices.Contains(tried, instance.Name) {
+			return instance, true
+		}
+	}
+	return sycamorerun.Instance{}, false
+}
+
 // Observe records the end of an attempt.
 func (b *Balancer) Observe(now time.Time, observation Observation) {
 	b.mutex.Lock()
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -220,3 +220,17 @@
 	tally(b, start.Add(time.Hour), 1, nil)
 	is.Equal(len(b.stats), 1)
 }
+
+// Guards the baseline of the measurements: every serving instance has its
+// turn, whatever is known of it.
+func TestRoundRobin(t *testing.T) {
+	is := is.New(t)
+	instances := append(group("r1", "z1", 2), group("r2", "z1", 3)...)
+	instances[1].State = sycamorerun.StateDraining
+	b := newBalancer(instances)
+	b.RoundRobin = true
+	counts := tally(b, start, 40, fine)
+	is.Equal(counts, map[string]int{"r1z10": 10, "r2z10": 10, "r2z11": 10, "r2z12": 10})
+	_, ok := b.Pick(start, Query{Tried: []string{"r1z10", "r2z10", "r2z11", "r2z12"}})
+	is.Equal(ok, false)
+}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -39,6 +39,7 @@
 	})
 	c.balancer = balancer.New(settings.AvailabilityZone, settings.Region)
 	c.balancer.Instances = instances
+	c.balancer.RoundRobin = settings.Balance == "round-robin"
 	c.balancer.Warmup = func(name string) time.Duration {
 		found, _ := service(name)
 		return time.Duration(found.Warmup)
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -29,6 +29,7 @@
 	AdminHash string
 
 	Mode         string
+	Balance      string
 	StandbyDelay time.Duration
 	StartWait    time.Duration
 	DrainDelay   time.Duration
@@ -57,6 +58,7 @@
 	loader.Add(l, &s.Insecure, "insecure-peers", "false", loader.Bool(), "talk to peers without TLS; for tests on one host")
 	loader.Add(l, &s.AdminHash, "admin-hash", "", adminHash(), "hash of the first administrator's token")
 	loader.Add(l, &s.Mode, "mode", "tree", loader.Choice("tree", "poll", "gossip"), "how versions spread; all but tree are baselines to measure against")
+	loader.Add(l, &s.Balance, "balance", "load", loader.Choice("load", "round-robin"), "how calls are spread; round-robin is a baseline to measure against")
 	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself")
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging that the start is held up")
 	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -90,11 +90,15 @@
 		Node:   s.node,
 		Logger: events,
 		Current: func() announcer.Announcement {
-			state := upstream.Behavior().State
+			behavior := upstream.Behavior()
+			state, slots := behavior.State, s.slots
+			if behavior.Slots > 0 {
+				slots = behavior.Slots
+			}
 			if state == sycamorerun.StateReady && time.Since(started) < s.cold {
 				state = sycamorerun.StateCold
 			}
-			return announcer.Announcement{Service: s.service, Address: s.listen, State: state, Slots: s.slots}
+			return announcer.Announcement{Service: s.service, Address: s.listen, State: state, Slots: slots}
 		},
 	}
 	go announcer.Run(ctx)
--- a/upstream/server/behavior.go
+++ b/upstream/server/behavior.go
@@ -20,6 +20,9 @@
 	Health int `json:"health"`
 	// Load overrides the reported load, a fraction of the slots, when positive.
 	Load float64 `json:"load"`
+	// Slots overrides the announced slots when positive; it changes nothing in
+	// what runs at once.
+	Slots int `json:"slots"`
 	// Delay is added to each request, in milliseconds.
 	Delay int `json:"delay"`
 }
