Announce the slots that the node admits, not those an upstream claims

The limiter runs at most the service's slots, but the instance record had the number that the upstream announced, and the balancer samples by it.

The record now has the limiter's slots.

TestFalseSlots fails with the announced slots in the record (600 of 600), and passes again.

--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -20,6 +20,7 @@
 
 	"sycamorerun"
 	"sycamorerun/bench/deployer"
+	"sycamorerun/bench/generator"
 	"sycamorerun/upstream/recorder"
 )
 
@@ -397,3 +398,35 @@
 	t.Logf("%d of 12 calls answered", answered)
 	is.True(answered >= 9) // The silent upstream is set aside.
 }
+
+// Guards against a herd onto an upstream that announces more slots than its
+// service allows, most of which its node would refuse.
+func TestFalseSlots(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{
+		Zones: []deployer.Zone{{Name: "kigali-1", Region: "kigali", Nodes: 4}}, Services: []string{"quote-desk"},
+		Upstreams: true, UpstreamArgs: []string{"--work", "20ms"},
+	})
+	ctx := t.Context()
+	waitKnown(t, fleet, "quoting")
+	is.NoErr(deployer.Put(ctx, fleet.Nodes[0].Control, "/behavior", map[string]any{"slots": 1024, "load": 0.001}))
+	time.Sleep(3 * time.Second) // An announcement each second, and its way to the nodes.
+	var targets []generator.Target
+	for _, node := range fleet.Nodes {
+		targets = append(targets, generator.Target{
+			Address: node.Callers, Method: http.MethodGet, Host: "quotes.example", Path: "/quotes", Rate: 50, Timeout: 5 * time.Second,
+		})
+	}
+	counts, total := map[string]int{}, 0
+	for _, result := range generator.Run(ctx, targets, 3*time.Second) {
+		is.Equal(result.Results[sycamorerun.Answered], result.Calls())
+		total += result.Calls()
+		for upstream, count := range result.Upstreams {
+			counts[upstream] += count
+		}
+	}
+	t.Logf("of %d calls: %v", total, counts)
+	is.True(counts[fleet.Nodes[0].Name] <= total*4/10) // A quarter is its part.
+	is.Equal(len(counts), 4)
+}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -196,9 +196,12 @@
 }
 
 // resize takes the limits of the announced upstream's service.
-func (n *node) resize(announcement manager.Announcement) {
+// It returns the slots.
+func (n *node) resize(announcement manager.Announcement) int {
 	service, known := n.applier.Current().Table.Service(announcement.Service)
-	n.calls.limiter.Resize(n.calls.upstream.update(announcement, service, known))
+	limits := n.calls.upstream.update(announcement, service, known)
+	n.calls.limiter.Resize(limits)
+	return limits.Slots
 }
 
 // announce takes the local upstream's announcement. While the node drains,
@@ -211,7 +214,7 @@
 	if n.phase.Load() == manager.PhaseDraining && state != sycamorerun.StateLeft {
 		state = sycamorerun.StateDraining
 	}
-	n.resize(announcement)
+	slots := n.resize(announcement)
 	switch {
 	case state == sycamorerun.StateLeft:
 		// The node stays a member; only its upstream is gone.
@@ -220,7 +223,9 @@
 		// A node without the newest version takes no calls for its upstream.
 		state = sycamorerun.StateNone
 	}
-	n.publisher.want(presence{announcement.Service, state, announcement.Slots})
+	// The record has the slots that the limiter uses. More of them than the
+	// service allows would only attract calls that are refused.
+	n.publisher.want(presence{announcement.Service, state, slots})
 	return nil
 }
 
