Bound what one instance adds to its zone's load; report balancing

A zone passes calls on by the load of its instances. A single report counted without a bound: one instance that reports an absurd load, or is really slow, made a zone of 20 idle instances look full and sent its calls to the region. It now counts with at most 1.3 times its capacity, at which the whole tier would pass everything on.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,9 @@
 demo: build
 	demo/run.sh
 
-# Measures convergence, control bytes and calls on this machine; about 10 minutes.
+# Measures convergence, control bytes, calls and balancing on this machine; about 12 minutes.
 bench: build
 	$(BIN)/srbench converge --nodes 12,48,96 --services 430 --changes 20 --idle 10s --modes tree,poll
 	$(BIN)/srbench calls --rate 300 --duration 8s
+	$(BIN)/srbench costs
+	$(BIN)/srbench balance --duration 20s
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -234,3 +234,45 @@
 	_, ok := b.Pick(start, Query{Tried: []string{"r1z10", "r2z10", "r2z11", "r2z12"}})
 	is.Equal(ok, false)
 }
+
+// Guards against reports that can't be: one of an idle instance that attracts a
+// herd, and one of a full instance that empties its zone or its service.
+func TestMisleadingReports(t *testing.T) {
+	const absurd = 1 << 20
+	near, region := group("r1", "z1", 20), group("r1", "z2", 20)
+	all := append(append([]sycamorerun.Instance{}, near...), region...)
+	liar := near[0].Name
+	for name, test := range map[string]struct {
+		liar, others int
+		// most is the largest share of the liar, and least the smallest of the
+		// zone.
+		most, least float64
+	}{
+		"idle":          {0, 3, 0.12, 0.95},
+		"full":          {absurd, 0, 0.05, 0.95},
+		"all are full":  {absurd, absurd, 0.12, 0.95},
+		"all are alike": {2, 2, 0.12, 0.95},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			instances := all
+			if test.others == absurd {
+				instances = near // The region would take the calls otherwise.
+			}
+			counts := tally(newBalancer(instances), start, 2000, func(name string) Observation {
+				observation := fine(name)
+				observation.Load.Running = test.others
+				if name == liar {
+					observation.Load.Running = test.liar
+				}
+				return observation
+			})
+			is.Equal(counts["none"], 0)
+			is.True(float64(counts[liar]) <= 2000*test.most)
+			is.True(float64(in(counts, near)) >= 2000*test.least)
+			for _, instance := range near[1:] {
+				is.True(counts[instance.Name] >= 30) // 100 on average
+			}
+		})
+	}
+}
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -91,7 +91,9 @@
 		c.weight = c.capacity * success * success
 		s.capacity += c.capacity
 		s.weight += c.weight
-		s.load += c.load
+		// One instance that is slow, or reports a load that can't be, does not
+		// make its whole tier look full.
+		s.load += min(c.load, spillAll*c.capacity)
 	}
 }
 
