--- a/bench/generator/generator.go
+++ b/bench/generator/generator.go
@@ -4,6 +4,7 @@
 package generator
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"sycamorerun"
+	"sycamorerun/upstream/server"
 )
 
 const (
@@ -32,6 +34,7 @@
 	Method  string
 	Host    string
 	Path    string
+	Body    []byte
 	// Rate is in calls per second.
 	Rate float64
 	// Timeout bounds each call.
@@ -46,7 +49,9 @@
 	// Results counts the calls by what the caller was told; an answer without
 	// the header, as from an upstream itself, counts by its status.
 	Results map[sycamorerun.Result]int
-	mutex   sync.Mutex
+	// Upstreams counts the answered calls by the upstream that names itself.
+	Upstreams map[string]int
+	mutex     sync.Mutex
 }
 
 // Calls is the number of calls sent.
@@ -64,16 +69,31 @@
 	results := make([]*Result, len(targets))
 	var group sync.WaitGroup
 	for i, target := range targets {
-		results[i] = &Result{
-			Target: target, Results: map[sycamorerun.Result]int{},
-			Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
-		}
+		results[i] = newResult(target)
 		group.Go(func() { results[i].run(ctx, duration) })
 	}
 	group.Wait()
 	return results
 }
 
+// Sequence sends calls one after the other over one connection.
+func Sequence(ctx context.Context, target Target, calls int) *Result {
+	result := newResult(target)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for range calls {
+		result.call(ctx, client, time.Now())
+	}
+	return result
+}
+
+func newResult(target Target) *Result {
+	return &Result{
+		Target: target, Results: map[sycamorerun.Result]int{}, Upstreams: map[string]int{},
+		Latency: hdrhistogram.New(1, slowest.Microseconds(), precision),
+	}
+}
+
 func (r *Result) run(ctx context.Context, duration time.Duration) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	defer client.CloseIdleConnections()
@@ -90,40 +110,42 @@
 func (r *Result) call(ctx context.Context, client *http.Client, due time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, r.Target.Timeout)
 	defer cancel()
-	result := send(ctx, client, r.Target)
+	result, upstream := send(ctx, client, r.Target)
 	took := time.Since(due)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.Results[result]++
 	if result == sycamorerun.Answered {
+		r.Upstreams[upstream]++
 		// A latency above the histogram's range can't occur within the timeout.
 		_ = r.Latency.RecordValue(max(1, took.Microseconds()))
 	}
 }
 
-// send returns what the caller is told about one call.
-func send(ctx context.Context, client *http.Client, target Target) sycamorerun.Result {
-	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, nil)
+// send returns what the caller is told about one call, and which upstream
+// answered.
+func send(ctx context.Context, client *http.Client, target Target) (sycamorerun.Result, string) {
+	request, err := http.NewRequestWithContext(ctx, target.Method, "http://"+target.Address.String()+target.Path, bytes.NewReader(target.Body))
 	if err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	request.Host = target.Host
 	response, err := client.Do(request)
 	if err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return sycamorerun.Unknown
+		return sycamorerun.Unknown, ""
 	}
 	if told := response.Header.Get(sycamorerun.HeaderOutcome); told != "" && response.StatusCode != http.StatusOK {
 		if told == string(sycamorerun.Answered) {
-			return sycamorerun.NotRun // The upstream shed the call.
+			return sycamorerun.NotRun, "" // The upstream shed the call.
 		}
-		return sycamorerun.Result(told)
+		return sycamorerun.Result(told), ""
 	}
 	if response.StatusCode != http.StatusOK {
-		return sycamorerun.NotRun
+		return sycamorerun.NotRun, ""
 	}
-	return sycamorerun.Answered
+	return sycamorerun.Answered, response.Header.Get(server.HeaderUpstream)
 }
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	scope    tally.Scope
 	store    persister.Store
 	phase    atomic.Value
+	parsing  sync.Mutex
 
 	fleet         *fleet
 	connector     *connector.Connector
@@ -194,9 +196,12 @@
 }
 
 // resize takes the limits of the announced upstream's service.
-func (n *node) resize(announcement manager.Announcement) {
+// It returns the slots.
+func (n *node) resize(announcement manager.Announcement) int {
 	service, known := n.applier.Current().Table.Service(announcement.Service)
-	n.calls.limiter.Resize(n.calls.upstream.update(announcement, service, known))
+	limits := n.calls.upstream.update(announcement, service, known)
+	n.calls.limiter.Resize(limits)
+	return limits.Slots
 }
 
 // announce takes the local upstream's announcement. While the node drains,
@@ -209,7 +214,7 @@
 	if n.phase.Load() == manager.PhaseDraining && state != sycamorerun.StateLeft {
 		state = sycamorerun.StateDraining
 	}
-	n.resize(announcement)
+	slots := n.resize(announcement)
 	switch {
 	case state == sycamorerun.StateLeft:
 		// The node stays a member; only its upstream is gone.
@@ -221,7 +226,9 @@
 	if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
 		n.publisher.lapse(time.Now())
 	}
-	n.publisher.want(presence{announcement.Service, state, announcement.Slots})
+	// The record has the slots that the limiter uses. More of them than the
+	// service allows would only attract calls that are refused.
+	n.publisher.want(presence{announcement.Service, state, slots})
 	return nil
 }
 
