Count control bytes with the headers of TCP and IP

Cause: the budget of 6 KB/s a node counts TCP and IP, but only the bytes above TCP were measured; the headers and acknowledgements were computed.

Options of SYN segments, selective acknowledgements and link layers are not counted, nor is the FIN. On loopback a large transfer has fewer segments than on a network with an MTU of 1,500; heartbeats, pushes of single entries and acknowledgements do not depend on that.

Ruled out: the syscall package, whose TCPInfo ends before the segment counts. golang.org/x/sys is in node/go.mod already, marked as indirect.

Test: TestCounters checks that network bytes are wire bytes and 52 bytes a segment. Seen to fail without the reading at Close (no segments) and without the timestamps (368 instead of 452 bytes), and to pass again with both.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -68,6 +68,8 @@
 	flags.IntSliceVar(&services, "services", []int{20}, "numbers of services in the tree")
 	flags.IntVar(&c.Changes, "changes", 20, "changes per measurement")
 	flags.DurationVar(&c.Interval, "interval", time.Second, "time between changes")
+	flags.DurationVar(&c.Settle, "settle", 3*time.Second, "time before the first observation; 80s lets all sessions of the start close")
+	flags.IntVar(&c.Paused, "paused", 0, "further changes with each region's primary watcher paused")
 	flags.DurationVar(&c.Idle, "idle", 10*time.Second, "time observed without changes")
 	flags.DurationVar(&c.RegionDelay, "region-delay", 10*time.Millisecond, "one-way delay between regions")
 	flags.DurationVar(&c.ZoneDelay, "zone-delay", 500*time.Microsecond, "one-way delay between availability zones of a region")
--- a/bench/converger/converger.go
+++ b/bench/converger/converger.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// settle is the time before and between phases, for the start's traffic
-	// to end.
-	settle = 3 * time.Second
 	// limit is how long a change may take at most in a measurement.
 	limit = 60 * time.Second
 	// teams is the number of teams that share the services of a tree.
@@ -33,14 +30,21 @@
 	Changes  int
 	// Interval is the time between changes.
 	Interval time.Duration
+	// Settle is the time before the first phase, for the start's traffic to
+	// end: links of the first contacts close after 10 s, sessions a minute
+	// after their last stream.
+	Settle time.Duration
 	// Idle is how long the fleet is observed without changes.
 	Idle         time.Duration
 	RegionDelay  time.Duration
 	ZoneDelay    time.Duration
 	StandbyDelay time.Duration
-	Binaries     string
-	Directory    string
-	Network      uint8
+	// Paused is the number of changes that are applied while each region's
+	// primary watcher is paused.
+	Paused    int
+	Binaries  string
+	Directory string
+	Network   uint8
 }
 
 // Cost is what the fleet used in one phase.
@@ -50,6 +54,10 @@
 	Bytes map[string]float64
 	// Content are those of the distributor alone.
 	Content map[string]float64
+	// Network are the bytes of each node in and out with TCP and IP.
+	Network []NodeBytes
+	// NetworkCross are those that nodes sent to other regions.
+	NetworkCross float64
 	// StoreCalls are reads, writes and waiting watches.
 	StoreCalls float64
 	// StoreCross are the bytes between the store and nodes in other regions.
@@ -57,12 +65,22 @@
 	CPU        time.Duration
 }
 
+// NodeBytes is what one node sent and received.
+type NodeBytes struct {
+	Bytes float64
+	// Links is the number of the node's links at the end.
+	Links int
+}
+
 // Result is what a case showed.
 type Result struct {
 	Case    Case
 	Delays  *hdrhistogram.Histogram
 	Idle    Cost
 	Changes Cost
+	// Paused are the delays until all running nodes had a change while the
+	// primary watchers were paused.
+	Paused *hdrhistogram.Histogram
 	// Resident is the mean resident memory of a node in bytes.
 	Resident int64
 	// Worst is the largest resident memory of a node in bytes.
@@ -90,7 +108,7 @@
 	if err := fleet.Start(ctx); err != nil {
 		return Result{}, err
 	}
-	result := Result{Case: c, Delays: hdrhistogram.New(1, limit.Microseconds(), 3)}
+	result := Result{Case: c, Delays: newDelays(), Paused: newDelays()}
 	version, err := fill(ctx, fleet, c, &result)
 	if err != nil {
 		return result, err
@@ -98,7 +116,7 @@
 	if err := fleet.WaitVersion(ctx, version, len(fleet.Nodes), limit); err != nil {
 		return result, err
 	}
-	pause(ctx, settle)
+	pause(ctx, c.Settle)
 	if result.Idle, err = measure(ctx, fleet, func() error { pause(ctx, c.Idle); return nil }); err != nil {
 		return result, err
 	}
@@ -106,7 +124,14 @@
 	if err != nil {
 		return result, err
 	}
-	return result, result.memory(fleet)
+	if err := result.memory(fleet); err != nil {
+		return result, err
+	}
+	return result, pausedChanges(ctx, fleet, c, &result)
+}
+
+func newDelays() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, limit.Microseconds(), 3)
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -192,6 +217,8 @@
 // counters is a reading of everything that is counted.
 type counters struct {
 	bytes, content map[string]float64
+	network        []NodeBytes
+	networkCross   float64
 	store, cross   float64
 	cpu            time.Duration
 	at             time.Time
@@ -211,7 +238,12 @@
 	if err != nil {
 		return Cost{}, err
 	}
+	network := after.network
+	for i, b := range before.network {
+		network[i].Bytes -= b.Bytes
+	}
 	cost := Cost{
+		Network: network, NetworkCross: after.networkCross - before.networkCross,
 		Duration: after.at.Sub(before.at), Bytes: map[string]float64{}, Content: map[string]float64{},
 		StoreCalls: after.store - before.store, StoreCross: after.cross - before.cross, CPU: after.cpu - before.cpu,
 	}
@@ -253,6 +285,11 @@
 			c.bytes[scope] += scraper.Sum(samples, "sycamorerun_connector_wire_bytes", label, `direction="out"`)
 			c.content[scope] += scraper.Sum(samples, "sycamorerun_connector_stream_bytes", label, `direction="out"`, `kind="distributor"`)
 		}
+		c.network = append(c.network, NodeBytes{
+			Bytes: scraper.Sum(samples, "sycamorerun_connector_network_bytes"),
+			Links: int(scraper.Sum(samples, "sycamorerun_tracker_links")),
+		})
+		c.networkCross += scraper.Sum(samples, "sycamorerun_connector_network_bytes", `scope="cross-region"`, `direction="out"`)
 		spent, err := node.Process.Usage()
 		if err != nil {
 			return c, err
--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -14,12 +14,17 @@
 type wire struct {
 	net.Conn
 	in, out atomic.Int64
+	// segmentsIn, segmentsOut, headersIn and headersOut are counted by the
+	// kernel and taken over by sample.
+	segmentsIn, segmentsOut atomic.Int64
+	headersIn, headersOut   atomic.Int64
+	segments                *segmentCounter
 	// received is the time of the last read in Unix nanoseconds.
 	received atomic.Int64
 }
 
 func newWire(conn net.Conn, now time.Time) *wire {
-	w := &wire{Conn: conn}
+	w := &wire{Conn: conn, segments: newSegmentCounter(conn)}
 	w.received.Store(now.UnixNano())
 	return w
 }
@@ -39,6 +44,21 @@
 	return n, err
 }
 
+// sample takes over what the kernel has counted since the last call.
+func (w *wire) sample() {
+	in, out, inBytes, outBytes := w.segments.advance()
+	w.segmentsIn.Add(in)
+	w.segmentsOut.Add(out)
+	w.headersIn.Add(inBytes)
+	w.headersOut.Add(outBytes)
+}
+
+// Close samples first, since the kernel's counts end with the connection.
+func (w *wire) Close() error {
+	w.sample()
+	return w.Conn.Close()
+}
+
 // silence returns how long nothing has arrived.
 func (w *wire) silence(now time.Time) time.Duration {
 	return time.Duration(now.UnixNano() - w.received.Load())
--- a/node/connector/failure_test.go
+++ b/node/connector/failure_test.go
@@ -264,7 +264,8 @@
 	}
 }
 
-// Guards against bytes that are counted for the wrong scope or kind.
+// Guards against bytes that are counted for the wrong scope or kind, and
+// against headers that are left out, counted twice or lost with the connection.
 func TestCounters(t *testing.T) {
 	is := is.New(t)
 	scope := tally.NewTestScope("", nil)
@@ -277,4 +278,13 @@
 	is.Equal(counters["connector.stream_bytes+direction=in,kind=echo,scope=region"].Value(), int64(4))
 	is.True(counters["connector.wire_bytes+direction=out,scope=region"].Value() > 4)
 	is.Equal(counters["connector.wire_bytes+direction=out,scope=zone"], nil)
+	const headers = 20 + 20 + 12 // IPv4, TCP and the timestamps that Linux agrees on.
+	for _, direction := range []string{"in", "out"} {
+		count := func(name string) int64 {
+			return counters["connector."+name+"+direction="+direction+",scope=region"].Value()
+		}
+		// The handshake of TCP, the hello, the head and the message, at least.
+		is.True(count("segments") >= 4)
+		is.Equal(count("network_bytes"), count("wire_bytes")+headers*count("segments"))
+	}
 }
--- a/node/connector/metrics.go
+++ b/node/connector/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
 )
@@ -46,8 +47,9 @@
 	m.counter([4]string{"dials", result}, map[string]string{"result": result}).Inc(1)
 }
 
-func (m *metrics) wireBytes(scope Scope, direction string) tally.Counter {
-	return m.counter([4]string{"wire_bytes", string(scope), direction},
+// bytes returns the counter of a name for a scope and a direction.
+func (m *metrics) bytes(name string, scope Scope, direction string) tally.Counter {
+	return m.counter([4]string{name, string(scope), direction},
 		map[string]string{"scope": string(scope), "direction": direction})
 }
 
@@ -61,8 +63,18 @@
 	return &stream{Conn: conn, in: m.streamBytes(scope, "in", kind), out: m.streamBytes(scope, "out", kind)}
 }
 
-// flush adds the bytes since the last flush to the counters.
+// flush adds what was counted since the last flush to the counters. Network
+// bytes are wire bytes with the headers of TCP and IP.
 func (m *metrics) flush(s *session) {
-	m.wireBytes(s.scope, "in").Inc(s.wire.in.Swap(0))
-	m.wireBytes(s.scope, "out").Inc(s.wire.out.Swap(0))
+	w := s.wire
+	w.sample()
+	for direction, counts := range map[string][3]*atomic.Int64{
+		"in":  {&w.in, &w.headersIn, &w.segmentsIn},
+		"out": {&w.out, &w.headersOut, &w.segmentsOut},
+	} {
+		sent := counts[0].Swap(0)
+		m.bytes("wire_bytes", s.scope, direction).Inc(sent)
+		m.bytes("network_bytes", s.scope, direction).Inc(sent + counts[1].Swap(0))
+		m.bytes("segments", s.scope, direction).Inc(counts[2].Swap(0))
+	}
 }
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -39,6 +39,9 @@
 	errSync  = errors.New("log moves on faster than it can be read")
 )
 
+// watchLevels are the values of the metric for the role.
+var watchLevels = map[planner.Watch]float64{planner.None: 0, planner.Standby: 1, planner.Primary: 2}
+
 // watchRole is the role in the plan. A node that is starting and knows no peer
 // yet ranks first among nobody and does not watch: after a mass restart each
 // node would read the whole log.
@@ -88,6 +91,9 @@
 	}
 	ctx, d.stopWatch = context.WithCancel(ctx)
 	d.role = role
+	if d.Scope != nil {
+		d.Scope.Gauge("distributor_watch").Update(watchLevels[role])
+	}
 	return role, ctx
 }
 
