--- a/api/design/design.go
+++ b/api/design/design.go
@@ -243,6 +243,23 @@
 	Required("name", "version", "since")
 })
 
+// Target is a service of a route's split.
+var Target = Type("Target", func() {
+	Attribute("service", String)
+	Attribute("share", Float64, "Part of the route's calls, 0 to 1")
+	Attribute("upstreams", Int, "Upstreams that take calls, as this node sees them")
+	Required("service", "share", "upstreams")
+})
+
+// RouteState is a route and whether its services have upstreams.
+var RouteState = Type("RouteState", func() {
+	Attribute("route", String, "Path of the route")
+	Attribute("state", String, "served, partial (a service of the split has no upstream) or unserved (none has one)")
+	Attribute("since", String, "Since when the route is not served", func() { Format(FormatDateTime) })
+	Attribute("targets", ArrayOf(Target))
+	Required("route", "state", "targets")
+})
+
 // Candidate is one upstream that a call could go to.
 var Candidate = Type("Candidate", func() {
 	Attribute("instance", String)
@@ -271,6 +288,8 @@
 			Attribute("sessions", Int, "Open peer sessions")
 			Attribute("members", Int, "Live members known")
 			Attribute("watching", Boolean, "Whether the node watches the store")
+			Attribute("unserved", Int, "Routes whose calls all end with no-upstream")
+			Attribute("partial", Int, "Routes of which a part of the calls ends with no-upstream")
 			Required("name", "zone", "region", "phase", "version", "hash", "refused", "sessions", "members", "watching")
 		})
 		HTTP(func() {
@@ -287,6 +306,19 @@
 			statuses()
 		})
 	})
+	Method("routes", func() {
+		Description("Lists the routes in force and whether their services have upstreams.")
+		Payload(func() {
+			APIKey("token", "token", String)
+			Attribute("team", String)
+		})
+		Result(ArrayOf(RouteState))
+		HTTP(func() {
+			GET("/v1/routes")
+			Param("team")
+			statuses()
+		})
+	})
 	Method("convergence", func() {
 		Description("Asks the fleet which versions are in force where.")
 		Payload(func() { APIKey("token", "token", String) })
@@ -320,6 +352,7 @@
 			Attribute("repeatable", Boolean)
 			Attribute("steps", ArrayOf(String), "What was compared, in order")
 			Attribute("candidates", ArrayOf(Candidate))
+			Attribute("state", RouteState, "Whether the services of the route have upstreams")
 			Required("version", "route", "steps", "candidates")
 		})
 		HTTP(func() {
--- a/api/gen/fleet/client.go
+++ b/api/gen/fleet/client.go
@@ -17,15 +17,17 @@
 type Client struct {
 	StatusEndpoint      goa.Endpoint
 	MembersEndpoint     goa.Endpoint
+	RoutesEndpoint      goa.Endpoint
 	ConvergenceEndpoint goa.Endpoint
 	ExplainEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "fleet" service client given the endpoints.
-func NewClient(status, members, convergence, explain goa.Endpoint) *Client {
+func NewClient(status, members, routes, convergence, explain goa.Endpoint) *Client {
 	return &Client{
 		StatusEndpoint:      status,
 		MembersEndpoint:     members,
+		RoutesEndpoint:      routes,
 		ConvergenceEndpoint: convergence,
 		ExplainEndpoint:     explain,
 	}
@@ -65,6 +67,23 @@
 	return ires.([]*Member), nil
 }
 
+// Routes calls the "routes" endpoint of the "fleet" service.
+// Routes may return the following errors:
+//   - "unauthorized" (type *Problem): The token is missing or not known
+//   - "forbidden" (type *Problem): The token's team does not own the subtree
+//   - "invalid" (type *Problem): The request is malformed
+//   - "unavailable" (type *Problem): The node can't answer now
+//   - "missing" (type *Problem): Nothing has that name
+//   - error: internal error
+func (c *Client) Routes(ctx context.Context, p *RoutesPayload) (res []*RouteState, err error) {
+	var ires any
+	ires, err = c.RoutesEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*RouteState), nil
+}
+
 // Convergence calls the "convergence" endpoint of the "fleet" service.
 // Convergence may return the following errors:
 //   - "unauthorized" (type *Problem): The token is missing or not known
--- a/api/gen/fleet/endpoints.go
+++ b/api/gen/fleet/endpoints.go
@@ -18,6 +18,7 @@
 type Endpoints struct {
 	Status      goa.Endpoint
 	Members     goa.Endpoint
+	Routes      goa.Endpoint
 	Convergence goa.Endpoint
 	Explain     goa.Endpoint
 }
@@ -29,6 +30,7 @@
 	return &Endpoints{
 		Status:      NewStatusEndpoint(s, a.APIKeyAuth),
 		Members:     NewMembersEndpoint(s, a.APIKeyAuth),
+		Routes:      NewRoutesEndpoint(s, a.APIKeyAuth),
 		Convergence: NewConvergenceEndpoint(s, a.APIKeyAuth),
 		Explain:     NewExplainEndpoint(s, a.APIKeyAuth),
 	}
@@ -38,6 +40,7 @@
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Status = m(e.Status)
 	e.Members = m(e.Members)
+	e.Routes = m(e.Routes)
 	e.Convergence = m(e.Convergence)
 	e.Explain = m(e.Explain)
 }
@@ -88,6 +91,29 @@
 	}
 }
 
+// NewRoutesEndpoint returns an endpoint function that calls the method
+// "routes" of service "fleet".
+func NewRoutesEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RoutesPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Routes(ctx, p)
+	}
+}
+
 // NewConvergenceEndpoint returns an endpoint function that calls the method
 // "convergence" of service "fleet".
 func NewConvergenceEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
--- a/api/gen/fleet/service.go
+++ b/api/gen/fleet/service.go
@@ -19,6 +19,8 @@
 	Status(context.Context, *StatusPayload) (res *StatusResult, err error)
 	// Lists the instances that this node knows.
 	Members(context.Context, *MembersPayload) (res []*Member, err error)
+	// Lists the routes in force and whether their services have upstreams.
+	Routes(context.Context, *RoutesPayload) (res []*RouteState, err error)
 	// Asks the fleet which versions are in force where.
 	Convergence(context.Context, *ConvergencePayload) (res *ConvergenceResult, err error)
 	// Says which route and upstream a request would take and why.
@@ -45,7 +47,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [4]string{"status", "members", "convergence", "explain"}
+var MethodNames = [5]string{"status", "members", "routes", "convergence", "explain"}
 
 type Candidate struct {
 	Instance string
@@ -93,6 +95,8 @@
 	// What was compared, in order
 	Steps      []string
 	Candidates []*Candidate
+	// Whether the services of the route have upstreams
+	State *RouteState
 }
 
 type Laggard struct {
@@ -132,6 +136,23 @@
 	Retry *int64
 }
 
+type RouteState struct {
+	// Path of the route
+	Route string
+	// served, partial (a service of the split has no upstream) or unserved (none
+	// has one)
+	State string
+	// Since when the route is not served
+	Since   *string
+	Targets []*Target
+}
+
+// RoutesPayload is the payload type of the fleet service routes method.
+type RoutesPayload struct {
+	Token *string
+	Team  *string
+}
+
 // StatusPayload is the payload type of the fleet service status method.
 type StatusPayload struct {
 	Token *string
@@ -155,6 +176,10 @@
 	Members int
 	// Whether the node watches the store
 	Watching bool
+	// Routes whose calls all end with no-upstream
+	Unserved *int
+	// Routes of which a part of the calls ends with no-upstream
+	Partial *int
 }
 
 type Tally struct {
@@ -162,6 +187,14 @@
 	Nodes   int
 }
 
+type Target struct {
+	Service string
+	// Part of the route's calls, 0 to 1
+	Share float64
+	// Upstreams that take calls, as this node sees them
+	Upstreams int
+}
+
 // Error returns an error description.
 func (e *Problem) Error() string {
 	return ""
--- a/api/gen/http/cli/node/cli.go
+++ b/api/gen/http/cli/node/cli.go
@@ -26,16 +26,16 @@
 func UsageCommands() []string {
 	return []string{
 		"settings (read|submit|outcome|check|proposals|history)",
-		"fleet (status|members|convergence|explain)",
+		"fleet (status|members|routes|convergence|explain)",
 		"upstream announce",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "settings read --team \"Aut odio dolorum consequatur.\" --token \"Magnam dicta necessitatibus qui tenetur odit distinctio.\"" + "\n" +
-		os.Args[0] + " " + "fleet status --token \"Iusto voluptatem nesciunt.\"" + "\n" +
-		os.Args[0] + " " + "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"n\",\n      \"slots\": 376,\n      \"state\": \"cold\"\n   }'" + "\n" +
+	return os.Args[0] + " " + "settings read --team \"Quam sunt illum nam ipsum.\" --token \"Eum architecto laudantium.\"" + "\n" +
+		os.Args[0] + " " + "fleet status --token \"Doloribus aperiam id et eligendi ut facilis.\"" + "\n" +
+		os.Args[0] + " " + "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"e0-\",\n      \"slots\": 114,\n      \"state\": \"ready\"\n   }'" + "\n" +
 		""
 }
 
@@ -84,6 +84,10 @@
 		fleetMembersFlags     = flag.NewFlagSet("members", flag.ExitOnError)
 		fleetMembersTokenFlag = fleetMembersFlags.String("token", "", "")
 
+		fleetRoutesFlags     = flag.NewFlagSet("routes", flag.ExitOnError)
+		fleetRoutesTeamFlag  = fleetRoutesFlags.String("team", "", "")
+		fleetRoutesTokenFlag = fleetRoutesFlags.String("token", "", "")
+
 		fleetConvergenceFlags     = flag.NewFlagSet("convergence", flag.ExitOnError)
 		fleetConvergenceTokenFlag = fleetConvergenceFlags.String("token", "", "")
 
@@ -107,6 +111,7 @@
 	fleetFlags.Usage = fleetUsage
 	fleetStatusFlags.Usage = fleetStatusUsage
 	fleetMembersFlags.Usage = fleetMembersUsage
+	fleetRoutesFlags.Usage = fleetRoutesUsage
 	fleetConvergenceFlags.Usage = fleetConvergenceUsage
 	fleetExplainFlags.Usage = fleetExplainUsage
 
@@ -179,6 +184,9 @@
 			case "members":
 				epf = fleetMembersFlags
 
+			case "routes":
+				epf = fleetRoutesFlags
+
 			case "convergence":
 				epf = fleetConvergenceFlags
 
@@ -245,6 +253,9 @@
 			case "members":
 				endpoint = c.Members()
 				data, err = fleetc.BuildMembersPayload(*fleetMembersTokenFlag)
+			case "routes":
+				endpoint = c.Routes()
+				data, err = fleetc.BuildRoutesPayload(*fleetRoutesTeamFlag, *fleetRoutesTokenFlag)
 			case "convergence":
 				endpoint = c.Convergence()
 				data, err = fleetc.BuildConvergencePayload(*fleetConvergenceTokenFlag)
@@ -300,7 +311,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings read --team \"Aut odio dolorum consequatur.\" --token \"Magnam dicta necessitatibus qui tenetur odit distinctio.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings read --team \"Quam sunt illum nam ipsum.\" --token \"Eum architecto laudantium.\"")
 }
 
 func settingsSubmitUsage() {
@@ -320,7 +331,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings submit --body '{\n      \"base\": 13279116589263689142,\n      \"content\": \"Maxime labore.\",\n      \"id\": \"18220865-fb87-4448-9640-faf826120c03\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Totam unde omnis ut adipisci.\",\n      \"reason\": \"gt6\",\n      \"settings\": \"q39\",\n      \"team\": \"k\",\n      \"until\": \"2009-01-11T19:39:07Z\",\n      \"version\": 12932460330681840202\n   }' --token \"Voluptas nam quia eum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings submit --body '{\n      \"base\": 3652016294400223828,\n      \"content\": \"Assumenda assumenda.\",\n      \"id\": \"914f66b6-1c0f-4c6f-b6af-8518ad963afd\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Qui praesentium similique tenetur ad natus.\",\n      \"reason\": \"hjn\",\n      \"settings\": \"gs6\",\n      \"team\": \"n\",\n      \"until\": \"1995-12-12T06:05:06Z\",\n      \"version\": 1455268127360735091\n   }' --token \"Odit facilis eius esse veniam.\"")
 }
 
 func settingsOutcomeUsage() {
@@ -340,7 +351,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings outcome --id \"f2d915a9-80be-4ba5-ab9a-58dbe7249dd0\" --token \"Est sapiente maxime unde culpa aliquam officia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings outcome --id \"34eb0181-15bb-4ec1-b48c-b05842f00854\" --token \"Molestiae et.\"")
 }
 
 func settingsCheckUsage() {
@@ -360,7 +371,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings check --body '{\n      \"settings\": \"7rg\",\n      \"team\": \"offq\"\n   }' --token \"Modi eum incidunt officia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings check --body '{\n      \"settings\": \"pmq\",\n      \"team\": \"m\"\n   }' --token \"Quas saepe.\"")
 }
 
 func settingsProposalsUsage() {
@@ -380,7 +391,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings proposals --team \"A iste.\" --token \"Suscipit qui aut in est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings proposals --team \"Quo non enim perspiciatis asperiores.\" --token \"Rerum maiores sequi est.\"")
 }
 
 func settingsHistoryUsage() {
@@ -402,7 +413,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings history --team \"Temporibus amet atque dolorem officiis.\" --limit 686 --token \"Voluptatem qui incidunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings history --team \"Maxime aut et.\" --limit 915 --token \"Rerum in quaerat.\"")
 }
 
 // fleetUsage displays the usage of the fleet command and its subcommands.
@@ -412,6 +423,7 @@
 	fmt.Fprintln(os.Stderr, "COMMAND:")
 	fmt.Fprintln(os.Stderr, `    status: Returns the node's own state.`)
 	fmt.Fprintln(os.Stderr, `    members: Lists the instances that this node knows.`)
+	fmt.Fprintln(os.Stderr, `    routes: Lists the routes in force and whether their services have upstreams.`)
 	fmt.Fprintln(os.Stderr, `    convergence: Asks the fleet which versions are in force where.`)
 	fmt.Fprintln(os.Stderr, `    explain: Says which route and upstream a request would take and why.`)
 	fmt.Fprintln(os.Stderr)
@@ -433,7 +445,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Iusto voluptatem nesciunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Doloribus aperiam id et eligendi ut facilis.\"")
 }
 
 func fleetMembersUsage() {
@@ -451,7 +463,27 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet members --token \"Nisi iste ut veritatis praesentium dolorem.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet members --token \"Beatae quia aut.\"")
+}
+
+func fleetRoutesUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet routes", os.Args[0])
+	fmt.Fprint(os.Stderr, " -team STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists the routes in force and whether their services have upstreams.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -team STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet routes --team \"Ab rerum dolorem in.\" --token \"Minima qui repellat tempora aliquam sunt.\"")
 }
 
 func fleetConvergenceUsage() {
@@ -469,7 +501,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet convergence --token \"Beatae quia aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet convergence --token \"Reprehenderit quos minus deserunt vel ut impedit.\"")
 }
 
 func fleetExplainUsage() {
@@ -489,7 +521,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet explain --body '{\n      \"headers\": {\n         \"Enim et non dignissimos harum officiis rerum.\": \"Vitae velit dolorum saepe cum hic.\",\n         \"Iure similique est dolorum facilis sequi earum.\": \"Qui facilis laudantium est sequi qui.\",\n         \"Iusto laudantium.\": \"Consequatur cupiditate.\"\n      },\n      \"host\": \"Ipsam quasi.\",\n      \"method\": \"Quos animi est.\",\n      \"path\": \"Ipsa et corrupti est velit.\"\n   }' --token \"Reiciendis iusto hic beatae.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet explain --body '{\n      \"headers\": {\n         \"Minus aut et inventore inventore fugit.\": \"Et nihil sed.\",\n         \"Velit unde omnis eos.\": \"Numquam et ipsam repellendus aut nesciunt.\",\n         \"Veniam id nihil eum eaque ab eum.\": \"Cum dicta laborum.\"\n      },\n      \"host\": \"Deserunt velit.\",\n      \"method\": \"Odio quisquam eos quos nam minima optio.\",\n      \"path\": \"Ipsa soluta.\"\n   }' --token \"Nisi quo nemo voluptatem qui nihil.\"")
 }
 
 // upstreamUsage displays the usage of the upstream command and its subcommands.
@@ -517,5 +549,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"n\",\n      \"slots\": 376,\n      \"state\": \"cold\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"e0-\",\n      \"slots\": 114,\n      \"state\": \"ready\"\n   }'")
 }
--- a/api/gen/http/fleet/client/cli.go
+++ b/api/gen/http/fleet/client/cli.go
@@ -43,6 +43,28 @@
 	return v, nil
 }
 
+// BuildRoutesPayload builds the payload for the fleet routes endpoint from CLI
+// flags.
+func BuildRoutesPayload(fleetRoutesTeam string, fleetRoutesToken string) (*fleet.RoutesPayload, error) {
+	var team *string
+	{
+		if fleetRoutesTeam != "" {
+			team = &fleetRoutesTeam
+		}
+	}
+	var token *string
+	{
+		if fleetRoutesToken != "" {
+			token = &fleetRoutesToken
+		}
+	}
+	v := &fleet.RoutesPayload{}
+	v.Team = team
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildConvergencePayload builds the payload for the fleet convergence
 // endpoint from CLI flags.
 func BuildConvergencePayload(fleetConvergenceToken string) (*fleet.ConvergencePayload, error) {
@@ -66,7 +88,7 @@
 	{
 		err = json.Unmarshal([]byte(fleetExplainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"headers\": {\n         \"Enim et non dignissimos harum officiis rerum.\": \"Vitae velit dolorum saepe cum hic.\",\n         \"Iure similique est dolorum facilis sequi earum.\": \"Qui facilis laudantium est sequi qui.\",\n         \"Iusto laudantium.\": \"Consequatur cupiditate.\"\n      },\n      \"host\": \"Ipsam quasi.\",\n      \"method\": \"Quos animi est.\",\n      \"path\": \"Ipsa et corrupti est velit.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"headers\": {\n         \"Minus aut et inventore inventore fugit.\": \"Et nihil sed.\",\n         \"Velit unde omnis eos.\": \"Numquam et ipsam repellendus aut nesciunt.\",\n         \"Veniam id nihil eum eaque ab eum.\": \"Cum dicta laborum.\"\n      },\n      \"host\": \"Deserunt velit.\",\n      \"method\": \"Odio quisquam eos quos nam minima optio.\",\n      \"path\": \"Ipsa soluta.\"\n   }'")
 		}
 	}
 	var token *string
--- a/api/gen/http/fleet/client/client.go
+++ b/api/gen/http/fleet/client/client.go
@@ -24,6 +24,9 @@
 	// endpoint.
 	MembersDoer goahttp.Doer
 
+	// Routes Doer is the HTTP client used to make requests to the routes endpoint.
+	RoutesDoer goahttp.Doer
+
 	// Convergence Doer is the HTTP client used to make requests to the convergence
 	// endpoint.
 	ConvergenceDoer goahttp.Doer
@@ -54,6 +57,7 @@
 	return &Client{
 		StatusDoer:          doer,
 		MembersDoer:         doer,
+		RoutesDoer:          doer,
 		ConvergenceDoer:     doer,
 		ExplainDoer:         doer,
 		RestoreResponseBody: restoreBody,
@@ -112,6 +116,30 @@
 	}
 }
 
+// Routes returns an endpoint that makes HTTP requests to the fleet service
+// routes server.
+func (c *Client) Routes() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRoutesRequest(c.encoder)
+		decodeResponse = DecodeRoutesResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRoutesRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RoutesDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("fleet", "routes", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Convergence returns an endpoint that makes HTTP requests to the fleet
 // service convergence server.
 func (c *Client) Convergence() goa.Endpoint {
--- a/api/gen/http/fleet/client/encode_decode.go
+++ b/api/gen/http/fleet/client/encode_decode.go
@@ -321,6 +321,165 @@
 	}
 }
 
+// BuildRoutesRequest instantiates a HTTP request object with method and path
+// set to call the "fleet" service "routes" endpoint
+func (c *Client) BuildRoutesRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RoutesFleetPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("fleet", "routes", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRoutesRequest returns an encoder for requests sent to the fleet routes
+// server.
+func EncodeRoutesRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*fleet.RoutesPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("fleet", "routes", "*fleet.RoutesPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		values := req.URL.Query()
+		if p.Team != nil {
+			values.Add("team", *p.Team)
+		}
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeRoutesResponse returns a decoder for responses returned by the fleet
+// routes endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeRoutesResponse may return the following errors:
+//   - "unauthorized" (type *fleet.Problem): http.StatusUnauthorized
+//   - "forbidden" (type *fleet.Problem): http.StatusForbidden
+//   - "invalid" (type *fleet.Problem): http.StatusBadRequest
+//   - "unavailable" (type *fleet.Problem): http.StatusServiceUnavailable
+//   - "missing" (type *fleet.Problem): http.StatusNotFound
+//   - error: internal error
+func DecodeRoutesResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*RouteStateResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateRouteStateResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			res := NewRoutesRouteStateOK(body)
+			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body RoutesUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			err = ValidateRoutesUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			return nil, NewRoutesUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body RoutesForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			err = ValidateRoutesForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			return nil, NewRoutesForbidden(&body)
+		case http.StatusBadRequest:
+			var (
+				body RoutesInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			err = ValidateRoutesInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			return nil, NewRoutesInvalid(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body RoutesUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			err = ValidateRoutesUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			return nil, NewRoutesUnavailable(&body)
+		case http.StatusNotFound:
+			var (
+				body RoutesMissingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "routes", err)
+			}
+			err = ValidateRoutesMissingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "routes", err)
+			}
+			return nil, NewRoutesMissing(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("fleet", "routes", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildConvergenceRequest instantiates a HTTP request object with method and
 // path set to call the "fleet" service "convergence" endpoint
 func (c *Client) BuildConvergenceRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -638,6 +797,38 @@
 	return res
 }
 
+// unmarshalRouteStateResponseToFleetRouteState builds a value of type
+// *fleet.RouteState from a value of type *RouteStateResponse.
+func unmarshalRouteStateResponseToFleetRouteState(v *RouteStateResponse) *fleet.RouteState {
+	res := &fleet.RouteState{
+		Route: *v.Route,
+		State: *v.State,
+		Since: v.Since,
+	}
+	res.Targets = make([]*fleet.Target, len(v.Targets))
+	for i, val := range v.Targets {
+		if val == nil {
+			res.Targets[i] = nil
+			continue
+		}
+		res.Targets[i] = unmarshalTargetResponseToFleetTarget(val)
+	}
+
+	return res
+}
+
+// unmarshalTargetResponseToFleetTarget builds a value of type *fleet.Target
+// from a value of type *TargetResponse.
+func unmarshalTargetResponseToFleetTarget(v *TargetResponse) *fleet.Target {
+	res := &fleet.Target{
+		Service:   *v.Service,
+		Share:     *v.Share,
+		Upstreams: *v.Upstreams,
+	}
+
+	return res
+}
+
 // unmarshalTallyResponseBodyToFleetTally builds a value of type *fleet.Tally
 // from a value of type *TallyResponseBody.
 func unmarshalTallyResponseBodyToFleetTally(v *TallyResponseBody) *fleet.Tally {
@@ -675,3 +866,38 @@
 
 	return res
 }
+
+// unmarshalRouteStateResponseBodyToFleetRouteState builds a value of type
+// *fleet.RouteState from a value of type *RouteStateResponseBody.
+func unmarshalRouteStateResponseBodyToFleetRouteState(v *RouteStateResponseBody) *fleet.RouteState {
+	if v == nil {
+		return nil
+	}
+	res := &fleet.RouteState{
+		Route: *v.Route,
+		State: *v.State,
+		Since: v.Since,
+	}
+	res.Targets = make([]*fleet.Target, len(v.Targets))
+	for i, val := range v.Targets {
+		if val == nil {
+			res.Targets[i] = nil
+			continue
+		}
+		res.Targets[i] = unmarshalTargetResponseBodyToFleetTarget(val)
+	}
+
+	return res
+}
+
+// unmarshalTargetResponseBodyToFleetTarget builds a value of type
+// *fleet.Target from a value of type *TargetResponseBody.
+func unmarshalTargetResponseBodyToFleetTarget(v *TargetResponseBody) *fleet.Target {
+	res := &fleet.Target{
+		Service:   *v.Service,
+		Share:     *v.Share,
+		Upstreams: *v.Upstreams,
+	}
+
+	return res
+}
--- a/api/gen/http/fleet/client/paths.go
+++ b/api/gen/http/fleet/client/paths.go
@@ -17,6 +17,11 @@
 	return "/v1/members"
 }
 
+// RoutesFleetPath returns the URL path to the fleet service routes HTTP endpoint.
+func RoutesFleetPath() string {
+	return "/v1/routes"
+}
+
 // ConvergenceFleetPath returns the URL path to the fleet service convergence HTTP endpoint.
 func ConvergenceFleetPath() string {
 	return "/v1/convergence"
--- a/api/gen/http/fleet/client/types.go
+++ b/api/gen/http/fleet/client/types.go
@@ -41,6 +41,10 @@
 	Members *int `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
 	// Whether the node watches the store
 	Watching *bool `form:"watching,omitempty" json:"watching,omitempty" xml:"watching,omitempty"`
+	// Routes whose calls all end with no-upstream
+	Unserved *int `form:"unserved,omitempty" json:"unserved,omitempty" xml:"unserved,omitempty"`
+	// Routes of which a part of the calls ends with no-upstream
+	Partial *int `form:"partial,omitempty" json:"partial,omitempty" xml:"partial,omitempty"`
 }
 
 // ConvergenceResponseBody is the type of the "fleet" service "convergence"
@@ -66,6 +70,8 @@
 	// What was compared, in order
 	Steps      []string                 `form:"steps,omitempty" json:"steps,omitempty" xml:"steps,omitempty"`
 	Candidates []*CandidateResponseBody `form:"candidates,omitempty" json:"candidates,omitempty" xml:"candidates,omitempty"`
+	// Whether the services of the route have upstreams
+	State *RouteStateResponseBody `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 }
 
 // StatusUnauthorizedResponseBody is the type of the "fleet" service "status"
@@ -198,6 +204,71 @@
 	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// RoutesUnauthorizedResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "unauthorized" error.
+type RoutesUnauthorizedResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesForbiddenResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "forbidden" error.
+type RoutesForbiddenResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesInvalidResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "invalid" error.
+type RoutesInvalidResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesUnavailableResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "unavailable" error.
+type RoutesUnavailableResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesMissingResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "missing" error.
+type RoutesMissingResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ConvergenceUnauthorizedResponseBody is the type of the "fleet" service
 // "convergence" endpoint HTTP response body for the "unauthorized" error.
 type ConvergenceUnauthorizedResponseBody struct {
@@ -341,6 +412,27 @@
 	Suspect *bool   `form:"suspect,omitempty" json:"suspect,omitempty" xml:"suspect,omitempty"`
 }
 
+// RouteStateResponse is used to define fields on response body types.
+type RouteStateResponse struct {
+	// Path of the route
+	Route *string `form:"route,omitempty" json:"route,omitempty" xml:"route,omitempty"`
+	// served, partial (a service of the split has no upstream) or unserved (none
+	// has one)
+	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	// Since when the route is not served
+	Since   *string           `form:"since,omitempty" json:"since,omitempty" xml:"since,omitempty"`
+	Targets []*TargetResponse `form:"targets,omitempty" json:"targets,omitempty" xml:"targets,omitempty"`
+}
+
+// TargetResponse is used to define fields on response body types.
+type TargetResponse struct {
+	Service *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+	// Part of the route's calls, 0 to 1
+	Share *float64 `form:"share,omitempty" json:"share,omitempty" xml:"share,omitempty"`
+	// Upstreams that take calls, as this node sees them
+	Upstreams *int `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
+}
+
 // TallyResponseBody is used to define fields on response body types.
 type TallyResponseBody struct {
 	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
@@ -368,6 +460,27 @@
 	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
 }
 
+// RouteStateResponseBody is used to define fields on response body types.
+type RouteStateResponseBody struct {
+	// Path of the route
+	Route *string `form:"route,omitempty" json:"route,omitempty" xml:"route,omitempty"`
+	// served, partial (a service of the split has no upstream) or unserved (none
+	// has one)
+	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	// Since when the route is not served
+	Since   *string               `form:"since,omitempty" json:"since,omitempty" xml:"since,omitempty"`
+	Targets []*TargetResponseBody `form:"targets,omitempty" json:"targets,omitempty" xml:"targets,omitempty"`
+}
+
+// TargetResponseBody is used to define fields on response body types.
+type TargetResponseBody struct {
+	Service *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+	// Part of the route's calls, 0 to 1
+	Share *float64 `form:"share,omitempty" json:"share,omitempty" xml:"share,omitempty"`
+	// Upstreams that take calls, as this node sees them
+	Upstreams *int `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
+}
+
 // NewExplainRequestBody builds the HTTP request body from the payload of the
 // "explain" endpoint of the "fleet" service.
 func NewExplainRequestBody(p *fleet.ExplainPayload) *ExplainRequestBody {
@@ -408,6 +521,8 @@
 		Sessions: *body.Sessions,
 		Members:  *body.Members,
 		Watching: *body.Watching,
+		Unserved: body.Unserved,
+		Partial:  body.Partial,
 	}
 
 	return v
@@ -552,6 +667,83 @@
 	return v
 }
 
+// NewRoutesRouteStateOK builds a "fleet" service "routes" endpoint result from
+// a HTTP "OK" response.
+func NewRoutesRouteStateOK(body []*RouteStateResponse) []*fleet.RouteState {
+	v := make([]*fleet.RouteState, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalRouteStateResponseToFleetRouteState(val)
+	}
+
+	return v
+}
+
+// NewRoutesUnauthorized builds a fleet service routes endpoint unauthorized
+// error.
+func NewRoutesUnauthorized(body *RoutesUnauthorizedResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewRoutesForbidden builds a fleet service routes endpoint forbidden error.
+func NewRoutesForbidden(body *RoutesForbiddenResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewRoutesInvalid builds a fleet service routes endpoint invalid error.
+func NewRoutesInvalid(body *RoutesInvalidResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewRoutesUnavailable builds a fleet service routes endpoint unavailable
+// error.
+func NewRoutesUnavailable(body *RoutesUnavailableResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewRoutesMissing builds a fleet service routes endpoint missing error.
+func NewRoutesMissing(body *RoutesMissingResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
 // NewConvergenceResultOK builds a "fleet" service "convergence" endpoint
 // result from a HTTP "OK" response.
 func NewConvergenceResultOK(body *ConvergenceResponseBody) *fleet.ConvergenceResult {
@@ -666,6 +858,9 @@
 		}
 		v.Candidates[i] = unmarshalCandidateResponseBodyToFleetCandidate(val)
 	}
+	if body.State != nil {
+		v.State = unmarshalRouteStateResponseBodyToFleetRouteState(body.State)
+	}
 
 	return v
 }
@@ -829,6 +1024,11 @@
 			}
 		}
 	}
+	if body.State != nil {
+		if err2 := ValidateRouteStateResponseBody(body.State); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
 	return
 }
 
@@ -982,6 +1182,81 @@
 	return
 }
 
+// ValidateRoutesUnauthorizedResponseBody runs the validations defined on
+// routes_unauthorized_response_body
+func ValidateRoutesUnauthorizedResponseBody(body *RoutesUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateRoutesForbiddenResponseBody runs the validations defined on
+// routes_forbidden_response_body
+func ValidateRoutesForbiddenResponseBody(body *RoutesForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateRoutesInvalidResponseBody runs the validations defined on
+// routes_invalid_response_body
+func ValidateRoutesInvalidResponseBody(body *RoutesInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateRoutesUnavailableResponseBody runs the validations defined on
+// routes_unavailable_response_body
+func ValidateRoutesUnavailableResponseBody(body *RoutesUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateRoutesMissingResponseBody runs the validations defined on
+// routes_missing_response_body
+func ValidateRoutesMissingResponseBody(body *RoutesMissingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
 // ValidateConvergenceUnauthorizedResponseBody runs the validations defined on
 // convergence_unauthorized_response_body
 func ValidateConvergenceUnauthorizedResponseBody(body *ConvergenceUnauthorizedResponseBody) (err error) {
@@ -1161,6 +1436,44 @@
 	return
 }
 
+// ValidateRouteStateResponse runs the validations defined on RouteStateResponse
+func ValidateRouteStateResponse(body *RouteStateResponse) (err error) {
+	if body.Route == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("route", "body"))
+	}
+	if body.State == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
+	}
+	if body.Targets == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("targets", "body"))
+	}
+	if body.Since != nil {
+		err = goa.MergeErrors(err, goa.ValidateFormat("body.since", *body.Since, goa.FormatDateTime))
+	}
+	for _, e := range body.Targets {
+		if e != nil {
+			if err2 := ValidateTargetResponse(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateTargetResponse runs the validations defined on TargetResponse
+func ValidateTargetResponse(body *TargetResponse) (err error) {
+	if body.Service == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("service", "body"))
+	}
+	if body.Share == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("share", "body"))
+	}
+	if body.Upstreams == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("upstreams", "body"))
+	}
+	return
+}
+
 // ValidateTallyResponseBody runs the validations defined on TallyResponseBody
 func ValidateTallyResponseBody(body *TallyResponseBody) (err error) {
 	if body.Version == nil {
@@ -1210,3 +1523,42 @@
 	}
 	return
 }
+
+// ValidateRouteStateResponseBody runs the validations defined on
+// RouteStateResponseBody
+func ValidateRouteStateResponseBody(body *RouteStateResponseBody) (err error) {
+	if body.Route == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("route", "body"))
+	}
+	if body.State == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
+	}
+	if body.Targets == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("targets", "body"))
+	}
+	if body.Since != nil {
+		err = goa.MergeErrors(err, goa.ValidateFormat("body.since", *body.Since, goa.FormatDateTime))
+	}
+	for _, e := range body.Targets {
+		if e != nil {
+			if err2 := ValidateTargetResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateTargetResponseBody runs the validations defined on TargetResponseBody
+func ValidateTargetResponseBody(body *TargetResponseBody) (err error) {
+	if body.Service == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("service", "body"))
+	}
+	if body.Share == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("share", "body"))
+	}
+	if body.Upstreams == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("upstreams", "body"))
+	}
+	return
+}
--- a/api/gen/http/fleet/server/encode_decode.go
+++ b/api/gen/http/fleet/server/encode_decode.go
@@ -255,6 +255,129 @@
 	}
 }
 
+// EncodeRoutesResponse returns an encoder for responses returned by the fleet
+// routes endpoint.
+func EncodeRoutesResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*fleet.RouteState)
+		enc := encoder(ctx, w)
+		body := NewRoutesResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRoutesRequest returns a decoder for requests sent to the fleet routes
+// endpoint.
+func DecodeRoutesRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*fleet.RoutesPayload, error) {
+	return func(r *http.Request) (*fleet.RoutesPayload, error) {
+		var payload *fleet.RoutesPayload
+		var (
+			team  *string
+			token *string
+		)
+		teamRaw := r.URL.Query().Get("team")
+		if teamRaw != "" {
+			team = &teamRaw
+		}
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewRoutesPayload(team, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeRoutesError returns an encoder for errors returned by the routes fleet
+// endpoint.
+func EncodeRoutesError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRoutesUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRoutesForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "invalid":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRoutesInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRoutesUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "missing":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRoutesMissingResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeConvergenceResponse returns an encoder for responses returned by the
 // fleet convergence endpoint.
 func EncodeConvergenceResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -528,6 +651,42 @@
 	return res
 }
 
+// marshalFleetRouteStateToRouteStateResponse builds a value of type
+// *RouteStateResponse from a value of type *fleet.RouteState.
+func marshalFleetRouteStateToRouteStateResponse(v *fleet.RouteState) *RouteStateResponse {
+	res := &RouteStateResponse{
+		Route: v.Route,
+		State: v.State,
+		Since: v.Since,
+	}
+	if v.Targets != nil {
+		res.Targets = make([]*TargetResponse, len(v.Targets))
+		for i, val := range v.Targets {
+			if val == nil {
+				res.Targets[i] = nil
+				continue
+			}
+			res.Targets[i] = marshalFleetTargetToTargetResponse(val)
+		}
+	} else {
+		res.Targets = []*TargetResponse{}
+	}
+
+	return res
+}
+
+// marshalFleetTargetToTargetResponse builds a value of type *TargetResponse
+// from a value of type *fleet.Target.
+func marshalFleetTargetToTargetResponse(v *fleet.Target) *TargetResponse {
+	res := &TargetResponse{
+		Service:   v.Service,
+		Share:     v.Share,
+		Upstreams: v.Upstreams,
+	}
+
+	return res
+}
+
 // marshalFleetTallyToTallyResponseBody builds a value of type
 // *TallyResponseBody from a value of type *fleet.Tally.
 func marshalFleetTallyToTallyResponseBody(v *fleet.Tally) *TallyResponseBody {
@@ -565,3 +724,42 @@
 
 	return res
 }
+
+// marshalFleetRouteStateToRouteStateResponseBody builds a value of type
+// *RouteStateResponseBody from a value of type *fleet.RouteState.
+func marshalFleetRouteStateToRouteStateResponseBody(v *fleet.RouteState) *RouteStateResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &RouteStateResponseBody{
+		Route: v.Route,
+		State: v.State,
+		Since: v.Since,
+	}
+	if v.Targets != nil {
+		res.Targets = make([]*TargetResponseBody, len(v.Targets))
+		for i, val := range v.Targets {
+			if val == nil {
+				res.Targets[i] = nil
+				continue
+			}
+			res.Targets[i] = marshalFleetTargetToTargetResponseBody(val)
+		}
+	} else {
+		res.Targets = []*TargetResponseBody{}
+	}
+
+	return res
+}
+
+// marshalFleetTargetToTargetResponseBody builds a value of type
+// *TargetResponseBody from a value of type *fleet.Target.
+func marshalFleetTargetToTargetResponseBody(v *fleet.Target) *TargetResponseBody {
+	res := &TargetResponseBody{
+		Service:   v.Service,
+		Share:     v.Share,
+		Upstreams: v.Upstreams,
+	}
+
+	return res
+}
--- a/api/gen/http/fleet/server/types.go
+++ b/api/gen/http/fleet/server/types.go
@@ -41,12 +41,20 @@
 	Members int `form:"members" json:"members" xml:"members"`
 	// Whether the node watches the store
 	Watching bool `form:"watching" json:"watching" xml:"watching"`
+	// Routes whose calls all end with no-upstream
+	Unserved *int `form:"unserved,omitempty" json:"unserved,omitempty" xml:"unserved,omitempty"`
+	// Routes of which a part of the calls ends with no-upstream
+	Partial *int `form:"partial,omitempty" json:"partial,omitempty" xml:"partial,omitempty"`
 }
 
 // MembersResponseBody is the type of the "fleet" service "members" endpoint
 // HTTP response body.
 type MembersResponseBody []*MemberResponse
 
+// RoutesResponseBody is the type of the "fleet" service "routes" endpoint HTTP
+// response body.
+type RoutesResponseBody []*RouteStateResponse
+
 // ConvergenceResponseBody is the type of the "fleet" service "convergence"
 // endpoint HTTP response body.
 type ConvergenceResponseBody struct {
@@ -70,6 +78,8 @@
 	// What was compared, in order
 	Steps      []string                 `form:"steps" json:"steps" xml:"steps"`
 	Candidates []*CandidateResponseBody `form:"candidates" json:"candidates" xml:"candidates"`
+	// Whether the services of the route have upstreams
+	State *RouteStateResponseBody `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
 }
 
 // StatusUnauthorizedResponseBody is the type of the "fleet" service "status"
@@ -202,6 +212,71 @@
 	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// RoutesUnauthorizedResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "unauthorized" error.
+type RoutesUnauthorizedResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesForbiddenResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "forbidden" error.
+type RoutesForbiddenResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesInvalidResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "invalid" error.
+type RoutesInvalidResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesUnavailableResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "unavailable" error.
+type RoutesUnavailableResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// RoutesMissingResponseBody is the type of the "fleet" service "routes"
+// endpoint HTTP response body for the "missing" error.
+type RoutesMissingResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ConvergenceUnauthorizedResponseBody is the type of the "fleet" service
 // "convergence" endpoint HTTP response body for the "unauthorized" error.
 type ConvergenceUnauthorizedResponseBody struct {
@@ -345,6 +420,27 @@
 	Suspect bool   `form:"suspect" json:"suspect" xml:"suspect"`
 }
 
+// RouteStateResponse is used to define fields on response body types.
+type RouteStateResponse struct {
+	// Path of the route
+	Route string `form:"route" json:"route" xml:"route"`
+	// served, partial (a service of the split has no upstream) or unserved (none
+	// has one)
+	State string `form:"state" json:"state" xml:"state"`
+	// Since when the route is not served
+	Since   *string           `form:"since,omitempty" json:"since,omitempty" xml:"since,omitempty"`
+	Targets []*TargetResponse `form:"targets" json:"targets" xml:"targets"`
+}
+
+// TargetResponse is used to define fields on response body types.
+type TargetResponse struct {
+	Service string `form:"service" json:"service" xml:"service"`
+	// Part of the route's calls, 0 to 1
+	Share float64 `form:"share" json:"share" xml:"share"`
+	// Upstreams that take calls, as this node sees them
+	Upstreams int `form:"upstreams" json:"upstreams" xml:"upstreams"`
+}
+
 // TallyResponseBody is used to define fields on response body types.
 type TallyResponseBody struct {
 	Version uint64 `form:"version" json:"version" xml:"version"`
@@ -372,6 +468,27 @@
 	Reason string `form:"reason" json:"reason" xml:"reason"`
 }
 
+// RouteStateResponseBody is used to define fields on response body types.
+type RouteStateResponseBody struct {
+	// Path of the route
+	Route string `form:"route" json:"route" xml:"route"`
+	// served, partial (a service of the split has no upstream) or unserved (none
+	// has one)
+	State string `form:"state" json:"state" xml:"state"`
+	// Since when the route is not served
+	Since   *string               `form:"since,omitempty" json:"since,omitempty" xml:"since,omitempty"`
+	Targets []*TargetResponseBody `form:"targets" json:"targets" xml:"targets"`
+}
+
+// TargetResponseBody is used to define fields on response body types.
+type TargetResponseBody struct {
+	Service string `form:"service" json:"service" xml:"service"`
+	// Part of the route's calls, 0 to 1
+	Share float64 `form:"share" json:"share" xml:"share"`
+	// Upstreams that take calls, as this node sees them
+	Upstreams int `form:"upstreams" json:"upstreams" xml:"upstreams"`
+}
+
 // NewStatusResponseBody builds the HTTP response body from the result of the
 // "status" endpoint of the "fleet" service.
 func NewStatusResponseBody(res *fleet.StatusResult) *StatusResponseBody {
@@ -387,6 +504,8 @@
 		Sessions: res.Sessions,
 		Members:  res.Members,
 		Watching: res.Watching,
+		Unserved: res.Unserved,
+		Partial:  res.Partial,
 	}
 	return body
 }
@@ -405,6 +524,20 @@
 	return body
 }
 
+// NewRoutesResponseBody builds the HTTP response body from the result of the
+// "routes" endpoint of the "fleet" service.
+func NewRoutesResponseBody(res []*fleet.RouteState) RoutesResponseBody {
+	body := make([]*RouteStateResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalFleetRouteStateToRouteStateResponse(val)
+	}
+	return body
+}
+
 // NewConvergenceResponseBody builds the HTTP response body from the result of
 // the "convergence" endpoint of the "fleet" service.
 func NewConvergenceResponseBody(res *fleet.ConvergenceResult) *ConvergenceResponseBody {
@@ -469,6 +602,9 @@
 	} else {
 		body.Candidates = []*CandidateResponseBody{}
 	}
+	if res.State != nil {
+		body.State = marshalFleetRouteStateToRouteStateResponseBody(res.State)
+	}
 	return body
 }
 
@@ -592,6 +728,66 @@
 	return body
 }
 
+// NewRoutesUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "routes" endpoint of the "fleet" service.
+func NewRoutesUnauthorizedResponseBody(res *fleet.Problem) *RoutesUnauthorizedResponseBody {
+	body := &RoutesUnauthorizedResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewRoutesForbiddenResponseBody builds the HTTP response body from the result
+// of the "routes" endpoint of the "fleet" service.
+func NewRoutesForbiddenResponseBody(res *fleet.Problem) *RoutesForbiddenResponseBody {
+	body := &RoutesForbiddenResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewRoutesInvalidResponseBody builds the HTTP response body from the result
+// of the "routes" endpoint of the "fleet" service.
+func NewRoutesInvalidResponseBody(res *fleet.Problem) *RoutesInvalidResponseBody {
+	body := &RoutesInvalidResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewRoutesUnavailableResponseBody builds the HTTP response body from the
+// result of the "routes" endpoint of the "fleet" service.
+func NewRoutesUnavailableResponseBody(res *fleet.Problem) *RoutesUnavailableResponseBody {
+	body := &RoutesUnavailableResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewRoutesMissingResponseBody builds the HTTP response body from the result
+// of the "routes" endpoint of the "fleet" service.
+func NewRoutesMissingResponseBody(res *fleet.Problem) *RoutesMissingResponseBody {
+	body := &RoutesMissingResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
 // NewConvergenceUnauthorizedResponseBody builds the HTTP response body from
 // the result of the "convergence" endpoint of the "fleet" service.
 func NewConvergenceUnauthorizedResponseBody(res *fleet.Problem) *ConvergenceUnauthorizedResponseBody {
@@ -728,6 +924,15 @@
 	return v
 }
 
+// NewRoutesPayload builds a fleet service routes endpoint payload.
+func NewRoutesPayload(team *string, token *string) *fleet.RoutesPayload {
+	v := &fleet.RoutesPayload{}
+	v.Team = team
+	v.Token = token
+
+	return v
+}
+
 // NewConvergencePayload builds a fleet service convergence endpoint payload.
 func NewConvergencePayload(token *string) *fleet.ConvergencePayload {
 	v := &fleet.ConvergencePayload{}
--- a/api/gen/http/settings/client/cli.go
+++ b/api/gen/http/settings/client/cli.go
@@ -47,7 +47,7 @@
 	{
 		err = json.Unmarshal([]byte(settingsSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 13279116589263689142,\n      \"content\": \"Maxime labore.\",\n      \"id\": \"18220865-fb87-4448-9640-faf826120c03\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Totam unde omnis ut adipisci.\",\n      \"reason\": \"gt6\",\n      \"settings\": \"q39\",\n      \"team\": \"k\",\n      \"until\": \"2009-01-11T19:39:07Z\",\n      \"version\": 12932460330681840202\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 3652016294400223828,\n      \"content\": \"Assumenda assumenda.\",\n      \"id\": \"914f66b6-1c0f-4c6f-b6af-8518ad963afd\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Qui praesentium similique tenetur ad natus.\",\n      \"reason\": \"hjn\",\n      \"settings\": \"gs6\",\n      \"team\": \"n\",\n      \"until\": \"1995-12-12T06:05:06Z\",\n      \"version\": 1455268127360735091\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidateFormat("body.id", body.ID, goa.FormatUUID))
 		if !(body.Kind == "apply" || body.Kind == "hold" || body.Kind == "release" || body.Kind == "revert" || body.Kind == "approve" || body.Kind == "reject") {
@@ -127,7 +127,7 @@
 	{
 		err = json.Unmarshal([]byte(settingsCheckBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"settings\": \"7rg\",\n      \"team\": \"offq\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"settings\": \"pmq\",\n      \"team\": \"m\"\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.team", body.Team, "^[a-z0-9-]{1,63}$"))
 		if utf8.RuneCountInString(body.Settings) > 4194304 {
--- a/ctl/commander/fake_test.go
+++ b/ctl/commander/fake_test.go
@@ -115,13 +115,21 @@
 }
 
 func (f *fake) Status(context.Context, *fleet.StatusPayload) (*fleet.StatusResult, error) {
-	return &fleet.StatusResult{Name: "node-1", Zone: "a", Region: "north", Phase: "ready", Version: 7}, nil
+	return &fleet.StatusResult{Name: "node-1", Zone: "a", Region: "north", Phase: "ready", Version: 7, Unserved: pointer(2)}, nil
 }
 
 func (f *fake) Members(context.Context, *fleet.MembersPayload) ([]*fleet.Member, error) {
 	return []*fleet.Member{{Name: "node-1", Zone: "a", Region: "north", Address: "127.0.0.1:1", State: "ready"}}, nil
 }
 
+var partial = &fleet.RouteState{Route: "quoting/route/quotes", State: "partial", Targets: []*fleet.Target{
+	{Service: "quote-desk", Share: 0.75, Upstreams: 3}, {Service: "gone", Share: 0.25},
+}}
+
+func (f *fake) Routes(context.Context, *fleet.RoutesPayload) ([]*fleet.RouteState, error) {
+	return []*fleet.RouteState{partial, {Route: "quoting/route/fine", State: "served", Targets: []*fleet.Target{}}}, nil
+}
+
 func (f *fake) Convergence(context.Context, *fleet.ConvergencePayload) (*fleet.ConvergenceResult, error) {
 	if f.convergence != nil {
 		return f.convergence(), nil
@@ -135,7 +143,7 @@
 
 func (f *fake) Explain(_ context.Context, payload *fleet.ExplainPayload) (*fleet.ExplainResult, error) {
 	f.explained = payload
-	return &fleet.ExplainResult{Version: 7, Route: "quoting/route/quotes", Steps: []string{"host equal"}}, nil
+	return &fleet.ExplainResult{Version: 7, Route: "quoting/route/quotes", Steps: []string{"host equal"}, State: partial}, nil
 }
 
 // serve starts the generated server and returns its address.
--- a/ctl/commander/fleet.go
+++ b/ctl/commander/fleet.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -37,6 +39,16 @@
 		Example: "  srctl members\n  srctl members --output json",
 		Args:    cobra.NoArgs, RunE: c.run(c.members),
 	}
+	var unserved bool
+	routes := &cobra.Command{
+		Use: "routes [TEAM]", Short: "List the routes and whether their services have upstreams", GroupID: groupFleet,
+		Example: "  srctl routes quoting\n  srctl routes --unserved",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: c.run(func(ctx context.Context, _ *cobra.Command, args []string) error {
+			return c.routes(ctx, args, unserved)
+		}),
+	}
+	routes.Flags().BoolVar(&unserved, "unserved", false, "only routes of which some calls have no upstream")
 	var version uint64
 	convergence := &cobra.Command{
 		Use: "convergence", Short: "Show which versions are in force in the fleet", GroupID: groupFleet,
@@ -57,7 +69,7 @@
 		}),
 	}
 	explain.Flags().StringArrayVarP(&headers, "header", "H", nil, "request header, `NAME: VALUE`; repeatable")
-	return []*cobra.Command{history, status, members, convergence, explain}
+	return []*cobra.Command{history, status, members, routes, convergence, explain}
 }
 
 // show reads from a node and prints the answer.
@@ -115,6 +127,8 @@
 			{"watching", status.Watching},
 			{"refused", status.Refused},
 			{"fault", optional(status.Fault)},
+			{"unserved", number(status.Unserved)},
+			{"partial", number(status.Partial)},
 		})
 	})
 }
@@ -133,6 +147,40 @@
 	})
 }
 
+func (c *Commander) routes(ctx context.Context, args []string, unserved bool) error {
+	payload := &fleet.RoutesPayload{}
+	if len(args) > 0 {
+		name, err := team(args[0])
+		if err != nil {
+			return err
+		}
+		payload.Team = &name
+	}
+	return show(ctx, c, func(ctx context.Context, node *requester.Node, token *string) ([]*fleet.RouteState, error) {
+		payload.Token = token
+		routes, err := node.Fleet.Routes(ctx, payload)
+		return slices.DeleteFunc(routes, func(route *fleet.RouteState) bool { return unserved && route.State == served }), err
+	}, func(w io.Writer, routes []*fleet.RouteState) {
+		var rows [][]any
+		for _, route := range routes {
+			rows = append(rows, []any{route.Route, route.State, optional(route.Since), targets(route)})
+		}
+		printer.Table(w, "ROUTE STATE SINCE UPSTREAMS", rows)
+	})
+}
+
+// served is the state of a route whose services all have upstreams.
+const served = "served"
+
+// targets lists the services of a route with their numbers of upstreams.
+func targets(route *fleet.RouteState) string {
+	var texts []string
+	for _, target := range route.Targets {
+		texts = append(texts, fmt.Sprintf("%s: %d", target.Service, target.Upstreams))
+	}
+	return strings.Join(texts, ", ")
+}
+
 func (c *Commander) convergence(ctx context.Context, version uint64) error {
 	r, err := c.requester()
 	if err != nil {
@@ -205,6 +253,14 @@
 	if result.Repeatable != nil {
 		fmt.Fprintf(w, "may be repeated: %t\n", *result.Repeatable)
 	}
+	if result.State != nil {
+		fmt.Fprintf(w, "%s (upstreams of %s)\n", result.State.State, targets(result.State))
+		for _, target := range result.State.Targets {
+			if target.Upstreams == 0 {
+				fmt.Fprintf(w, "%.1f%% of the calls are for %s and end not run, no-upstream\n", 100*target.Share, target.Service)
+			}
+		}
+	}
 	for i, step := range result.Steps {
 		fmt.Fprintf(w, "%3d. %s\n", i+1, step)
 	}
@@ -219,6 +275,14 @@
 	}
 }
 
+// number prints a number that older nodes don't tell.
+func number(value *int) string {
+	if value == nil {
+		return ""
+	}
+	return strconv.Itoa(*value)
+}
+
 func optional(text *string) string {
 	if text == nil {
 		return ""
--- a/node/manager/fleet.go
+++ b/node/manager/fleet.go
@@ -27,6 +27,7 @@
 		Name: s.Name, Zone: s.AvailabilityZone, Region: s.Region, Phase: string(status.Phase),
 		Version: uint64(tree.Version), Hash: hex.EncodeToString(hash[:]), Refused: status.Refused,
 		Sessions: status.Sessions, Members: status.Members, Watching: status.Watching,
+		Unserved: &status.Unserved, Partial: &status.Partial,
 	}
 	if status.Fault != "" {
 		result.Fault = &status.Fault
@@ -46,6 +47,30 @@
 	return results, nil
 }
 
+// Routes implements fleet.Service.
+func (s *fleetService) Routes(_ context.Context, payload *fleet.RoutesPayload) ([]*fleet.RouteState, error) {
+	results := []*fleet.RouteState{}
+	for _, route := range s.Manager.Routes() {
+		if payload.Team == nil || *payload.Team == route.Path.Team() {
+			results = append(results, routeState(route))
+		}
+	}
+	return results, nil
+}
+
+func routeState(route Route) *fleet.RouteState {
+	result := &fleet.RouteState{Route: string(route.Path), State: route.State, Targets: []*fleet.Target{}}
+	if !route.Since.IsZero() {
+		result.Since = pointer(route.Since.UTC().Format(time.RFC3339Nano))
+	}
+	for _, target := range route.Targets {
+		result.Targets = append(result.Targets, &fleet.Target{
+			Service: target.Service, Share: target.Share, Upstreams: target.Upstreams,
+		})
+	}
+	return result
+}
+
 // Convergence implements fleet.Service.
 func (s *fleetService) Convergence(ctx context.Context, _ *fleet.ConvergencePayload) (*fleet.ConvergenceResult, error) {
 	convergence, err := s.Manager.Convergence(ctx)
@@ -83,6 +108,9 @@
 		result.Class = pointer(string(explanation.Class))
 		result.Repeatable = &explanation.Repeatable
 	}
+	if explanation.State != nil {
+		result.State = routeState(*explanation.State)
+	}
 	for _, c := range explanation.Candidates {
 		result.Candidates = append(result.Candidates, &fleet.Candidate{
 			Instance: c.Instance, Zone: c.AvailabilityZone, State: string(c.State), Chance: c.Chance, Reason: c.Reason,
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -33,6 +33,26 @@
 	Sessions int
 	Members  int
 	Watching bool
+	// Unserved and Partial count the routes without upstreams.
+	Unserved int
+	Partial  int
+}
+
+// Target is a service of a route's split.
+type Target struct {
+	Service   string
+	Share     float64
+	Upstreams int
+}
+
+// Route is a route in force and whether its services have upstreams.
+type Route struct {
+	Path  sycamorerun.Path
+	State string
+	// Since is when the route came into a state other than served, zero when
+	// that is not known.
+	Since   time.Time
+	Targets []Target
 }
 
 // Member is an instance with what failure detection says about it.
@@ -92,6 +112,8 @@
 	Repeatable bool
 	Steps      []string
 	Candidates []Candidate
+	// State is nil when no route matches.
+	State *Route
 }
 
 // Announcement is what the upstream beside the node says about itself.
@@ -121,6 +143,7 @@
 	History     func(ctx context.Context, team string, limit int) []sycamorerun.Entry
 	Status      func() Status
 	Members     func() []Member
+	Routes      func() []Route
 	Convergence func(ctx context.Context) (Convergence, error)
 	Explain     func(query Query) Explanation
 	Announce    func(announcement Announcement) error
--- a/node/manager/manager_test.go
+++ b/node/manager/manager_test.go
@@ -49,6 +49,9 @@
 		},
 		Lookup: func(context.Context, string) (sycamorerun.Outcome, bool) { return sycamorerun.Outcome{}, false },
 		Status: func() manager.Status { return manager.Status{Phase: h.phase} },
+		Routes: func() []manager.Route {
+			return []manager.Route{{Path: "a/route/x", State: "unserved", Since: time.Unix(1000, 0)}, {Path: "b/route/y", State: "served"}}
+		},
 		Announce: func(announcement manager.Announcement) error {
 			h.announced = append(h.announced, announcement)
 			return nil
@@ -71,6 +74,17 @@
 	return answer.Code, fields
 }
 
+// list reads an answer that is a list.
+func (h *harness) list(path, token string) (int, []any) {
+	request := httptest.NewRequest(http.MethodGet, path, nil)
+	request.Header.Set("Authorization", "Bearer "+token)
+	answer := httptest.NewRecorder()
+	h.manager.Handler().ServeHTTP(answer, request)
+	var list []any
+	_ = json.Unmarshal(answer.Body.Bytes(), &list) // An error is no list.
+	return answer.Code, list
+}
+
 const loopback, remote = "127.0.0.1:40000", "10.0.0.9:40000"
 
 // Guards against a request that changes a subtree without its team's token,
@@ -161,6 +175,12 @@
 	status, fields := h.send(http.MethodGet, "/v1/changes/"+id, "token-of-a", "", remote)
 	is.Equal(status, 404)
 	is.Equal(fields["code"], "unknown-change")
+	_, routes := h.list("/v1/routes?team=a", "token-of-b")
+	is.Equal(routes, []any{map[string]any{"route": "a/route/x", "state": "unserved", "since": "1970-01-01T00:16:40Z", "targets": []any{}}})
+	_, routes = h.list("/v1/routes", "token-of-b")
+	is.Equal(len(routes), 2)
+	status, _ = h.list("/v1/routes", "guess")
+	is.Equal(status, 401)
 	status, fields = h.send(http.MethodGet, "/v1/tree?team=a", "token-of-b", "", remote)
 	is.Equal(status, 200)
 	is.Equal(len(fields["items"].([]any)), 1)
--- a/node/router/compile.go
+++ b/node/router/compile.go
@@ -140,7 +140,7 @@
 	if len(c.faults) > before {
 		return
 	}
-	c.table.routes++
+	c.table.routes = append(c.table.routes, compiled)
 	for _, host := range hosts {
 		c.table.add(host, compiled)
 	}
--- a/node/router/explain.go
+++ b/node/router/explain.go
@@ -79,7 +79,7 @@
 		result.Omitted = len(result.Steps) - maxSteps
 		result.Steps = result.Steps[:maxSteps]
 	}
-	result.Elsewhere = t.routes - len(compared)
+	result.Elsewhere = len(t.routes) - len(compared)
 	return result
 }
 
--- a/node/router/table.go
+++ b/node/router/table.go
@@ -20,8 +20,9 @@
 	version  sycamorerun.Version
 	services map[string]sycamorerun.Service
 	// hosts is keyed by host name, "*.suffix" or anyHost.
-	hosts  map[string]*group
-	routes int
+	hosts map[string]*group
+	// routes are in the order of their paths.
+	routes []*route
 	// decoded is what Recompile takes over.
 	decoded map[sycamorerun.Path]decoded
 }
@@ -77,7 +78,7 @@
 func (t *Table) Version() sycamorerun.Version { return t.version }
 
 // Routes returns the number of routes.
-func (t *Table) Routes() int { return t.routes }
+func (t *Table) Routes() int { return len(t.routes) }
 
 // Service returns the settings of the service with name.
 func (t *Table) Service(name string) (sycamorerun.Service, bool) {
--- a/node/runner/fleet.go
+++ b/node/runner/fleet.go
@@ -60,6 +60,9 @@
 	return f.view.Load().byService[service]
 }
 
+// upstreams returns the number of members of a service that take calls.
+func (f *fleet) upstreams(service string) int { return len(f.serving(service)) }
+
 // others returns the names of the live members but for self.
 func (f *fleet) others(self string) []string {
 	return slices.DeleteFunc(names(f.live()), func(name string) bool { return name == self })
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -22,6 +22,8 @@
 	"sycamorerun/node/distributor"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/reporter"
+	"sycamorerun/node/router"
 	"sycamorerun/node/seeder"
 	"sycamorerun/node/tracker"
 	"sycamorerun/persister"
@@ -39,6 +41,8 @@
 	scope    tally.Scope
 	store    persister.Store
 	phase    atomic.Value
+	// reporting is set reportDelay after the node became ready.
+	reporting atomic.Bool
 
 	fleet         *fleet
 	connector     *connector.Connector
@@ -49,6 +53,7 @@
 	acceptor      *acceptor.Acceptor
 	authenticator *authenticator.Authenticator
 	manager       *manager.Manager
+	reporter      *reporter.Reporter
 	calls         *calls
 	keys          *deduplicator.Exchanger
 	publisher     *publisher
@@ -78,6 +83,8 @@
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
+	n.reporter = newReporter(n.applier.Current, n.fleet)
+	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
 	n.wireMembership()
 	n.wireKeys()
 	n.wireDistribution()
@@ -171,6 +178,23 @@
 	n.fleet.update(n.settings.Name, n.tracker.Live(now), n.tracker.Reachable(now))
 	n.distributor.Replan()
 	n.membersMoved(now)
+	n.report(now)
+}
+
+// newReporter returns a reporter over the configuration in force and the
+// members that calls go to.
+func newReporter(current func() *applier.State, members *fleet) *reporter.Reporter {
+	return &reporter.Reporter{
+		Table:     func() *router.Table { return current().Table },
+		Upstreams: members.upstreams,
+	}
+}
+
+// report tells which routes have no upstream, once the node knows the fleet.
+func (n *node) report(now time.Time) {
+	if n.reporting.Load() {
+		n.reporter.Update(now)
+	}
 }
 
 // membersMoved tells the deduplicator which members can execute keys. Before
@@ -187,6 +211,7 @@
 func (n *node) configured(state applier.State) {
 	n.authenticator.Update(state.Tree.Items)
 	n.membersMoved(state.Since)
+	n.report(state.Since)
 	if announcement, ok := n.calls.upstream.service(); ok {
 		n.resize(announcement)
 	}
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -49,6 +49,7 @@
 		History:     n.history,
 		Status:      n.status,
 		Members:     n.members,
+		Routes:      n.routes,
 		Convergence: n.convergence,
 		Explain:     n.explain,
 		Announce:    n.announce,
@@ -132,6 +133,13 @@
 		Sessions: n.connector.Sessions(), Members: len(n.fleet.live()),
 		Watching: n.fleet.plan().Watch != planner.None,
 	}
+	for _, route := range n.applier.Current().Table.Gaps(n.fleet.upstreams) {
+		if route.State == router.Partial {
+			result.Partial++
+		} else {
+			result.Unserved++
+		}
+	}
 	if status.Refusal != nil {
 		result.Fault = "version " + status.Refusal.Version.String() + ": " + status.Refusal.Reason
 	}
@@ -147,6 +155,23 @@
 	return members
 }
 
+func (n *node) routes() []manager.Route {
+	var routes []manager.Route
+	for _, status := range n.applier.Current().Table.Statuses(n.fleet.upstreams) {
+		routes = append(routes, n.route(status))
+	}
+	return routes
+}
+
+func (n *node) route(status router.Status) manager.Route {
+	route := manager.Route{Path: status.Route, State: string(status.State)}
+	route.Since, _ = n.reporter.Since(status.Route, status.State)
+	for _, target := range status.Targets {
+		route.Targets = append(route.Targets, manager.Target(target))
+	}
+	return route
+}
+
 func (n *node) convergence(ctx context.Context) (manager.Convergence, error) {
 	survey, err := n.distributor.Survey(ctx)
 	if err != nil {
@@ -172,7 +197,8 @@
 	for name, value := range query.Headers {
 		header.Set(name, value)
 	}
-	found := n.applier.Current().Table.Explain(router.Request{
+	table := n.applier.Current().Table
+	found := table.Explain(router.Request{
 		Method: query.Method, Host: query.Host, Path: query.Path, Header: header,
 	})
 	var result manager.Explanation
@@ -184,6 +210,10 @@
 	}
 	result.Route = string(found.Match.Route)
 	result.Class, result.Repeatable = found.Match.Class, found.Match.Repeatable
+	if status, ok := table.Status(found.Match.Route, n.fleet.upstreams); ok {
+		state := n.route(status)
+		result.State = &state
+	}
 	for _, chance := range n.calls.balancer.Chances(time.Now(), balancer.Query{Service: found.Match.Service}) {
 		member, _ := n.fleet.member(chance.Instance)
 		result.Candidates = append(result.Candidates, manager.Candidate{
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -21,6 +21,10 @@
 const (
 	// headerTimeout bounds the wait for the head of an operator's request.
 	headerTimeout = 10 * time.Second
+	// reportDelay is the time from readiness until routes without an upstream
+	// are logged and counted. The records of the other members come with the
+	// first links; without the delay, each start would report all routes.
+	reportDelay = 5 * time.Second
 	// leaveTimeout bounds the announcement that the node is gone.
 	leaveTimeout = 2 * time.Second
 	// closeTimeout bounds the end of the HTTP servers after the drain.
@@ -122,6 +126,12 @@
 	if n.phase.CompareAndSwap(manager.PhaseStarting, manager.PhaseReady) {
 		level.Info(n.logger).Log("msg", "node ready", "version", n.applier.Current().Tree.Version)
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(reportDelay):
+		n.reporting.Store(true)
+		n.report(time.Now())
+	}
 	return nil
 }
 
