Test tokens that earlier versions or a team's own items would admit

With these mechanisms of the authenticator switched off one at a time, its tests still passed: the credentials of the version before are dropped, items of teams other than admin are passed over, and the empty token is refused. The cases took each version alone, the item outside of the administrators' subtree could not be decoded, and no operator had the hash of the empty token.

Each case now follows a version with all operators; quoting/team/forged is a valid item outside of the administrators' subtree, and admin/team/empty has the hash of the empty token. The empty token is refused before the comparison, so that no identity comes with the refusal.

Seen: "removed", "own team item" and "empty" fail without their mechanism, and pass with it.

--- a/node/authenticator/authenticator.go
+++ b/node/authenticator/authenticator.go
@@ -89,6 +89,9 @@
 // Identify returns the operator that token belongs to. It compares with every
 // hash in constant time, so that timing tells nothing about the hashes.
 func (a *Authenticator) Identify(token string) (Identity, bool) {
+	if token == "" {
+		return Identity{}, false
+	}
 	hash := sha256.Sum256([]byte(token))
 	var identity Identity
 	found := false
@@ -97,5 +100,5 @@
 			identity, found = c.identity, true
 		}
 	}
-	return identity, found && token != ""
+	return identity, found
 }
--- a/node/authenticator/authenticator_test.go
+++ b/node/authenticator/authenticator_test.go
@@ -1,6 +1,7 @@
 package authenticator_test
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -31,6 +32,8 @@
 		"admin/team/quoting":  team,
 		"quoting/team/broken": []byte("{"),
 		"admin/team/broken":   []byte("{"),
+		"quoting/team/forged": bytes.ReplaceAll(team, []byte(hash("ann-token")), []byte(hash("forged"))),
+		"admin/team/empty":    bytes.ReplaceAll(team, []byte(hash("ann-token")), []byte(hash(""))),
 	}
 	cases := map[string]struct {
 		token    string
@@ -40,6 +43,7 @@
 	}{
 		"administrator": {"root", items, authenticator.Identity{Team: "admin", Operator: "administrator"}, true},
 		"operator":      {"ann-token", items, authenticator.Identity{Team: "quoting", Operator: "ann"}, true},
+		"own team item": {"forged", items, authenticator.Identity{}, false},
 		"removed":       {"ann-token", nil, authenticator.Identity{}, false},
 		"wrong":         {"bob-token", items, authenticator.Identity{}, false},
 		"hash as token": {hash("ann-token"), items, authenticator.Identity{}, false},
@@ -50,6 +54,7 @@
 			is := is.New(t)
 			a, err := authenticator.New(hash("root"))
 			is.NoErr(err)
+			a.Update(items) // the version before
 			a.Update(c.items)
 			identity, found := a.Identify(c.token)
 			is.Equal(found, c.found)
