Test that writers of versions do not overtake each other

Without the lock of Install, TestConcurrent passed, with the race detector as well: the state is one atomic pointer, and the test looked only at the last version. It now requires that versions rise from one call of Changed to the next, and its validation waits for a microsecond, in which another writer can pass the check of the age.

Seen: it fails without the lock, with and without the race detector, and passes with it (race detector, load average 10).

--- a/node/applier/applier_test.go
+++ b/node/applier/applier_test.go
@@ -131,9 +131,22 @@
 }
 
 // TestConcurrent guards, under the race detector, against readers that see a
-// state in the making.
+// state in the making, and against writers that overtake each other: the check
+// of the age and the swap are one step.
 func TestConcurrent(t *testing.T) {
-	a := &Applier{}
+	last := sycamorerun.Version(0)
+	a := &Applier{
+		Validate: func(map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
+			time.Sleep(time.Microsecond) // lets other writers in
+			return nil
+		},
+		Changed: func(state State) {
+			if state.Tree.Version <= last {
+				t.Errorf("version %s after %s", state.Tree.Version, last)
+			}
+			last = state.Tree.Version
+		},
+	}
 	var group sync.WaitGroup
 	for range 4 {
 		group.Go(func() {
