Test old and gapped versions and a store that lost versions

All tests of the distributor passed without the check of the age in accept or in install, without the check for a gap in accept, and without the refusal of a log that ends before the version in force. The applier has checks of its own and hides the first three as long as no version is refused: then the held version is above the one in force, and an old tree took it back. An old entry was passed on again to all peers; a gap looked like damage.

TestOld offers an entry in force, the refused entry, an entry after a gap and an old tree to a node that holds a refused version. TestStaleLog covers the answers of the store for the slot of the version in force.

Seen: each of the four mechanisms, and the case of a missing slot, fails its case when off, and passes when on.

--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
 	"sycamorerun"
@@ -351,6 +352,82 @@
 	is.True(ok)
 }
 
+// TestOld guards against late copies that take a node back behind a version
+// that it refused or are passed on again, and against a gap that looks like
+// damage, for which nobody would be asked again.
+func TestOld(t *testing.T) {
+	cases := map[string]struct {
+		offer func(d *Distributor, store *fakeStore, entries []sycamorerun.Entry) error
+		err   error
+	}{
+		"entry in force":  {func(d *Distributor, _ *fakeStore, e []sycamorerun.Entry) error { return d.accept(start, e[1], nil, "") }, nil},
+		"entry refused":   {func(d *Distributor, _ *fakeStore, e []sycamorerun.Entry) error { return d.accept(start, e[2], nil, "") }, nil},
+		"entry after gap": {func(d *Distributor, _ *fakeStore, e []sycamorerun.Entry) error { return d.accept(start, e[4], nil, "") }, errGap},
+		"tree in force": {func(d *Distributor, s *fakeStore, e []sycamorerun.Entry) error {
+			tree := differ.Apply(sycamorerun.Tree{}, 1, e[0].Difference)
+			return d.install(start, tree, s.hashes[1], "")
+		}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := newStore()
+			d, a := solo()
+			a.Validate = func(map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
+				return make([]sycamorerun.Fault, a.Current().Tree.Version/2)
+			}
+			entries := []sycamorerun.Entry{store.next(), store.next(), store.next(), store.next(), store.next()}
+			for _, entry := range entries[:3] {
+				d.Learn(start, entry)
+			}
+			is.Equal(d.Held(), sycamorerun.Version(3))
+			is.Equal(a.Current().Tree.Version, sycamorerun.Version(2))
+			for len(d.wakePull) > 0 {
+				<-d.wakePull
+			}
+			err := c.offer(d, store, entries)
+			is.True(errors.Is(err, c.err))
+			is.Equal(d.Held(), sycamorerun.Version(3))
+			is.Equal(len(d.wakePull), 0) // nothing was passed on
+			a.Validate = nil
+			d.Learn(start, entries[3])
+			is.Equal(a.Current().Hash, store.hashes[4])
+		})
+	}
+}
+
+// TestStaleLog guards against a node that follows a store which lost what the
+// node has in force, as if the newer versions had never been.
+func TestStaleLog(t *testing.T) {
+	older, _ := persister.EncodeEntry(sycamorerun.Entry{Version: 7})
+	same, _ := persister.EncodeEntry(sycamorerun.Entry{Version: 7 + persister.RingSlots})
+	later, _ := persister.EncodeEntry(sycamorerun.Entry{Version: 7 + 2*persister.RingSlots})
+	cases := map[string]struct {
+		object  persister.Object
+		err     error
+		stale   bool
+		wrapped bool
+	}{
+		"slot of an older round": {persister.Object{Value: older, Revision: 3}, nil, true, false},
+		"slot missing":           {persister.Object{}, persister.ErrMissing, true, false},
+		"slot as expected":       {persister.Object{Value: same, Revision: 9}, nil, false, false},
+		"slot of a later round":  {persister.Object{Value: later, Revision: 20}, nil, false, true},
+		"store down":             {persister.Object{}, persister.ErrUnavailable, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, _ := solo()
+			d.Store.Get = func(context.Context, string) (persister.Object, error) { return c.object, c.err }
+			revision, wrapped, err := d.anchor(t.Context(), 7+persister.RingSlots)
+			is.Equal(errors.Is(err, errStale), c.stale)
+			is.Equal(err == nil, !c.stale && c.err == nil)
+			is.Equal(wrapped, c.wrapped)
+			is.True(err != nil || revision == c.object.Revision)
+		})
+	}
+}
+
 // TestDamaged guards against content that was changed on its way taking force,
 // including a change of the version alone, which the tree's hash does not
 // cover.
