Test the record of a draining node

TestPlannedStop passed without the announcement that the node drains, without the rule that a ready upstream of a draining node counts as draining, and without the refusal after the grace: each of them covers for the others, since the node leaves a few seconds later in any case. A slower drain would have let new work through.

TestDrainStates follows the node's own record: draining at once, still draining after the upstream announces itself as ready, left at the end and after another announcement. Seen to fail without the announcement of the drain, the rule for announcements, the announcement of leaving, and the tracker's rule that nothing follows it. The refusal after the grace is guarded by TestDrain of the forwarder, which hangs until the timeout without it.

--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -3,14 +3,19 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
+	"sycamorerun"
 	"sycamorerun/loader"
+	"sycamorerun/node/manager"
 )
 
 // free returns a loopback address that nothing listens on.
@@ -97,3 +102,41 @@
 		})
 	}
 }
+
+// Guards against other nodes that keep sending calls to a leaving upstream
+// because its record does not say so, or says so only until the upstream
+// announces itself again.
+func TestDrainStates(t *testing.T) {
+	is := is.New(t)
+	settings := Settings{
+		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
+		Insecure: true, Mode: "tree", KeyWindow: time.Minute, DrainDelay: time.Second, DrainTimeout: 10 * time.Second,
+	}
+	n, err := newNode(time.Now(), settings, log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
+	is.NoErr(err)
+	n.phase.Store(manager.PhaseReady)
+	ready := manager.Announcement{Service: "s", Address: free(t), State: sycamorerun.StateReady, Slots: 1}
+	state := func() sycamorerun.State {
+		if live := n.tracker.Live(time.Now()); len(live) > 0 {
+			return live[0].State
+		}
+		return sycamorerun.StateLeft
+	}
+	is.NoErr(n.announce(ready))
+	is.Equal(state(), sycamorerun.StateReady)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		n.drain(&http.Server{})
+	}()
+	for begun := time.Now(); state() == sycamorerun.StateReady && time.Since(begun) < settings.DrainDelay/2; {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(state(), sycamorerun.StateDraining)
+	is.NoErr(n.announce(ready))
+	is.Equal(state(), sycamorerun.StateDraining)
+	<-drained
+	is.Equal(state(), sycamorerun.StateLeft)
+	is.NoErr(n.announce(ready))
+	is.Equal(state(), sycamorerun.StateLeft)
+}
