Test routes without an upstream with real processes

TestRouteStates covers the states, but not that a node looks at them after each change of the members. TestRouteWithoutUpstream drains the last upstreams of a service and lets them come back: the routes, the status, the gauge, the outcome of a call (not-run, 503, as before) and exactly one log line for either change are checked.

--- /dev/null
+++ b/bench/system/route_test.go
@@ -0,0 +1,77 @@
+package system
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun/bench/deployer"
+)
+
+// Guards against an upstream's end that operators see neither in the status
+// nor in the routes, metrics and log, or more than once.
+func TestRouteWithoutUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fleet := start(t, deployer.Spec{Zones: deployer.Today(1), Upstreams: true})
+	ctx := t.Context()
+	waitKnown(t, fleet, "quoting")
+	time.Sleep(5 * time.Second) // Nodes report from 5 s after they became ready.
+	observer := fleet.Nodes[1]
+	unserved := func() string {
+		var routes []struct{ Route, State string }
+		if fleet.Read(ctx, "quoting", observer, "/v1/routes", &routes) != nil {
+			return "unreadable"
+		}
+		var names []string
+		for _, route := range routes {
+			if route.State != "served" {
+				names = append(names, route.State+" "+route.Route)
+			}
+		}
+		return strings.Join(names, ",")
+	}
+	is.Equal(unserved(), "")
+	var stopped []*deployer.Node
+	for _, node := range fleet.Nodes {
+		if node.Service == "survey-store" {
+			stopped = append(stopped, node)
+			is.NoErr(deployer.Put(ctx, node.Control, "/behavior", map[string]any{"state": "draining"}))
+		}
+	}
+	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return unserved() == "unserved surveys/route/photos" }))
+	is.NoErr(deployer.Eventually(ctx, converged, func() bool {
+		_, metrics, err := deployer.Get(ctx, observer.Operators, "/metrics")
+		return err == nil && gauge(string(metrics), "sycamorerun_reporter_unserved_routes") == "1"
+	}))
+	var s struct{ Unserved int }
+	is.NoErr(fleet.Read(ctx, "quoting", observer, "/v1/status", &s))
+	is.Equal(s.Unserved, 1)
+	result, code, _ := call(ctx, observer, "GET", "surveys.example", "/", "", nil)
+	is.Equal(string(result), "not-run")
+	is.Equal(code, 503)
+	for _, node := range stopped {
+		is.NoErr(deployer.Put(ctx, node.Control, "/behavior", map[string]any{"state": "ready"}))
+	}
+	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return unserved() == "" }))
+	text, err := os.ReadFile(filepath.Join(fleet.Spec.Directory, observer.Name+".log"))
+	is.NoErr(err)
+	lines := string(text)
+	is.Equal(strings.Count(lines, "routes have no upstream; their calls are not run"), 1)
+	is.Equal(strings.Count(lines, "routes have upstreams again"), 1)
+}
+
+// gauge returns the value of a gauge in the text of the metrics page.
+func gauge(text, name string) string {
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, name+"{") {
+			fields := strings.Fields(line)
+			return fields[len(fields)-1]
+		}
+	}
+	return ""
+}
