--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -77,6 +77,8 @@
 	cut map[string]bool
 	// frozen holds the zones whose open connections stand still.
 	frozen map[string]bool
+	// apart holds the pairs of zones that are cut off from each other alone.
+	apart map[[2]string]bool
 }
 
 // New prepares a fleet; nothing runs before Start.
@@ -89,7 +91,7 @@
 		guard: guard,
 		Spec:  spec, Observer: observer.New(), storeAt: spec.address(0, 1, portStore),
 		nodeRelays: map[string]*relayer.Relayer{}, zoneRelays: map[string]*relayer.Relayer{},
-		tokens: map[string]string{}, logs: map[string]*os.File{}, cut: map[string]bool{}, frozen: map[string]bool{},
+		tokens: map[string]string{}, logs: map[string]*os.File{}, cut: map[string]bool{}, frozen: map[string]bool{}, apart: map[[2]string]bool{},
 	}
 	f.tokens["admin"], f.adminHash = issuer.Token()
 	f.launcher = &launcher.Launcher{Binaries: spec.Binaries, Line: f.line}
--- a/bench/deployer/network.go
+++ b/bench/deployer/network.go
@@ -13,11 +13,25 @@
 // connections stay open.
 func (f *Fleet) Freeze(zones ...string) { f.set(f.frozen, zones, true) }
 
+// Separate cuts some zones off from others, and from the store when it is in
+// one of the others; both sides reach all remaining zones.
+func (f *Fleet) Separate(zones, others []string) {
+	f.mutex.Lock()
+	for _, zone := range zones {
+		for _, other := range others {
+			f.apart[[2]string{zone, other}], f.apart[[2]string{other, zone}] = true, true
+		}
+	}
+	f.mutex.Unlock()
+	f.applyRules()
+}
+
 // Heal ends all partitions and freezes.
 func (f *Fleet) Heal() {
 	f.mutex.Lock()
 	clear(f.cut)
 	clear(f.frozen)
+	clear(f.apart)
 	f.mutex.Unlock()
 	f.applyRules()
 }
@@ -39,7 +53,7 @@
 	}
 	for name, relay := range f.zoneRelays {
 		f.mutex.Lock()
-		rule := relayer.Rule{Cut: f.cut[name], Freeze: f.frozen[name]}
+		rule := relayer.Rule{Cut: f.cut[name] || f.apart[[2]string{name, f.Spec.Zones[0].Name}], Freeze: f.frozen[name]}
 		f.mutex.Unlock()
 		for _, zone := range f.Spec.Zones {
 			if zone.Name == name {
@@ -59,7 +73,7 @@
 	for _, from := range f.Spec.Zones {
 		rule := relayer.Rule{Delay: f.Spec.delay(from, to)}
 		if from.Name != to.Name {
-			rule.Cut = f.cut[from.Name] || f.cut[to.Name]
+			rule.Cut = f.cut[from.Name] || f.cut[to.Name] || f.apart[[2]string{from.Name, to.Name}]
 			rule.Freeze = f.frozen[from.Name] || f.frozen[to.Name]
 		}
 		rules[from.Name] = rule
