Wait for the keys in the test of the drain's record; announce nothing as ready after the stop

It now waits until the wanted state is published; all its checks stay. A node that has stopped treats its upstream as draining, as it does during the drain, instead of asking the members for keys again.

--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -236,7 +236,8 @@
 		return errors.Errorf("this node serves %s already", current.Service)
 	}
 	state := announcement.State
-	if n.phase.Load() == manager.PhaseDraining && state != sycamorerun.StateLeft {
+	phase := n.phase.Load()
+	if (phase == manager.PhaseDraining || phase == manager.PhaseStopped) && state != sycamorerun.StateLeft {
 		state = sycamorerun.StateDraining
 	}
 	slots := n.resize(announcement)
@@ -244,7 +245,7 @@
 	case state == sycamorerun.StateLeft:
 		// The node stays a member; only its upstream is gone.
 		state = sycamorerun.StateNone
-	case n.phase.Load() == manager.PhaseStarting:
+	case phase == manager.PhaseStarting:
 		// A node without the newest version takes no calls for its upstream.
 		state = sycamorerun.StateNone
 	}
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -123,6 +123,7 @@
 		return sycamorerun.StateLeft
 	}
 	is.NoErr(n.announce(ready))
+	n.publisher.settle() // the upstream serves once its keys are taken over
 	is.Equal(state(), sycamorerun.StateReady)
 	drained := make(chan struct{})
 	go func() {
@@ -134,9 +135,11 @@
 	}
 	is.Equal(state(), sycamorerun.StateDraining)
 	is.NoErr(n.announce(ready))
+	n.publisher.settle()
 	is.Equal(state(), sycamorerun.StateDraining)
 	<-drained
 	is.Equal(state(), sycamorerun.StateLeft)
 	is.NoErr(n.announce(ready))
+	n.publisher.settle()
 	is.Equal(state(), sycamorerun.StateLeft)
 }
