Declare the verdicts of at-most-once records in one place

Cause: forwarder and deduplicator declared the same five verdicts, and the runner converted them by their numbers, so an insertion in one of them would have turned, for example, refused into recorded. Both use sycamorerun.Verdict and sycamorerun.Decision now.

--- a/node/deduplicator/calls.go
+++ b/node/deduplicator/calls.go
@@ -47,14 +47,14 @@
 	return calls{states: map[string]State{}, horizon: now}
 }
 
-func (c *calls) check(id string) Decision {
+func (c *calls) check(id string) sycamorerun.Decision {
 	switch c.states[id] {
 	case "":
-		return Decision{Verdict: Run}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
 	case StateRefused:
-		return Decision{Verdict: Refused, Reason: ReasonRefused}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonRefused}
 	default:
-		return Decision{Verdict: Uncertain, Reason: ReasonDuplicate}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonDuplicate}
 	}
 }
 
--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -10,23 +10,6 @@
 	"sycamorerun"
 )
 
-// Verdict is the answer to a claim.
-type Verdict int
-
-// Verdicts.
-const (
-	// Run permits the call to start; it is recorded as started.
-	Run Verdict = iota
-	// Refused means that the call must not start, and has not.
-	Refused
-	// Mismatch means that the key stands for a different request.
-	Mismatch
-	// Recorded means that the key's request has run; Response is its response.
-	Recorded
-	// Uncertain means that the request runs, has run or may have run.
-	Uncertain
-)
-
 // Reasons of a decision.
 const (
 	ReasonRefused   = "refused"
@@ -40,13 +23,6 @@
 	ReasonFull      = "keys-full"
 )
 
-// Decision says whether a call may start.
-type Decision struct {
-	Verdict  Verdict
-	Reason   string
-	Response []byte
-}
-
 // Key is an idempotency key with its scope. Print identifies the request that
 // it stands for. The zero key means none.
 type Key struct {
@@ -142,39 +118,39 @@
 }
 
 // Begin claims the execution of the call id, and of the key if there is one.
-func (d *Deduplicator) Begin(now time.Time, id string, key Key) Decision {
+func (d *Deduplicator) Begin(now time.Time, id string, key Key) sycamorerun.Decision {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.expire(now)
-	if decision := d.calls.check(id); decision.Verdict != Run {
+	if decision := d.calls.check(id); decision.Verdict != sycamorerun.VerdictRun {
 		return decision
 	}
 	if key.Name != "" {
-		if decision := d.checkKey(now, key); decision.Verdict != Run {
+		if decision := d.checkKey(now, key); decision.Verdict != sycamorerun.VerdictRun {
 			return decision
 		}
 		d.keys.start(key)
 	}
 	d.calls.start(id)
-	return Decision{Verdict: Run}
+	return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
 }
 
 // checkKey decides about a call with a key. A known key outranks a change of
 // the members, which only matters for what this node can't know.
-func (d *Deduplicator) checkKey(now time.Time, key Key) Decision {
+func (d *Deduplicator) checkKey(now time.Time, key Key) sycamorerun.Decision {
 	if decision, known := d.keys.check(key); known {
 		return decision
 	}
 	if !d.owns(now, key.Name) {
-		return Decision{Verdict: Refused, Reason: ReasonOwner}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonOwner}
 	}
 	if d.moved(now, key.Name) {
-		return Decision{Verdict: Uncertain, Reason: ReasonMoved}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonMoved}
 	}
 	if d.keys.full(now, d.limits) {
-		return Decision{Verdict: Refused, Reason: ReasonFull}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonFull}
 	}
-	return Decision{Verdict: Run}
+	return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
 }
 
 // Finish records the end of a call that Begin let run.
--- a/node/deduplicator/deduplicator_test.go
+++ b/node/deduplicator/deduplicator_test.go
@@ -34,38 +34,38 @@
 		prepare func(d *Deduplicator)
 		age     time.Duration
 		state   State
-		then    Verdict
+		then    sycamorerun.Verdict
 	}{
-		"never seen": {func(*Deduplicator) {}, time.Second, StateRefused, Refused},
-		"started":    {func(d *Deduplicator) { d.Begin(at(time.Minute), "x", Key{}) }, time.Second, StateStarted, Uncertain},
+		"never seen": {func(*Deduplicator) {}, time.Second, StateRefused, sycamorerun.VerdictRefused},
+		"started":    {func(d *Deduplicator) { d.Begin(at(time.Minute), "x", Key{}) }, time.Second, StateStarted, sycamorerun.VerdictUncertain},
 		"finished": {func(d *Deduplicator) {
 			d.Begin(at(time.Minute), "x", Key{})
 			d.Finish(at(time.Minute), "x", Key{}, answered)
-		}, time.Second, StateFinished, Uncertain},
+		}, time.Second, StateFinished, sycamorerun.VerdictUncertain},
 		"started and not run": {func(d *Deduplicator) {
 			d.Begin(at(time.Minute), "x", Key{})
 			d.Finish(at(time.Minute), "x", Key{}, Result{Result: sycamorerun.NotRun})
-		}, time.Second, StateRefused, Refused},
-		"opened before this process": {func(*Deduplicator) {}, time.Minute + 1, StateUnknown, Run},
+		}, time.Second, StateRefused, sycamorerun.VerdictRefused},
+		"opened before this process": {func(*Deduplicator) {}, time.Minute + 1, StateUnknown, sycamorerun.VerdictRun},
 		"record dropped, opened before": {func(d *Deduplicator) {
 			for n := range 6 {
 				id := fmt.Sprint("y", n)
 				d.Begin(at(30*time.Second), id, Key{})
 				d.Finish(at(30*time.Second), id, Key{}, answered)
 			}
-		}, 30 * time.Second, StateUnknown, Run},
+		}, 30 * time.Second, StateUnknown, sycamorerun.VerdictRun},
 		"record dropped, opened after": {func(d *Deduplicator) {
 			for n := range 6 {
 				id := fmt.Sprint("y", n)
 				d.Begin(at(30*time.Second), id, Key{})
 				d.Finish(at(30*time.Second), id, Key{}, answered)
 			}
-		}, 30*time.Second - 1, StateRefused, Refused},
+		}, 30*time.Second - 1, StateRefused, sycamorerun.VerdictRefused},
 		"no room for a promise": {func(d *Deduplicator) {
 			for n := range 3 {
 				d.Refuse(at(time.Minute), fmt.Sprint("y", n), 0)
 			}
-		}, time.Second, StateUnknown, Run},
+		}, time.Second, StateUnknown, sycamorerun.VerdictRun},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -97,7 +97,7 @@
 	is.True(d.keys.bytes <= small.Bytes)
 	is.True(d.keys.kept.length() <= small.Keys)
 	is.Equal(d.Refuse(at(time.Hour), "long", time.Hour), StateStarted)
-	is.Equal(d.Begin(at(time.Hour), "2", Key{Name: "long"}).Verdict, Uncertain)
+	is.Equal(d.Begin(at(time.Hour), "2", Key{Name: "long"}).Verdict, sycamorerun.VerdictUncertain)
 }
 
 // Guards a booking against a second run under its key, in each state that the
@@ -112,23 +112,23 @@
 		prepare func(d *Deduplicator)
 		key     Key
 		now     time.Duration
-		verdict Verdict
+		verdict sycamorerun.Verdict
 		reason  string
 	}{
-		"new":                  {func(*Deduplicator) {}, key, 0, Run, ""},
-		"running":              {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, 0, Uncertain, ReasonRunning},
-		"running for long":     {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, time.Hour, Uncertain, ReasonRunning},
-		"answered":             {func(d *Deduplicator) { run(d, answered) }, key, time.Minute, Recorded, ReasonRecorded},
-		"another request":      {func(d *Deduplicator) { run(d, answered) }, Key{Name: "k", Print: 2}, 0, Mismatch, ReasonUncertain},
-		"not run":              {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.NotRun}) }, key, 0, Run, ""},
-		"unknown":              {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Unknown}) }, key, 0, Uncertain, ReasonUncertain},
-		"response too large":   {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Answered}) }, key, 0, Uncertain, ReasonForgotten},
-		"beyond the age":       {func(d *Deduplicator) { run(d, answered) }, key, small.Age, Uncertain, ReasonForgotten},
-		"beyond the bytes":     {func(d *Deduplicator) { run(d, answered); fill(d, 2) }, key, 0, Uncertain, ReasonForgotten},
-		"beyond the count":     {func(d *Deduplicator) { run(d, answered); fill(d, 5) }, key, 0, Uncertain, ReasonForgotten},
-		"beyond every record":  {func(d *Deduplicator) { run(d, answered); fill(d, 20) }, key, 0, Uncertain, ReasonForgotten},
-		"no room for a record": {func(d *Deduplicator) { fill(d, 20) }, key, 0, Refused, ReasonFull},
-		"room again":           {func(d *Deduplicator) { fill(d, 20) }, key, small.Age, Run, ""},
+		"new":                  {func(*Deduplicator) {}, key, 0, sycamorerun.VerdictRun, ""},
+		"running":              {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, 0, sycamorerun.VerdictUncertain, ReasonRunning},
+		"running for long":     {func(d *Deduplicator) { d.Begin(start, "x", key) }, key, time.Hour, sycamorerun.VerdictUncertain, ReasonRunning},
+		"answered":             {func(d *Deduplicator) { run(d, answered) }, key, time.Minute, sycamorerun.VerdictRecorded, ReasonRecorded},
+		"another request":      {func(d *Deduplicator) { run(d, answered) }, Key{Name: "k", Print: 2}, 0, sycamorerun.VerdictMismatch, ReasonUncertain},
+		"not run":              {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.NotRun}) }, key, 0, sycamorerun.VerdictRun, ""},
+		"unknown":              {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Unknown}) }, key, 0, sycamorerun.VerdictUncertain, ReasonUncertain},
+		"response too large":   {func(d *Deduplicator) { run(d, Result{Result: sycamorerun.Answered}) }, key, 0, sycamorerun.VerdictUncertain, ReasonForgotten},
+		"beyond the age":       {func(d *Deduplicator) { run(d, answered) }, key, small.Age, sycamorerun.VerdictUncertain, ReasonForgotten},
+		"beyond the bytes":     {func(d *Deduplicator) { run(d, answered); fill(d, 2) }, key, 0, sycamorerun.VerdictUncertain, ReasonForgotten},
+		"beyond the count":     {func(d *Deduplicator) { run(d, answered); fill(d, 5) }, key, 0, sycamorerun.VerdictUncertain, ReasonForgotten},
+		"beyond every record":  {func(d *Deduplicator) { run(d, answered); fill(d, 20) }, key, 0, sycamorerun.VerdictUncertain, ReasonForgotten},
+		"no room for a record": {func(d *Deduplicator) { fill(d, 20) }, key, 0, sycamorerun.VerdictRefused, ReasonFull},
+		"room again":           {func(d *Deduplicator) { fill(d, 20) }, key, small.Age, sycamorerun.VerdictRun, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -138,7 +138,7 @@
 			decision := d.Begin(at(c.now), "y", c.key)
 			is.Equal(decision.Verdict, c.verdict)
 			is.Equal(decision.Reason, c.reason)
-			is.Equal(string(decision.Response) == "four", c.verdict == Recorded)
+			is.Equal(string(decision.Response) == "four", c.verdict == sycamorerun.VerdictRecorded)
 		})
 	}
 }
@@ -161,16 +161,16 @@
 	d.Moved(start, all)
 	is.Equal(d.Begin(start, "1", Key{Name: inherited}).Reason, ReasonOwner)
 	d.Moved(start, rest)
-	is.Equal(d.Begin(start, "2", Key{Name: own}).Verdict, Run)
-	is.Equal(d.Begin(start, "3", Key{Name: inherited}), Decision{Verdict: Uncertain, Reason: ReasonMoved})
-	is.Equal(d.Begin(start, "4", Key{Name: foreign}), Decision{Verdict: Refused, Reason: ReasonOwner})
-	is.Equal(d.Begin(at(small.Age), "5", Key{Name: inherited}).Verdict, Run)
+	is.Equal(d.Begin(start, "2", Key{Name: own}).Verdict, sycamorerun.VerdictRun)
+	is.Equal(d.Begin(start, "3", Key{Name: inherited}), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonMoved})
+	is.Equal(d.Begin(start, "4", Key{Name: foreign}), sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonOwner})
+	is.Equal(d.Begin(at(small.Age), "5", Key{Name: inherited}).Verdict, sycamorerun.VerdictRun)
 
 	restarted := New(start, small)
 	restarted.Self, restarted.Incarnation = "a", 1
 	restarted.Moved(start, all)
 	is.Equal(restarted.Begin(at(small.Age-1), "1", Key{Name: own}).Reason, ReasonMoved)
-	is.Equal(restarted.Begin(at(small.Age), "2", Key{Name: own}).Verdict, Run)
+	is.Equal(restarted.Begin(at(small.Age), "2", Key{Name: own}).Verdict, sycamorerun.VerdictRun)
 
 	busy := clean(small)
 	for n := range 2*setsMax + 1 {
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"sycamorerun"
 	"sycamorerun/encoder"
 )
 
@@ -141,7 +142,7 @@
 
 // call sends a call with a key to the process that owns it in the process's
 // own view, and executes it if that may start.
-func (s *service) call(key string) Decision {
+func (s *service) call(key string) sycamorerun.Decision {
 	for _, name := range []string{"a", "b", "c", "d"} {
 		p := s.processes[name]
 		if p == nil || p.dead || !p.serving || ownerIn(key, p.view).Name != name {
@@ -149,14 +150,14 @@
 		}
 		return s.callAt(p, key)
 	}
-	return Decision{Verdict: Refused}
+	return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused}
 }
 
-func (s *service) callAt(p *process, key string) Decision {
+func (s *service) callAt(p *process, key string) sycamorerun.Decision {
 	s.calls++
 	id := fmt.Sprint(s.calls)
 	decision := p.Records.Begin(s.now, id, Key{Name: key})
-	if decision.Verdict == Run {
+	if decision.Verdict == sycamorerun.VerdictRun {
 		s.executed[key]++
 		p.Records.Finish(s.now, id, Key{Name: key}, answered)
 	}
@@ -310,22 +311,22 @@
 			for n := range 90 {
 				key := fmt.Sprint("key", n)
 				owner[key] = ownerIn(key, s.announced()).Name
-				is.Equal(s.call(key).Verdict, Run)
+				is.Equal(s.call(key).Verdict, sycamorerun.VerdictRun)
 			}
 			is.Equal(c.change(s), c.complete)
 			for key := range owner {
 				decision := s.call(key)
 				if strings.Contains(c.lost, owner[key]) {
-					is.True(decision.Verdict == Uncertain || decision.Verdict == Recorded)
-				} else if decision.Verdict != Refused { // "e" is not called
-					is.Equal(decision.Verdict, Recorded)
+					is.True(decision.Verdict == sycamorerun.VerdictUncertain || decision.Verdict == sycamorerun.VerdictRecorded)
+				} else if decision.Verdict != sycamorerun.VerdictRefused { // "e" is not called
+					is.Equal(decision.Verdict, sycamorerun.VerdictRecorded)
 				}
 				is.Equal(s.executed[key], 1)
 			}
 			unsure := 0
 			for n := range 90 {
 				decision := s.call(fmt.Sprint("new", n))
-				if decision.Verdict == Uncertain {
+				if decision.Verdict == sycamorerun.VerdictUncertain {
 					unsure++
 				}
 			}
@@ -345,7 +346,7 @@
 		"a joiner starts nothing": func(is *is.I, s *service, a, _ *process) {
 			key := ownedBy(s, "a")
 			a.Records.Prepare(s.now)
-			is.Equal(s.callAt(a, key).Verdict, Refused)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictRefused)
 		},
 		"a seal ends with the next grant": func(is *is.I, s *service, a, b *process) {
 			key := find(t, "b", "a")
@@ -353,7 +354,7 @@
 			s.announce()
 			is.True(a.Records.Grant(s.now, b.member, 1, s.announced(), false).Granted)
 			s.now = s.now.Add(joinAge) // b may have executed the key and is gone
-			is.Equal(s.callAt(a, key).Verdict, Uncertain)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictUncertain)
 		},
 		"a seal ends when its member is announced again": func(is *is.I, s *service, a, b *process) {
 			key := find(t, "b", "a")
@@ -363,7 +364,7 @@
 			s.announce()
 			s.crash("b")
 			s.announce()
-			is.Equal(s.callAt(a, key).Verdict, Uncertain)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictUncertain)
 		},
 		"a process with shortened records does not seal": func(is *is.I, s *service, a, _ *process) {
 			for n := range 3000 {
@@ -373,9 +374,9 @@
 		},
 		"what is certain stays": func(is *is.I, s *service, a, _ *process) {
 			key := ownedBy(s, "a")
-			is.Equal(s.callAt(a, key).Verdict, Run)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictRun)
 			a.Records.Import(s.now, []Record{{Key: Key{Name: key}}})
-			is.Equal(s.callAt(a, key).Verdict, Recorded)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictRecorded)
 		},
 		"no room for records of others": func(is *is.I, s *service, a, _ *process) {
 			var records []Record
@@ -384,28 +385,28 @@
 			}
 			a.Records.Import(s.now, records)
 			is.True(len(a.Records.keys.records) <= 1000)
-			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictUncertain)
 		},
 		"keys that ran in a long partition": func(is *is.I, s *service, a, b *process) {
 			s.separate("a", "bc")
 			s.now = s.now.Add(11 * time.Minute) // what was lost then is no longer in doubt
 			key := ownedBy(s, "a")
-			is.Equal(s.callAt(b, key).Verdict+s.callAt(s.processes["c"], key).Verdict, Run+Refused)
+			is.Equal(s.callAt(b, key).Verdict+s.callAt(s.processes["c"], key).Verdict, sycamorerun.VerdictRun+sycamorerun.VerdictRefused)
 			for _, name := range []string{"b", "c", "a"} { // a is asked before it notices
 				s.see(name, s.announced())
 			}
-			is.Equal(s.callAt(a, key).Verdict, Recorded)
-			is.Equal(s.callAt(a, "new-"+ownedBy(s, "a")).Verdict == Uncertain, false)
+			is.Equal(s.callAt(a, key).Verdict, sycamorerun.VerdictRecorded)
+			is.Equal(s.callAt(a, "new-"+ownedBy(s, "a")).Verdict == sycamorerun.VerdictUncertain, false)
 		},
 		"a stranger that can't be asked": func(is *is.I, s *service, a, _ *process) {
 			s.separate("a", "bc")
 			s.now = s.now.Add(11 * time.Minute)
 			s.unreachable["b"] = true
 			s.announce("a")
-			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictUncertain)
 			s.crash("b")
 			s.announce("a")
-			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictUncertain)
 		},
 		"a stranger that is gone before it answers": func(is *is.I, s *service, a, _ *process) {
 			s.separate("a", "bc")
@@ -413,9 +414,9 @@
 			s.unreachable["b"], s.unreachable["c"] = true, true
 			s.announce("a")
 			s.separate("a", "bc")
-			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Uncertain)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictUncertain)
 			s.now = s.now.Add(11 * time.Minute)
-			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, Run)
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictRun)
 		},
 		"two partitions, one after the other": func(is *is.I, s *service, _, b *process) {
 			key := ownedBy(s, "a")
@@ -426,7 +427,7 @@
 					s.callAt(p, name)
 				}
 				s.announce()
-				is.True(s.call(name).Verdict == Recorded)
+				is.True(s.call(name).Verdict == sycamorerun.VerdictRecorded)
 			}
 		},
 		"no exchange with members that asked": func(is *is.I, s *service, _, _ *process) {
@@ -475,12 +476,12 @@
 			key = name
 		}
 	}
-	is.Equal(s.callAt(s.processes["d"], key).Verdict, Run)
+	is.Equal(s.callAt(s.processes["d"], key).Verdict, sycamorerun.VerdictRun)
 	is.True(s.leave("d"))
 	s.leave("b")
 	s.announce("a")
 	is.True(s.join("c"))
-	is.Equal(s.callAt(s.processes["c"], key).Verdict, Uncertain)
+	is.Equal(s.callAt(s.processes["c"], key).Verdict, sycamorerun.VerdictUncertain)
 }
 
 // Guards results that arrive between the hand-over and the end of a drain.
@@ -489,13 +490,13 @@
 	s := newService("a", "b")
 	key := ownedBy(s, "a")
 	a := s.processes["a"]
-	is.Equal(a.Records.Begin(s.now, "1", Key{Name: key}).Verdict, Run)
+	is.Equal(a.Records.Begin(s.now, "1", Key{Name: key}).Verdict, sycamorerun.VerdictRun)
 	is.True(s.leave("a"))
 	s.announce()
-	is.Equal(s.call(key), Decision{Verdict: Uncertain, Reason: ReasonUncertain})
+	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonUncertain})
 	a.Records.Finish(s.now, "1", Key{Name: key}, answered)
 	a.Finish(context.Background())
-	is.Equal(s.call(key), Decision{Verdict: Recorded, Reason: ReasonRecorded, Response: []byte("four")})
+	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: []byte("four")})
 }
 
 // ownedBy returns a key that the named member owns.
--- a/node/deduplicator/keys.go
+++ b/node/deduplicator/keys.go
@@ -36,23 +36,23 @@
 }
 
 // check decides about a key and reports whether it is known.
-func (k *keys) check(key Key) (Decision, bool) {
+func (k *keys) check(key Key) (sycamorerun.Decision, bool) {
 	known, ok := k.records[key.Name]
 	if !ok {
 		_, traced := k.traces[xxhash.Sum64String(key.Name)]
-		return Decision{Verdict: Uncertain, Reason: ReasonForgotten}, traced
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonForgotten}, traced
 	}
 	switch {
 	case known.print != key.Print:
-		return Decision{Verdict: Mismatch, Reason: ReasonUncertain}, true
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictMismatch, Reason: ReasonUncertain}, true
 	case known.running:
-		return Decision{Verdict: Uncertain, Reason: ReasonRunning}, true
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonRunning}, true
 	case !known.certain:
-		return Decision{Verdict: Uncertain, Reason: ReasonUncertain}, true
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonUncertain}, true
 	case !known.kept:
-		return Decision{Verdict: Uncertain, Reason: ReasonForgotten}, true
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonForgotten}, true
 	default:
-		return Decision{Verdict: Recorded, Reason: ReasonRecorded, Response: known.response}, true
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: known.response}, true
 	}
 }
 
--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -102,9 +102,8 @@
 		return release, string(refusal)
 	}
 	f.Load = func() *Load { return &Load{Running: uint32(b.limiter.Load().Running), Slots: 6} }
-	f.Begin = func(now time.Time, claim Claim) Decision {
-		d := b.records.Begin(now, claim.ID, deduplicator.Key{Name: claim.Key, Print: claim.Print})
-		return Decision{Verdict: Verdict(d.Verdict), Reason: d.Reason, Response: d.Response}
+	f.Begin = func(now time.Time, claim Claim) sycamorerun.Decision {
+		return b.records.Begin(now, claim.ID, deduplicator.Key{Name: claim.Key, Print: claim.Print})
 	}
 	f.Finish = func(now time.Time, claim Claim, ending Ending) {
 		b.records.Finish(now, claim.ID, deduplicator.Key{Name: claim.Key, Print: claim.Print},
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -58,13 +58,13 @@
 // the call may start.
 func (f *Forwarder) begin(claim Claim) (*answer, *failure) {
 	switch decision := f.Begin(f.Now(), claim); decision.Verdict {
-	case Run:
+	case sycamorerun.VerdictRun:
 		return nil, nil
-	case Refused:
+	case sycamorerun.VerdictRefused:
 		return nil, notRun(decision.Reason)
-	case Mismatch:
+	case sycamorerun.VerdictMismatch:
 		return nil, notRun(reasonKey)
-	case Recorded:
+	case sycamorerun.VerdictRecorded:
 		response := &Response{}
 		if err := proto.Unmarshal(decision.Response, response); err != nil {
 			return nil, unknown(decision.Reason)
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -786,9 +786,9 @@
 	b := newBed(f, false, reply("ok"))
 	var claimed atomic.Int64
 	begin := b.beside.Begin
-	b.beside.Begin = func(now time.Time, claim Claim) Decision {
+	b.beside.Begin = func(now time.Time, claim Claim) sycamorerun.Decision {
 		decision := begin(now, claim)
-		if decision.Verdict == Run {
+		if decision.Verdict == sycamorerun.VerdictRun {
 			claimed.Add(1)
 		}
 		return decision
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -74,7 +74,7 @@
 	// Begin claims the execution of a call, Finish records its end, Refuse
 	// returns the state of a call that was opened age ago and has it refused
 	// from then on if it was not seen.
-	Begin  func(now time.Time, claim Claim) Decision
+	Begin  func(now time.Time, claim Claim) sycamorerun.Decision
 	Finish func(now time.Time, claim Claim, ending Ending)
 	Refuse func(now time.Time, id string, age time.Duration) Progress
 	// Open opens a stream to the node at an address.
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -67,30 +67,6 @@
 	Print uint64
 }
 
-// Verdict is the answer to a claim.
-type Verdict int
-
-// Verdicts.
-const (
-	// Run permits the call to start.
-	Run Verdict = iota
-	// Refused means that the call must not start, and did not.
-	Refused
-	// Mismatch means that the key belongs to a different request.
-	Mismatch
-	// Recorded means that the call ran before and its response is known.
-	Recorded
-	// Uncertain means that the call runs, ran or may have run before.
-	Uncertain
-)
-
-// Decision is a verdict with its reason and the recorded response.
-type Decision struct {
-	Verdict  Verdict
-	Reason   string
-	Response []byte
-}
-
 // Ending is how a call ended at the upstream.
 type Ending struct {
 	Result sycamorerun.Result
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -74,9 +74,8 @@
 		load := c.limiter.Load()
 		return &forwarder.Load{Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots)}
 	}
-	f.Begin = func(now time.Time, claim forwarder.Claim) forwarder.Decision {
-		d := c.deduplicator.Begin(now, claim.ID, key(claim))
-		return forwarder.Decision{Verdict: forwarder.Verdict(d.Verdict), Reason: d.Reason, Response: d.Response}
+	f.Begin = func(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
+		return c.deduplicator.Begin(now, claim.ID, key(claim))
 	}
 	f.Finish = func(now time.Time, claim forwarder.Claim, ending forwarder.Ending) {
 		c.deduplicator.Finish(now, claim.ID, key(claim), deduplicator.Result(ending))
