Send a call again while its key changes hands

The caller's node now waits 20 to 640 ms, half of it random, and asks for the owner again, up to six times, unless a part of the body was taken. The retry budget is not used, since the refusing node did no work and no upstream sees the call.

Ruled out: a longer overlap in which both owners execute, which would run keys twice; a query to all members for the owner.

TestKeyChangesHands failed without the change and passes with it, with the race detector as well.

--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"sycamorerun"
@@ -69,13 +70,25 @@
 	if failed.fault() || failed.reason == reasonCanceled {
 		return 0, false
 	}
+	consumed := c.stream != nil && c.stream.taken.Load()
+	if failed.reason == reasonMoved && !consumed && n <= len(moveDelays) {
+		return moveDelays[n-1]/2 + rand.N(moveDelays[n-1]/2), true
+	}
 	return f.Allow(f.Now(), Attempt{
 		Service: c.match.Service, Number: n, Level: c.level, Result: failed.result,
-		Reason: failed.reason, Repeatable: c.match.Repeatable,
-		Consumed: c.stream != nil && c.stream.taken.Load(),
+		Reason: failed.reason, Repeatable: c.match.Repeatable, Consumed: consumed,
 	})
 }
 
+// moveDelays are the pauses after which a call whose key has changed hands is
+// sent again: the new owner's announcement takes a moment to arrive here. These
+// attempts take nothing from the retry budget, since the node that refused did
+// no work and an upstream sees none of them.
+var moveDelays = []time.Duration{
+	20 * time.Millisecond, 40 * time.Millisecond, 80 * time.Millisecond,
+	160 * time.Millisecond, 320 * time.Millisecond, 640 * time.Millisecond,
+}
+
 // attempt sends the call to one instance.
 func (f *Forwarder) attempt(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, n int) (*answer, *failure) {
 	if ctx.Err() != nil {
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -704,6 +704,43 @@
 	})
 }
 
+// Guards against a "not run" for each call whose key is just changing hands,
+// and against waiting for an owner that never comes.
+func TestKeyChangesHands(t *testing.T) {
+	cases := map[string]struct {
+		refusals int
+		body     string
+		want     result
+		executed int64
+	}{
+		"owner not known yet":            {3, "a", result{status: 200, outcome: "answered", body: "ok"}, 1},
+		"owner not known yet, streaming": {3, large, result{status: 200, outcome: "answered", body: "ok"}, 1},
+		"no owner":                       {1000, "a", result{status: 503, outcome: "not-run", reason: "key-elsewhere"}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			paths(t, func(t *testing.T, local bool) {
+				is := is.New(t)
+				b := newBed(t, local, reply("ok"))
+				begin, refusals := b.beside.Begin, c.refusals
+				b.beside.Begin = func(now time.Time, claim Claim) sycamorerun.Decision {
+					if refusals--; refusals >= 0 {
+						return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: "key-elsewhere"}
+					}
+					return begin(now, claim)
+				}
+				got := b.send(http.MethodPost, "/x", strings.NewReader(c.body), sycamorerun.HeaderKey, "k")
+				if c.want.outcome != "answered" {
+					got.body = ""
+				}
+				is.Equal(got, c.want)
+				b.reached(t, c.executed)
+			})
+		})
+	}
+}
+
 // Guards against the repetition that http.Transport makes by itself when a kept
 // connection breaks, for requests that it takes for idempotent.
 func TestTransportDoesNotRepeat(t *testing.T) {
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -17,6 +17,7 @@
 	reasonBodyBroken = "body-incomplete"
 	reasonBodySlow   = "body-slow"
 	reasonKey        = "key-mismatch"
+	reasonMoved      = "key-elsewhere"
 
 	reasonNoUpstream = "no-upstream"
 	reasonDraining   = "draining"
