--- a/node/acceptor/acceptor.go
+++ b/node/acceptor/acceptor.go
@@ -125,18 +125,6 @@
 	return unknown(id, errNoChange)
 }
 
-// Find is Lookup for a change of a known team.
-func (a *Acceptor) Find(ctx context.Context, team, id string) sycamorerun.Outcome {
-	if err := a.acquire(ctx); err != nil {
-		return unknown(id, err)
-	}
-	defer a.release()
-	if outcome, err := a.decided(ctx, id); outcome.ID != "" || err != nil {
-		return orUnknown(id, outcome, err)
-	}
-	return a.pending(ctx, team, id)
-}
-
 var errNoChange = errors.New("no such change in the last 1024 versions")
 
 // decided returns the outcome that the log holds for id, or none.
--- a/node/acceptor/review_test.go
+++ b/node/acceptor/review_test.go
@@ -48,8 +48,8 @@
 				f.setFault("delete", "", 1, persister.ErrUnavailable, false)
 			}
 			is.Equal(b.Submit(t.Context(), decision("d", test.kind, open[0])).Version, sycamorerun.Version(2))
-			is.Equal(a.Find(t.Context(), "review", "p").Status, test.status)
-			is.Equal(a.Find(t.Context(), "review", "p").Version, sycamorerun.Version(2))
+			is.Equal(a.Lookup(t.Context(), "p").Status, test.status)
+			is.Equal(a.Lookup(t.Context(), "p").Version, sycamorerun.Version(2))
 			is.Equal(a.Submit(t.Context(), apply("p", "review", 6)).Status, test.status)
 			is.Equal(code(a.Submit(t.Context(), decision("e", sycamorerun.Approve, open[0]))), "already-decided")
 			open, err = a.Proposals(t.Context(), "review")
--- a/persister/log.go
+++ b/persister/log.go
@@ -100,15 +100,6 @@
 	return tree, hash, object.Revision, errors.Wrap(err, "decode snapshot")
 }
 
-// WriteSnapshot replaces the snapshot when its revision equals expected.
-func WriteSnapshot(ctx context.Context, store Store, tree sycamorerun.Tree, hash sycamorerun.Hash, expected Revision) (Revision, error) {
-	data, err := EncodeSnapshot(tree, hash)
-	if err != nil {
-		return 0, err
-	}
-	return store.Put(ctx, SnapshotKey, data, expected)
-}
-
 func pack(message proto.Message) ([]byte, error) {
 	data, err := encoder.Pack(message)
 	if err != nil {
