Test that invalid records stay out of the table

With all checks of a received record off, or with that of its address off, the tests of the tracker passed. A record without a limit on its sequence could never be refuted; the others would take memory or an index out of range.

TestInvalidRecords has a case for each check. Switched off one at a time, the checks of texts, address, service, state, incarnation, sequence, zones and slots each failed their cases, and passed when on.

--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -299,6 +301,39 @@
 	is.Equal(count()[0], 1)
 }
 
+// Guards against records that fill the memory, can't be refuted or have no
+// place in the table.
+func TestInvalidRecords(t *testing.T) {
+	long := strings.Repeat("x", nameBytes+1)
+	cases := map[string]func(r *Record){
+		"no name":          func(r *Record) { r.Name = "" },
+		"long name":        func(r *Record) { r.Name = long },
+		"no zone":          func(r *Record) { r.AvailabilityZone = "" },
+		"long region":      func(r *Record) { r.Region = long },
+		"long service":     func(r *Record) { r.Service = long },
+		"no address":       func(r *Record) { r.Address = nil },
+		"bad address":      func(r *Record) { r.Address = []byte{1} },
+		"state":            func(r *Record) { r.State = uint32(len(states)) },
+		"no incarnation":   func(r *Record) { r.IncarnationUnixNano = 0 },
+		"largest sequence": func(r *Record) { r.Sequence = sequenceMost + 1 },
+		"many zones":       func(r *Record) { r.Unreachable = slices.Repeat([]string{"z"}, zonesMost+1) },
+		"unnamed zone":     func(r *Record) { r.Unreachable = []string{""} },
+		"many slots":       func(r *Record) { r.Slots = slotsMost + 1 },
+	}
+	_, err := decode(start, encode(start, about(1, 1, nil)))
+	is.New(t).NoErr(err)
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			message := encode(start, about(1, 1, nil))
+			change(message)
+			table := newTable(start, instance(0, "a1"), standard.suspicion)
+			is.True(table.take(start, newLink(start, nil, true), &Frame{Records: []*Record{message}}) != nil)
+			is.Equal(len(table.records), 1)
+		})
+	}
+}
+
 // Guards against frames that crash the tracker or leave a wrong digest.
 func FuzzFrame(f *testing.F) {
 	source := fill(3, 1)
