Show operators whether idempotency keys are remembered and handed over

Cause: whether a join got all keys, and whether unknown keys are uncertain, could only be read in the log.

--- a/bench/system/keys_test.go
+++ b/bench/system/keys_test.go
@@ -13,6 +13,7 @@
 
 	"sycamorerun"
 	"sycamorerun/bench/deployer"
+	"sycamorerun/bench/scraper"
 )
 
 // Guards against a rolling restart that makes bookings uncertain: each node
@@ -74,6 +75,12 @@
 	}
 	close(stop)
 	group.Wait()
+	for _, node := range restarting {
+		samples, err := scraper.Scrape(ctx, node.Operators)
+		is.NoErr(err)
+		is.Equal(scraper.Sum(samples, "sycamorerun_keys_joins", `complete="true"`), 1.0)
+		is.True(scraper.Sum(samples, "sycamorerun_keys_received") > 0)
+	}
 
 	repeated := map[sycamorerun.Result]int{}
 	for i, key := range keys {
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"sycamorerun/encoder"
 )
@@ -47,13 +48,26 @@
 	Open    func(ctx context.Context, member string) (net.Conn, error)
 	Now     func() time.Time
 	Logger  log.Logger
+	Scope   tally.Scope
 
 	mutex sync.Mutex
-	term  uint64
+	// counted is made of Scope at the first use.
+	counted *metrics
+	term    uint64
 	// handed are the records of the last Leave whose requests were unfinished.
 	handed map[Member][]Record
 }
 
+// metrics returns the metrics of the exchanges.
+func (e *Exchanger) metrics() *metrics {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.counted == nil {
+		e.counted = newMetrics(e.Scope)
+	}
+	return e.counted
+}
+
 // Join takes this process's keys over from the members. It asks until each one
 // has granted or ctx ends, and reports whether the join is complete.
 func (e *Exchanger) Join(ctx context.Context) bool {
@@ -72,6 +86,7 @@
 				delete(grants, member)
 			}
 			complete := e.Records.Join(e.Now(), view, grants)
+			e.metrics().moved("joins", complete)
 			_ = level.Info(e.Logger).Log("msg", "keys taken over", "members", len(view), "missing", len(missing), "complete", complete)
 			return complete
 		}
@@ -88,10 +103,14 @@
 
 // Run asks strangers for the keys of this process until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
 	for {
+		e.metrics().update(e.Records.Sizes(e.Now()))
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
 		case <-e.Records.appeared:
 			e.Meet(ctx)
 		}
@@ -109,6 +128,7 @@
 			View: toProcesses(e.view(nil)), Executing: true,
 		}))
 		left := len(e.Records.Strangers())
+		e.metrics().strangers.Inc(int64(len(strangers) - left))
 		_ = level.Info(e.Logger).Log("msg", "members met", "strangers", len(strangers), "left", left)
 		if left > 0 {
 			pause(ctx, meetWait)
@@ -189,6 +209,7 @@
 		if err != nil {
 			return err
 		}
+		e.metrics().received.Inc(int64(len(received.Records)))
 		grant = received
 		return nil
 	})
@@ -204,6 +225,7 @@
 	e.handed = records
 	e.mutex.Unlock()
 	if !e.handOver(ctx, records) || !sealed || len(set) == 0 {
+		e.metrics().moved("leaves", false)
 		_ = level.Info(e.Logger).Log("msg", "keys handed over in part", "members", len(set), "certain", sealed)
 		return false
 	}
@@ -216,6 +238,7 @@
 			return readDone(stream)
 		})
 	})
+	e.metrics().moved("leaves", complete)
 	_ = level.Info(e.Logger).Log("msg", "keys handed over", "members", len(set), "complete", complete)
 	return complete
 }
@@ -239,6 +262,7 @@
 			if err := writeRecords(stream, records[member]); err != nil {
 				return err
 			}
+			e.metrics().sent.Inc(int64(len(records[member])))
 			return readDone(stream)
 		})
 	})
@@ -294,6 +318,7 @@
 		if err != nil {
 			return err
 		}
+		e.metrics().received.Inc(int64(len(records)))
 		e.Records.Import(e.Now(), records)
 	case *Frame_Sealed:
 		member := fromProcess(kind.Sealed.GetMember())
@@ -319,6 +344,7 @@
 	if err := write(stream, &Frame{Kind: &Frame_Granted{Granted: toGranted(e.Now(), grant)}}); err != nil {
 		return err
 	}
+	e.metrics().sent.Inc(int64(len(grant.Records)))
 	return writeRecords(stream, grant.Records)
 }
 
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -41,7 +41,7 @@
 			}
 			return n.connector.Open(ctx, member.Address, deduplicator.Kind)
 		},
-		Now: time.Now, Logger: n.logger,
+		Now: time.Now, Logger: n.logger, Scope: n.scope,
 	}
 	n.publisher = &publisher{
 		publish: func(p presence) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots) },
