--- a/bench/system/keys_test.go
+++ b/bench/system/keys_test.go
@@ -76,10 +76,12 @@
 	close(stop)
 	group.Wait()
 	for _, node := range restarting {
-		samples, err := scraper.Scrape(ctx, node.Operators)
-		is.NoErr(err)
-		is.Equal(scraper.Sum(samples, "sycamorerun_keys_joins", `complete="true"`), 1.0)
-		is.True(scraper.Sum(samples, "sycamorerun_keys_received") > 0)
+		// Counters are reported once a second.
+		is.NoErr(deployer.Eventually(ctx, 5*time.Second, func() bool {
+			samples, err := scraper.Scrape(ctx, node.Operators)
+			return err == nil && scraper.Sum(samples, "sycamorerun_keys_joins", `complete="true"`) == 1 &&
+				scraper.Sum(samples, "sycamorerun_keys_received") > 0
+		}))
 	}
 
 	repeated := map[sycamorerun.Result]int{}
