Rank the owners of a key once instead of for each past member set

The names of all sets are ranked once now, and each set gives its first ranked member by binary search.

--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -622,3 +622,34 @@
 		}
 	}
 }
+
+// BenchmarkBegin claims new keys after a rolling restart of 23 members: three
+// member sets for each of them are remembered.
+func BenchmarkBegin(b *testing.B) {
+	names := make([]string, 23)
+	for i := range names {
+		names[i] = fmt.Sprintf("kigali-1-instance-%d", i)
+	}
+	s := newService(names...)
+	d := s.processes[names[0]].Records
+	all := s.announced()
+	for _, member := range all[1:] {
+		for _, set := range [][]Member{without(all, member.Name), all} {
+			d.Moved(s.now, set)
+		}
+	}
+	clear(d.moves.strangers)
+	d.limits = Defaults
+	n := 0
+	for b.Loop() {
+		b.StopTimer()
+		key := Key{}
+		for key.Name == "" || ownerIn(key.Name, all).Name != names[0] {
+			n++
+			key.Name = fmt.Sprintf("team/service/booking-0123456789-%d", n)
+		}
+		b.StartTimer()
+		d.Begin(s.now, fmt.Sprint(n), key)
+	}
+	b.ReportMetric(float64(len(d.moves.past)), "sets")
+}
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -1,6 +1,7 @@
 package deduplicator
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -33,29 +34,64 @@
 func Owner(key string, names []string) string {
 	owner, best := "", uint64(0)
 	for _, name := range names {
-		if score := xxhash.Sum64String(key + "\x00" + name); owner == "" || score > best || score == best && name < owner {
-			owner, best = name, score
+		if s := score(key, name); owner == "" || s > best || s == best && name < owner {
+			owner, best = name, s
 		}
 	}
 	return owner
 }
 
+func score(key, name string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
 // ownerIn returns the member of set that executes key, or the zero Member.
 func ownerIn(key string, set []Member) Member {
-	names := make([]string, len(set))
-	for i, member := range set {
-		names[i] = member.Name
-	}
-	name := Owner(key, names)
+	owner, best := Member{}, uint64(0)
 	for _, member := range set {
-		if member.Name == name {
-			return member
+		if s := score(key, member.Name); owner == (Member{}) || s > best || s == best && member.Name < owner.Name {
+			owner, best = member, s
+		}
+	}
+	return owner
+}
+
+// rank returns names in the order in which they would own key.
+func rank(key string, names []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	order := make([]scored, len(names))
+	for i, name := range names {
+		order[i] = scored{name, score(key, name)}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(a.name, b.name))
+	})
+	ranked := make([]string, len(names))
+	for i := range order {
+		ranked[i] = order[i].name
+	}
+	return ranked
+}
+
+// first returns the member of a set, in order of names, that ranks first.
+func first(ranked []string, set []Member) Member {
+	for _, name := range ranked {
+		if at, found := slices.BinarySearchFunc(set, Member{Name: name}, byName); found {
+			return set[at]
 		}
 	}
 	return Member{}
 }
 
-// members is a set of members and when it was replaced.
+// members is a set of members in order of names, and when it was replaced.
 type members struct {
 	set   []Member
 	until time.Time
@@ -76,6 +112,8 @@
 	// current is announced and joiners.
 	current []Member
 	past    []members
+	// names are those of all past sets.
+	names []string
 	// known says that the members are known. Before that no key can have run.
 	known bool
 	// blind is the time until which every unknown key counts as moved.
@@ -157,6 +195,8 @@
 
 func (d *Deduplicator) member() Member { return Member{Name: d.Self, Incarnation: d.Incarnation} }
 
+func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+
 // recompose derives the current set and keeps the one that it replaces.
 func (d *Deduplicator) recompose(now time.Time) {
 	m := &d.moves
@@ -171,7 +211,7 @@
 	if m.left {
 		set = without(set, d.Self)
 	}
-	slices.SortFunc(set, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(set, byName)
 	if !m.known {
 		m.current = set
 		return
@@ -196,6 +236,14 @@
 	if len(m.past) > setsMax {
 		m.past, m.blind = nil, now.Add(d.limits.Age)
 	}
+	m.names = m.names[:0]
+	for _, past := range m.past {
+		for _, member := range past.set {
+			m.names = append(m.names, member.Name)
+		}
+	}
+	slices.Sort(m.names)
+	m.names = slices.Compact(m.names)
 }
 
 func without(set []Member, name string) []Member {
@@ -224,8 +272,9 @@
 	if d.doubtful(now) || len(d.moves.strangers) > 0 {
 		return true
 	}
+	ranked := rank(key, d.moves.names)
 	for _, past := range d.moves.past {
-		if now.Sub(past.until) < d.limits.Age && !d.cleared(now, key, ownerIn(key, past.set)) {
+		if now.Sub(past.until) < d.limits.Age && !d.cleared(now, key, first(ranked, past.set)) {
 			return true
 		}
 	}
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -224,6 +224,7 @@
 func (d *Deduplicator) adopt(now time.Time, grant Grant, view []Member) {
 	d.take(now, grant.Records)
 	for _, past := range grant.Past {
+		slices.SortFunc(past.set, byName)
 		same := func(known members) bool { return slices.Equal(known.set, past.set) }
 		if at := slices.IndexFunc(d.moves.past, same); at < 0 {
 			d.remember(now, past)
