Let the tests of the hand-over wait for exchanges, and give them time

Cause: under load (30 processes with the race detector) TestHandOverAtRandom failed in each of them with data races in the test itself: a process's answer outlived the exchange that its asker had given up, and read the test's clock. The asker's 30 ms were also short for a busy machine. Exchanges now have 10 s unless somebody can't be reached, and the test waits for their answers.

--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,11 +40,32 @@
 	unreachable map[string]bool
 	executed    map[string]int
 	calls       int
+	// serving are the exchanges that a process answers.
+	serving sync.WaitGroup
+	// patience bounds an exchange, and is short while somebody can't be reached.
+	patience time.Duration
 }
 
+func (s *service) limited() (context.Context, context.CancelFunc) {
+	limit := s.patience
+	for _, unreachable := range s.unreachable {
+		if unreachable {
+			limit = short
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	return ctx, func() {
+		cancel()
+		s.serving.Wait()
+	}
+}
+
+const short = 30 * time.Millisecond
+
 func newService(names ...string) *service {
 	s := &service{
 		now: start, processes: map[string]*process{}, unreachable: map[string]bool{}, executed: map[string]int{},
+		patience: 10 * time.Second,
 	}
 	for _, name := range names {
 		s.begin(name).Records.StartClean()
@@ -70,7 +92,7 @@
 				return nil, errors.New("connection refused")
 			}
 			near, far := net.Pipe()
-			go peer.Serve(name, far)
+			s.serving.Go(func() { peer.Serve(name, far) })
 			return near, nil
 		},
 	}
@@ -104,7 +126,7 @@
 	p := s.processes[name]
 	p.view = view
 	p.Records.Moved(s.now, view)
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	ctx, cancel := s.limited()
 	defer cancel()
 	p.Meet(ctx)
 }
@@ -123,7 +145,7 @@
 func (s *service) join(name string) bool {
 	p := s.processes[name]
 	p.view = s.announced()
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	ctx, cancel := s.limited()
 	defer cancel()
 	complete := p.Join(ctx)
 	p.serving = true
@@ -131,7 +153,7 @@
 }
 
 func (s *service) leave(name string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	ctx, cancel := s.limited()
 	defer cancel()
 	p := s.processes[name]
 	p.serving = false
@@ -192,7 +214,7 @@
 		"a new member": {func(s *service) bool { s.begin("d"); ok := s.join("d"); s.announce(); return ok }, true, ""},
 		"two new members at once": {func(s *service) bool {
 			s.begin("d").view, s.begin("e").view = s.announced(), s.announced()
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			ctx, cancel := s.limited()
 			defer cancel()
 			joined := make(chan bool, 2)
 			for _, name := range []string{"d", "e"} {
@@ -361,6 +383,7 @@
 			is.True(s.leave("b"))
 			s.announce()
 			b.serving = true // it could not ask for its keys
+			s.patience = short
 			s.announce()
 			s.crash("b")
 			s.announce()
@@ -442,6 +465,7 @@
 			a.Service = func() string { return "other" }
 			is.True(s.leave("b"))
 			s.announce()
+			s.patience = short
 			is.True(!s.join("b"))
 		},
 		"a process that speaks for another": func(is *is.I, _ *service, a, b *process) {
@@ -495,7 +519,9 @@
 	s.announce()
 	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonUncertain})
 	a.Records.Finish(s.now, "1", Key{Name: key}, answered)
-	a.Finish(context.Background())
+	ctx, cancel := s.limited()
+	a.Finish(ctx)
+	cancel()
 	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: []byte("four")})
 }
 
@@ -525,6 +551,7 @@
 			random := rand.New(rand.NewPCG(seed, 1))
 			names := []string{"a", "b", "c", "d"}
 			s := newService("a", "b", "c")
+			s.patience = short // views lag here, so that many exchanges can't succeed
 			steps := []string{}
 			for step := range 600 {
 				epoch := step / 100
