Let the stand-in upstream call on in chains and survive a kill

Tests of call chains need upstreams that make the next call through their own node, with the attempt and the deadline passed on. The behavior "spread" breaks the connection when the next call fails, in place of status 502.

--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -31,6 +31,8 @@
 	listen      netip.AddrPort
 	control     netip.AddrPort
 	node        netip.AddrPort
+	callers     netip.AddrPort
+	journal     string
 	slots       int
 	connections int
 	connect     time.Duration
@@ -48,6 +50,8 @@
 	loader.Add(l, &s.listen, "listen", "127.0.0.1:9000", loader.Address(), "address for calls")
 	loader.Add(l, &s.control, "control", "127.0.0.1:9100", loader.Address(), "address for tests to steer it")
 	loader.Add(l, &s.node, "node", "127.0.0.1:7070", loader.Address(), "operators' address of the node beside it")
+	loader.Add(l, &s.callers, "callers", "", loader.OptionalAddress(), "address for callers of the node beside it, for the next calls of chains")
+	loader.Add(l, &s.journal, "journal", "", loader.Text("a file, or nothing"), "file to which runs and uploads are appended")
 	loader.Add(l, &s.slots, "slots", "6", loader.Int(1, 1024), "requests run at once")
 	loader.Add(l, &s.connections, "connections", "130", loader.Int(1, 65535), "open connections at once")
 	loader.Add(l, &s.connect, "connect", "0s", loader.Duration(0, time.Second), "time that each new connection takes")
@@ -75,6 +79,17 @@
 		Name: s.name, Service: s.service, Slots: s.slots, Work: s.work, Probe: s.probe,
 		Recorder: recorder.New(), Now: time.Now,
 	}
+	if s.journal != "" {
+		journal, err := os.OpenFile(s.journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Wrap(err, "open journal")
+		}
+		defer journal.Close()
+		upstream.Recorder.Journal = journal
+	}
+	if s.callers.IsValid() {
+		upstream.Caller = server.NewCaller(s.callers)
+	}
 	upstream.Behave(server.Behavior{State: sycamorerun.StateReady})
 	connections, err := listener.New(s.listen, s.connections, s.connect)
 	if err != nil {
--- a/upstream/recorder/recorder.go
+++ b/upstream/recorder/recorder.go
@@ -3,6 +3,7 @@
 package recorder
 
 import (
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -13,6 +14,8 @@
 type Records struct {
 	// Requests counts the requests that started.
 	Requests int `json:"requests"`
+	// Running is the number of requests that have not ended.
+	Running int `json:"running"`
 	// Runs counts completed non-idempotent requests for each key.
 	Runs map[string]int `json:"runs"`
 	// Uploads are the hex SHA-256 sums of uploads that arrived whole.
@@ -35,6 +38,10 @@
 
 // Recorder collects Records. It is safe for concurrent use.
 type Recorder struct {
+	// Journal, if set before use, gets a line for each run and upload before the
+	// request is answered.
+	Journal io.Writer
+
 	mutex   sync.Mutex
 	records Records
 	drained time.Time
@@ -67,11 +74,19 @@
 }
 
 // Run records one execution of the non-idempotent request with key.
-func (r *Recorder) Run(key string) { r.update(func(records *Records) { records.Runs[key]++ }) }
+func (r *Recorder) Run(key string) {
+	r.update(func(records *Records) {
+		records.Runs[key]++
+		r.note(lineRun, key)
+	})
+}
 
 // Upload records a whole upload.
 func (r *Recorder) Upload(sum string) {
-	r.update(func(records *Records) { records.Uploads = append(records.Uploads, sum) })
+	r.update(func(records *Records) {
+		records.Uploads = append(records.Uploads, sum)
+		r.note(lineUpload, sum)
+	})
 }
 
 // Break records an upload that was cut.
--- a/upstream/server/behavior.go
+++ b/upstream/server/behavior.go
@@ -16,6 +16,9 @@
 	Silent bool `json:"silent"`
 	// Cut closes the connection after reading the request, before an answer.
 	Cut bool `json:"cut"`
+	// Spread closes the connection when the next call of a chain fails, in
+	// place of an answer.
+	Spread bool `json:"spread"`
 	// Health is the status of the health endpoint, whatever the truth is.
 	Health int `json:"health"`
 	// Load overrides the reported load, a fraction of the slots, when positive.
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -37,7 +38,9 @@
 	// Probe is the time that a health probe takes.
 	Probe    time.Duration
 	Recorder *recorder.Recorder
-	Now      func() time.Time
+	// Caller makes the next call of a chain; nil: no chains.
+	Caller *Caller
+	Now    func() time.Time
 
 	behaviors behaviors
 	running   atomic.Int64
@@ -63,6 +66,7 @@
 	mux.HandleFunc("/book", s.book)
 	mux.HandleFunc("/slow", s.slow)
 	mux.HandleFunc("GET /bytes", s.bytes)
+	mux.HandleFunc("GET /chain/{rest...}", s.chain)
 	return s.admit(mux)
 }
 
@@ -70,7 +74,9 @@
 func (s *Server) Control() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, s.Recorder.Records())
+		records := s.Recorder.Records()
+		records.Running = int(s.running.Load())
+		writeJSON(w, records)
 	})
 	mux.HandleFunc("GET /behavior", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, s.Behavior())
@@ -116,12 +122,14 @@
 		switch {
 		case behavior.Silent:
 			<-r.Context().Done()
+			expired(w)
 			return
 		case behavior.Cut:
 			panic(http.ErrAbortHandler)
 		}
 		work := s.Work + time.Duration(behavior.Delay)*time.Millisecond
 		if !s.wait(r.Context(), work) {
+			expired(w)
 			return
 		}
 		next.ServeHTTP(w, r)
@@ -185,23 +193,40 @@
 		http.Error(w, fmt.Sprintf("for: a duration up to %s", maxSlow), http.StatusBadRequest)
 		return
 	}
-	if s.wait(r.Context(), d) {
-		s.answer(w, r)
+	if !s.wait(r.Context(), d) {
+		expired(w)
+		return
 	}
+	s.answer(w, r)
+}
+
+// expired answers a request that did not run, since its deadline passed or its
+// client went away. An empty answer with status 200 would look like a success.
+func expired(w http.ResponseWriter) {
+	http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 }
 
-// bytes streams a pattern of the asked size.
+// bytes streams a pattern of the asked size, over the time for if it is given.
 func (s *Server) bytes(w http.ResponseWriter, r *http.Request) {
 	size, err := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64)
 	if err != nil || size < 0 || size > 1<<30 {
 		http.Error(w, "size: 0 to 1073741824", http.StatusBadRequest)
 		return
 	}
+	spread, err := time.ParseDuration(cmp.Or(r.URL.Query().Get("for"), "0s"))
+	if err != nil || spread < 0 || spread > maxSlow {
+		http.Error(w, fmt.Sprintf("for: a duration up to %s", maxSlow), http.StatusBadRequest)
+		return
+	}
 	block := make([]byte, 32<<10)
 	for i := range block {
 		block[i] = byte(i)
 	}
+	pause := spread / time.Duration(1+size/int64(len(block)))
 	for size > 0 {
+		if !s.wait(r.Context(), pause) {
+			panic(http.ErrAbortHandler)
+		}
 		part := block[:min(size, int64(len(block)))]
 		if _, err := w.Write(part); err != nil {
 			return
