Never let the transport to the upstream repeat a safe request

A call chain 28 deep, of which each level breaks its connection when the next call fails, showed 1,219 to 1,339 executions of its last link for 150 calls, more than the retry budgets of all levels together permit (1,120), whenever the nodes held kept connections from earlier calls; 791 to 848 without them. Cause: http.Transport sends a GET, HEAD, OPTIONS or TRACE without a body again by itself when a kept connection breaks. These repetitions count in no budget, in no attempt number and in no balancer statistics, and each level multiplies them. Calls that must not run twice were protected; those that may be repeated were not.

Ruled out: retries that earn retries; with that alone removed, 1,252 to 1,299. A kept connection that breaks is now a failed attempt, repeated at another instance within the budget.

TestTransportDoesNotRepeat has the repeatable methods now; it was seen to fail with the repetitions on (3 executions instead of 2) and to pass with them off.

--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -742,7 +742,8 @@
 }
 
 // Guards against the repetition that http.Transport makes by itself when a kept
-// connection breaks, for requests that it takes for idempotent.
+// connection breaks, for requests that it takes for idempotent. Of requests that
+// may be repeated it would count in no retry budget.
 func TestTransportDoesNotRepeat(t *testing.T) {
 	cases := map[string]struct {
 		method     string
@@ -750,6 +751,8 @@
 		repeatable bool
 	}{
 		"get that must not be repeated": {method: http.MethodGet},
+		"get that may be repeated":      {method: http.MethodGet, repeatable: true},
+		"head that may be repeated":     {method: http.MethodHead, repeatable: true},
 		"get with a key":                {method: http.MethodGet, header: []string{sycamorerun.HeaderKey, "k"}, repeatable: true},
 		"post with a key":               {method: http.MethodPost, header: []string{sycamorerun.HeaderKey, "k"}},
 		"post with an x-key":            {method: http.MethodPost, header: []string{"X-Idempotency-Key", "k"}},
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -75,11 +75,11 @@
 
 // reader returns a complete body in the form that http.Transport needs. It
 // repeats a request without a body by itself when a kept connection breaks and
-// the method is safe, so the empty body of a request that may not be repeated
-// is a reader. For other methods that would send an empty chunked body.
+// the method is safe, so the empty body of such a request is a reader: these
+// repetitions would count in no retry budget and in no attempt. For other
+// methods that would send an empty chunked body.
 func (c *call) reader() io.ReadCloser {
-	safe := slices.Contains(safeMethods, c.method)
-	if len(c.body) > 0 || safe && (!c.match.Repeatable || c.key != "") {
+	if len(c.body) > 0 || slices.Contains(safeMethods, c.method) {
 		return io.NopCloser(bytes.NewReader(c.body))
 	}
 	return http.NoBody
