Let calls that stem from a retry earn no retries

Each call to a service earned a fraction of a retry, also one that stems from a retry at a higher level of a call chain. The retries of a level thereby raised the budgets of all levels below it, by a factor of 1.2 for each level instead of 0.2 of the calls. Calls that stem from a retry can't be repeated themselves.

TestRetriesEarnNone was seen to fail without the condition and to pass with it.

--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -774,6 +774,28 @@
 	}
 }
 
+// Guards against retries that raise the retry budgets of the services below.
+func TestRetriesEarnNone(t *testing.T) {
+	cases := map[string]struct {
+		header []string
+		earned int64
+	}{
+		"new call":      {nil, 1},
+		"first attempt": {[]string{sycamorerun.HeaderAttempt, "1"}, 1},
+		"retry":         {[]string{sycamorerun.HeaderAttempt, "2"}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, true, reply(""))
+			var earned atomic.Int64
+			b.entry.Call = func(time.Time, string) { earned.Add(1) }
+			is.Equal(b.send(http.MethodGet, "/x", nil, c.header...).status, http.StatusOK)
+			is.Equal(earned.Load(), c.earned)
+		})
+	}
+}
+
 // Guards the promise that a planned stop interrupts no call.
 func TestDrain(t *testing.T) {
 	paths(t, func(t *testing.T, local bool) {
