--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -29,6 +29,7 @@
 	"sycamorerun/bench/relayer"
 	"sycamorerun/ctl/issuer"
 	"sycamorerun/ctl/requester"
+	"sycamorerun/upstream/recorder"
 )
 
 const (
@@ -166,9 +167,15 @@
 // prepare lays out node n of zone z.
 func (f *Fleet) prepare(z, n int, zone Zone) (*Node, error) {
 	number, host := uint8(z+1), uint8(n+1)
+	service := ""
+	if len(zone.Services) > 0 {
+		service = zone.Services[n]
+	} else {
+		service = f.Spec.Services[len(f.Nodes)%len(f.Spec.Services)]
+	}
 	node := &Node{
 		Name: fmt.Sprintf("%s-n%d", zone.Name, n+1), Zone: zone,
-		Service:   f.Spec.Services[len(f.Nodes)%len(f.Spec.Services)],
+		Service:   service,
 		Callers:   f.Spec.address(number, host, portCallers),
 		Operators: f.Spec.address(number, host, portOperators),
 		Peers:     f.Spec.address(number, host, portPeers),
@@ -218,10 +225,26 @@
 	node.UpstreamProcess, err = f.launcher.Start(ctx, node.Name+"-upstream", "srupstream", append([]string{
 		"--name", node.Name, "--service", node.Service, "--listen", node.Upstream.String(),
 		"--control", node.Control.String(), "--node", node.Operators.String(),
+		"--callers", node.Callers.String(), "--journal", f.journal(node),
 	}, f.Spec.UpstreamArgs...)...)
 	return err
 }
 
+func (f *Fleet) journal(node *Node) string {
+	return filepath.Join(f.Spec.Directory, node.Name+".journal")
+}
+
+// Journal returns the runs and uploads of the upstreams that ran beside a
+// node, also of killed ones.
+func (f *Fleet) Journal(node *Node) (recorder.Records, error) {
+	file, err := os.Open(f.journal(node))
+	if err != nil {
+		return recorder.Records{}, errors.Wrap(err, "journal")
+	}
+	defer file.Close()
+	return recorder.Replay(file)
+}
+
 // Stop ends everything.
 func (f *Fleet) Stop() {
 	f.Heal()
--- a/bench/deployer/spec.go
+++ b/bench/deployer/spec.go
@@ -41,6 +41,9 @@
 	Name   string
 	Region string
 	Nodes  int
+	// Services are those of its nodes in their order, in place of the Services
+	// of the Spec.
+	Services []string
 }
 
 // Today returns the six availability zones of today's deployments with the
