Tell a call that idles in the queue from one that its caller canceled

Cause: a call that makes no progress for the idle limit while it waits for a slot ends with the limiter's "canceled", at this node or at the peer that was told to stop. The forwarder repeats no canceled call, so that a call that surely had not run was not tried elsewhere. Now the reason is "idle" (or "deadline"), and the call may be tried at another instance.

Since the peer answers in these cases, the balancer takes "not run, idle" for a report of a full upstream and not for a failure, which after five would eject an upstream for having a full queue.

TestIdleInQueue was seen to fail without the change in the forwarder, on both paths, TestRefusals without the one in the balancer; both pass with them.

--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -190,6 +190,36 @@
 	is.Equal(tally(newBalancer(instances[:1]), start, 20, bad("r1z10"))["r1z10"], 20) // a single one stays
 }
 
+// Guards against the ejection of an upstream that has too much work, and
+// against one that goes silent and stays.
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		result  sycamorerun.Result
+		reason  string
+		ejected bool
+	}{
+		"queue full":     {sycamorerun.NotRun, "queue-full", false},
+		"shed":           {sycamorerun.NotRun, "shed", false},
+		"late in queue":  {sycamorerun.NotRun, "deadline", false},
+		"idle in queue":  {sycamorerun.NotRun, "idle", false},
+		"idle when run":  {sycamorerun.Unknown, "idle", true},
+		"not reached":    {sycamorerun.NotRun, "peer-unreachable", true},
+		"caller is gone": {sycamorerun.NotRun, "canceled", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(group("r1", "z1", 2))
+			for range 2 * failuresMax {
+				b.Observe(start, Observation{Instance: "r1z10", Result: c.result, Reason: c.reason})
+			}
+			for _, chance := range b.Chances(start, Query{Service: "s"}) {
+				is.Equal(chance.Ejected, c.ejected && chance.Instance == "r1z10")
+			}
+		})
+	}
+}
+
 // Guards a cold upstream against its full share, and leaving ones against calls.
 func TestStates(t *testing.T) {
 	is := is.New(t)
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -33,7 +33,9 @@
 
 // Reasons of the forwarder and the limiter that say something about load.
 var (
-	overloads = map[string]bool{"queue-full": true, "shed": true, "deadline": true}
+	// An idle call that did not run waited for a slot for too long, or its peer
+	// answered the query about it.
+	overloads = map[string]bool{"queue-full": true, "shed": true, "deadline": true, "idle": true}
 	drainings = map[string]bool{"draining": true}
 	// neutrals are the ends of calls that their callers or the configuration
 	// brought about.
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -31,6 +31,10 @@
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watch *watch, c *call, id string, body io.ReadCloser, level uint32, admitted func() error) (*answer, *failure) {
 	release, reason := f.Acquire(ctx, f.Now(), c.match.Class, c.deadline)
+	if reason == reasonCanceled {
+		// The limiter does not know why the call ended in the queue.
+		reason = ended(ctx, reason)
+	}
 	if reason != "" {
 		return nil, notRun(reason)
 	}
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -796,6 +796,29 @@
 	}
 }
 
+// Guards against a call that waits for a slot for too long and is reported as
+// canceled by its caller: it did not run and may be tried elsewhere.
+func TestIdleInQueue(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply(""))
+		b.limiter.Resize(limiter.Limits{Slots: 1, Queue: 2})
+		release, _ := b.limiter.Acquire(context.Background(), time.Now(), sycamorerun.Interactive, time.Time{})
+		defer release()
+		b.match.Idle = 100 * time.Millisecond
+		var asked atomic.Int64
+		b.entry.Allow = func(time.Time, Attempt) (time.Duration, bool) {
+			asked.Add(1)
+			return 0, false
+		}
+		got := b.send(http.MethodGet, "/x", nil)
+		is.Equal(got.outcome, "not-run")
+		is.Equal(got.reason, "idle")
+		is.Equal(asked.Load(), int64(1))
+		is.Equal(b.executed.Load(), int64(0))
+	})
+}
+
 // Guards the promise that a planned stop interrupts no call.
 func TestDrain(t *testing.T) {
 	paths(t, func(t *testing.T, local bool) {
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -43,6 +43,10 @@
 	if failed != nil {
 		body.Close()
 	}
+	if failed != nil && failed.reason == reasonCanceled {
+		// The peer was told to end the call, for a reason that only is known here.
+		failed.reason = ended(ctx, failed.reason)
+	}
 	if failed != nil && failed.reason == reasonLost {
 		failed = f.resolve(ctx, to, id, began)
 	}
