Let a booking of the stand-in answer some time after it ran

/book takes a time (for), which passes after the execution was counted. A failure then hits requests that ran and are not answered, which is what tests of at most once and of "not run" need; before, an execution and its answer were the same moment.

--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -177,13 +177,18 @@
 	writeJSON(w, map[string]any{"sha256": sum, "bytes": n, "upstream": s.Name})
 }
 
-// book counts an execution for the request's key.
+// book counts an execution for the request's key, and answers after the time
+// for if it is given: what ran is then not yet known to the caller.
 func (s *Server) book(w http.ResponseWriter, r *http.Request) {
 	key := r.Header.Get(sycamorerun.HeaderKey)
 	if key == "" {
 		key = r.URL.Query().Get("key")
 	}
 	s.Recorder.Run(key)
+	if d, err := time.ParseDuration(r.URL.Query().Get("for")); err == nil && !s.wait(r.Context(), min(d, maxSlow)) {
+		expired(w)
+		return
+	}
 	writeJSON(w, map[string]string{"booked": key, "upstream": s.Name})
 }
 
