Do not count a restarted member as gone before it is announced

A restarted node asks the members for their keys as soon as it knows them. Each of them then counts it as a stranger, and counted it as gone, with all that it knew, when its next view of the members did not have it yet: every unknown key was unknown there for the key window. Now a stranger that asked for its keys is not gone while it counts as a joiner; until it has answered, unknown keys stay unknown as before.

TestStrangerNotAnnounced was seen to fail without the change and to pass with it.

--- a/node/deduplicator/deduplicator_test.go
+++ b/node/deduplicator/deduplicator_test.go
@@ -180,6 +180,36 @@
 	is.Equal(busy.Begin(at(time.Minute), "1", Key{Name: own}).Reason, ReasonMoved)
 }
 
+// Guards against a restarted member that makes every key unknown for the age: it
+// asks for its keys before it is announced, and is not gone meanwhile.
+func TestStrangerNotAnnounced(t *testing.T) {
+	cases := map[string]struct {
+		announced [][]Member
+		met       bool
+		reason    string
+	}{
+		"met before it is announced": {[][]Member{set("a", "b")}, true, ""},
+		"not met yet":                {[][]Member{set("a", "b")}, false, ReasonMoved},
+		"announced and gone":         {[][]Member{append(set("a", "b"), Member{"c", 2}), set("a", "b")}, true, ReasonMoved},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := clean(small)
+			restarted := Member{"c", 2}
+			d.Moved(start, set("a", "b", "c"))
+			is.True(d.Grant(start, restarted, 1, set("a", "b", "c"), true).Granted)
+			for _, announced := range c.announced {
+				d.Moved(start, announced)
+			}
+			if c.met {
+				d.Meet(start, map[Member]Grant{restarted: {Granted: true}})
+			}
+			is.Equal(d.Begin(start, "1", Key{Name: find(t, "a", "a")}).Reason, c.reason)
+		})
+	}
+}
+
 // set returns members of one incarnation.
 func set(names ...string) []Member {
 	members := make([]Member, len(names))
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -163,7 +163,9 @@
 		}
 	}
 	for stranger := range m.strangers {
-		if !slices.Contains(announced, stranger) { // gone with what it knew
+		// One that asked for its keys may not be announced yet.
+		_, joiner := m.joiners[stranger]
+		if !joiner && !slices.Contains(announced, stranger) { // gone with what it knew
 			delete(m.strangers, stranger)
 			m.blind = now.Add(d.limits.Age)
 		}
