--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -742,7 +742,8 @@
 }
 
 // Guards against the repetition that http.Transport makes by itself when a kept
-// connection breaks, for requests that it takes for idempotent.
+// connection breaks, for requests that it takes for idempotent. Of requests that
+// may be repeated it would count in no retry budget.
 func TestTransportDoesNotRepeat(t *testing.T) {
 	cases := map[string]struct {
 		method     string
@@ -750,6 +751,8 @@
 		repeatable bool
 	}{
 		"get that must not be repeated": {method: http.MethodGet},
+		"get that may be repeated":      {method: http.MethodGet, repeatable: true},
+		"head that may be repeated":     {method: http.MethodHead, repeatable: true},
 		"get with a key":                {method: http.MethodGet, header: []string{sycamorerun.HeaderKey, "k"}, repeatable: true},
 		"post with a key":               {method: http.MethodPost, header: []string{sycamorerun.HeaderKey, "k"}},
 		"post with an x-key":            {method: http.MethodPost, header: []string{"X-Idempotency-Key", "k"}},
@@ -771,6 +774,51 @@
 	}
 }
 
+// Guards against retries that raise the retry budgets of the services below.
+func TestRetriesEarnNone(t *testing.T) {
+	cases := map[string]struct {
+		header []string
+		earned int64
+	}{
+		"new call":      {nil, 1},
+		"first attempt": {[]string{sycamorerun.HeaderAttempt, "1"}, 1},
+		"retry":         {[]string{sycamorerun.HeaderAttempt, "2"}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, true, reply(""))
+			var earned atomic.Int64
+			b.entry.Call = func(time.Time, string) { earned.Add(1) }
+			is.Equal(b.send(http.MethodGet, "/x", nil, c.header...).status, http.StatusOK)
+			is.Equal(earned.Load(), c.earned)
+		})
+	}
+}
+
+// Guards against a call that waits for a slot for too long and is reported as
+// canceled by its caller: it did not run and may be tried elsewhere.
+func TestIdleInQueue(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply(""))
+		b.limiter.Resize(limiter.Limits{Slots: 1, Queue: 2})
+		release, _ := b.limiter.Acquire(context.Background(), time.Now(), sycamorerun.Interactive, time.Time{})
+		defer release()
+		b.match.Idle = 100 * time.Millisecond
+		var asked atomic.Int64
+		b.entry.Allow = func(time.Time, Attempt) (time.Duration, bool) {
+			asked.Add(1)
+			return 0, false
+		}
+		got := b.send(http.MethodGet, "/x", nil)
+		is.Equal(got.outcome, "not-run")
+		is.Equal(got.reason, "idle")
+		is.Equal(asked.Load(), int64(1))
+		is.Equal(b.executed.Load(), int64(0))
+	})
+}
+
 // Guards the promise that a planned stop interrupts no call.
 func TestDrain(t *testing.T) {
 	paths(t, func(t *testing.T, local bool) {
