Do not doubt all keys after a node was paused

Two causes, both at a node that resumes: - Its upstream's announcement lapses, so its record is out of the serving members for a moment. Members that had not yet met it again took it for gone with all that it knew. Now only a process that is no longer live is gone; one that sealed is met. - It sees nobody for a moment and remembers an empty member set. Members that met it took this set over, and no process counts as the owner in it, so each new key was in doubt. Empty sets are not remembered now: nobody executes keys in them.

Ruled out by a trace of one failing run: too many member sets, full records, strangers that never answer.

--- a/node/deduplicator/deduplicator_test.go
+++ b/node/deduplicator/deduplicator_test.go
@@ -158,9 +158,9 @@
 	d := clean(small)
 	all, rest := set("a", "b", "c"), set("a", "c")
 	own, inherited, foreign := find(t, "a", "a"), find(t, "b", "a"), find(t, "c", "c")
-	d.Moved(start, all)
+	d.Moved(start, all, all)
 	is.Equal(d.Begin(start, "1", Key{Name: inherited}).Reason, ReasonOwner)
-	d.Moved(start, rest)
+	d.Moved(start, rest, rest)
 	is.Equal(d.Begin(start, "2", Key{Name: own}).Verdict, sycamorerun.VerdictRun)
 	is.Equal(d.Begin(start, "3", Key{Name: inherited}), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonMoved})
 	is.Equal(d.Begin(start, "4", Key{Name: foreign}), sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonOwner})
@@ -168,13 +168,13 @@
 
 	restarted := New(start, small)
 	restarted.Self, restarted.Incarnation = "a", 1
-	restarted.Moved(start, all)
+	restarted.Moved(start, all, all)
 	is.Equal(restarted.Begin(at(small.Age-1), "1", Key{Name: own}).Reason, ReasonMoved)
 	is.Equal(restarted.Begin(at(small.Age), "2", Key{Name: own}).Verdict, sycamorerun.VerdictRun)
 
 	busy := clean(small)
 	for n := range 2*setsMax + 1 {
-		busy.Moved(start, [][]Member{all, rest}[n%2])
+		busy.Moved(start, [][]Member{all, rest}[n%2], all)
 	}
 	is.True(len(busy.moves.past) <= setsMax)
 	is.Equal(busy.Begin(at(time.Minute), "1", Key{Name: own}).Reason, ReasonMoved)
@@ -197,10 +197,10 @@
 			is := is.New(t)
 			d := clean(small)
 			restarted := Member{"c", 2}
-			d.Moved(start, set("a", "b", "c"))
+			d.Moved(start, set("a", "b", "c"), set("a", "b", "c"))
 			is.True(d.Grant(start, restarted, 1, set("a", "b", "c"), true).Granted)
 			for _, announced := range c.announced {
-				d.Moved(start, announced)
+				d.Moved(start, announced, announced)
 			}
 			if c.met {
 				d.Meet(start, map[Member]Grant{restarted: {Granted: true}})
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -121,11 +121,23 @@
 	}
 }
 
+// live returns the processes that run, but for those that see does not name
+// although they serve: these are out of reach.
+func (s *service) live(view []Member) []Member {
+	live := slices.Clone(view)
+	for _, p := range s.processes {
+		if !p.dead && !p.serving {
+			live = append(live, p.member)
+		}
+	}
+	return live
+}
+
 // see gives a process a view of the members that serve.
 func (s *service) see(name string, view []Member) {
 	p := s.processes[name]
 	p.view = view
-	p.Records.Moved(s.now, view)
+	p.Records.Moved(s.now, view, s.live(view))
 	ctx, cancel := s.limited()
 	defer cancel()
 	p.Meet(ctx)
@@ -441,6 +453,29 @@
 			s.now = s.now.Add(11 * time.Minute)
 			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictRun)
 		},
+		"a stranger that stops serving for a moment": func(is *is.I, s *service, a, b *process) {
+			s.separate("a", "bc")
+			s.now = s.now.Add(11 * time.Minute)
+			s.unreachable["b"] = true
+			s.announce("a")
+			b.serving = false // its upstream was silent
+			s.see("b", []Member{s.processes["c"].member})
+			s.announce("a")
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictUncertain)
+			s.unreachable["b"] = false
+			is.True(s.join("b"))
+			s.announce()
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictRun)
+		},
+		"a process that saw nobody for a moment": func(is *is.I, s *service, a, b *process) {
+			s.separate("a", "bc")
+			s.see("b", nil)
+			s.now = s.now.Add(time.Second)
+			s.announce("b")
+			s.announce()
+			is.Equal(s.callAt(a, ownedBy(s, "a")).Verdict, sycamorerun.VerdictRun)
+			is.Equal(s.callAt(b, ownedBy(s, "b")).Verdict, sycamorerun.VerdictRun)
+		},
 		"two partitions, one after the other": func(is *is.I, s *service, _, b *process) {
 			key := ownedBy(s, "a")
 			for _, name := range []string{key + "-1", key + "-2"} {
@@ -662,7 +697,7 @@
 	all := s.announced()
 	for _, member := range all[1:] {
 		for _, set := range [][]Member{without(all, member.Name), all} {
-			d.Moved(s.now, set)
+			d.Moved(s.now, set, all)
 		}
 	}
 	clear(d.moves.strangers)
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -145,9 +146,9 @@
 	}
 }
 
-// Moved records the members that can execute keys now: the instances of the
-// service, in any order.
-func (d *Deduplicator) Moved(now time.Time, announced []Member) {
+// Moved records the members that can execute keys now, the instances of the
+// service that take calls, and all live ones, in any order.
+func (d *Deduplicator) Moved(now time.Time, announced, live []Member) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	m := &d.moves
@@ -162,24 +163,29 @@
 			}
 		}
 	}
-	for stranger := range m.strangers {
-		// One that asked for its keys may not be announced yet.
-		_, joiner := m.joiners[stranger]
-		if !joiner && !slices.Contains(announced, stranger) { // gone with what it knew
-			delete(m.strangers, stranger)
-			m.blind = now.Add(d.limits.Age)
-		}
-	}
-	for _, member := range m.announced {
-		if !slices.Contains(announced, member) {
-			delete(m.met, member)
-		}
-	}
+	d.forget(now, live)
 	m.announced = slices.Clone(announced)
 	d.recompose(now)
 	m.known = true
 }
 
+// forget drops what is known of processes that are gone. A stranger takes what
+// it knew with it. One that only stopped serving, as when its upstream was
+// silent for a moment, can still answer, and executes no keys meanwhile.
+func (d *Deduplicator) forget(now time.Time, live []Member) {
+	m := &d.moves
+	gone := func(member Member, _ struct{}) bool {
+		_, joiner := m.joiners[member] // may not be listed yet
+		return !joiner && !slices.Contains(live, member)
+	}
+	strangers := len(m.strangers)
+	maps.DeleteFunc(m.strangers, gone)
+	if len(m.strangers) < strangers {
+		m.blind = now.Add(d.limits.Age)
+	}
+	maps.DeleteFunc(m.met, gone)
+}
+
 // notice marks a member as a stranger unless it is met, or this process asks
 // all members anyway.
 func (d *Deduplicator) notice(member Member) {
@@ -229,7 +235,11 @@
 func (d *Deduplicator) remember(now time.Time, sets ...members) {
 	m := &d.moves
 	aged := func(at time.Time) bool { return now.Sub(at) >= d.limits.Age }
-	m.past = slices.DeleteFunc(append(m.past, sets...), func(set members) bool { return aged(set.until) })
+	// In an empty set nobody executes keys, as seen by a process that has just
+	// resumed and whose upstream was silent.
+	m.past = slices.DeleteFunc(append(m.past, sets...), func(past members) bool {
+		return len(past.set) == 0 || aged(past.until)
+	})
 	for member, known := range m.seals {
 		if aged(known.at) {
 			delete(m.seals, member)
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -98,6 +98,7 @@
 		return
 	}
 	d.moves.seals[member] = seal{set: slices.Clone(set), at: now}
+	delete(d.moves.strangers, member) // its records have arrived without being asked for
 }
 
 // Grant hands joiner the keys that it owns, if view has every member that this
