--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -231,12 +231,12 @@
 	m.current = set
 }
 
-// remember keeps past sets until they have aged.
+// remember keeps past sets until they have aged. An empty one, which a process
+// has before it knows the members, names nobody who executed keys, and would
+// make every key uncertain here and at each member that adopts it.
 func (d *Deduplicator) remember(now time.Time, sets ...members) {
 	m := &d.moves
 	aged := func(at time.Time) bool { return now.Sub(at) >= d.limits.Age }
-	// In an empty set nobody executes keys, as seen by a process that has just
-	// resumed and whose upstream was silent.
 	m.past = slices.DeleteFunc(append(m.past, sets...), func(past members) bool {
 		return len(past.set) == 0 || aged(past.until)
 	})
