Send the results of requests that ran while a joiner took their keys

A key whose request still runs is handed over as uncertain. A leaving process sent the result later, but a member that granted a joiner its keys did not, so the joiner never learned that the request was answered. The callers' transport had hidden it by repeating calls with an Idempotency-Key in canonical case.

Both now note to whom the key of a running request went, and the exchanger sends the record when the request has ended; a process that stops sends what is left at the end of its drain. A request that did not run stays uncertain at its new owner.

Ruled out: the order of heartbeats and records, to which the failure seemed tied, and lost records (the record was there, uncertain).

TestFinish failed without the debts in both cases, and passes.

--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -94,8 +94,12 @@
 	calls  calls
 	keys   keys
 	moves  moves
-	// appeared signals that there are strangers.
-	appeared chan struct{}
+	// debts are the members that got the keys of requests that still run, owed
+	// the records that they have to get since these ended.
+	debts map[string]Member
+	owed  map[Member][]Record
+	// wake signals that there are strangers, or records that are owed.
+	wake chan struct{}
 }
 
 // New returns an empty deduplicator of a process that began at now.
@@ -103,7 +107,8 @@
 	return &Deduplicator{
 		limits: limits, began: now,
 		calls: newCalls(now), keys: newKeys(), moves: newMoves(),
-		appeared: make(chan struct{}, 1),
+		debts: map[string]Member{}, owed: map[Member][]Record{},
+		wake: make(chan struct{}, 1),
 	}
 }
 
@@ -160,6 +165,7 @@
 	d.calls.finish(now, id, result.Result)
 	if key.Name != "" {
 		d.keys.finish(now, key, result)
+		d.settle(key.Name)
 	}
 	d.expire(now)
 }
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -543,21 +543,33 @@
 	is.Equal(s.callAt(s.processes["c"], key).Verdict, sycamorerun.VerdictUncertain)
 }
 
-// Guards results that arrive between the hand-over and the end of a drain.
+// Guards the results of requests that still run when their keys change hands:
+// without them a repetition at the new owner is uncertain.
 func TestFinish(t *testing.T) {
-	is := is.New(t)
-	s := newService("a", "b")
-	key := ownedBy(s, "a")
-	a := s.processes["a"]
-	is.Equal(a.Records.Begin(s.now, "1", Key{Name: key}).Verdict, sycamorerun.VerdictRun)
-	is.True(s.leave("a"))
-	s.announce()
-	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonUncertain})
-	a.Records.Finish(s.now, "1", Key{Name: key}, answered)
-	ctx, cancel := s.limited()
-	a.Finish(ctx)
-	cancel()
-	is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: []byte("four")})
+	cases := map[string]func(s *service) bool{
+		"to the next owner": func(s *service) bool { ok := s.leave("a"); s.announce(); return ok },
+		"to a new member":   func(s *service) bool { s.begin("d"); ok := s.join("d"); s.announce(); return ok },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newService("a", "b")
+			key := ""
+			for n := 0; key == "" || Owner(key, []string{"a", "b"}) != "a" || Owner(key, []string{"a", "b", "d"}) != "d"; n++ {
+				key = fmt.Sprint("key", n)
+			}
+			a := s.processes["a"]
+			is.Equal(a.Records.Begin(s.now, "1", Key{Name: key}).Verdict, sycamorerun.VerdictRun)
+			is.True(change(s))
+			is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonUncertain})
+			a.Records.Finish(s.now, "1", Key{Name: key}, answered)
+			ctx, cancel := s.limited()
+			a.Finish(ctx)
+			cancel()
+			is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: []byte("four")})
+			is.Equal(len(a.Records.Owed())+len(a.Records.debts), 0)
+		})
+	}
 }
 
 // ownedBy returns a key that the named member owns.
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -195,8 +195,13 @@
 		return
 	}
 	m.strangers[member] = struct{}{}
+	d.signal()
+}
+
+// signal wakes the exchanger.
+func (d *Deduplicator) signal() {
 	select {
-	case d.appeared <- struct{}{}:
+	case d.wake <- struct{}{}:
 	default:
 	}
 }
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// Run asks strangers for the keys of this process until ctx ends.
+// Run asks strangers for the keys of this process, and sends the results of
+// requests that ended after their keys were handed over, until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) error {
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
@@ -111,7 +112,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-		case <-e.Records.appeared:
+		case <-e.Records.wake:
+			e.Finish(ctx)
 			e.Meet(ctx)
 		}
 	}
@@ -222,7 +224,6 @@
 	records, set, sealed := e.Records.Leave(e.Now())
 	e.mutex.Lock()
 	term := e.term
-	e.handed = records
 	e.mutex.Unlock()
 	if !e.handOver(ctx, records) || !sealed || len(set) == 0 {
 		e.metrics().moved("leaves", false)
@@ -243,12 +244,9 @@
 	return complete
 }
 
-// Finish hands over the results of requests that ended after Leave.
+// Finish hands over the results of requests that ended after their keys.
 func (e *Exchanger) Finish(ctx context.Context) {
-	e.mutex.Lock()
-	handed := e.handed
-	e.mutex.Unlock()
-	e.handOver(ctx, e.Records.Unfinished(handed))
+	e.handOver(ctx, e.Records.Owed())
 }
 
 // handOver sends records to their members and reports whether all have them.
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -47,26 +47,44 @@
 	}
 	for name := range d.keys.records {
 		if owner := ownerIn(name, d.moves.current); owner != (Member{}) {
-			records[owner] = append(records[owner], d.keys.record(name))
+			records[owner] = append(records[owner], d.handed(name, owner))
 		}
 	}
 	early := !d.keys.faded.IsZero() && now.Sub(d.keys.faded) < d.limits.Age
 	return records, slices.Clone(d.moves.current), !d.doubtful(now) && len(d.moves.strangers) == 0 && !early
 }
 
-// Unfinished returns the records of Leave whose requests have ended since.
-func (d *Deduplicator) Unfinished(before map[Member][]Record) map[Member][]Record {
+// Owed returns the records of requests that still ran when their keys were handed
+// over and have ended since, for each member that got the keys.
+func (d *Deduplicator) Owed() map[Member][]Record {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	ended := map[Member][]Record{}
-	for member, records := range before {
-		for _, record := range records {
-			if known, ok := d.keys.records[record.Key.Name]; ok && !record.Certain && known.certain {
-				ended[member] = append(ended[member], d.keys.record(record.Key.Name))
-			}
-		}
+	owed := d.owed
+	d.owed = map[Member][]Record{}
+	return owed
+}
+
+// handed returns the record of a key for member, which gets its end as well if
+// the request still runs.
+func (d *Deduplicator) handed(name string, member Member) Record {
+	if d.keys.records[name].running {
+		d.debts[name] = member
+	}
+	return d.keys.record(name)
+}
+
+// settle notes the end of a request whose key has been handed over meanwhile.
+// One that did not run stays uncertain at its new owner.
+func (d *Deduplicator) settle(name string) {
+	member, ok := d.debts[name]
+	if !ok {
+		return
+	}
+	delete(d.debts, name)
+	if known, ok := d.keys.records[name]; ok && known.certain {
+		d.owed[member] = append(d.owed[member], d.keys.record(name))
+		d.signal()
 	}
-	return ended
 }
 
 // Import takes the records of another process. What is known here for certain stays.
@@ -132,7 +150,7 @@
 	}
 	for name := range d.keys.records {
 		if ownerIn(name, m.current) == joiner {
-			grant.Records = append(grant.Records, d.keys.record(name))
+			grant.Records = append(grant.Records, d.handed(name, joiner))
 		}
 	}
 	return grant
