Let a process that has not joined ask nobody for keys

Cause: a restarted node gets to know the members one by one. Those that it learned of after the first ones were strangers to it, it asked them for keys as one that had executed some, and they in turn took it for a stranger: their unknown keys were uncertain until they had asked it, up to 250 ms, and they kept its keys for it until its upstream was announced, up to 1 s, so that calls ended "not run, key-elsewhere" after all repetitions. A trace of a failing run shows the exchange between the start and the join of the node.

A process has strangers only once it has joined: its join asks all members.

The new case of TestHandOverSteps failed without the change.

--- a/node/deduplicator/deduplicator_test.go
+++ b/node/deduplicator/deduplicator_test.go
@@ -19,7 +19,8 @@
 
 func clean(limits Limits) *Deduplicator {
 	d := New(start, limits)
-	d.Self, d.Incarnation, d.Clean = "a", 1, true
+	d.Self, d.Incarnation = "a", 1
+	d.StartClean()
 	return d
 }
 
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -496,6 +496,16 @@
 			s.announce()
 			is.Equal(len(s.processes["a"].Records.Strangers()), 0)
 		},
+		"a process that has not joined asks nobody": func(is *is.I, s *service, a, _ *process) {
+			s.crash("b")
+			s.announce()
+			s.begin("b")
+			s.see("b", []Member{a.member})
+			s.see("b", s.announced()) // it gets to know the members one by one
+			for _, name := range []string{"a", "c"} {
+				is.Equal(len(s.processes[name].Records.moves.joiners), 0) // nobody keeps its keys for it
+			}
+		},
 		"another service": func(is *is.I, s *service, a, _ *process) {
 			a.Service = func() string { return "other" }
 			is.True(s.leave("b"))
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -186,12 +186,12 @@
 	maps.DeleteFunc(m.met, gone)
 }
 
-// notice marks a member as a stranger unless it is met, or this process asks
-// all members anyway.
+// notice marks a member as a stranger unless it is met, or this process executes
+// no keys: it will ask all members before it does.
 func (d *Deduplicator) notice(member Member) {
 	m := &d.moves
 	_, met := m.met[member]
-	if !m.known || m.joining || m.left || met || member.Name == d.Self {
+	if !m.known || !m.joined || m.joining || m.left || met || member.Name == d.Self {
 		return
 	}
 	m.strangers[member] = struct{}{}
