--- a/bench/system/calls_test.go
+++ b/bench/system/calls_test.go
@@ -183,17 +183,8 @@
 func TestFirstBookings(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	fleet, err := deployer.New(deployer.Spec{
-		Binaries: binaries, Directory: t.TempDir(), Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"},
-	})
-	is.NoErr(err)
-	t.Cleanup(fleet.Stop)
 	ctx := t.Context()
-	is.NoErr(fleet.Start(ctx))
-	waitKnown(t, fleet, "admin")
-	is.NoErr(fleet.Teams(ctx, map[string]string{"quoting": "flow"}))
-	version := apply(t, fleet, "quoting", quoting("/quotes"), fleet.Nodes[0])
-	is.NoErr(fleet.WaitVersion(ctx, version, len(fleet.Nodes), converged))
+	fleet := startBookings(t)
 	answered := 0
 	const bookings = 60
 	for i := range bookings {
--- a/bench/system/keys_test.go
+++ b/bench/system/keys_test.go
@@ -22,18 +22,8 @@
 func TestRollingRestartKeepsKeys(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	fleet, err := deployer.New(deployer.Spec{
-		Binaries: binaries, Directory: t.TempDir(), Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"},
-		NodeArgs: []string{"--drain-delay", "500ms"},
-	})
-	is.NoErr(err)
-	t.Cleanup(fleet.Stop)
 	ctx := t.Context()
-	is.NoErr(fleet.Start(ctx))
-	waitKnown(t, fleet, "admin")
-	is.NoErr(fleet.Teams(ctx, map[string]string{"quoting": "flow"}))
-	version := apply(t, fleet, "quoting", quoting("/quotes"), fleet.Nodes[0])
-	is.NoErr(fleet.WaitVersion(ctx, version, len(fleet.Nodes), converged))
+	fleet := startBookings(t, "--drain-delay", "500ms")
 
 	// Callers are at the first two nodes; the others restart.
 	callers, restarting := fleet.Nodes[:2], fleet.Nodes[2:]
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -172,7 +172,11 @@
 	return p.Leave(ctx)
 }
 
-func (s *service) crash(name string) { s.processes[name].dead = true }
+func (s *service) crash(names ...string) {
+	for _, name := range names {
+		s.processes[name].dead = true
+	}
+}
 
 // call sends a call with a key to the process that owns it in the process's
 // own view, and executes it if that may start.
@@ -201,14 +205,17 @@
 // Guards the keys of a service against a second run, and against needless
 // uncertainty, when its members come and go.
 func TestHandOver(t *testing.T) {
+	start := func(s *service, name string) bool {
+		s.begin(name)
+		joined := s.join(name)
+		s.announce()
+		return joined
+	}
 	restart := func(s *service, name string) bool {
 		left := s.leave(name)
 		s.announce()
 		s.crash(name)
-		s.begin(name)
-		joined := s.join(name)
-		s.announce()
-		return left && joined
+		return start(s, name) && left
 	}
 	cases := map[string]struct {
 		change func(s *service) bool
@@ -223,7 +230,7 @@
 		"rolling restart": {func(s *service) bool {
 			return restart(s, "a") && restart(s, "b") && restart(s, "c") && restart(s, "a")
 		}, true, ""},
-		"a new member": {func(s *service) bool { s.begin("d"); ok := s.join("d"); s.announce(); return ok }, true, ""},
+		"a new member": {func(s *service) bool { return start(s, "d") }, true, ""},
 		"two new members at once": {func(s *service) bool {
 			s.begin("d").view, s.begin("e").view = s.announced(), s.announced()
 			ctx, cancel := s.limited()
@@ -238,7 +245,7 @@
 			return ok
 		}, true, ""},
 		"crash":             {func(s *service) bool { s.crash("b"); s.announce(); return true }, true, "b"},
-		"crash and restart": {func(s *service) bool { s.crash("b"); s.begin("b"); ok := s.join("b"); s.announce(); return ok }, true, "b"},
+		"crash and restart": {func(s *service) bool { s.crash("b"); return start(s, "b") }, true, "b"},
 		"crash unnoticed": {func(s *service) bool {
 			s.crash("b")
 			s.begin("b").view = without(s.announced(), "b")
@@ -299,40 +306,23 @@
 			return ok
 		}, true, "b"},
 		"all crash, one returns, one joins": {func(s *service) bool {
-			for _, name := range []string{"a", "b", "c"} {
-				s.crash(name)
-			}
-			s.begin("a")
-			s.join("a")
-			s.announce()
-			s.begin("b")
-			ok := s.join("b")
-			s.announce()
-			return ok
+			s.crash("a", "b", "c")
+			start(s, "a")
+			return start(s, "b")
 		}, true, "abc"},
 		"all crash, one returns, one joins, the first leaves": {func(s *service) bool {
-			for _, name := range []string{"a", "b", "c"} {
-				s.crash(name)
-			}
-			s.begin("a")
-			s.join("a")
-			s.announce()
-			s.begin("b")
-			s.join("b")
-			s.announce()
+			s.crash("a", "b", "c")
+			start(s, "a")
+			start(s, "b")
 			ok := s.leave("a")
 			s.announce()
 			return ok
 		}, false, "abc"},
 		"all restart": {func(s *service) bool {
-			for _, name := range []string{"a", "b", "c"} {
-				s.crash(name)
-			}
+			s.crash("a", "b", "c")
 			ok := true
 			for _, name := range []string{"a", "b", "c"} {
-				s.begin(name)
-				ok = s.join(name) && ok
-				s.announce()
+				ok = start(s, name) && ok
 			}
 			return ok
 		}, false, "abc"},
