--- a/node/tracker/serve.go
+++ b/node/tracker/serve.go
@@ -152,6 +152,10 @@
 		}
 		t.mu.Lock()
 		err = t.table.take(time.Now(), l, frame)
+		// The end that accepted the stream sends its heartbeats as answers, so
+		// that they carry the acknowledgements of TCP, which would otherwise be
+		// packets of their own.
+		l.beat = l.beat || !l.opened && frame.GetHeartbeat() != nil
 		t.spread(l)
 		l.wake()
 		t.mu.Unlock()
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -260,10 +260,10 @@
 	}
 }
 
-// tend sends the heartbeat of a link and closes it when it is silent or not
-// wanted.
+// tend sends the heartbeat of a link that this end opened and closes a link
+// that is silent or not wanted.
 func (t *Tracker) tend(now time.Time, l *link, beat bool) {
-	if beat {
+	if beat && l.opened {
 		l.beat = true
 		l.wake()
 	}
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sycamorerun"
+	"sycamorerun/encoder"
 	"sycamorerun/node/planner"
 )
 
@@ -311,3 +312,43 @@
 		return len(t.Reachable(time.Now())) == len(trackers) && find(t, lost.Self.Name).Sequence > 1
 	})
 }
+
+// Guards against heartbeats that cost a packet of acknowledgement each: the
+// end that accepted a link sends its own only as answers, and at once.
+func TestAcceptedLinkAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFabric(t)
+	tracker, _ := f.start(instance(0, "a1"))
+	eventually(t, "it runs", func() bool {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		return tracker.running
+	})
+	near, far := net.Pipe()
+	defer near.Close()
+	go tracker.Serve(t.Context(), "", far)
+	send := func(frame *Frame) {
+		_, err := encoder.Write(near, frame)
+		is.NoErr(err)
+	}
+	receive := func(within time.Duration) *Frame {
+		is.NoErr(near.SetReadDeadline(time.Now().Add(within)))
+		frame, _ := encoder.Read[Frame](near, frameBytes)
+		return frame
+	}
+	peer := instance(1, "a1")
+	peer.State = sycamorerun.StateNone
+	own := encode(time.Now(), &record{Instance: peer})
+	send(&Frame{From: "node-0001", Heartbeat: &Heartbeat{}, Records: []*Record{own}})
+	is.Equal(receive(within).GetFrom(), "node-0000")
+	beat := tracker.timing.heartbeat
+	for quiet := time.Now().Add(2 * beat); time.Now().Before(quiet); {
+		is.Equal(receive(beat).GetHeartbeat(), nil)
+	}
+	sent := time.Now()
+	send(&Frame{Heartbeat: &Heartbeat{}})
+	for receive(within).GetHeartbeat() == nil {
+		is.True(time.Since(sent) < within)
+	}
+	is.True(time.Since(sent) < beat/2)
+}
