--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -123,7 +123,7 @@
 	)
 	command := &cobra.Command{
 		Use:     "costs",
-		Short:   "Measure system calls, wake-ups and allocations of a call at each node",
+		Short:   "Measure system calls, wake-ups and allocations of a call at each node, and the memory of a connection",
 		Example: "  srbench costs --calls 2000 --file costs.json",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -132,7 +132,16 @@
 				if err != nil {
 					return err
 				}
-				return stresser.WriteCosts(os.Stdout, costs, file)
+				if err := stresser.WriteCosts(os.Stdout, costs, file); err != nil {
+					return err
+				}
+				connection, err := stresser.Connections(command.Context(), c)
+				if err != nil {
+					return err
+				}
+				fmt.Println()
+				stresser.WriteConnections(os.Stdout, connection)
+				return nil
 			})
 		},
 	}
