--- a/bench/system/main_test.go
+++ b/bench/system/main_test.go
@@ -90,19 +90,11 @@
 // each other before the first version, so that no key can have run before.
 func startBookings(t *testing.T, args ...string) *deployer.Fleet {
 	t.Helper()
-	is := is.New(t)
-	fleet, err := deployer.New(deployer.Spec{
-		Binaries: binaries, Directory: t.TempDir(), Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"},
-		NodeArgs: args,
+	fleet := startEmpty(t, deployer.Spec{
+		Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"}, NodeArgs: args,
 	})
-	is.NoErr(err)
-	t.Cleanup(fleet.Stop)
-	ctx := t.Context()
-	is.NoErr(fleet.Start(ctx))
 	waitKnown(t, fleet, "admin")
-	is.NoErr(fleet.Teams(ctx, map[string]string{"quoting": "flow"}))
-	version := apply(t, fleet, "quoting", quoting("/quotes"), fleet.Nodes[0])
-	is.NoErr(fleet.WaitVersion(ctx, version, len(fleet.Nodes), converged))
+	configure(t, fleet)
 	return fleet
 }
 
--- a/bench/system/mixes_test.go
+++ b/bench/system/mixes_test.go
@@ -116,8 +116,11 @@
 			report(t, "recovery", items, recovered, time.Now())
 			for name, phase := range map[string]struct {
 				from, to time.Time
-				// reads and orders are the least shares of answered calls. The keys of
-				// an instance that was killed stay unknown, and nothing else.
+				// reads and orders are the least shares of answered calls. While four
+				// of the seven or eight instances of a service fail, about half of the
+				// orders must be answered. Afterwards the keys of the killed node may
+				// stay unknown, one of seven; as much again is left for the callers
+				// that make one attempt only.
 				reads, orders float64
 			}{
 				"planned stops": {planned, failing, 1, 0.9},
