Adopt grants in one place, build requests for keys in one place

Found in a last read of the change: Join and Meet each recorded by themselves that a member is met and whether it is doubted, and each built its own Take; a condition in Join was always true, and a reason of the forwarder had no use. adopt and take do this now. Behaviour is unchanged: a member that has not granted had no records, sets or doubt before either. Tests of deduplicator, forwarder and runner pass with the race detector, and TestRollingRestartKeepsKeys, TestMixes and the booking tests with real processes.

--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -90,12 +90,11 @@
 			_ = level.Info(e.Logger).Log("msg", "keys taken over", "members", len(view), "missing", len(missing), "complete", complete)
 			return complete
 		}
-		take := &Take{Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term, View: toProcesses(view)}
-		for member, grant := range e.askAll(ctx, missing, take) {
+		for member, grant := range e.askAll(ctx, missing, e.take(term, view, false)) {
 			grants[member] = grant
 			learned = merge(learned, grant.Set, e.Records.Self)
 		}
-		if len(e.view(learned)) == len(view) && len(missing) > 0 {
+		if len(e.view(learned)) == len(view) {
 			pause(ctx, retryWait)
 		}
 	}
@@ -125,10 +124,7 @@
 		e.mutex.Lock()
 		term := e.term
 		e.mutex.Unlock()
-		e.Records.Meet(e.Now(), e.askAll(ctx, strangers, &Take{
-			Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term,
-			View: toProcesses(e.view(nil)), Executing: true,
-		}))
+		e.Records.Meet(e.Now(), e.askAll(ctx, strangers, e.take(term, e.view(nil), true)))
 		left := len(e.Records.Strangers())
 		e.metrics().strangers.Inc(int64(len(strangers) - left))
 		_ = level.Info(e.Logger).Log("msg", "members met", "strangers", len(strangers), "left", left)
@@ -138,6 +134,14 @@
 	}
 }
 
+// take returns the request for the keys that this process owns among view.
+func (e *Exchanger) take(term uint64, view []Member, executing bool) *Take {
+	return &Take{
+		Service: e.Service(), Joiner: toProcess(e.Records.member()), Term: term,
+		View: toProcesses(view), Executing: executing,
+	}
+}
+
 // valid reports whether a grant still holds when the joiner owns keys among view:
 // the member must know nobody beyond it, since a larger view owns fewer keys.
 func valid(grant Grant, view []Member, self Member) bool {
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -195,13 +195,9 @@
 		if grant.Joining {
 			m.joiners[member] = now
 		}
-		if grant.Doubtful && !grant.Joining {
-			m.doubted[member] = now
-		}
 		if grant.Granted {
-			m.met[member] = struct{}{}
+			d.adopt(now, member, grant, view)
 		}
-		d.adopt(now, grant, view)
 	}
 	clear(m.strangers)
 	// Only members that were asked count as members: one that is no longer in
@@ -231,16 +227,17 @@
 			continue
 		}
 		delete(d.moves.strangers, member)
-		d.moves.met[member] = struct{}{}
-		if grant.Doubtful && !grant.Joining {
-			d.moves.doubted[member] = now
-		}
-		d.adopt(now, grant, d.moves.current)
+		d.adopt(now, member, grant, d.moves.current)
 	}
 }
 
-// adopt takes a member's records and what it knows of past members.
-func (d *Deduplicator) adopt(now time.Time, grant Grant, view []Member) {
+// adopt takes the records of a member that has granted, and what it knows of
+// past members.
+func (d *Deduplicator) adopt(now time.Time, from Member, grant Grant, view []Member) {
+	d.moves.met[from] = struct{}{}
+	if grant.Doubtful && !grant.Joining {
+		d.moves.doubted[from] = now
+	}
 	d.take(now, grant.Records)
 	for _, past := range grant.Past {
 		slices.SortFunc(past.set, byName)
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -33,7 +33,6 @@
 	reasonBroken    = "upstream-broken"
 	reasonTruncated = "response-incomplete"
 	reasonUnframed  = "response-unframed"
-	reasonEarlier   = "earlier-attempt"
 )
 
 // failure is the end of an attempt without a response.
