Name headers by a contract; add timeout, attempts, objective and rank of routes

The users' platform has headers of its own, and routes with their own timeouts, attempts, objectives and ranks. The new fields are read and checked, and not yet used by the data path.

--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -75,21 +75,24 @@
 		return c, notRun(reasonRoute)
 	}
 	c.match = match
-	left, err := remaining(r.Header, match.Timeout)
+	left, err := remaining(r.Header.Get(f.Contract.Deadline), match.Timeout)
 	if err != nil {
 		return c, notRun(reasonDeadline)
 	}
 	if left > 0 {
 		c.deadline = now.Add(left)
 	}
-	if level, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderAttempt)); err == nil && level > 1 {
+	if level, err := strconv.Atoi(r.Header.Get(f.Contract.Attempt)); err == nil && level > 1 {
 		c.level = level
 	}
 	c.target = r.URL.RequestURI()
-	c.header = clean(r.Header)
+	c.header = f.clean(r.Header)
+	if f.Contract.Origin != "" {
+		c.header.Set(f.Contract.Origin, f.Service)
+	}
 	c.trailers = announced(r.Trailer)
 	c.trailer = blank(c.trailers)
-	if key := c.header.Get(sycamorerun.HeaderKey); key != "" {
+	if key := c.header.Get(f.Contract.Key); key != "" {
 		c.key = match.Service + "/" + key
 	}
 	return c, nil
@@ -108,8 +111,7 @@
 
 // remaining returns the shorter of timeout and the caller's deadline; zero
 // means no limit.
-func remaining(header http.Header, timeout time.Duration) (time.Duration, error) {
-	text := header.Get(sycamorerun.HeaderDeadline)
+func remaining(text string, timeout time.Duration) (time.Duration, error) {
 	if text == "" {
 		return timeout, nil
 	}
@@ -157,17 +159,24 @@
 }
 
 // request builds the request for the upstream.
-func (c *call) request(now time.Time, n uint32, body io.ReadCloser) (*http.Request, error) {
+func (f *Forwarder) request(now time.Time, c *call, n uint32, body io.ReadCloser) (*http.Request, error) {
 	address, err := url.ParseRequestURI(c.target)
 	if err != nil {
 		return nil, errors.Wrap(err, "target")
 	}
 	address.Scheme, address.Host = "http", "upstream"
 	header := c.header.Clone()
-	header.Set(sycamorerun.HeaderRequest, c.id)
-	header.Set(sycamorerun.HeaderAttempt, strconv.Itoa(int(n)))
+	if f.Contract.Request != "" {
+		header.Set(f.Contract.Request, c.id)
+	}
+	if f.Contract.Attempt != "" {
+		header.Set(f.Contract.Attempt, strconv.Itoa(int(n)))
+	}
+	if f.Contract.Target != "" {
+		header.Set(f.Contract.Target, f.Target())
+	}
 	if !c.deadline.IsZero() {
-		header.Set(sycamorerun.HeaderDeadline, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
+		header.Set(f.Contract.Deadline, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -90,7 +90,7 @@
 	if err := admitted(); err != nil {
 		return nil, notRun(reasonLost)
 	}
-	request, err := c.request(f.Now(), level, body)
+	request, err := f.request(f.Now(), c, level, body)
 	if err != nil {
 		return nil, notRun(reasonRequest)
 	}
@@ -127,8 +127,12 @@
 
 // receive describes the response of the upstream.
 func (f *Forwarder) receive(ctx context.Context, watch *watch, c *call, response *http.Response, finish func(Ending)) (*answer, *failure) {
+	if f.Contract.Unexecuted != "" && (response.Header.Get(f.Contract.Unexecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest) {
+		_ = response.Body.Close()
+		return nil, notRun(reasonRefused)
+	}
 	out := &answer{
-		status: response.StatusCode, header: clean(response.Header),
+		status: response.StatusCode, header: f.clean(response.Header),
 		trailers: announced(response.Trailer), length: response.ContentLength, load: f.Load(),
 	}
 	bodyless := c.method == http.MethodHead || out.status == http.StatusNoContent || out.status == http.StatusNotModified
@@ -154,7 +158,7 @@
 		}
 		return f.settle(out, data, finish), nil
 	default:
-		out.body = &download{response: response, watch: watch, finish: finish}
+		out.body = &download{response: response, clean: f.clean, watch: watch, finish: finish}
 		return out, nil
 	}
 }
@@ -174,6 +178,7 @@
 // download is the body of a large response from the upstream.
 type download struct {
 	response *http.Response
+	clean    func(http.Header) http.Header
 	watch    *watch
 	finish   func(Ending)
 	buffer   []byte
@@ -201,7 +206,7 @@
 }
 
 // Trailer implements source.
-func (d *download) Trailer() http.Header { return clean(d.response.Trailer) }
+func (d *download) Trailer() http.Header { return d.clean(d.response.Trailer) }
 
 // Close implements source.
 func (d *download) Close() {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -53,6 +53,12 @@
 type Forwarder struct {
 	// Self is the name of this node's instance.
 	Self string
+	// Service is the service beside this node, for Contract.Origin.
+	Service string
+	// Contract names the headers.
+	Contract Contract
+	// Target returns the id of the upstream instance beside this node.
+	Target func() string
 	// Match finds the route of a request.
 	Match func(*http.Request) (Match, bool)
 	// Pick chooses the instance for an attempt without a key. Every pick is followed by
@@ -104,7 +110,7 @@
 // New returns a forwarder with defaults for everything but the collaborators.
 func New(self string) *Forwarder {
 	return &Forwarder{
-		Self: self, Now: time.Now, BodyBytes: DefaultBodyBytes,
+		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now, BodyBytes: DefaultBodyBytes,
 		QueryWait: DefaultQueryWait, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
--- a/node/forwarder/header.go
+++ b/node/forwarder/header.go
@@ -18,11 +18,11 @@
 
 // clean returns a copy of header without hop-by-hop headers, the headers that
 // Connection names, and the project's own headers.
-func clean(header http.Header) http.Header {
+func (f *Forwarder) clean(header http.Header) http.Header {
 	named := header["Connection"]
 	kept := make(http.Header, len(header)+4)
 	for name, values := range header {
-		if internal(name) || slices.Contains(hopByHop, name) {
+		if internal(name) && !f.Contract.passed(name) || slices.Contains(hopByHop, name) {
 			continue
 		}
 		kept[name] = values
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -93,9 +93,7 @@
 func (f *Forwarder) fail(w http.ResponseWriter, c *call, failed *failure) {
 	f.record(c, failed.result, failed.reason)
 	header := w.Header()
-	header.Set(sycamorerun.HeaderOutcome, string(failed.result))
-	header.Set(sycamorerun.HeaderReason, failed.reason)
-	header.Set(sycamorerun.HeaderRequest, c.id)
+	f.outcome(header, c, failed.result, failed.reason)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.status() == http.StatusServiceUnavailable {
 		header.Set("Retry-After", "1")
@@ -139,7 +137,7 @@
 		}
 		watch.progress()
 	}
-	for name, values := range clean(out.body.Trailer()) {
+	for name, values := range f.clean(out.body.Trailer()) {
 		w.Header()[name] = values
 	}
 	f.record(c, sycamorerun.Answered, "")
@@ -154,15 +152,22 @@
 	if len(out.trailers) > 0 {
 		header.Set("Trailer", strings.Join(out.trailers, ", "))
 	}
-	header.Set(sycamorerun.HeaderOutcome, string(sycamorerun.Answered))
-	header.Set(sycamorerun.HeaderRequest, c.id)
-	if out.reason != "" {
-		header.Set(sycamorerun.HeaderReason, out.reason)
-	}
+	f.outcome(header, c, sycamorerun.Answered, out.reason)
 	c.closing(header)
 	w.WriteHeader(out.status)
 }
 
+// outcome tells the caller how its call ended, in the headers of the contract.
+func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
+	for _, line := range [...]struct{ name, value string }{
+		{f.Contract.Outcome, string(result)}, {f.Contract.Reason, reason}, {f.Contract.Request, c.id},
+	} {
+		if line.name != "" && line.value != "" {
+			header.Set(line.name, line.value)
+		}
+	}
+}
+
 // closing asks the server to close the connection if the body is not read.
 func (c *call) closing(header http.Header) {
 	if c.unread && (c.stream == nil || !c.stream.ended.Load()) {
--- a/parser/field.go
+++ b/parser/field.go
@@ -174,6 +174,24 @@
 		Object: objectRoute, Name: "split", Type: "list", Unit: "targets", Required: true, Low: 1, High: 16,
 		at: of(func(r *sycamorerun.Route) any { return &r.Split }),
 	},
+	{
+		Object: objectRoute, Name: "timeout", Type: "duration", Default: "0s",
+		Low: 0, High: float64(time.Hour),
+		at: of(func(r *sycamorerun.Route) any { return &r.Timeout }),
+	},
+	{
+		Object: objectRoute, Name: "attempts", Type: "integer", Unit: "upstreams", Default: "0", Low: 0, High: 16,
+		at: of(func(r *sycamorerun.Route) any { return &r.Attempts }),
+	},
+	{
+		Object: objectRoute, Name: "objective", Type: "duration", Default: "0s",
+		Low: 0, High: float64(time.Hour),
+		at: of(func(r *sycamorerun.Route) any { return &r.Objective }),
+	},
+	{
+		Object: objectRoute, Name: "rank", Type: "integer", Unit: "rank", Default: "0", Low: 0, High: 16,
+		at: of(func(r *sycamorerun.Route) any { return &r.Rank }),
+	},
 	{
 		Object: objectTarget, Name: "service", Type: "text", Required: true, Format: nameFormat,
 		at: of(func(t *sycamorerun.Target) any { return &t.Service }),
--- a/route.go
+++ b/route.go
@@ -26,6 +26,17 @@
 	Class   Class             `json:"class"`
 	Repeat  string            `json:"repeat"`
 	Split   []Target          `json:"split"`
+	// Timeout bounds a call on this route; zero means the service's timeout.
+	Timeout Duration `json:"timeout,omitempty"`
+	// Attempts bounds the upstreams that one call is sent to; zero means the
+	// default of the node.
+	Attempts int `json:"attempts,omitempty"`
+	// Objective is the latency within which a response has its full value;
+	// zero means none.
+	Objective Duration `json:"objective,omitempty"`
+	// Rank orders the calls of an upstream's queue, 1 first; zero means the
+	// rank of the class.
+	Rank int `json:"rank,omitempty"`
 }
 
 // Target is one weighted destination of a route.
