Run on the users' platform: a thin path

platform/ translates the platform's store, document, headers, announcements and readiness probe; the runner takes the store, the document, the headers and further handlers from outside. Each node reads the document itself for now.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := $(CURDIR)/bin
-MODULES := . bench ctl node objectstore tools upstream
-CHECKED := . bench ctl node objectstore upstream
+MODULES := . bench ctl node objectstore platform tools upstream
+CHECKED := . bench ctl node objectstore platform upstream
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(CHECKED)))
 PROTOS := $(shell git ls-files '*.proto')
 
--- a/node/distributor/bootstrap.go
+++ b/node/distributor/bootstrap.go
@@ -53,6 +53,15 @@
 // Bootstrap returns once the node has the newest version that the reachable
 // peers and the store report. It keeps trying while neither is reachable.
 func (d *Distributor) Bootstrap(ctx context.Context) error {
+	if d.Document != nil {
+		for d.Held() == 0 {
+			if !sleep(ctx, 20*time.Millisecond) {
+				return ctx.Err()
+			}
+		}
+		d.ready.Store(true)
+		return nil
+	}
 	started := time.Now()
 	jitter := 1 + d.Random()
 	for failures := 1; ; failures++ {
--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -50,6 +50,8 @@
 	// StandbyDelay is how long the standby waits for the primary's push.
 	StandbyDelay time.Duration
 	Store        persister.Store
+	// Document is the source of versions when it is set, and otherwise the log.
+	Document *Document
 	// Current returns the tree in force and its hash.
 	Current func() (sycamorerun.Tree, sycamorerun.Hash)
 	// Apply and Install put a version in force or return why they did not.
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -47,7 +47,7 @@
 // node would read the whole log.
 func (d *Distributor) watchRole(plan planner.Plan) planner.Watch {
 	switch {
-	case d.Mode == Poll:
+	case d.Mode == Poll || d.Document != nil:
 		return planner.Primary
 	case len(plan.Links) == 0 && !d.Ready():
 		return planner.None
@@ -70,7 +70,13 @@
 			}
 			continue
 		}
-		err := d.follow(following, role, func() { failures = 0 })
+		worked := func() { failures = 0 }
+		var err error
+		if d.Document != nil {
+			err = d.followDocument(following, worked)
+		} else {
+			err = d.follow(following, role, worked)
+		}
 		if following.Err() != nil {
 			continue
 		}
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -118,10 +118,18 @@
 
 // Announcement is what the upstream beside the node says about itself.
 type Announcement struct {
+	// ID names the upstream process, or is empty.
+	ID      string
 	Service string
 	Address netip.AddrPort
 	State   sycamorerun.State
 	Slots   int
+	// Warmup is how long the upstream stays slow after its start.
+	Warmup time.Duration
+	// Sequence orders the announcements of a process, and Boot the processes
+	// with one id; zero means unknown.
+	Sequence uint64
+	Boot     int64
 }
 
 // Manager implements the services of the API. Set the fields before Handler.
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -53,6 +53,8 @@
 	f.BodyBytes = int64(settings.MaxBody)
 	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
+	f.Service = settings.Service
+	f.Target = c.upstream.id
 	f.Match = func(request *http.Request) (forwarder.Match, bool) { return match(current().Table, request) }
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -41,8 +41,12 @@
 	logger   log.Logger
 	scope    tally.Scope
 	store    persister.Store
-	phase    atomic.Value
-	parsing  sync.Mutex
+	// document is nil when the configuration is the log in the store.
+	document   *distributor.Document
+	handlersBy map[netip.AddrPort]func(API) http.Handler
+	metrics    http.Handler
+	phase      atomic.Value
+	parsing    sync.Mutex
 	// reporting is set reportDelay after the node became ready.
 	reporting atomic.Bool
 
@@ -62,7 +66,8 @@
 }
 
 // newNode wires a node that starts at now.
-func newNode(now time.Time, settings Settings, logger log.Logger, scope tally.Scope, metrics http.Handler) (*node, error) {
+func newNode(now time.Time, r *Runner, logger log.Logger, scope tally.Scope, metrics http.Handler) (*node, error) {
+	settings := r.settings
 	security, err := loadTLS(settings)
 	if err != nil {
 		return nil, err
@@ -78,12 +83,19 @@
 			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
 			State: sycamorerun.StateNone, Since: now,
 		},
-		store: persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
+		store:    persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
+		document: r.Document, handlersBy: r.Handlers, metrics: metrics,
+	}
+	if r.Store != nil {
+		n.store = *r.Store
 	}
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
+	if r.Contract != nil {
+		n.calls.forwarder.Contract = *r.Contract
+	}
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
@@ -126,6 +138,7 @@
 	d.Mode = distributor.Mode(n.settings.Mode)
 	d.StandbyDelay = n.settings.StandbyDelay
 	d.Store = n.store
+	d.Document = n.document
 	d.Current = n.current
 	d.Apply, d.Install = n.apply, n.applier.Install
 	d.Plan = n.fleet.plan
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -15,7 +16,10 @@
 	"sycamorerun"
 	"sycamorerun/logger"
 	"sycamorerun/meter"
+	"sycamorerun/node/distributor"
+	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
+	"sycamorerun/persister"
 )
 
 const (
@@ -31,8 +35,19 @@
 	closeTimeout = 5 * time.Second
 )
 
-// Runner runs one node.
+// Runner runs one node. The exported fields are set before Run; their zero
+// values select the product's own store, log and headers.
 type Runner struct {
+	// Store replaces the client of the object store.
+	Store *persister.Store
+	// Document is the source of a configuration that the operators write as one
+	// document in the store.
+	Document *distributor.Document
+	// Contract names the headers of calls.
+	Contract *forwarder.Contract
+	// Handlers serve further addresses.
+	Handlers map[netip.AddrPort]func(API) http.Handler
+
 	settings Settings
 	logs     io.Writer
 }
@@ -49,7 +64,7 @@
 	events := logger.New(r.logs, s.LogLevel, "node", s.Name, "zone", s.AvailabilityZone)
 	scope, metrics, closer := meter.New(map[string]string{"node": s.Name, "zone": s.AvailabilityZone, "region": s.Region})
 	defer closer.Close()
-	n, err := newNode(now, s, events, scope, metrics)
+	n, err := newNode(now, r, events, scope, metrics)
 	if err != nil {
 		return err
 	}
@@ -86,6 +101,11 @@
 	start("keys", n.keys.Run)
 	start("operators", serve(operators))
 	start("callers", serve(callers))
+	for address, handler := range n.handlersBy {
+		start("handler", serve(&http.Server{
+			Addr: address.String(), Handler: handler(n.api()), ReadHeaderTimeout: headerTimeout,
+		}))
+	}
 	start("bootstrap", n.bootstrap)
 	level.Info(n.logger).Log("msg", "node started", "callers", n.settings.Callers, "peers", n.settings.Peers, "operators", n.settings.Operators)
 
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -112,7 +113,7 @@
 		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
 		Insecure: true, Mode: "tree", KeyWindow: time.Minute, DrainDelay: time.Second, DrainTimeout: 10 * time.Second,
 	}
-	n, err := newNode(time.Now(), settings, log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
+	n, err := newNode(time.Now(), New(settings, io.Discard), log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
 	is.NoErr(err)
 	n.phase.Store(manager.PhaseReady)
 	ready := manager.Announcement{Service: "s", Address: free(t), State: sycamorerun.StateReady, Slots: 1}
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -12,6 +12,8 @@
 	Name             string
 	AvailabilityZone string
 	Region           string
+	// Service is the service of the upstream here, for Contract.Origin.
+	Service string
 
 	Callers   netip.AddrPort
 	Peers     netip.AddrPort
@@ -46,6 +48,7 @@
 	loader.Add(l, &s.Name, "name", "", loader.Name(), "name of the instance, unique in the fleet")
 	loader.Add(l, &s.AvailabilityZone, "availability-zone", "", loader.Name(), "availability zone of the instance")
 	loader.Add(l, &s.Region, "region", "", loader.Name(), "region of the availability zone")
+	loader.Add(l, &s.Service, "service", "", loader.Text("a name, or nothing"), "service beside which this node runs, as calls that enter here name it")
 	loader.Add(l, &s.Callers, "callers", "127.0.0.1:8080", loader.Address(), "address for callers")
 	loader.Add(l, &s.Peers, "peers", "127.0.0.1:7060", loader.Address(), "address for peers, as they reach it")
 	loader.Add(l, &s.Listen, "listen-peers", "", loader.OptionalAddress(), "address to listen on for peers, when it is not the one that they reach")
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -69,6 +69,13 @@
 	return u.announcement, u.announcement.Service != ""
 }
 
+// id returns the id of the upstream, empty before the first announcement.
+func (u *localUpstream) id() string {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.announcement.ID
+}
+
 // callerServer returns the HTTP server for callers, over HTTP/1.1 or HTTP/2
 // without TLS.
 func callerServer(address netip.AddrPort, server *http.Server, wrap func(http.Handler) http.Handler) *http.Server {
