--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -126,7 +126,7 @@
 		e.mutex.Unlock()
 		e.Records.Meet(e.Now(), e.askAll(ctx, strangers, e.take(term, e.view(nil), true)))
 		left := len(e.Records.Strangers())
-		e.metrics().strangers.Inc(int64(len(strangers) - left))
+		e.metrics().strangers.Inc(met(len(strangers), left))
 		_ = level.Info(e.Logger).Log("msg", "members met", "strangers", len(strangers), "left", left)
 		if left > 0 {
 			pause(ctx, meetWait)
@@ -134,6 +134,10 @@
 	}
 }
 
+// met returns how many of the strangers asked are strangers no more. Others may
+// have come meanwhile, and a counter that decreased would stop the process.
+func met(asked, left int) int64 { return int64(max(0, asked-left)) }
+
 // take returns the request for the keys that this process owns among view.
 func (e *Exchanger) take(term uint64, view []Member, executing bool) *Take {
 	return &Take{
