Give matches the timeout, attempts, objective and rank of their route

A prefix that ends with a slash now matches only paths below it or equal to it: /a/ no longer matches /a. Explanations show the attributes.

--- a/node/router/compile.go
+++ b/node/router/compile.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"sycamorerun"
 )
@@ -24,6 +25,10 @@
 	CodeInvalidRepeat    = "invalid-repeat"
 )
 
+// ranks are those of routes that name none. The distances leave room for
+// routes between the classes.
+var ranks = map[sycamorerun.Class]int{sycamorerun.Interactive: 4, sycamorerun.Bulk: 8, sycamorerun.Background: 12}
+
 // maxWeight keeps the sum of a split's weights far from overflow.
 const maxWeight = 1 << 20
 
@@ -131,6 +136,12 @@
 		methods: source.Methods,
 		class:   c.class(path, source.Class),
 		repeat:  c.repeat(path, source.Repeat),
+
+		timeout: time.Duration(source.Timeout), objective: time.Duration(source.Objective), attempts: source.Attempts,
+		rank: source.Rank,
+	}
+	if compiled.rank == 0 {
+		compiled.rank = ranks[compiled.class]
 	}
 	for _, name := range slices.Sorted(maps.Keys(source.Headers)) {
 		compiled.headers = append(compiled.headers, header{http.CanonicalHeaderKey(name), source.Headers[name]})
@@ -151,10 +162,11 @@
 		c.fault(path, CodeInvalidPrefix, "prefix %q does not begin with /", prefix)
 		return ""
 	}
-	if cleanPath(prefix) != strings.TrimSuffix(prefix, "/") && prefix != "/" {
+	cleaned := cleanPath(prefix)
+	if cleaned != prefix && prefix != "/" {
 		c.fault(path, CodeInvalidPrefix, "prefix %q has an empty or a dot segment", prefix)
 	}
-	return strings.TrimSuffix(prefix, "/")
+	return cleaned
 }
 
 // hosts returns the distinct index keys of a route's hosts; a route without
--- a/node/router/explain.go
+++ b/node/router/explain.go
@@ -24,6 +24,18 @@
 	Elsewhere int
 }
 
+// Attributes describes how the chosen route's calls are handled, as one line.
+func (e Explanation) Attributes() string {
+	text := fmt.Sprintf("rank %d, timeout %s", e.Match.Rank, e.Match.Timeout)
+	if e.Match.Objective > 0 {
+		text += fmt.Sprintf(", objective %s", e.Match.Objective)
+	}
+	if e.Match.Attempts > 0 {
+		text += fmt.Sprintf(", at most %d attempts", e.Match.Attempts)
+	}
+	return text
+}
+
 // Step is the comparison with one route.
 type Step struct {
 	Route sycamorerun.Path
@@ -62,7 +74,7 @@
 			}
 		}
 		for _, prefix := range slices.Sorted(maps.Keys(group.prefixes)) {
-			if target == prefix || strings.HasPrefix(target, prefix+"/") {
+			if covers(prefix, target) {
 				continue
 			}
 			for _, route := range group.prefixes[prefix] {
--- a/node/router/table.go
+++ b/node/router/table.go
@@ -3,11 +3,13 @@
 package router
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"path"
 	"slices"
 	"strings"
+	"time"
 
 	"sycamorerun"
 )
@@ -41,6 +43,11 @@
 	repeat  string
 	split   []share
 	total   uint64
+
+	timeout   time.Duration
+	objective time.Duration
+	attempts  int
+	rank      int
 }
 
 type header struct{ name, value string }
@@ -72,6 +79,16 @@
 	Settings   sycamorerun.Service
 	Class      sycamorerun.Class
 	Repeatable bool
+	// Timeout bounds the whole call: the route's, or else the service's.
+	Timeout time.Duration
+	// Attempts bounds the upstreams that the call is sent to; zero means the
+	// node's default.
+	Attempts int
+	// Objective is the latency within which a response has its full value; zero
+	// means none.
+	Objective time.Duration
+	// Rank orders the calls of a queue, 1 first.
+	Rank int
 }
 
 // Version returns the version of the tree that the table was compiled from.
@@ -117,6 +134,10 @@
 		Settings:   share.settings,
 		Class:      route.class,
 		Repeatable: route.repeatable(request.Method),
+		Timeout:    cmp.Or(route.timeout, time.Duration(share.settings.Timeout)),
+		Attempts:   route.attempts,
+		Objective:  route.objective,
+		Rank:       route.rank,
 	}
 }
 
@@ -191,16 +212,26 @@
 	}
 }
 
-// prefixes yields target and its parents on segment boundaries, ending with
-// the empty prefix.
+// prefixes yields target and its parents on segment boundaries, with and
+// without their final slash, the longest first and the empty prefix last.
 func prefixes(target string) func(yield func(string) bool) {
 	return func(yield func(string) bool) {
 		for yield(target) && target != "" {
-			target = target[:strings.LastIndexByte(target, '/')]
+			if parent, ok := strings.CutSuffix(target, "/"); ok {
+				target = parent
+			} else {
+				target = target[:strings.LastIndexByte(target, '/')+1]
+			}
 		}
 	}
 }
 
+// covers reports whether prefixes(target) has prefix.
+func covers(prefix, target string) bool {
+	rest, ok := strings.CutPrefix(target, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
+
 func cleanHost(host string) string {
 	if strings.Contains(host, ":") {
 		if name, _, err := net.SplitHostPort(host); err == nil {
@@ -211,14 +242,20 @@
 }
 
 // cleanPath resolves dot and empty segments, so that a path such as
-// /quotes/../admin is not matched as one below /quotes, and drops the final
-// slash. The root is the empty string.
+// /quotes/../admin is not matched as one below /quotes. A final slash stays. The
+// root is the empty string.
 func cleanPath(target string) string {
 	if target == "" || target == "/" || target[0] != '/' {
 		return ""
 	}
 	if strings.Contains(target, "//") || strings.Contains(target, "/.") {
-		target = path.Clean(target)
+		final := strings.HasSuffix(target, "/")
+		if target = path.Clean(target); target == "/" {
+			return ""
+		}
+		if final {
+			target += "/"
+		}
 	}
-	return strings.TrimSuffix(target, "/")
+	return target
 }
