--- a/loader/kind.go
+++ b/loader/kind.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// Float allows numbers between least and most.
+func Float(least, most float64) Kind[float64] {
+	return Kind[float64]{
+		Allowed: fmt.Sprintf("%v to %v", least, most),
+		Parse: func(text string) (float64, error) {
+			value, err := strconv.ParseFloat(text, 64)
+			if err != nil || !(value >= least && value <= most) {
+				return 0, errNotAllowed
+			}
+			return value, nil
+		},
+	}
+}
+
 // Bool allows true and false.
 func Bool() Kind[bool] {
 	return Kind[bool]{Allowed: "true, false", Parse: strconv.ParseBool}
--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -16,6 +16,8 @@
 	Service string
 	// Tried names instances that are not to be picked.
 	Tried []string
+	// Rank is the call's, 1 first.
+	Rank int
 }
 
 // Load is the work that the node beside an upstream reported.
@@ -35,6 +37,10 @@
 	Status int
 	// Load is nil when the attempt brought no report.
 	Load *Load
+	// After is the time after which the instance expects capacity for calls of
+	// Rank; zero means unknown.
+	After time.Duration
+	Rank  int
 }
 
 // Chance is the share of the next calls that an instance would get.
@@ -88,7 +94,7 @@
 	if b.RoundRobin {
 		return b.next(instances, query.Tried)
 	}
-	tiers := b.tiers(now, instances, query.Tried, warmup)
+	tiers := b.tiers(now, instances, query, warmup)
 	tier := tiers.choose(b.Random())
 	if tier == nil {
 		return sycamorerun.Instance{}, false
@@ -124,12 +130,12 @@
 	warmup := b.Warmup(query.Service)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	sorted := b.tiers(now, instances, query.Tried, warmup)
+	sorted := b.tiers(now, instances, query, warmup)
 	return sorted.chances()
 }
 
 // tiers sorts the usable instances by nearness.
-func (b *Balancer) tiers(now time.Time, instances []sycamorerun.Instance, tried []string, warmup time.Duration) tiers {
+func (b *Balancer) tiers(now time.Time, instances []sycamorerun.Instance, query Query, warmup time.Duration) tiers {
 	var all []candidate
 	for _, instance := range instances {
 		if !instance.Serving() {
@@ -141,12 +147,22 @@
 	}
 	eject(now, all)
 	sorted := tiers{all: all}
+	var full []*candidate
 	for at := range all {
 		c := &all[at]
-		if c.ejected || now.Before(c.stats.avoided) || slices.Contains(tried, c.instance.Name) {
-			continue
+		switch {
+		case c.ejected || now.Before(c.stats.avoided) || slices.Contains(query.Tried, c.instance.Name):
+		case c.stats.full(now, query.Rank):
+			full = append(full, c)
+		default:
+			sorted.sets[c.tier].add(c)
+		}
+	}
+	if len(sorted.sets[0].candidates)+len(sorted.sets[1].candidates)+len(sorted.sets[2].candidates) == 0 {
+		// An instance knows better than this node whether it is still full.
+		for _, c := range full {
+			sorted.sets[c.tier].add(c)
 		}
-		sorted.sets[c.tier].add(c)
 	}
 	for at := range sorted.sets {
 		sorted.sets[at].measure(now, warmup)
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -220,6 +220,65 @@
 	}
 }
 
+// Guards against picks of an instance that has just refused or can't be reached,
+// against ones that avoid it for too long, and against a service without any.
+func TestAvoided(t *testing.T) {
+	const ms = time.Millisecond
+	refused := func(reason string, after time.Duration, rank int) Observation {
+		return Observation{Result: sycamorerun.NotRun, Reason: reason, After: after, Rank: rank}
+	}
+	cases := map[string]struct {
+		observation Observation
+		times       int
+		rank        int
+		gone, back  time.Duration
+	}{
+		"full":                 {refused("queue-full", 200*ms, 4), 1, 4, 199 * ms, 200 * ms},
+		"busy":                 {refused("busy", 200*ms, 4), 1, 8, 199 * ms, 200 * ms},
+		"full, time unknown":   {refused("queue-full", 0, 4), 1, 4, 49 * ms, 50 * ms},
+		"full for too long":    {refused("queue-full", time.Hour, 4), 1, 4, 999 * ms, time.Second},
+		"full for later ranks": {refused("queue-full", 200*ms, 8), 1, 4, -1, 0},
+		"draining":             {refused("draining", 0, 0), 1, 4, 4 * time.Second, 5 * time.Second},
+		"no upstream":          {refused("no-upstream", 0, 0), 1, 4, 4 * time.Second, 5 * time.Second},
+		"peer not reached":     {refused("peer-unreachable", 0, 0), 1, 4, 999 * ms, time.Second},
+		"upstream not reached": {refused("upstream-unreachable", 0, 0), 1, 4, 999 * ms, time.Second},
+		"not reached again":    {refused("peer-unreachable", 0, 0), 2, 4, 1999 * ms, 2 * time.Second},
+		"not reached for long": {refused("peer-unreachable", 0, 0), 20, 4, 4999 * ms, 5 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBalancer(group("r1", "z1", 4))
+			c.observation.Instance = "r1z10"
+			now := start
+			for n := range c.times {
+				if n > 0 {
+					now = now.Add(connectMax)
+				}
+				b.Observe(now, c.observation)
+			}
+			share := func(at time.Duration) float64 {
+				for _, chance := range b.Chances(now.Add(at), Query{Service: "s", Rank: c.rank}) {
+					if chance.Instance == "r1z10" {
+						return chance.Share
+					}
+				}
+				return -1
+			}
+			if c.gone >= 0 {
+				is.Equal(share(0), 0.0)
+				is.Equal(share(c.gone), 0.0)
+			}
+			is.True(share(c.back) > 0)
+		})
+	}
+	is := is.New(t)
+	b := newBalancer(group("r1", "z1", 1))
+	b.Observe(start, Observation{Instance: "r1z10", Result: sycamorerun.NotRun, Reason: "queue-full", After: time.Second})
+	_, ok := b.Pick(start, Query{Service: "s", Rank: 4})
+	is.True(ok)
+}
+
 // Guards a cold upstream against its full share, and leaving ones against calls.
 func TestStates(t *testing.T) {
 	is := is.New(t)
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"net/http"
 	"time"
@@ -26,6 +27,15 @@
 	// ejectBase and ejectMax bound an ejection, which doubles each time.
 	ejectBase = 5 * time.Second
 	ejectMax  = time.Minute
+	// connectBase and connectMax bound the ejection of an instance that can't be
+	// reached. One failure is enough, since each costs a call its time to connect,
+	// and it is short, since an address answers again soon after a restart.
+	connectBase = time.Second
+	connectMax  = 5 * time.Second
+	// fullMax bounds the time for which an instance is avoided by its word.
+	// Without one, it is avoided for fullUnknown.
+	fullMax     = time.Second
+	fullUnknown = 50 * time.Millisecond
 	// avoidTime is the time for which a draining instance is not picked. Its
 	// record reaches this node within it.
 	avoidTime = 5 * time.Second
@@ -35,8 +45,9 @@
 var (
 	// An idle call that did not run waited for a slot for too long, or its peer
 	// answered the query about it.
-	overloads = map[string]bool{"queue-full": true, "shed": true, "deadline": true, "idle": true}
-	drainings = map[string]bool{"draining": true}
+	overloads    = map[string]bool{"queue-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
+	unreachables = map[string]bool{"peer-unreachable": true, "upstream-unreachable": true}
+	drainings    = map[string]bool{"draining": true, "no-upstream": true}
 	// neutrals are the ends of calls that their callers or the configuration
 	// brought about.
 	neutrals = map[string]bool{"canceled": true, "body-too-large": true, "body-incomplete": true, "refused": true}
@@ -57,6 +68,19 @@
 	judged    time.Time // of the newest outcome
 	ejected   time.Time
 	avoided   time.Time
+	// unreached counts the failures to connect without an outcome in between.
+	// Until unreachable the instance counts as ejected. It returns without a slow
+	// start: nothing says that it is slow.
+	unreached   int
+	unreachable time.Time
+	// fullUntil is when the instance expects capacity for calls of fullRank.
+	fullUntil time.Time
+	fullRank  int
+}
+
+// full reports whether the instance has said that it takes no call of rank yet.
+func (s *stats) full(now time.Time, rank int) bool {
+	return now.Before(s.fullUntil) && rank >= s.fullRank
 }
 
 func (s *stats) observe(now time.Time, observation Observation) {
@@ -71,7 +95,11 @@
 		s.avoided = now.Add(avoidTime)
 	case observation.Result == sycamorerun.NotRun && overloads[observation.Reason]:
 		s.overloaded(now)
+		s.fullUntil, s.fullRank = now.Add(min(cmp.Or(observation.After, fullUnknown), fullMax)), observation.Rank
+	case observation.Result == sycamorerun.NotRun && unreachables[observation.Reason]:
+		s.notReached(now)
 	default:
+		s.unreached = 0
 		s.outcome(now, failed(observation))
 	}
 }
@@ -90,6 +118,23 @@
 	s.reported, s.ownAt = now, s.inFlight
 }
 
+// notReached ejects an instance that could not be connected to.
+func (s *stats) notReached(now time.Time) {
+	if now.Before(s.unreachable) {
+		return // a call that was under way when the instance was ejected
+	}
+	s.unreachable = now.Add(min(connectBase<<min(s.unreached, 10), connectMax))
+	s.unreached++
+}
+
+// out returns until when the instance is ejected.
+func (s *stats) out() time.Time {
+	if s.unreachable.After(s.ejected) {
+		return s.unreachable
+	}
+	return s.ejected
+}
+
 func (s *stats) outcome(now time.Time, failed bool) {
 	s.rate = s.failing(now)
 	s.judged = now
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -48,13 +48,13 @@
 func eject(now time.Time, all []candidate) {
 	var out []*candidate
 	for at := range all {
-		if now.Before(all[at].stats.ejected) {
+		if now.Before(all[at].stats.out()) {
 			out = append(out, &all[at])
 		}
 	}
 	// The longest ejections belong to the instances that failed most often.
 	slices.SortStableFunc(out, func(a, b *candidate) int {
-		return cmp.Or(b.stats.ejected.Compare(a.stats.ejected), cmp.Compare(a.instance.Name, b.instance.Name))
+		return cmp.Or(b.stats.out().Compare(a.stats.out()), cmp.Compare(a.instance.Name, b.instance.Name))
 	})
 	for _, c := range out[:min(len(out), len(all)/2)] {
 		c.ejected = true
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -13,6 +13,7 @@
 func (f *Forwarder) attempts(ctx context.Context, watch *watch, c *call) (*answer, *failure) {
 	var tried []string
 	var last *failure
+	sends := 0
 	for n := 1; ; n++ {
 		now := f.Now()
 		to, ok := f.choose(now, c, tried)
@@ -23,7 +24,7 @@
 			return nil, last
 		}
 		limited, cancel := watch.attempt(ctx, c)
-		out, failed := f.attempt(limited, watch, c, to, n)
+		out, failed := f.attempt(limited, watch, c, to, tried, n)
 		if failed == nil {
 			// The context ends with the call, after the body.
 			if c.key == "" {
@@ -36,10 +37,14 @@
 			f.Observe(f.Now(), Observation{
 				Instance: to.Name, Service: c.match.Service, Result: failed.result,
 				Reason: failed.reason, Head: f.Now().Sub(now), Load: failed.load,
+				After: failed.after, Rank: c.match.Rank,
 			})
 		}
 		last = merge(last, failed)
-		delay, again := f.again(c, n, failed)
+		if failed.sent {
+			sends++
+		}
+		delay, again := f.again(c, n, sends, failed)
 		if !again || sleep(ctx, delay) != nil {
 			return nil, last
 		}
@@ -53,12 +58,16 @@
 	if c.key != "" {
 		return f.Owner(c.match.Service, c.key)
 	}
-	return f.Pick(now, Query{Service: c.match.Service, Tried: tried})
+	return f.Pick(now, Query{Service: c.match.Service, Tried: tried, Rank: c.match.Rank})
 }
 
 // merge returns the failure of the whole call: once an attempt may have run,
-// no later attempt makes the call not run.
+// no later attempt makes the call not run. It expects capacity when the first of
+// the instances does.
 func merge(last, failed *failure) *failure {
+	if last != nil && last.after > 0 && (failed.after == 0 || last.after < failed.after) {
+		failed.after = last.after
+	}
 	if last != nil && last.result == sycamorerun.Unknown && failed.result == sycamorerun.NotRun {
 		return last
 	}
@@ -66,7 +75,7 @@
 }
 
 // again asks whether the call may be sent again.
-func (f *Forwarder) again(c *call, n int, failed *failure) (time.Duration, bool) {
+func (f *Forwarder) again(c *call, n, sends int, failed *failure) (time.Duration, bool) {
 	if failed.fault() || failed.reason == reasonCanceled {
 		return 0, false
 	}
@@ -74,10 +83,17 @@
 	if failed.reason == reasonMoved && !consumed && n <= len(moveDelays) {
 		return moveDelays[n-1]/2 + rand.N(moveDelays[n-1]/2), true
 	}
-	return f.Allow(f.Now(), Attempt{
-		Service: c.match.Service, Number: n, Level: c.level, Result: failed.result,
-		Reason: failed.reason, Repeatable: c.match.Repeatable, Consumed: consumed,
-	})
+	now := f.Now()
+	attempt := Attempt{
+		Service: c.match.Service, Number: n, Sends: sends, Sent: failed.sent, Limit: c.match.Attempts, Level: c.level,
+		Result: failed.result, Reason: failed.reason, Repeatable: c.match.Repeatable, Consumed: consumed,
+	}
+	if !c.deadline.IsZero() {
+		if attempt.Left = c.deadline.Sub(now); attempt.Left <= 0 {
+			return 0, false
+		}
+	}
+	return f.Allow(now, attempt)
 }
 
 // moveDelays are the pauses after which a call whose key has changed hands is
@@ -90,7 +106,7 @@
 }
 
 // attempt sends the call to one instance.
-func (f *Forwarder) attempt(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, n int) (*answer, *failure) {
+func (f *Forwarder) attempt(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, tried []string, n int) (*answer, *failure) {
 	if ctx.Err() != nil {
 		return nil, notRun(ended(ctx, ""))
 	}
@@ -98,7 +114,7 @@
 	if to.Name == f.Self {
 		return f.execute(ctx, watch, c, c.identity(n), c.source(), level, func() error { return nil })
 	}
-	return f.remote(ctx, watch, c, to, n, level)
+	return f.remote(ctx, watch, c, to, tried, n, level)
 }
 
 // source returns the body for the upstream beside this node.
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -40,8 +40,21 @@
 	key      string
 	print    uint64
 	deadline time.Time
-	// began is when the call entered at this node.
-	began time.Time
+	// began is when the call entered at this node, arrived when it entered the
+	// fleet.
+	began   time.Time
+	arrived time.Time
+	// reply is the time that is left to tell a peer that the call got no slot.
+	reply time.Duration
+}
+
+// want describes the call for the queue.
+func (c *call) want() Want {
+	want := Want{Rank: c.match.Rank, Objective: c.match.Objective, Arrived: c.arrived, Nested: c.match.Nested}
+	if !c.deadline.IsZero() {
+		want.Deadline = c.deadline.Add(-c.reply)
+	}
+	return want
 }
 
 // claim names the attempt with the given id for the deduplicator.
@@ -57,7 +70,7 @@
 
 // parse checks a caller's request and describes it as a call, without its body.
 func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
-	c := &call{id: uuid.NewString(), began: now, level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
+	c := &call{id: uuid.NewString(), began: now, arrived: now, level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
 	if r.Method == http.MethodConnect || r.URL.Path == "" {
 		return c, notRun(reasonRequest)
 	}
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -30,13 +30,13 @@
 // execute sends a call to the upstream beside this node. admitted is called
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watch *watch, c *call, id string, body io.ReadCloser, level uint32, admitted func() error) (*answer, *failure) {
-	release, reason := f.Acquire(ctx, f.Now(), c.match.Class, c.deadline)
-	if reason == reasonCanceled {
+	release, rejection := f.Acquire(ctx, f.Now(), c.want())
+	if rejection.Reason == reasonCanceled {
 		// The limiter does not know why the call ended in the queue.
-		reason = ended(ctx, reason)
+		rejection.Reason = ended(ctx, rejection.Reason)
 	}
-	if reason != "" {
-		return nil, notRun(reason)
+	if rejection.Reason != "" {
+		return nil, &failure{result: sycamorerun.NotRun, reason: rejection.Reason, after: rejection.After}
 	}
 	watch.progress()
 	claim := c.claim(id)
@@ -53,6 +53,8 @@
 	}
 	out, failed := f.start(ctx, watch, c, body, level, admitted, finish)
 	if failed != nil {
+		// An upstream has rejected a call with this reason.
+		failed.sent = failed.sent || failed.reason == reasonRefused
 		finish(Ending{Result: failed.result})
 	}
 	return out, failed
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -72,9 +72,11 @@
 	// whether and when a failed attempt may be repeated.
 	Call  func(now time.Time, service string)
 	Allow func(now time.Time, attempt Attempt) (time.Duration, bool)
-	// Acquire waits for a slot at the upstream beside this node; the reason is
-	// empty when the call is admitted.
-	Acquire func(ctx context.Context, now time.Time, class sycamorerun.Class, deadline time.Time) (release func(), reason string)
+	// Others reports whether the service has an instance beside those named.
+	Others func(service string, than []string) bool
+	// Acquire waits for a slot at the upstream beside this node; the rejection
+	// is zero when the call is admitted.
+	Acquire func(ctx context.Context, now time.Time, want Want) (release func(), rejection Rejection)
 	// Load describes the work at the upstream beside this node.
 	Load func() *Load
 	// Begin claims the execution of a call, Finish records its end, Refuse
--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -123,6 +123,7 @@
 // cancel tells the other side that the call is no longer awaited, if the
 // stream takes the frame at once, and closes the stream, which means the same.
 func (l *link) cancel(now time.Time) {
+	_ = l.conn.SetReadDeadline(now) // whoever waits for a response waits no longer
 	_ = l.conn.SetWriteDeadline(now.Add(cancelWait))
 	if l.mutex.TryLock() {
 		_, _ = encoder.Write(l.conn, &Frame{Kind: &Frame_Cancel{Cancel: &Cancel{}}})
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"time"
 
 	"sycamorerun"
 )
@@ -40,10 +42,39 @@
 	result sycamorerun.Result
 	reason string
 	load   *Load
+	// sent says that the call may have reached an upstream, also if that has
+	// rejected it.
+	sent bool
+	// after is the time after which capacity is expected; zero means unknown.
+	after time.Duration
 }
 
-func notRun(reason string) *failure  { return &failure{result: sycamorerun.NotRun, reason: reason} }
-func unknown(reason string) *failure { return &failure{result: sycamorerun.Unknown, reason: reason} }
+func notRun(reason string) *failure { return &failure{result: sycamorerun.NotRun, reason: reason} }
+func unknown(reason string) *failure {
+	return &failure{result: sycamorerun.Unknown, reason: reason, sent: true}
+}
+
+const (
+	// retryLeast is the least time that a caller is told to wait. Slots become
+	// free within it, and a caller that returns faster costs more than it gains.
+	retryLeast = 50 * time.Millisecond
+	// retryUnknown is told when nothing is known of the capacity, for example
+	// when there is no upstream: news of one takes about this long to arrive.
+	retryUnknown = 250 * time.Millisecond
+	// retryJitter spreads the callers that were refused together.
+	retryJitter = 0.2
+)
+
+// retryAfter returns the value of the header Retry-After, in seconds with
+// fractions. The random number is in [0, 1).
+func (f *failure) retryAfter(random float64) string {
+	after := f.after
+	if after <= 0 {
+		after = retryUnknown
+	}
+	seconds := max(after, retryLeast).Seconds() * (1 + retryJitter*(2*random-1))
+	return strconv.FormatFloat(max(seconds, retryLeast.Seconds()), 'f', 3, 64)
+}
 
 // faults are the statuses of requests that are themselves at fault.
 var faults = map[string]int{
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,7 @@
 // remote sends the call to the node beside another upstream. A parked stream
 // may have been lost without notice. If the peer has not seen the call, that
 // does not count as an attempt.
-func (f *Forwarder) remote(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, n int, level uint32) (*answer, *failure) {
+func (f *Forwarder) remote(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, tried []string, n int, level uint32) (*answer, *failure) {
 	id := c.identity(n)
 	if peer := f.pool.take(f.Now(), to.Address); peer != nil {
 		out, failed := f.through(ctx, watch, c, to, peer, id, level)
@@ -24,13 +25,50 @@
 		}
 		id += "+"
 	}
-	conn, err := f.Open(ctx, to.Address, KindCall)
+	conn, err := f.open(ctx, c, to, tried)
 	if err != nil {
 		return nil, notRun(ended(ctx, reasonPeer))
 	}
 	return f.through(ctx, watch, c, to, &link{conn: conn}, id, level)
 }
 
+// openTime bounds the opening of a stream when the call can go to another
+// instance. The largest round trip between regions is about 40 ms, and a session
+// takes few of them; a packet that is lost on the way costs a second.
+const openTime = 250 * time.Millisecond
+
+// open opens a stream for a call. Nothing is sent before that, so a call that
+// waits for too long goes elsewhere, whether it may be repeated or not.
+func (f *Forwarder) open(ctx context.Context, c *call, to sycamorerun.Instance, tried []string) (net.Conn, error) {
+	if c.key == "" && f.Others(c.match.Service, append(tried[:len(tried):len(tried)], to.Name)) {
+		limited, cancel := context.WithTimeout(ctx, openTime)
+		defer cancel()
+		ctx = limited
+	}
+	type opened struct {
+		conn net.Conn
+		err  error
+	}
+	// A session whose connection takes no bytes blocks the opening of a stream,
+	// whatever ctx says.
+	result := make(chan opened, 1)
+	go func() {
+		conn, err := f.Open(ctx, to.Address, KindCall)
+		result <- opened{conn, err}
+	}()
+	select {
+	case o := <-result:
+		return o.conn, o.err
+	case <-ctx.Done():
+		go func() {
+			if o := <-result; o.err == nil {
+				_ = o.conn.Close()
+			}
+		}()
+		return nil, context.Cause(ctx)
+	}
+}
+
 // through sends the call over a stream.
 func (f *Forwarder) through(ctx context.Context, watch *watch, c *call, to sycamorerun.Instance, peer *link, id string, level uint32) (*answer, *failure) {
 	began := f.Now()
@@ -40,7 +78,11 @@
 		park: func() { f.pool.give(f.Now(), to.Address, peer) },
 	}
 	out, failed := f.exchange(body, c, id, level)
-	if failed != nil {
+	if failed != nil && ctx.Err() != nil {
+		// Closing a stream can take long when the peer is silent, and the caller is
+		// answered at once.
+		go body.Close()
+	} else if failed != nil {
 		body.Close()
 	}
 	if failed != nil && failed.reason == reasonCanceled {
@@ -48,7 +90,7 @@
 		failed.reason = ended(ctx, failed.reason)
 	}
 	if failed != nil && failed.reason == reasonLost {
-		failed = f.resolve(ctx, to, id, began)
+		failed = f.resolve(ctx, c, to, id, began)
 	}
 	return out, failed
 }
@@ -77,10 +119,11 @@
 			body.ended, body.keep = true, kind.Refused.GetKeep()
 			failed := &failure{
 				result: sycamorerun.Result(kind.Refused.GetResult()),
-				reason: kind.Refused.GetReason(), load: kind.Refused.GetLoad(),
+				reason: kind.Refused.GetReason(), load: kind.Refused.GetLoad(), sent: kind.Refused.GetSent(),
+				after: time.Duration(kind.Refused.GetRetryMs()) * time.Millisecond,
 			}
 			if failed.result != sycamorerun.NotRun {
-				failed.result = sycamorerun.Unknown
+				failed.result, failed.sent = sycamorerun.Unknown, true
 			}
 			if c.stream != nil && c.stream.large.Load() {
 				failed.reason = reasonBody
@@ -103,22 +146,56 @@
 	}
 }
 
+// queryTime bounds the wait for a query after the deadline. It covers the way
+// between two regions and back, and tells most callers whose calls waited in a
+// queue that these did not run.
+const queryTime = 50 * time.Millisecond
+
 // resolve asks the peer about a call whose stream was lost before a response.
-func (f *Forwarder) resolve(ctx context.Context, to sycamorerun.Instance, id string, began time.Time) *failure {
+// At the deadline the answer waits for the query for queryTime at most. The query
+// still runs then, to keep an original that is late from running.
+func (f *Forwarder) resolve(ctx context.Context, c *call, to sycamorerun.Instance, id string, began time.Time) *failure {
 	reason := ended(ctx, reasonLost)
 	if reason == reasonCanceled {
 		return unknown(reason)
 	}
-	asking, stop := context.WithTimeout(context.WithoutCancel(ctx), f.QueryWait)
-	defer stop()
-	progress, err := f.query(asking, to, id, f.Now().Sub(began))
-	if err == nil && progress == ProgressRefused {
+	result := make(chan Progress, 1)
+	go func() {
+		asking, stop := context.WithTimeout(context.WithoutCancel(ctx), f.QueryWait)
+		defer stop()
+		progress, err := f.query(asking, to, id, f.Now().Sub(began))
+		if err != nil {
+			progress = ProgressUnknown
+		}
+		result <- progress
+	}()
+	wait, late := f.QueryWait, reason
+	if !c.deadline.IsZero() {
+		if left := max(0, c.deadline.Sub(f.Now())) + queryTime; left < wait {
+			wait, late = left, reasonExpired
+		}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	// An attempt without progress has ended, but its call has not.
+	canceled := ctx.Done()
+	if ctx.Err() != nil {
+		canceled = nil
+	}
+	select {
+	case progress := <-result:
+		if progress != ProgressRefused {
+			return unknown(reason)
+		}
 		if reason == reasonLost {
 			reason = reasonQueried
 		}
 		return notRun(reason)
+	case <-canceled:
+		return unknown(ended(ctx, reason))
+	case <-timer.C:
+		return unknown(late)
 	}
-	return unknown(reason)
 }
 
 // inflow is the response body that a peer sends, and the request body on its
@@ -210,7 +287,8 @@
 		Id: id, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: []byte(c.host),
 		Target: []byte(c.target), Fields: toFields(c.header), Trailers: c.trailers, Length: c.length,
 		Body: c.body, Whole: c.complete, Repeatable: c.match.Repeatable, Key: []byte(c.key), Print: c.print,
-		IdleMs: c.match.Idle.Milliseconds(), Attempt: level,
+		IdleMs: c.match.Idle.Milliseconds(), Attempt: level, Rank: uint32(c.match.Rank),
+		ObjectiveMs: c.match.Objective.Milliseconds(), Nested: c.match.Nested, AgeMs: now.Sub(c.arrived).Milliseconds(),
 	}
 	if !c.deadline.IsZero() {
 		head.DeadlineMs = max(1, c.deadline.Sub(now).Milliseconds())
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -90,18 +90,26 @@
 	_ = peer.conn.SetWriteDeadline(f.Now().Add(headWait))
 	err := peer.send(&Frame{Kind: &Frame_Refused{Refused: &Refusal{
 		Result: string(failed.result), Reason: failed.reason, Load: f.Load(), Keep: keep,
+		RetryMs: failed.after.Milliseconds(), Sent: failed.sent,
 	}}})
 	_ = peer.conn.SetWriteDeadline(time.Time{})
 	return err == nil && keep
 }
 
+// replyTime is the time before the deadline at which a call leaves the queue, so
+// that its caller's node knows at the deadline that it did not run. It covers
+// the way between two regions and back.
+const replyTime = 50 * time.Millisecond
+
 func fromHead(now time.Time, head *Head) *call {
 	c := &call{
 		match: Match{
 			Service: head.GetService(), Class: sycamorerun.Class(head.GetClass()), Repeatable: head.GetRepeatable(),
-			Idle: time.Duration(head.GetIdleMs()) * time.Millisecond,
+			Idle:      time.Duration(head.GetIdleMs()) * time.Millisecond,
+			Objective: time.Duration(head.GetObjectiveMs()) * time.Millisecond, Rank: int(head.GetRank()), Nested: head.GetNested(),
 		},
-		id: head.GetCall(), method: head.GetMethod(), host: string(head.GetHost()), target: string(head.GetTarget()),
+		arrived: now.Add(-time.Duration(head.GetAgeMs()) * time.Millisecond),
+		id:      head.GetCall(), method: head.GetMethod(), host: string(head.GetHost()), target: string(head.GetTarget()),
 		header: fromFields(head.GetFields()), trailers: head.GetTrailers(), length: head.GetLength(),
 		complete: head.GetWhole(), body: head.GetBody(), key: string(head.GetKey()), print: head.GetPrint(),
 	}
@@ -111,6 +119,7 @@
 	}
 	if left := head.GetDeadlineMs(); left > 0 {
 		c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+		c.reply = min(replyTime, time.Duration(left)*time.Millisecond/10)
 	}
 	return c
 }
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -96,11 +98,15 @@
 	f.outcome(header, c, failed.result, failed.reason)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.status() == http.StatusServiceUnavailable {
-		header.Set("Retry-After", "1")
+		header.Set("Retry-After", failed.retryAfter(rand.Float64()))
 	}
 	c.closing(header)
+	text := string(failed.result) + ": " + failed.reason + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(failed.status())
-	_, _ = io.WriteString(w, string(failed.result)+": "+failed.reason+"\n")
+	_, _ = io.WriteString(w, text)
+	// The handler may still read the rest of the caller's body.
+	_ = http.NewResponseController(w).Flush()
 }
 
 // reply passes the response on. It aborts the caller's connection when the
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -16,6 +16,34 @@
 	// Timeout bounds the whole call, Idle a gap without progress.
 	Timeout time.Duration
 	Idle    time.Duration
+	// Attempts bounds the upstreams that the call is sent to; zero means the
+	// node's default.
+	Attempts int
+	// Objective is the latency within which a response has its full value; zero
+	// means none.
+	Objective time.Duration
+	// Rank orders the calls of a queue, 1 first.
+	Rank int
+	// Nested says that an upstream makes the call while it runs another one.
+	Nested bool
+}
+
+// Want describes a call that asks for a slot.
+type Want struct {
+	Rank      int
+	Deadline  time.Time
+	Objective time.Duration
+	// Arrived is when the call entered the fleet.
+	Arrived  time.Time
+	Returned bool
+	Nested   bool
+}
+
+// Rejection is why a call got no slot; it is zero when the call got one.
+type Rejection struct {
+	Reason string
+	// After is the time after which capacity is expected; zero means unknown.
+	After time.Duration
 }
 
 // Query describes the instance that an attempt needs.
@@ -23,6 +51,9 @@
 	Service string
 	// Tried names the instances that earlier attempts of the call used.
 	Tried []string
+	// Rank is the call's, since an instance that is full for one rank may take
+	// calls of a more urgent one.
+	Rank int
 }
 
 // Observation is the end of an attempt.
@@ -38,13 +69,24 @@
 	Head time.Duration
 	// Load is what the node beside the upstream reported, or nil.
 	Load *Load
+	// After is the time after which it expects capacity for calls of Rank; zero
+	// means unknown.
+	After time.Duration
+	Rank  int
 }
 
 // Attempt is a failed attempt that may be repeated.
 type Attempt struct {
 	Service string
-	// Number counts the attempts of this call from 1.
+	// Number counts the attempts of this call from 1, Sends those that may have
+	// reached an upstream. Sent says that this one may have.
 	Number int
+	Sends  int
+	Sent   bool
+	// Limit bounds Sends; zero means the default.
+	Limit int
+	// Left is the time until the deadline; zero means that there is none.
+	Left time.Duration
 	// Level is the attempt number that the caller's own request had, which is
 	// above 1 when a node nearer to the origin of the call chain is already
 	// repeating.
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -3,73 +3,91 @@
 import (
 	"slices"
 	"time"
-
-	"sycamorerun"
 )
 
-// ranks orders the classes: a lower index is served first and shed last.
-var ranks = []sycamorerun.Class{sycamorerun.Interactive, sycamorerun.Bulk, sycamorerun.Background}
-
-// rankOf returns the index of class in ranks; an unknown class counts as the
-// last one.
-func rankOf(class sycamorerun.Class) int {
-	if rank := slices.Index(ranks, class); rank >= 0 {
-		return rank
-	}
-	return len(ranks) - 1
-}
+// RankMax is the last rank; ranks outside of 1 to RankMax count as this one.
+const RankMax = 16
 
 type waiter struct {
-	rank     int
-	deadline time.Time
+	want Want
+	rank int
+	// until is when the wait has become too long; zero means never.
+	until time.Time
 	// settled receives exactly one value, and has room for it.
 	settled chan Refusal
+	// run is set before an empty refusal is sent.
+	run *run
 }
 
-func (w *waiter) settle(refusal Refusal) { w.settled <- refusal }
+func newWaiter(now time.Time, want Want) *waiter {
+	if want.Arrived.IsZero() {
+		want.Arrived = now
+	}
+	rank := want.Rank
+	if rank < 1 || rank > RankMax {
+		rank = RankMax
+	}
+	return &waiter{want: want, rank: rank, settled: make(chan Refusal, 1)}
+}
 
-// queue holds waiting calls, first in first out within a class.
+// queue holds the waiting calls of each rank in the order in which they start:
+// nested calls first, then by arrival.
 type queue struct {
-	waiters [3][]*waiter
+	waiters [RankMax + 1][]*waiter
+	length  int
 }
 
-func (q *queue) length() int {
-	total := 0
-	for _, waiters := range q.waiters {
-		total += len(waiters)
+func (q *queue) count(rank int) int { return len(q.waiters[rank]) }
+
+// ahead returns the number of waiting calls of rank that start before w.
+func (q *queue) ahead(rank int, w *waiter) int {
+	if rank < w.rank {
+		return len(q.waiters[rank])
+	}
+	return q.place(w)
+}
+
+// place returns the index of w among the calls of its rank.
+func (q *queue) place(w *waiter) int {
+	waiters := q.waiters[w.rank]
+	at := len(waiters)
+	for at > 0 && before(w, waiters[at-1]) {
+		at--
+	}
+	return at
+}
+
+func before(a, b *waiter) bool {
+	if a.want.Nested != b.want.Nested {
+		return a.want.Nested
 	}
-	return total
+	return a.want.Arrived.Before(b.want.Arrived)
 }
 
 func (q *queue) push(w *waiter) {
-	q.waiters[w.rank] = append(q.waiters[w.rank], w)
+	q.waiters[w.rank] = slices.Insert(q.waiters[w.rank], q.place(w), w)
+	q.length++
 }
 
-// pop removes the oldest call of the first class that has any.
-func (q *queue) pop() *waiter {
-	for rank, waiters := range q.waiters {
-		if len(waiters) > 0 {
-			first := waiters[0]
-			q.waiters[rank] = slices.Delete(waiters, 0, 1)
-			return first
+// oldest returns the first call of rank.
+func (q *queue) oldest(rank int) *waiter { return q.waiters[rank][0] }
+
+// top returns the most urgent rank with a waiting call.
+func (q *queue) top() int {
+	for rank := 1; rank < RankMax; rank++ {
+		if len(q.waiters[rank]) > 0 {
+			return rank
 		}
 	}
-	return nil
+	return RankMax
 }
 
-// shed removes the newest call of the lowest class below rank, or returns nil
-// when every waiting call ranks at least as high. The newest call has waited
-// least and is the least likely to meet its deadline.
-func (q *queue) shed(rank int) *waiter {
-	least := 0
-	if rank < len(ranks) {
-		least = rank + 1
-	}
-	for lowest := len(q.waiters) - 1; lowest >= least; lowest-- {
-		if waiters := q.waiters[lowest]; len(waiters) > 0 {
-			last := waiters[len(waiters)-1]
-			q.waiters[lowest] = waiters[:len(waiters)-1]
-			return last
+// newest returns the last call of the least urgent rank that fits, or nil. It has
+// waited least and is the least likely to meet its deadline.
+func (q *queue) newest(fits func(rank int) bool) *waiter {
+	for rank := RankMax; rank > 0; rank-- {
+		if waiters := q.waiters[rank]; len(waiters) > 0 && fits(rank) {
+			return waiters[len(waiters)-1]
 		}
 	}
 	return nil
@@ -82,5 +100,32 @@
 		return false
 	}
 	q.waiters[w.rank] = slices.Delete(q.waiters[w.rank], at, at+1)
+	q.length--
 	return true
 }
+
+// first returns when the first wait becomes too long, or zero.
+func (q *queue) first() time.Time {
+	var first time.Time
+	for _, waiters := range q.waiters {
+		for _, w := range waiters {
+			if !w.until.IsZero() && (first.IsZero() || w.until.Before(first)) {
+				first = w.until
+			}
+		}
+	}
+	return first
+}
+
+// overdue returns the calls whose wait is too long.
+func (q *queue) overdue(now time.Time) []*waiter {
+	var result []*waiter
+	for _, waiters := range q.waiters {
+		for _, w := range waiters {
+			if expired(now, w.until) {
+				result = append(result, w)
+			}
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/node/limiter/wait_test.go
@@ -0,0 +1,189 @@
+package limiter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// learned returns a full limiter whose slots were all taken at start, and that
+// knows a mean run time.
+func learned(limits Limits, mean time.Duration) (*Limiter, []func()) {
+	l, held := full(limits)
+	for range 20 {
+		l.estimate.add(interactive, mean)
+	}
+	return l, held
+}
+
+// Guards against a call that is held although it can't be served in time, one
+// that is refused although it can, and a caller that is told a wrong time.
+func TestEarlyRefusal(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		slots, queued int
+		want          Want
+		reason        string
+		after         time.Duration
+	}{
+		"no bound":                       {slots: 1, queued: 9, want: Want{Rank: interactive}},
+		"first in the queue":             {slots: 1, want: Want{Rank: interactive, Deadline: start.Add(201 * ms)}},
+		"no time left to run":            {slots: 1, want: Want{Rank: interactive, Deadline: start.Add(199 * ms)}, reason: Busy, after: 100 * ms},
+		"behind others":                  {slots: 1, queued: 3, want: Want{Rank: interactive, Deadline: start.Add(499 * ms)}, reason: Busy, after: 400 * ms},
+		"behind others, in time":         {slots: 1, queued: 3, want: Want{Rank: interactive, Deadline: start.Add(501 * ms)}},
+		"more slots":                     {slots: 2, queued: 4, want: Want{Rank: interactive, Deadline: start.Add(401 * ms)}},
+		"before others by rank":          {slots: 1, queued: 3, want: Want{Rank: 1, Deadline: start.Add(201 * ms)}},
+		"before others as nested":        {slots: 1, queued: 3, want: Want{Rank: interactive, Nested: true, Deadline: start.Add(201 * ms)}},
+		"before others by arrival":       {slots: 1, queued: 3, want: Want{Rank: interactive, Arrived: start.Add(-ms), Deadline: start.Add(201 * ms)}},
+		"half of the objective":          {slots: 1, queued: 1, want: Want{Rank: interactive, Objective: 401 * ms}},
+		"more than half of it":           {slots: 1, queued: 1, want: Want{Rank: interactive, Objective: 399 * ms}, reason: Busy, after: 200 * ms},
+		"objective, but deadline nearer": {slots: 1, queued: 1, want: Want{Rank: interactive, Objective: time.Hour, Deadline: start.Add(299 * ms)}, reason: Busy, after: 200 * ms},
+		"full queue":                     {slots: 1, queued: 10, want: Want{Rank: interactive}, reason: Full, after: 1100 * ms},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, _ := learned(Limits{Slots: c.slots, Queue: 10}, 100*ms)
+			ctx, cancel := context.WithCancel(context.Background())
+			for range c.queued {
+				arrive(ctx, l, Want{Rank: interactive})
+			}
+			call := arrive(ctx, l, c.want)
+			if c.reason == "" {
+				is.Equal(l.Load().Queued, c.queued+1)
+				cancel()
+				is.Equal(call.wait(), Canceled)
+				return
+			}
+			is.Equal(call.wait(), c.reason)
+			is.Equal(call.refusal.After, c.after)
+			cancel()
+		})
+	}
+}
+
+// Guards against calls that are held until their deadlines because the estimate
+// of the wait was wrong, and against a slot for a call that is too late.
+func TestWaitsEnd(t *testing.T) {
+	const ms = time.Millisecond
+	cases := map[string]struct {
+		want   Want
+		at     time.Duration
+		freed  bool
+		reason string
+	}{
+		"objective":                {Want{Rank: interactive, Objective: 400 * ms}, 200 * ms, false, Busy},
+		"deadline":                 {Want{Rank: interactive, Deadline: start.Add(400 * ms)}, 300 * ms, false, Busy},
+		"its turn, but too late":   {Want{Rank: interactive, Deadline: start.Add(400 * ms)}, 392 * ms, true, Expired},
+		"its turn, with some time": {Want{Rank: interactive, Deadline: start.Add(400 * ms)}, 380 * ms, true, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, held := learned(Limits{Slots: 1, Queue: 1}, 100*ms)
+			call := arrive(context.Background(), l, c.want)
+			if c.freed {
+				// The clock of the queue's timer stands still.
+				l.mutex.Lock()
+				l.Now = func() time.Time { return start.Add(c.at) }
+				l.mutex.Unlock()
+				held[0]()
+			} else {
+				l.expire(start.Add(c.at - ms))
+				is.Equal(l.Load().Queued, 1)
+				l.expire(start.Add(c.at))
+			}
+			is.Equal(call.wait(), c.reason)
+		})
+	}
+	is := is.New(t)
+	l := New(Limits{Slots: 1, Queue: 1})
+	_, refusal := l.Acquire(context.Background(), time.Now(), Want{})
+	is.Equal(refusal, Refusal{})
+	began := time.Now()
+	_, refusal = l.Acquire(context.Background(), began, Want{Objective: 40 * ms}) // by the timer
+	is.Equal(refusal.Reason, Busy)
+	is.True(time.Since(began) >= 20*ms)
+}
+
+// Guards the order under overload: no rank is served much less often than a
+// less urgent one, and none falls below a quarter of the overall rate.
+func TestRanksUnderOverload(t *testing.T) {
+	cases := map[string][3]int{ // calls in a step of 10 runs, by rank 1, 5, 9
+		"alike":            {10, 10, 10},
+		"mostly urgent":    {30, 3, 3},
+		"mostly last":      {3, 3, 30},
+		"few of the last":  {20, 0, 1},
+		"far too many":     {40, 40, 40},
+		"urgent alone fit": {9, 9, 9},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := start
+			var passed atomic.Int64 // read by the queue's timer
+			l := New(Limits{Slots: 2, Queue: 8})
+			l.Now = func() time.Time { return start.Add(time.Duration(passed.Load())) }
+			random := rand.New(rand.NewPCG(1, 2))
+			ranks := [3]int{1, 5, 9}
+			var asked, served [3]int
+			var waiting []*waiter
+			settle := func() {
+				var left []*waiter
+				for _, w := range waiting {
+					select {
+					case refusal := <-w.settled:
+						if refusal.Reason == "" {
+							served[(w.rank-1)/4]++
+						}
+					default:
+						left = append(left, w)
+					}
+				}
+				waiting = left
+			}
+			// Time goes in steps of a millisecond; a run takes 20, so that the two
+			// slots end one every 10 and each 100 ms has 10 runs.
+			for range 30_000 {
+				now = start.Add(time.Duration(passed.Add(int64(time.Millisecond))))
+				l.expire(now)
+				for r := range l.running {
+					if now.Sub(r.began) >= 20*time.Millisecond {
+						l.end(r, true)
+					}
+				}
+				for at, rate := range c {
+					if random.Float64() < float64(rate)/100 {
+						asked[at]++
+						w := newWaiter(now, Want{Rank: ranks[at], Objective: 200 * time.Millisecond, Deadline: now.Add(time.Second)})
+						if l.enter(now, w).Reason == "" {
+							waiting = append(waiting, w)
+						}
+					}
+				}
+				settle()
+			}
+			var all, got float64
+			var rates [3]float64
+			for at := range c {
+				all, got = all+float64(asked[at]), got+float64(served[at])
+				rates[at] = float64(served[at]) / float64(max(1, asked[at]))
+			}
+			t.Logf("asked %v, served %v, rates %.2f, overall %.2f", asked, served, rates, got/all)
+			for at := range c {
+				if asked[at] == 0 {
+					continue
+				}
+				is.True(rates[at] >= got/all/4)
+				for less := at + 1; less < 3; less++ {
+					is.True(rates[at] >= rates[less]-0.05)
+				}
+			}
+			is.True(got >= 0.95*min(3000, all)) // the slots are not idle
+		})
+	}
+}
--- a/node/retrier/retrier.go
+++ b/node/retrier/retrier.go
@@ -10,15 +10,22 @@
 )
 
 const (
-	// attemptsMax bounds the attempts of one call.
-	attemptsMax = 3
-	// burst is the number of retries that a service may make before its calls
-	// have earned any, so that services with few calls can retry at all.
-	burst = 10
+	// sentDefault bounds the upstreams that one call is sent to when its route
+	// says nothing.
+	sentDefault = 3
+	// refusedMax bounds the nodes that a call is tried at without being sent to
+	// an upstream. Each costs a message and no work.
+	refusedMax = 3
 	// delayBase and delayMax bound the delay before the second attempt and any
 	// attempt. The delay is drawn from the whole range below (full jitter).
 	delayBase = 10 * time.Millisecond
 	delayMax  = 200 * time.Millisecond
+	// timeLeast is the part of the typical run time that must be left for a
+	// repetition. Half of it, since run times vary, and a caller prefers a late
+	// chance to none.
+	timeLeast = 0.5
+	// typicalWeight is the weight of the newest run in the typical time.
+	typicalWeight = 0.05
 	// idleMax is the time after which an unused budget is forgotten.
 	idleMax = 10 * time.Minute
 )
@@ -26,8 +33,15 @@
 // Attempt is a failed attempt.
 type Attempt struct {
 	Service string
-	// Number counts the attempts of this call from 1.
+	// Number counts the attempts of this call from 1, Sends those that may have
+	// reached an upstream. Sent says that this one may have.
 	Number int
+	Sends  int
+	Sent   bool
+	// Limit bounds Sends; zero means the default.
+	Limit int
+	// Left is the time until the deadline; zero means that there is none.
+	Left time.Duration
 	// Level is the attempt number of the request from which this call stems.
 	Level  int
 	Result sycamorerun.Result
@@ -43,57 +57,111 @@
 type Retrier struct {
 	// Ratio returns the retries that a service may make per call.
 	Ratio func(service string) float64
+	// Budget is the budget of the fleet for each service.
+	Budget Budget
+	// Members returns the number of nodes that share the slack, and Place the
+	// index of this one in an order on which they agree.
+	Members func() int
+	Place   func() int
 	// Random returns a number in [0, n).
 	Random func(n int64) int64
 
-	mutex   sync.Mutex
-	budgets map[string]*budget
-	swept   time.Time
+	mutex    sync.Mutex
+	services map[string]*service
+	members  members
+	base     time.Time
+	swept    time.Time
 }
 
-// budget is a token bucket that calls fill and retries empty.
-type budget struct {
-	tokens float64
-	used   time.Time
+// service is what is known of one service.
+type service struct {
+	window  window
+	typical time.Duration
+	used    time.Time
 }
 
-// New returns a retrier with the given budget per call.
+// New returns a retrier of a node that is alone, with the given budget per
+// call.
 func New(ratio func(service string) float64) *Retrier {
-	return &Retrier{Ratio: ratio, Random: rand.Int64N, budgets: map[string]*budget{}}
+	return &Retrier{
+		Ratio: ratio, Budget: DefaultBudget, Random: rand.Int64N,
+		Members: func() int { return 1 }, Place: func() int { return 0 }, services: map[string]*service{},
+	}
 }
 
-// Call counts a call of service, which earns a fraction of a retry.
-func (r *Retrier) Call(now time.Time, service string) {
-	ratio := r.Ratio(service)
+// Call counts a call of a service, which earns a fraction of a retry.
+func (r *Retrier) Call(now time.Time, name string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	bucket := r.budget(now, service)
-	bucket.tokens = min(bucket.tokens+ratio, burst)
+	s := r.service(now, name)
+	s.window.call(r.bucket(now))
 }
 
-// Allow reports whether the attempt may be repeated, and after which delay.
+// Ran tells how long an answered attempt took.
+func (r *Retrier) Ran(now time.Time, name string, took time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.service(now, name)
+	if s.typical == 0 {
+		s.typical = took
+	}
+	s.typical += time.Duration(typicalWeight * float64(took-s.typical))
+}
+
+// Allow reports whether the attempt may be repeated, and after which delay. A
+// repetition after an attempt that was not sent takes nothing from the budget.
+// It needs no delay either, since it goes to another instance.
 func (r *Retrier) Allow(now time.Time, attempt Attempt) (time.Duration, bool) {
-	if !permitted(attempt) || r.Ratio(attempt.Service) <= 0 {
+	if !permitted(attempt) {
 		return 0, false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	bucket := r.budget(now, attempt.Service)
-	if bucket.tokens < 1 {
+	s := r.service(now, attempt.Service)
+	delay := time.Duration(0)
+	if attempt.Sent {
+		delay = time.Duration(r.Random(int64(ceiling(attempt.Number))))
+	}
+	if attempt.Left != 0 && attempt.Left-delay <= time.Duration(timeLeast*float64(s.typical)) {
+		return 0, false
+	}
+	if attempt.Sent && !r.charge(now, attempt.Service, s) {
 		return 0, false
 	}
-	bucket.tokens--
-	return time.Duration(r.Random(int64(ceiling(attempt.Number)))), true
+	return delay, true
+}
+
+// charge takes a retry from this node's share of the budget, if there is one.
+func (r *Retrier) charge(now time.Time, name string, s *service) bool {
+	ratio := r.Budget.Ratio
+	if ratio < 0 {
+		ratio = r.Ratio(name)
+	}
+	if ratio <= 0 {
+		return false
+	}
+	at := r.bucket(now)
+	if s.window.charged(at)+1 > margin*ratio*s.window.earned(at)+r.slack(now) {
+		return false
+	}
+	s.window.charge(at)
+	return true
 }
 
 // permitted reports whether a repetition is safe and useful, whatever the
-// budget. A call that stems from a repeated request is not repeated, since
+// budget. A call that stems from a repeated request is not sent twice, since
 // every level of a call chain would otherwise multiply the attempts.
 func permitted(attempt Attempt) bool {
+	limit := attempt.Limit
+	if limit == 0 {
+		limit = sentDefault
+	}
 	switch {
 	case attempt.Passed, attempt.Consumed:
 		return false
-	case attempt.Number >= attemptsMax, attempt.Level > 1:
+	case attempt.Sends >= limit, attempt.Sent && attempt.Level > 1:
+		return false
+	case attempt.Number-attempt.Sends > refusedMax:
 		return false
 	case attempt.Result == sycamorerun.NotRun:
 		return true
@@ -107,21 +175,21 @@
 	return min(delayBase<<min(n-1, 10), delayMax)
 }
 
-// budget returns the budget of service and forgets unused ones now and then.
-func (r *Retrier) budget(now time.Time, service string) *budget {
+// service returns the state of a service and forgets unused ones now and then.
+func (r *Retrier) service(now time.Time, name string) *service {
 	if now.Sub(r.swept) > idleMax {
 		r.swept = now
-		for name, bucket := range r.budgets {
-			if now.Sub(bucket.used) > idleMax {
-				delete(r.budgets, name)
+		for name, known := range r.services {
+			if now.Sub(known.used) > idleMax {
+				delete(r.services, name)
 			}
 		}
 	}
-	bucket, ok := r.budgets[service]
+	known, ok := r.services[name]
 	if !ok {
-		bucket = &budget{tokens: burst}
-		r.budgets[service] = bucket
+		known = &service{}
+		r.services[name] = known
 	}
-	bucket.used = now
-	return bucket
+	known.used = now
+	return known
 }
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"sycamorerun"
@@ -28,7 +29,7 @@
 
 // newCalls wires the data path over the configuration in force and the
 // members of each service.
-func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance) *calls {
+func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance, members func() []sycamorerun.Instance) *calls {
 	c := &calls{upstream: &localUpstream{}}
 	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
 
@@ -37,6 +38,17 @@
 		found, _ := service(name)
 		return found.Retries
 	})
+	c.retrier.Budget = retrier.Budget{Ratio: settings.RetryRatio, Window: settings.RetryWindow, Slack: settings.RetrySlack}
+	c.retrier.Members = func() int { return len(members()) }
+	c.retrier.Place = func() int {
+		place := 0
+		for _, member := range members() {
+			if member.Name < settings.Name {
+				place++
+			}
+		}
+		return place
+	}
 	c.balancer = balancer.New(settings.AvailabilityZone, settings.Region)
 	c.balancer.Instances = instances
 	c.balancer.RoundRobin = settings.Balance == "round-robin"
@@ -57,18 +69,25 @@
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
 	}
-	f.Observe = func(now time.Time, o forwarder.Observation) { c.balancer.Observe(now, observation(o)) }
+	f.Observe = func(now time.Time, o forwarder.Observation) {
+		c.balancer.Observe(now, observation(o))
+		if o.Result == sycamorerun.Answered {
+			c.retrier.Ran(now, o.Service, o.Head)
+		}
+	}
+	f.Others = func(service string, than []string) bool { return others(instances(service), than) }
 	f.Owner = func(service, key string) (sycamorerun.Instance, bool) { return owner(instances(service), key) }
 	f.Call = c.retrier.Call
 	f.Allow = func(now time.Time, a forwarder.Attempt) (time.Duration, bool) {
 		return c.retrier.Allow(now, retrier.Attempt{
-			Service: a.Service, Number: a.Number, Level: a.Level, Result: a.Result,
+			Service: a.Service, Number: a.Number, Sends: a.Sends, Sent: a.Sent, Limit: a.Limit, Left: a.Left,
+			Level: a.Level, Result: a.Result,
 			Repeatable: a.Repeatable, Consumed: a.Consumed, Passed: a.Passed,
 		})
 	}
-	f.Acquire = func(ctx context.Context, now time.Time, class sycamorerun.Class, deadline time.Time) (func(), string) {
-		release, refusal := c.limiter.Acquire(ctx, now, class, deadline)
-		return release, string(refusal)
+	f.Acquire = func(ctx context.Context, now time.Time, want forwarder.Want) (func(), forwarder.Rejection) {
+		release, refusal := c.limiter.Acquire(ctx, now, limiter.Want(want))
+		return release, forwarder.Rejection(refusal)
 	}
 	f.Load = func() *forwarder.Load {
 		load := c.limiter.Load()
@@ -95,13 +114,15 @@
 	})
 	return forwarder.Match{
 		Team: found.Route.Team(), Service: found.Service, Class: found.Class, Repeatable: found.Repeatable,
-		Timeout: time.Duration(found.Settings.Timeout), Idle: time.Duration(found.Settings.Idle),
+		Timeout: found.Timeout, Idle: time.Duration(found.Settings.Idle),
+		Attempts: found.Attempts, Objective: found.Objective, Rank: found.Rank,
 	}, ok
 }
 
 func observation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
 		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
+		After: o.After, Rank: o.Rank,
 	}
 	if o.Load != nil {
 		result.Load = &balancer.Load{
@@ -111,6 +132,13 @@
 	return result
 }
 
+// others reports whether a member that takes calls is not among those named.
+func others(members []sycamorerun.Instance, than []string) bool {
+	return slices.ContainsFunc(members, func(member sycamorerun.Instance) bool {
+		return member.Serving() && !slices.Contains(than, member.Name)
+	})
+}
+
 // owner returns the member that executes the calls with key.
 func owner(members []sycamorerun.Instance, key string) (sycamorerun.Instance, bool) {
 	name := deduplicator.Owner(key, names(members))
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -83,7 +83,7 @@
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
-	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
+	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving, n.fleet.live)
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -215,6 +215,7 @@
 		return result
 	}
 	result.Route = string(found.Match.Route)
+	result.Steps = append(result.Steps, "calls have "+found.Attributes())
 	result.Class, result.Repeatable = found.Match.Class, found.Match.Repeatable
 	if status, ok := table.Status(found.Match.Route, n.fleet.upstreams); ok {
 		state := n.route(status)
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -37,6 +37,11 @@
 
 	KeyWindow time.Duration
 
+	// RetryRatio is negative for the services' own.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+
 	MaxBody  int
 	LogLevel string
 }
@@ -64,6 +69,9 @@
 	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
 	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight")
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long a key of a lost process gets the result unknown")
+	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "retries of the fleet as a fraction of a service's calls; negative: the service's own setting")
+	loader.Add(l, &s.RetryWindow, "retry-window", "10s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which retries are counted")
+	loader.Add(l, &s.RetrySlack, "retry-slack", "10", loader.Float(0, 1e6), "retries of the fleet in a window beyond the ratio, for each service")
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes")
 	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
 	l.Check(s.checkTLS)
