--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -37,6 +38,20 @@
 	return err
 }
 
+// sendUntil sends a frame, and returns when ctx ends also if the frame has not
+// been sent: a session whose connection takes no bytes blocks a write for
+// longer than its deadline.
+func (l *link) sendUntil(ctx context.Context, frame *Frame) error {
+	sent := make(chan error, 1)
+	go func() { sent <- l.send(frame) }()
+	select {
+	case err := <-sent:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // receive reads a frame. The bytes of a chunk are valid until the next call.
 func (l *link) receive() (*Frame, error) {
 	var prefix [4]byte
@@ -123,6 +138,7 @@
 // cancel tells the other side that the call is no longer awaited, if the
 // stream takes the frame at once, and closes the stream, which means the same.
 func (l *link) cancel(now time.Time) {
+	_ = l.conn.SetReadDeadline(now) // whoever waits for a response waits no longer
 	_ = l.conn.SetWriteDeadline(now.Add(cancelWait))
 	if l.mutex.TryLock() {
 		_, _ = encoder.Write(l.conn, &Frame{Kind: &Frame_Cancel{Cancel: &Cancel{}}})
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -92,7 +92,7 @@
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
-	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
+	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving, n.fleet.live)
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
 	}
