--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -12,8 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
-
-	"sycamorerun"
 )
 
 // call is a request on its way to an upstream.
@@ -181,22 +179,13 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
-	demoteKeys(header)
-	return &http.Request{
+	request := &http.Request{
 		Method: c.method, URL: address, Host: c.host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: body, ContentLength: c.length, Trailer: c.trailer,
-	}, nil
-}
-
-// demoteKeys writes idempotency keys in lower case. http.Transport repeats a
-// request with such a header by itself when a kept connection breaks, and
-// recognises the header by its canonical name only.
-func demoteKeys(header http.Header) {
-	for _, name := range []string{sycamorerun.HeaderKey, "X-Idempotency-Key"} {
-		if values, ok := header[name]; ok {
-			delete(header, name)
-			header[strings.ToLower(name)] = values
-		}
 	}
+	if c.complete {
+		request.GetBody = func() (io.ReadCloser, error) { return c.reader(), nil }
+	}
+	return request, nil
 }
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamorerun"
+	"sycamorerun/node/requester"
 )
 
 // answer is the response to an attempt. Its body must be closed.
@@ -94,10 +94,9 @@
 	if err != nil {
 		return nil, notRun(reasonRequest)
 	}
-	observed := &trace{}
-	response, err := f.Upstream.RoundTrip(request.WithContext(observed.with(ctx)))
+	response, err := f.Upstream.RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return nil, f.classify(ctx, c, observed, err)
+		return nil, classify(ctx, c, err)
 	}
 	watch.progress()
 	out, failed := f.receive(ctx, watch, c, response, finish)
@@ -108,47 +107,33 @@
 }
 
 // classify says what the failure of a round trip means for the request.
-func (f *Forwarder) classify(ctx context.Context, c *call, observed *trace, err error) *failure {
-	switch {
-	case c.stream != nil && c.stream.large.Load():
+func classify(ctx context.Context, c *call, err error) *failure {
+	if c.stream != nil && c.stream.large.Load() {
 		return unknown(reasonBody)
-	case observed.written():
+	}
+	var failed *requester.Failure
+	if !errors.As(err, &failed) {
 		return unknown(ended(ctx, reasonBroken))
-	case ctx.Err() != nil:
-		return notRun(ended(ctx, ""))
-	case refused(err):
-		return notRun(reasonUpstream)
-	default:
-		// Nothing was written, for example because a kept connection was found
-		// closed.
-		return notRun(reasonUpstream)
 	}
+	reason := ended(ctx, failed.Reason)
+	if failed.Ran == requester.No {
+		return notRun(reason)
+	}
+	return unknown(reason)
 }
 
 // receive describes the response of the upstream.
 func (f *Forwarder) receive(ctx context.Context, watch *watch, c *call, response *http.Response, finish func(Ending)) (*answer, *failure) {
-	if f.Contract.Unexecuted != "" && (response.Header.Get(f.Contract.Unexecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest) {
-		_ = response.Body.Close()
-		return nil, notRun(reasonRefused)
-	}
 	out := &answer{
 		status: response.StatusCode, header: f.clean(response.Header),
 		trailers: announced(response.Trailer), length: response.ContentLength, load: f.Load(),
 	}
 	bodyless := c.method == http.MethodHead || out.status == http.StatusNoContent || out.status == http.StatusNotModified
 	switch {
-	case out.status < 200:
-		_ = response.Body.Close()
-		return nil, unknown(reasonBroken)
 	case bodyless:
 		_ = response.Body.Close()
 		out.length, out.trailers = 0, nil
 		return f.settle(out, nil, finish), nil
-	case out.length < 0 && !slices.Contains(response.TransferEncoding, "chunked"):
-		// The end of such a body is the end of the connection, which looks the
-		// same when the upstream fails.
-		_ = response.Body.Close()
-		return nil, unknown(reasonUnframed)
 	case out.length >= 0 && out.length <= wholeBytes:
 		data := make([]byte, out.length)
 		_, err := io.ReadFull(response.Body, data)
--- a/node/forwarder/intake.go
+++ b/node/forwarder/intake.go
@@ -42,7 +42,7 @@
 }
 
 // body is the request body for the upstream. It sets the trailers in the read
-// that ends it, which is when http.Transport permits that.
+// that ends it, which is when net/http permits that.
 type body struct {
 	*io.PipeReader
 	inbound *inbound
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,17 +72,10 @@
 	u.shut = true
 }
 
-// reader returns a complete body in the form that http.Transport needs. It
-// repeats a request without a body by itself when a kept connection breaks and
-// the method is safe, so the empty body of such a request is a reader: these
-// repetitions would count in no retry budget and in no attempt. For other
-// methods that would send an empty chunked body.
+// reader returns a complete body.
 func (c *call) reader() io.ReadCloser {
-	if len(c.body) > 0 || slices.Contains(safeMethods, c.method) {
-		return io.NopCloser(bytes.NewReader(c.body))
+	if len(c.body) == 0 {
+		return http.NoBody
 	}
-	return http.NoBody
+	return io.NopCloser(bytes.NewReader(c.body))
 }
-
-// safeMethods are the methods that http.Transport repeats by itself.
-var safeMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
--- /dev/null
+++ b/node/requester/contract.go
@@ -0,0 +1,58 @@
+package requester
+
+import (
+	"net/http"
+)
+
+// Contract names the headers by which an upstream describes its responses. An
+// empty name means that there is no such check.
+type Contract struct {
+	// Identity carries the id of a request, which its response repeats.
+	Identity string
+	// Unexecuted marks a response to a request that the upstream did not run. If
+	// it is set, a response with status 421 says the same.
+	Unexecuted string
+	// Signature is present on each response with a status 2xx.
+	Signature string
+}
+
+// verdict is what a response says of the request that waits for one.
+type verdict int
+
+const (
+	// own is a response that is passed on.
+	own verdict = iota
+	// foreign responds to an earlier request.
+	foreign
+	unidentified
+	refused
+	unsigned
+)
+
+// judge compares a response with the request that waits for it.
+func (c *Contract) judge(request, response http.Header, status int) verdict {
+	if id := lookup(request, c.Identity); id != "" {
+		switch repeated := response.Values(c.Identity); {
+		case len(repeated) == 0:
+			return unidentified
+		case len(repeated) > 1 || repeated[0] != id:
+			return foreign
+		}
+	}
+	switch {
+	case c.Unexecuted != "" && (lookup(response, c.Unexecuted) != "" || status == http.StatusMisdirectedRequest):
+		return refused
+	case c.Signature != "" && status >= 200 && status < 300 && lookup(response, c.Signature) == "":
+		return unsigned
+	default:
+		return own
+	}
+}
+
+// lookup returns the first value of a header that has a name.
+func lookup(header http.Header, name string) string {
+	if name == "" {
+		return ""
+	}
+	return header.Get(name)
+}
--- /dev/null
+++ b/node/requester/socket_linux_test.go
@@ -0,0 +1,45 @@
+package requester
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+)
+
+// Guards the detection of silent connections, also after an upload.
+func TestProbes(t *testing.T) {
+	is := is.New(t)
+	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		for {
+			if _, err := take(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, ok("a"))
+		}
+	})
+	r := New(upstream.address, 1)
+	defer r.Close()
+	for _, body := range []io.Reader{nil, &slow{}} {
+		request := get(t.Context(), "")
+		if body != nil {
+			request = post(t.Context(), io.LimitReader(body, 9), -1)
+		}
+		is.Equal(do(r, request).status, 200)
+		for kept(&r.pool) == 0 {
+			continue
+		}
+		got := map[int]int{}
+		is.NoErr(r.pool.kept[0].raw.Control(func(fd uintptr) {
+			for _, option := range []int{unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT, unix.TCP_USER_TIMEOUT} {
+				got[option], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			}
+		}))
+		is.Equal(got, map[int]int{
+			unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3, unix.TCP_USER_TIMEOUT: 3000,
+		})
+	}
+}
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -5,12 +5,11 @@
 	"net/netip"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"sycamorerun"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/requester"
 )
 
 // Defaults until the service's settings are known.
@@ -20,7 +19,7 @@
 )
 
 // errNoUpstream means that no upstream has announced itself to this node.
-var errNoUpstream = errors.New("no upstream announced here")
+var errNoUpstream = &requester.Failure{Ran: requester.No, Reason: requester.ReasonUnreachable}
 
 // localUpstream is the upstream beside this node: its last announcement, the
 // transport to it and the limits that apply to it.
@@ -28,7 +27,7 @@
 	mutex        sync.Mutex
 	announcement manager.Announcement
 	limits       limiter.Limits
-	transport    *http.Transport
+	transport    *requester.Requester
 }
 
 // RoundTrip implements http.RoundTripper with the current transport.
@@ -54,9 +53,9 @@
 	if u.transport == nil || u.announcement.Address != announcement.Address || u.limits.Connections != limits.Connections {
 		if u.transport != nil {
 			// Requests in flight keep their connections; idle ones go.
-			defer u.transport.CloseIdleConnections()
+			defer u.transport.Close()
 		}
-		u.transport = forwarder.Transport(announcement.Address, limits.Connections)
+		u.transport = forwarder.Transport(announcement.Address, limits.Connections, forwarder.DefaultContract)
 	}
 	u.announcement, u.limits = announcement, limits
 	return limits
