Decide on the upstream's announcements in one place, by id, boot and sequence

Announcements can be late, repeated or from an earlier process, and an address can be used again by another upstream. The node took each one as the present state. The package announcer now holds one upstream in use and says of each announcement whether it counts; silence of three periods, two refused connections in a row and a response of another instance drop the upstream.

A departure that is acknowledged is in force: calls that wait in the queue, and those that hold a slot and were not sent, are refused as not run. Calls for another service than the present one are refused as well. A cold upstream gets a smaller share also when its service has a short slow start, and goes on with its slow start when it becomes ready.

--- a/instance.go
+++ b/instance.go
@@ -29,7 +29,8 @@
 	Service          string
 	State            State
 	Slots            int
-	// Since is when the upstream entered State.
+	// Since is when the upstream entered State. Cold and ready count as one,
+	// since the slow start goes on.
 	Since time.Time
 }
 
--- /dev/null
+++ b/node/announcer/announcer_test.go
@@ -0,0 +1,203 @@
+package announcer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+)
+
+const period = 1500 * time.Millisecond
+
+var begin = time.Unix(1_000_000, 0)
+
+// step is one event at a time in milliseconds. It is an announcement unless
+// one of the other events is named.
+type step struct {
+	at    int64
+	event string
+	id    string
+	boot  int64
+	seq   uint64
+	state sycamorerun.State
+	set   func(*Announcement)
+	want  Outcome
+	// use is the upstream in use afterwards: id, boot and state.
+	use string
+}
+
+func (s step) announcement() Announcement {
+	in := Announcement{
+		ID: s.id, Boot: s.boot, Sequence: s.seq, State: s.state, Service: "s", Slots: 6,
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}
+	if in.State == "" {
+		in.State = sycamorerun.StateReady
+	}
+	if s.set != nil {
+		s.set(&in)
+	}
+	return in
+}
+
+// Guards against calls to an upstream that has left, crashed or was replaced,
+// and against one that stays unused although it serves.
+func TestAnnounce(t *testing.T) {
+	const draining, left = sycamorerun.StateDraining, sycamorerun.StateLeft
+	other := func(a *Announcement) { a.Service, a.Address = "t", netip.MustParseAddrPort("127.0.0.1:2") }
+	cold := func(a *Announcement) { a.Warmup = 2 * time.Second }
+	cases := map[string][]step{
+		"repeats and arrives out of order": {
+			{id: "a", boot: 5, seq: 2, want: Accepted, use: "a/5 ready"},
+			{id: "a", boot: 5, seq: 2, want: Stale, use: "a/5 ready"},
+			{id: "a", boot: 5, seq: 1, state: draining, want: Stale, use: "a/5 ready"},
+		},
+		"late ready after draining": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{id: "a", boot: 5, seq: 3, state: draining, want: Accepted, use: "a/5 draining"},
+			{id: "a", boot: 5, seq: 2, want: Stale, use: "a/5 draining"},
+			{id: "a", boot: 5, seq: 9, want: Stale, use: "a/5 draining"},
+			{id: "a", seq: 10, want: Stale, use: "a/5 draining"},
+			{id: "a", boot: 5, seq: 11, state: left, want: Accepted},
+			{id: "a", boot: 5, seq: 12, state: draining, want: Stale},
+		},
+		"late ready after delete": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{event: "leave", id: "a", want: Accepted},
+			{at: 2000, id: "a", boot: 5, seq: 2, want: Stale},
+			{at: 60_000, id: "a", boot: 5, seq: 3, want: Stale},
+			{at: 60_000, id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
+			{at: 60_001, id: "a", boot: 5, seq: 4, want: Ignored, use: "a/6 ready"},
+		},
+		"id is used again": {
+			{id: "a", boot: 5, seq: 70, want: Accepted, use: "a/5 ready"},
+			{id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
+			{id: "a", boot: 5, seq: 71, want: Ignored, use: "a/6 ready"},
+			{id: "a", boot: 5, seq: 72, state: draining, want: Ignored, use: "a/6 ready"},
+			{id: "a", boot: 6, seq: 2, want: Accepted, use: "a/6 ready"},
+		},
+		"crashed sender is heard after its successor": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{id: "b", boot: 6, seq: 1, set: other, want: Accepted, use: "b/6 ready"},
+			{id: "a", boot: 5, seq: 2, want: Ignored, use: "b/6 ready"},
+			{event: "leave", id: "a", want: Ignored, use: "b/6 ready"},
+			{at: 5000, event: "expire"},
+			{at: 5000, id: "a", boot: 5, seq: 3, want: Ignored},
+		},
+		"other id without boot": {
+			{id: "a", seq: 1, want: Accepted, use: "a/0 ready"},
+			{at: 2999, id: "b", seq: 1, want: Ignored, use: "a/0 ready"},
+			{at: 3000, id: "b", seq: 2, want: Accepted, use: "b/0 ready"},
+			{at: 3000, event: "leave", id: "b", want: Accepted},
+			{at: 3001, id: "c", seq: 1, want: Accepted, use: "c/0 ready"},
+		},
+		"clock of the boots is set back": {
+			{id: "a", boot: 50, seq: 1, want: Accepted, use: "a/50 ready"},
+			{at: 4500, id: "a", boot: 40, seq: 1, want: Ignored},
+			{at: 6000, id: "a", boot: 40, seq: 2, want: Ignored},
+			{at: 6100, id: "a", boot: 40, seq: 2, want: Ignored},
+			{at: 7500, id: "a", boot: 40, seq: 3, want: Accepted, use: "a/40 ready"},
+			{at: 7600, id: "a", boot: 50, seq: 2, want: Ignored, use: "a/40 ready"},
+		},
+		"delete overtakes the first announcement": {
+			{event: "leave", id: "a", want: Ignored},
+			{at: 1000, id: "a", boot: 5, seq: 1, want: Ignored},
+		},
+		"silence": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 4499, event: "expire", use: "a/5 ready"},
+			{at: 4500, event: "expire"},
+			{at: 4600, id: "a", boot: 5, seq: 1, want: Stale},
+			{at: 4700, id: "a", boot: 5, seq: 2, want: Accepted, use: "a/5 ready"},
+		},
+		"refused connections": {
+			{id: "a", boot: 5, seq: 2, want: Accepted, use: "a/5 ready"},
+			{at: 100, event: "refused", use: "a/5 ready"},
+			{at: 200, event: "reached", use: "a/5 ready"},
+			{at: 300, event: "refused", use: "a/5 ready"},
+			{at: 1301, event: "refused", use: "a/5 ready"},
+			{at: 1400, event: "refused"},
+			{at: 1500, id: "a", boot: 5, seq: 2, want: Stale},
+			{at: 1500, id: "a", boot: 5, seq: 3, want: Accepted, use: "a/5 ready"},
+		},
+		"misdirected": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{event: "misdirected", id: "b", use: "a/5 ready"},
+			{event: "misdirected", id: "a"},
+			{id: "b", seq: 1, want: Accepted, use: "b/0 ready"},
+		},
+		"warms up": {
+			{id: "a", boot: 5, seq: 1, set: cold, want: Accepted, use: "a/5 cold"},
+			{at: 1999, event: "expire", use: "a/5 cold"},
+			{at: 2000, event: "expire", use: "a/5 ready"},
+		},
+		"without numbers": {
+			{id: "a", want: Accepted, use: "a/0 ready"},
+			{id: "a", state: draining, want: Accepted, use: "a/0 draining"},
+			{id: "a", want: Accepted, use: "a/0 ready"},
+		},
+		"without boot, sequence starts anew": {
+			{id: "a", seq: 9, want: Accepted, use: "a/0 ready"},
+			{event: "leave", id: "a", want: Accepted},
+			{at: 29_999, id: "a", seq: 10, want: Stale},
+			{at: 30_000, id: "a", seq: 1, want: Accepted, use: "a/0 ready"},
+		},
+		"names no upstream": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{id: "a", boot: 9, seq: 1, set: func(a *Announcement) { a.State = "asleep" }, want: Invalid, use: "a/5 ready"},
+			{id: "a", boot: 9, seq: 1, set: func(a *Announcement) { a.State = sycamorerun.StateNone }, want: Invalid, use: "a/5 ready"},
+			{id: "a", boot: 9, seq: 1, set: func(a *Announcement) { a.Service = "" }, want: Invalid, use: "a/5 ready"},
+			{id: "a", boot: 9, seq: 1, set: func(a *Announcement) { a.Address = netip.AddrPort{} }, want: Invalid, use: "a/5 ready"},
+			{id: "a", boot: 9, seq: 1, set: func(a *Announcement) { a.Slots = 0 }, want: Invalid, use: "a/5 ready"},
+			{id: "", boot: 9, seq: 1, want: Invalid, use: "a/5 ready"},
+			{event: "leave", id: "", want: Invalid, use: "a/5 ready"},
+		},
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(period)
+			for i, s := range steps {
+				now := begin.Add(time.Duration(s.at) * time.Millisecond)
+				var outcome Outcome
+				switch s.event {
+				case "leave":
+					outcome = a.Leave(now, s.id)
+				case "expire":
+					a.Expire(now)
+				case "refused":
+					a.Refused(now)
+				case "reached":
+					a.Reached()
+				case "misdirected":
+					a.Misdirected(now, s.id)
+				default:
+					outcome = a.Announce(now, s.announcement())
+				}
+				use := ""
+				if current, ok := a.Current(); ok {
+					use = fmt.Sprintf("%s/%d %s", current.ID, current.Boot, current.State)
+				}
+				is.Equal(fmt.Sprint(i, outcome, use), fmt.Sprint(i, s.want, s.use))
+			}
+		})
+	}
+}
+
+// Guards against a record of boots that grows with each restart, and one that
+// forgets the last boots.
+func TestEndedIsBounded(t *testing.T) {
+	is := is.New(t)
+	a := New(period)
+	for boot := int64(1); boot <= 100; boot++ {
+		is.Equal(a.Announce(begin, step{id: "a", boot: boot, seq: 1}.announcement()), Accepted)
+		a.Leave(begin, fmt.Sprint(boot))
+	}
+	is.Equal(len(a.ended.boots), endedMost)
+	is.Equal(len(a.ended.ids), endedMost)
+	is.True(a.ended.has("a", 99))
+}
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -68,6 +68,25 @@
 	return total
 }
 
+// Guards against an upstream that is said to be cold and gets the share of a
+// warm one, because the service has a shorter slow start, or none.
+func TestCold(t *testing.T) {
+	for name, warmup := range map[string]time.Duration{"no slow start": 0, "short slow start": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := group("r1", "z1", 2)
+			all[0].State, all[0].Since = sycamorerun.StateCold, start.Add(-2*time.Second)
+			b := newBalancer(all)
+			b.Warmup = func(string) time.Duration { return warmup }
+			chances := b.Chances(start, Query{Service: "s"})
+			is.True(chances[0].Share < chances[1].Share/2)
+			all[0].State = sycamorerun.StateReady
+			chances = b.Chances(start, Query{Service: "s"})
+			is.Equal(chances[0].Share, chances[1].Share)
+		})
+	}
+}
+
 // Guards nearness: no call leaves the zone while it has capacity, the overflow
 // rises with the load and not all at once, and goes to the region first.
 func TestSpill(t *testing.T) {
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -19,6 +19,10 @@
 	weightMin = 0.1
 	// rampMin is the least share of a cold upstream.
 	rampMin = 0.1
+	// rampCold is the least slow start of an upstream that says that it is cold.
+	// A service's own setting may be shorter, or zero, while calls to a cold
+	// upstream take a multiple of the usual time for some seconds.
+	rampCold = 10 * time.Second
 	// rampEjected is the slow start after an ejection.
 	rampEjected = 5 * time.Second
 	// slotsDefault stands for the slots of an instance that tells none.
@@ -100,6 +104,9 @@
 // ramp is the share of its capacity that an upstream gets in its slow start.
 func ramp(now time.Time, c *candidate, warmup time.Duration) float64 {
 	share := 1.0
+	if c.instance.State == sycamorerun.StateCold {
+		warmup = max(warmup, rampCold)
+	}
 	if warmup > 0 && !c.instance.Since.IsZero() {
 		share = float64(now.Sub(c.instance.Since)) / float64(warmup)
 	}
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -30,6 +30,7 @@
 // execute sends a call to the upstream beside this node. admitted is called
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watch *watch, c *call, id string, body io.ReadCloser, level uint32, admitted func() error) (*answer, *failure) {
+	ctx = WithService(ctx, c.match.Service)
 	release, reason := f.Acquire(ctx, f.Now(), c.match.Class, c.deadline)
 	if reason == reasonCanceled {
 		// The limiter does not know why the call ended in the queue.
@@ -110,6 +111,8 @@
 // classify says what the failure of a round trip means for the request.
 func (f *Forwarder) classify(ctx context.Context, c *call, observed *trace, err error) *failure {
 	switch {
+	case errors.Is(err, ErrDraining):
+		return notRun(reasonDraining)
 	case c.stream != nil && c.stream.large.Load():
 		return unknown(reasonBody)
 	case observed.written():
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -118,10 +118,17 @@
 
 // Announcement is what the upstream beside the node says about itself.
 type Announcement struct {
+	// ID names the upstream instance; it is empty in the operators' API.
+	ID      string
 	Service string
 	Address netip.AddrPort
 	State   sycamorerun.State
 	Slots   int
+	// Warmup is the time for which the upstream stays slow.
+	Warmup time.Duration
+	// Sequence and Boot order announcements, see announcer.Announcement.
+	Sequence uint64
+	Boot     int64
 }
 
 // Manager implements the services of the API. Set the fields before Handler.
--- /dev/null
+++ b/node/runner/announce_test.go
@@ -0,0 +1,158 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
+	"sycamorerun/node/announcer"
+	"sycamorerun/node/forwarder"
+	"sycamorerun/node/manager"
+)
+
+// readyNode returns a node that is ready and not running.
+func readyNode(t *testing.T) *node {
+	t.Helper()
+	settings := Settings{
+		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
+		Insecure: true, Mode: "tree", KeyWindow: time.Minute,
+	}
+	n, err := newNode(time.Now(), settings, log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.phase.Store(manager.PhaseReady)
+	return n
+}
+
+func (n *node) state() sycamorerun.State { return n.tracker.Live(time.Now())[0].State }
+
+// Guards against a confirmed departure after which a request still starts at
+// the upstream, and against one that breaks off requests that run.
+func TestConfirmedDeparture(t *testing.T) {
+	ready := func(boot int64) manager.Announcement {
+		return manager.Announcement{ID: "a", Service: "s", State: sycamorerun.StateReady, Slots: 2, Sequence: 1, Boot: boot}
+	}
+	cases := map[string]struct {
+		depart func(api API, announcement manager.Announcement)
+		state  sycamorerun.State
+	}{
+		"deleted": {func(api API, in manager.Announcement) { api.Leave(time.Now(), in.ID) }, sycamorerun.StateNone},
+		"drains": {func(api API, in manager.Announcement) {
+			in.Sequence, in.State = 2, sycamorerun.StateDraining
+			api.Announce(time.Now(), in)
+		}, sycamorerun.StateDraining},
+		"service replaced": {func(api API, in manager.Announcement) {
+			in.ID, in.Service, in.Boot = "b", "t", in.Boot+1
+			api.Announce(time.Now(), in)
+		}, sycamorerun.StateReady},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			started, proceed := make(chan struct{}), make(chan struct{})
+			upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				requests.Add(1)
+				close(started)
+				<-proceed
+			}))
+			defer upstream.Close()
+			n := readyNode(t)
+			announcement := ready(5)
+			announcement.Address = netip.MustParseAddrPort(upstream.Listener.Addr().String())
+			is.Equal(n.api().Announce(time.Now(), announcement), announcer.Accepted)
+			is.Equal(n.state(), sycamorerun.StateReady)
+
+			ctx := forwarder.WithService(t.Context(), "s")
+			acquire := func() string {
+				_, reason := n.calls.forwarder.Acquire(ctx, time.Now(), sycamorerun.Interactive, time.Time{})
+				return reason
+			}
+			send := func() error {
+				request, err := http.NewRequestWithContext(ctx, http.MethodGet, upstream.URL, nil)
+				is.NoErr(err)
+				response, err := n.calls.upstream.RoundTrip(request)
+				if err == nil {
+					_ = response.Body.Close()
+				}
+				return err
+			}
+			is.Equal(acquire(), "") // runs
+			running := make(chan error, 1)
+			go func() { running <- send() }()
+			<-started
+			is.Equal(acquire(), "") // is admitted and not yet sent
+			waiting := make(chan string, 1)
+			go func() { waiting <- acquire() }()
+			for n.calls.limiter.Load().Queued == 0 {
+				time.Sleep(time.Millisecond)
+			}
+
+			c.depart(n.api(), announcement)
+			select {
+			case reason := <-waiting:
+				is.Equal(reason, "draining")
+			case <-time.After(5 * time.Second):
+				t.Fatal("a waiting call was not refused")
+			}
+			is.Equal(acquire(), "draining")
+			is.True(errors.Is(send(), forwarder.ErrDraining))
+			is.Equal(n.state(), c.state)
+			announcement.Sequence = 3
+			is.True(n.api().Announce(time.Now(), announcement) != announcer.Accepted) // late
+			is.Equal(acquire(), "draining")
+			close(proceed)
+			is.NoErr(<-running)
+			is.Equal(requests.Load(), int64(1))
+		})
+	}
+}
+
+// Guards against calls to an address at which nothing listens any more, or
+// another instance does, until its announcement expires.
+func TestDroppedByResponses(t *testing.T) {
+	cases := map[string]func(t *testing.T) netip.AddrPort{
+		"refused": free,
+		"misdirected": func(t *testing.T) netip.AddrPort {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			}))
+			t.Cleanup(server.Close)
+			return netip.MustParseAddrPort(server.Listener.Addr().String())
+		},
+	}
+	for name, address := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := readyNode(t)
+			n.calls.forwarder.Contract.Target = "X-Target"
+			in := manager.Announcement{ID: "a", Service: "s", Address: address(t), State: sycamorerun.StateReady, Slots: 2, Sequence: 1, Boot: 5}
+			is.Equal(n.take(time.Now(), in), announcer.Accepted)
+			for range 2 {
+				request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://upstream/", nil)
+				is.NoErr(err)
+				request.Header.Set("X-Target", "a")
+				if response, err := n.calls.upstream.RoundTrip(request); err == nil {
+					_ = response.Body.Close()
+				}
+			}
+			is.Equal(n.state(), sycamorerun.StateNone)
+			is.True(!n.calls.upstream.admits("s"))
+			in.Sequence = 2
+			is.Equal(n.take(time.Now(), in), announcer.Accepted)
+			is.Equal(n.state(), sycamorerun.StateReady)
+			is.True(n.calls.upstream.admits("s"))
+		})
+	}
+}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/announcer"
 	"sycamorerun/node/applier"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/deduplicator"
@@ -29,7 +30,7 @@
 // newCalls wires the data path over the configuration in force and the
 // members of each service.
 func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance) *calls {
-	c := &calls{upstream: &localUpstream{}}
+	c := &calls{upstream: &localUpstream{announcer: announcer.New(settings.AnnouncePeriod)}}
 	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
 
 	c.limiter = limiter.New(limiter.Limits{})
@@ -53,6 +54,11 @@
 	f.BodyBytes = int64(settings.MaxBody)
 	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
+	f.Target = c.upstream.id
+	c.upstream.target = func(request *http.Request) string { return request.Header.Get(f.Contract.Target) }
+	if !settings.Keys {
+		f.Contract.Key = ""
+	}
 	f.Match = func(request *http.Request) (forwarder.Match, bool) { return match(current().Table, request) }
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
@@ -67,6 +73,9 @@
 		})
 	}
 	f.Acquire = func(ctx context.Context, now time.Time, class sycamorerun.Class, deadline time.Time) (func(), string) {
+		if !c.upstream.admits(forwarder.ServiceOf(ctx)) {
+			return nil, string(limiter.Draining)
+		}
 		release, refusal := c.limiter.Acquire(ctx, now, class, deadline)
 		return release, string(refusal)
 	}
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -46,6 +46,7 @@
 	n.publisher = &publisher{
 		publish: func(p presence) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots) },
 		join:    n.takeKeys,
+		keyless: !n.settings.Keys,
 		leave: func() {
 			limited, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 			defer cancel()
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -43,6 +43,9 @@
 	store    persister.Store
 	phase    atomic.Value
 	parsing  sync.Mutex
+	// presenting guards shown, the presence that was published last.
+	presenting sync.Mutex
+	shown      presence
 	// reporting is set reportDelay after the node became ready.
 	reporting atomic.Bool
 
@@ -94,6 +97,7 @@
 	n.wireConnector(security)
 	n.wireManager(metrics)
 	n.calls.forwarder.Open = n.connector.Open
+	n.calls.upstream.changed = n.present
 	return n, nil
 }
 
@@ -214,50 +218,10 @@
 	n.authenticator.Update(state.Tree.Items)
 	n.membersMoved(state.Since)
 	n.report(state.Since)
-	if announcement, ok := n.calls.upstream.service(); ok {
-		n.resize(announcement)
-	}
+	n.present(time.Now())
 	level.Info(n.logger).Log("msg", "configuration applied", "version", state.Tree.Version, "routes", state.Table.Routes())
 }
 
-// resize takes the limits of the announced upstream's service.
-// It returns the slots.
-func (n *node) resize(announcement manager.Announcement) int {
-	service, known := n.applier.Current().Table.Service(announcement.Service)
-	limits := n.calls.upstream.update(announcement, service, known)
-	n.calls.limiter.Resize(limits)
-	return limits.Slots
-}
-
-// announce takes the local upstream's announcement. While the node drains,
-// its upstream counts as draining whatever it says.
-func (n *node) announce(announcement manager.Announcement) error {
-	if current, ok := n.calls.upstream.service(); ok && current.Service != announcement.Service {
-		return errors.Errorf("this node serves %s already", current.Service)
-	}
-	state := announcement.State
-	phase := n.phase.Load()
-	if (phase == manager.PhaseDraining || phase == manager.PhaseStopped) && state != sycamorerun.StateLeft {
-		state = sycamorerun.StateDraining
-	}
-	slots := n.resize(announcement)
-	switch {
-	case state == sycamorerun.StateLeft:
-		// The node stays a member; only its upstream is gone.
-		state = sycamorerun.StateNone
-	case phase == manager.PhaseStarting:
-		// A node without the newest version takes no calls for its upstream.
-		state = sycamorerun.StateNone
-	}
-	if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
-		n.publisher.lapse(time.Now())
-	}
-	// The record has the slots that the limiter uses. More of them than the
-	// service allows would only attract calls that are refused.
-	n.publisher.want(presence{announcement.Service, state, slots})
-	return nil
-}
-
 // handlers are the stream kinds that peers can open.
 func (n *node) handlers() map[string]connector.Handler {
 	return map[string]connector.Handler{
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -23,6 +23,8 @@
 type publisher struct {
 	publish     func(presence)
 	join, leave func()
+	// keyless says that there are no keys to hand over.
+	keyless bool
 
 	mutex   sync.Mutex
 	wanted  presence
@@ -39,6 +41,8 @@
 	defer p.mutex.Unlock()
 	p.wanted = wanted
 	switch {
+	case p.keyless:
+		p.publish(wanted)
 	case p.changing != nil: // published when the change has ended
 	case wanted.serving() == p.serving:
 		p.publish(wanted)
@@ -59,6 +63,15 @@
 	}
 }
 
+// reset records that the upstream is another one, which has no keys yet.
+func (p *publisher) reset() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.changing == nil {
+		p.serving = false
+	}
+}
+
 // change moves the keys until the wanted presence can be published.
 func (p *publisher) change() {
 	for {
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -83,7 +83,10 @@
 	start("seeder", n.seeder.Run)
 	start("distributor", n.distributor.Run)
 	start("acceptor", n.acceptor.Run)
-	start("keys", n.keys.Run)
+	if n.settings.Keys {
+		start("keys", n.keys.Run)
+	}
+	start("upstream", n.watchUpstream)
 	start("operators", serve(operators))
 	start("callers", serve(callers))
 	start("bootstrap", n.bootstrap)
@@ -126,6 +129,7 @@
 	}
 	if n.phase.CompareAndSwap(manager.PhaseStarting, manager.PhaseReady) {
 		level.Info(n.logger).Log("msg", "node ready", "version", n.applier.Current().Tree.Version)
+		n.present(time.Now())
 	}
 	select {
 	case <-ctx.Done():
@@ -141,10 +145,8 @@
 func (n *node) drain(callers *http.Server) {
 	level.Info(n.logger).Log("msg", "draining", "timeout", n.settings.DrainTimeout)
 	n.phase.Store(manager.PhaseDraining)
-	if announcement, ok := n.calls.upstream.service(); ok {
-		n.publisher.want(presence{announcement.Service, sycamorerun.StateDraining, announcement.Slots})
-		n.publisher.settle()
-	}
+	n.present(time.Now())
+	n.publisher.settle()
 	limited, cancel := context.WithTimeout(context.Background(), n.settings.DrainDelay+n.settings.DrainTimeout)
 	defer cancel()
 	if err := n.calls.forwarder.Drain(limited); err != nil {
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -35,7 +35,9 @@
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration
 
-	KeyWindow time.Duration
+	Keys           bool
+	KeyWindow      time.Duration
+	AnnouncePeriod time.Duration
 
 	MaxBody  int
 	LogLevel string
@@ -63,7 +65,9 @@
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging that the start is held up")
 	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
 	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight")
+	loader.Add(l, &s.Keys, "keys", "true", loader.Bool(), "whether a request with an idempotency key goes to the key's owner; false hands no keys over and forwards such a request like any other")
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long a key of a lost process gets the result unknown")
+	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "time between two announcements of the upstream; it lapses after three")
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes")
 	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
 	l.Check(s.checkTLS)
--- a/node/tracker/own.go
+++ b/node/tracker/own.go
@@ -28,7 +28,8 @@
 	r.Sequence++
 	state := r.State
 	change(&r)
-	if r.State != state {
+	// A cold upstream that becomes ready goes on with its slow start.
+	if warmed := state == sycamorerun.StateCold && r.State == sycamorerun.StateReady; r.State != state && !warmed {
 		r.Since = now.Truncate(time.Millisecond).UTC()
 	}
 	t.put(now, &r)
