--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -819,6 +819,25 @@
 	})
 }
 
+// Guards against calls that all go to one upstream, or that are refused as
+// repeated, where keys have no meaning.
+func TestContractWithoutKeys(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply("ok"))
+		b.entry.Contract.Key = ""
+		b.entry.Owner = func(string, string) (sycamorerun.Instance, bool) {
+			t.Error("owner of a key asked")
+			return sycamorerun.Instance{}, false
+		}
+		for _, body := range []string{"one", "two"} {
+			got := b.send(http.MethodPost, "/x", strings.NewReader(body), sycamorerun.HeaderKey, "k")
+			is.Equal(got, result{status: 200, outcome: "answered", body: "ok"})
+		}
+		b.reached(t, 2)
+	})
+}
+
 // Guards the promise that a planned stop interrupts no call.
 func TestDrain(t *testing.T) {
 	paths(t, func(t *testing.T, local bool) {
--- a/node/runner/publisher_test.go
+++ b/node/runner/publisher_test.go
@@ -63,3 +63,17 @@
 		})
 	}
 }
+
+// Guards against an announcement that waits for the hand-over of keys although
+// there are none.
+func TestKeyless(t *testing.T) {
+	is := is.New(t)
+	n := readyNode(t) // its settings have --keys=false
+	never := func() { t.Error("keys change hands") }
+	n.publisher.join, n.publisher.leave = never, never
+	for _, state := range []sycamorerun.State{sycamorerun.StateReady, sycamorerun.StateDraining, sycamorerun.StateCold, sycamorerun.StateNone} {
+		n.publisher.want(presence{"s", state, 1})
+		is.Equal(n.state(), state)
+	}
+	is.Equal(n.calls.forwarder.Contract.Key, "")
+}
