Stop within the drain's time and 0.8 s, and keep callers' connections until they are quiet

The time limits of the end of a stop added up: 5 s for HTTP servers, 2 s for the last records, up to 30 s for streams to peers. They share 0.8 s now. The drain begins while keys are handed over, not after. After the drain delay peers are refused; callers are still served, and asked to close their connections, until they are quiet or a third of the drain timeout has passed. A connection is so not closed under a request that is on its way.

--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -873,6 +873,33 @@
 	})
 }
 
+// Guards against a connection that is closed under a request on its way: after
+// the grace, callers are still served, on connections that then close.
+func TestLinger(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply("done"))
+		b.entry.Linger = time.Minute
+		is.Equal(b.send(http.MethodGet, "/x", nil).body, "done") // the connection stays open
+		drained := make(chan error, 1)
+		go func() { drained <- b.entry.Drain(context.Background()) }()
+		for !b.entry.drain.leaving() {
+			time.Sleep(time.Millisecond)
+		}
+		response, err := b.caller.Client().Get(b.caller.URL + "/x")
+		is.NoErr(err)
+		data, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(data), "done")
+		is.True(response.Close)
+		if local {
+			is.True(!b.entry.drain.enterPeer())
+		}
+		is.NoErr(<-drained) // when callers are quiet, long before Linger ends
+		is.Equal(b.send(http.MethodGet, "/x", nil).reason, "draining")
+	})
+}
+
 // Guards the decoder of streams from peers: any bytes end the call and run
 // nothing twice, without a panic or a hang.
 func FuzzServeCall(f *testing.F) {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,7 +95,10 @@
 	QueryWait time.Duration
 	// Grace is the time between the start of a drain and the first refusal, in
 	// which the other nodes learn of the drain.
-	Grace  time.Duration
+	Grace time.Duration
+	// Linger is the longest time after Grace in which callers are still served,
+	// each asked to close its connection, while peers are refused.
+	Linger time.Duration
 	Logger log.Logger
 	Scope  tally.Scope
 
@@ -124,65 +126,6 @@
 	}
 }
 
-// drain counts the calls in flight and closes the entrance.
-type drain struct {
-	mutex    sync.Mutex
-	inFlight int
-	closed   bool
-	// empty is closed when the entrance is closed and no call is in flight.
-	empty chan struct{}
-}
-
-// enter counts a call, unless the entrance is closed.
-func (d *drain) enter() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.closed {
-		return false
-	}
-	d.inFlight++
-	return true
-}
-
-func (d *drain) leave() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.inFlight--
-	if d.closed && d.inFlight == 0 {
-		close(d.empty)
-	}
-}
-
-// close closes the entrance and returns a channel that is closed when the last
-// call has left.
-func (d *drain) close() <-chan struct{} {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if !d.closed {
-		d.closed = true
-		d.empty = make(chan struct{})
-		if d.inFlight == 0 {
-			close(d.empty)
-		}
-	}
-	return d.empty
-}
-
-// Drain keeps serving for Grace, then refuses new calls and returns when the
-// calls in flight have ended or ctx is done.
-func (f *Forwarder) Drain(ctx context.Context) error {
-	if err := sleep(ctx, f.Grace); err != nil {
-		return err
-	}
-	defer f.pool.close()
-	select {
-	case <-f.drain.close():
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -42,7 +42,7 @@
 // serve handles one call and reports whether the stream can carry another.
 func (f *Forwarder) serve(ctx context.Context, peer *link, in *inbound) bool {
 	defer in.close()
-	if !f.drain.enter() {
+	if !f.drain.enterPeer() {
 		return f.sendRefusal(peer, notRun(reasonDraining))
 	}
 	defer f.drain.leave()
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -159,6 +159,7 @@
 
 // outcome tells the caller how its call ended, in the headers of the contract.
 func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
+	f.farewell(header)
 	for _, line := range [...]struct{ name, value string }{
 		{f.Contract.Outcome, string(result)}, {f.Contract.Reason, reason}, {f.Contract.Request, c.id},
 	} {
--- a/node/runner/announce_test.go
+++ b/node/runner/announce_test.go
@@ -21,12 +21,15 @@
 )
 
 // readyNode returns a node that is ready and not running.
-func readyNode(t *testing.T) *node {
+func readyNode(t *testing.T, changes ...func(*Settings)) *node {
 	t.Helper()
 	settings := Settings{
 		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
 		Insecure: true, Mode: "tree", KeyWindow: time.Minute,
 	}
+	for _, change := range changes {
+		change(&settings)
+	}
 	n, err := newNode(time.Now(), settings, log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
 	if err != nil {
 		t.Fatal(err)
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -37,12 +37,14 @@
 // node holds the slices of one node and wires them.
 type node struct {
 	settings Settings
-	self     sycamorerun.Instance
-	logger   log.Logger
-	scope    tally.Scope
-	store    persister.Store
-	phase    atomic.Value
-	parsing  sync.Mutex
+	// tuned are the settings in force, with those that were read again.
+	tuned   atomic.Pointer[Settings]
+	self    sycamorerun.Instance
+	logger  log.Logger
+	scope   tally.Scope
+	store   persister.Store
+	phase   atomic.Value
+	parsing sync.Mutex
 	// presenting guards shown, the presence that was published last.
 	presenting sync.Mutex
 	shown      presence
@@ -83,6 +85,7 @@
 		},
 		store: persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
 	}
+	n.tuned.Store(&settings)
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -28,7 +28,9 @@
 			Name: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
 			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
 		},
-		TLS: security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
+		// Calls have ended before; what is left are streams without a call.
+		Limits: connector.Limits{Drain: leaveTimeout},
+		TLS:    security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
 	}
 }
 
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -18,6 +18,10 @@
 	"sycamorerun/node/manager"
 )
 
+// lingerPart is the part of the drain timeout in which new calls of callers are
+// still served after the drain delay. The rest is for calls in flight.
+const lingerPart = 3
+
 const (
 	// headerTimeout bounds the wait for the head of an operator's request.
 	headerTimeout = 10 * time.Second
@@ -25,10 +29,17 @@
 	// are logged and counted. The records of the other members come with the
 	// first links; without the delay, each start would report all routes.
 	reportDelay = 5 * time.Second
-	// leaveTimeout bounds the announcement that the node is gone.
-	leaveTimeout = 2 * time.Second
-	// closeTimeout bounds the end of the HTTP servers after the drain.
-	closeTimeout = 5 * time.Second
+	// stopMargin is the time of a stop beyond the drain: the end of the HTTP
+	// servers, the last records for peers and the end of the sessions share it.
+	// Whoever stops a node allows a second more than its drain takes.
+	stopMargin = 800 * time.Millisecond
+	// closeTimeout bounds the end of the HTTP servers, in which the last
+	// responses are written. A connection on which no request was ever made
+	// would hold it up.
+	closeTimeout = 200 * time.Millisecond
+	// leaveTimeout bounds the last records for peers, and also the end of the
+	// sessions. What takes longer goes to peers that don't answer.
+	leaveTimeout = 250 * time.Millisecond
 )
 
 // Runner runs one node.
@@ -61,8 +72,11 @@
 func (n *node) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	defer group.Wait()
-	defer stop()
+	limit := time.Time{}
+	defer func() {
+		stop()
+		n.finish(&group, limit)
+	}()
 	failed := make(chan error, 1)
 	start := func(name string, run func(context.Context) error) {
 		group.Go(func() {
@@ -97,15 +111,41 @@
 	case err := <-failed:
 		return err
 	}
-	n.drain(callers)
+	limit = n.drain(callers)
 	n.phase.Store(manager.PhaseStopped)
-	limited, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = operators.Shutdown(limited) // Operators ask another node.
+	_ = shut(operators) // Operators ask another node.
 	level.Info(n.logger).Log("msg", "node stopped")
 	return nil
 }
 
+// finish waits until all that start began has ended, or until the limit, zero
+// meaning stopMargin from now. The process is about to end, with whatever hangs
+// in a connection to a peer.
+func (n *node) finish(group *sync.WaitGroup, limit time.Time) {
+	if limit.IsZero() {
+		limit = time.Now().Add(stopMargin)
+	}
+	ended := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(time.Until(limit)):
+		level.Warn(n.logger).Log("msg", "background work did not end in time")
+	}
+}
+
+// shut ends an HTTP server that has no work.
+func shut(server *http.Server) error {
+	limited, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := server.Shutdown(limited)
+	_ = server.Close()
+	return err
+}
+
 // serve runs an HTTP server as a function for start. The end of the context
 // closes it at once, for a start that failed elsewhere.
 func serve(server *http.Server) func(context.Context) error {
@@ -141,24 +181,33 @@
 }
 
 // drain tells the peers that the upstream here leaves, finishes the calls in
-// flight and announces that the node is gone.
-func (n *node) drain(callers *http.Server) {
-	level.Info(n.logger).Log("msg", "draining", "timeout", n.settings.DrainTimeout)
+// flight and announces that the node is gone. It returns the time by which the
+// process has to end.
+func (n *node) drain(callers *http.Server) (limit time.Time) {
+	s := n.tuned.Load()
+	level.Info(n.logger).Log("msg", "draining", "delay", s.DrainDelay, "timeout", s.DrainTimeout)
 	n.phase.Store(manager.PhaseDraining)
+	ended := time.Now().Add(s.DrainDelay + s.DrainTimeout)
+	// The hand-over of keys begins now; calls go on meanwhile.
 	n.present(time.Now())
-	n.publisher.settle()
-	limited, cancel := context.WithTimeout(context.Background(), n.settings.DrainDelay+n.settings.DrainTimeout)
+	n.calls.forwarder.Grace, n.calls.forwarder.Linger = s.DrainDelay, s.DrainTimeout/lingerPart
+	limited, cancel := context.WithDeadline(context.Background(), ended)
 	defer cancel()
 	if err := n.calls.forwarder.Drain(limited); err != nil {
 		level.Warn(n.logger).Log("msg", "calls were still in flight at the end of the drain", "err", err)
 	}
-	if err := callers.Shutdown(limited); err != nil {
-		level.Warn(n.logger).Log("msg", "caller connections were still open at the end of the drain", "err", err)
+	limit = time.Now().Add(stopMargin)
+	if err := shut(callers); err != nil {
+		level.Debug(n.logger).Log("msg", "caller connections were still open at the end of the drain", "err", err)
 	}
+	n.publisher.settle()
 	leaving, stop := context.WithTimeout(context.Background(), leaveTimeout)
 	defer stop()
-	n.keys.Finish(leaving)
+	if n.settings.Keys {
+		n.keys.Finish(leaving)
+	}
 	n.tracker.Leave(leaving)
+	return limit
 }
 
 // ready refuses calls before the node has the newest version.
