Read the settings again on SIGHUP and when their file changes

--settings-file names a file of settings below flags and variables. Log level, drain delay and timeout, standby delay, body limit and announcement period change in a running node; a faulty file is logged and changes nothing.

--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -47,8 +47,10 @@
 	// Self is the node's name.
 	Self string
 	Mode Mode
-	// StandbyDelay is how long the standby waits for the primary's push.
+	// StandbyDelay is how long the standby waits for the primary's push, until
+	// SetStandbyDelay is called.
 	StandbyDelay time.Duration
+	changedDelay atomic.Pointer[time.Duration]
 	Store        persister.Store
 	// Current returns the tree in force and its hash.
 	Current func() (sycamorerun.Tree, sycamorerun.Hash)
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -164,7 +164,7 @@
 		}
 	}
 	if newest > d.Held() {
-		_ = sleep(ctx, d.StandbyDelay)
+		_ = sleep(ctx, d.standbyDelay())
 	}
 	return after, newest <= d.Held()
 }
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -67,7 +67,7 @@
 	if size(r.Header) > headerBytes {
 		return c, notRun(reasonHeaders)
 	}
-	if r.ContentLength > f.BodyBytes {
+	if r.ContentLength > f.bodyBytes() {
 		return c, notRun(reasonBody)
 	}
 	match, ok := f.Match(r)
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -89,7 +89,7 @@
 
 	// Now is the clock.
 	Now func() time.Time
-	// BodyBytes bounds a request body.
+	// BodyBytes bounds a request body, until SetBodyBytes is called.
 	BodyBytes int64
 	// QueryWait bounds the query about a call whose stream was lost.
 	QueryWait time.Duration
@@ -102,8 +102,10 @@
 	Logger log.Logger
 	Scope  tally.Scope
 
-	drain drain
-	pool  pool
+	// changedBytes is the bound that SetBodyBytes set, or nil.
+	changedBytes atomic.Pointer[int64]
+	drain        drain
+	pool         pool
 	// waiting counts the streams of peers that wait for their next call.
 	waiting atomic.Int64
 	metrics metrics
@@ -126,6 +128,16 @@
 	}
 }
 
+// SetBodyBytes changes BodyBytes of a running forwarder.
+func (f *Forwarder) SetBodyBytes(limit int64) { f.changedBytes.Store(&limit) }
+
+func (f *Forwarder) bodyBytes() int64 {
+	if changed := f.changedBytes.Load(); changed != nil {
+		return *changed
+	}
+	return f.BodyBytes
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -37,14 +37,16 @@
 // node holds the slices of one node and wires them.
 type node struct {
 	settings Settings
-	// tuned are the settings in force, with those that were read again.
-	tuned   atomic.Pointer[Settings]
-	self    sycamorerun.Instance
-	logger  log.Logger
-	scope   tally.Scope
-	store   persister.Store
-	phase   atomic.Value
-	parsing sync.Mutex
+	// updates brings settings that were read again; tuned are those in force.
+	updates  <-chan update
+	setLevel func(least string)
+	tuned    atomic.Pointer[Settings]
+	self     sycamorerun.Instance
+	logger   log.Logger
+	scope    tally.Scope
+	store    persister.Store
+	phase    atomic.Value
+	parsing  sync.Mutex
 	// presenting guards shown, the presence that was published last.
 	presenting sync.Mutex
 	shown      presence
--- /dev/null
+++ b/node/runner/reload.go
@@ -0,0 +1,150 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"sycamorerun/loader"
+)
+
+// checkInterval is the time between checks whether the settings file changed.
+const checkInterval = time.Second
+
+// update carries settings that were read again.
+type update struct {
+	settings Settings
+	names    []string
+}
+
+// changes apply a setting that was read again, by its name. The drain takes
+// its settings from those in force when it begins.
+var changes = map[string]func(n *node, inForce *Settings, read Settings){
+	"standby-delay":   func(n *node, _ *Settings, s Settings) { n.distributor.SetStandbyDelay(s.StandbyDelay) },
+	"max-body":        func(n *node, _ *Settings, s Settings) { n.calls.forwarder.SetBodyBytes(int64(s.MaxBody)) },
+	"announce-period": func(n *node, _ *Settings, s Settings) { n.calls.upstream.announcer.SetPeriod(s.AnnouncePeriod) },
+	"log-level":       func(n *node, _ *Settings, s Settings) { n.setLevel(s.LogLevel) },
+	"drain-delay":     func(_ *node, inForce *Settings, s Settings) { inForce.DrainDelay = s.DrainDelay },
+	"drain-timeout":   func(_ *node, inForce *Settings, s Settings) { inForce.DrainTimeout = s.DrainTimeout },
+}
+
+// follow applies updates until ctx ends.
+func (n *node) follow(updates <-chan update) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case u := <-updates:
+				n.tune(u)
+			}
+		}
+	}
+}
+
+func (n *node) tune(u update) {
+	inForce := *n.tuned.Load()
+	for _, name := range u.names {
+		changes[name](n, &inForce, u.settings)
+	}
+	n.tuned.Store(&inForce)
+}
+
+// reloader reads the settings again on SIGHUP and when their file changes.
+type reloader struct {
+	program string
+	args    []string
+	lookup  func(string) (string, bool)
+	runner  *Runner
+	// known holds the settings that were read last, stamp the file's state then.
+	known   *loader.Loader
+	stamp   stamp
+	missing bool
+}
+
+// stamp is what changes with a file.
+type stamp struct {
+	size     int64
+	modified time.Time
+}
+
+func stampOf(path string) (stamp, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return stamp{}, err
+	}
+	return stamp{info.Size(), info.ModTime()}, nil
+}
+
+// run reads the settings again when it has to, until ctx ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan struct{}) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			level.Info(r.runner.events).Log("msg", "SIGHUP received; reading the settings again")
+			r.check(true)
+		case <-ticker.C:
+			r.check(false)
+		}
+	}
+}
+
+// check reads the settings when the file has changed or always is set. The
+// settings in force stay when the file is gone.
+func (r *reloader) check(always bool) {
+	path := r.known.File()
+	if path == "" {
+		return
+	}
+	now, err := stampOf(path)
+	if err != nil {
+		if !r.missing || always {
+			level.Warn(r.runner.events).Log("msg", "settings file can't be read; the settings stay", "err", err)
+		}
+		r.missing = true
+		return
+	}
+	if always || r.missing || now != r.stamp {
+		r.missing, r.stamp = false, now
+		r.read()
+	}
+}
+
+// read checks all settings and applies those that changed.
+func (r *reloader) read() {
+	var settings Settings
+	next := loader.New(r.program)
+	settings.Register(next)
+	loader.AddPrint(next, new(bool))
+	faults, err := next.Load(r.args, r.lookup, io.Discard)
+	for _, note := range next.Notes() {
+		level.Warn(r.runner.events).Log("msg", "settings file", "note", note)
+	}
+	if err != nil {
+		level.Error(r.runner.events).Log("msg", "settings not read; they stay", "err", err)
+		return
+	}
+	for _, fault := range faults {
+		level.Error(r.runner.events).Log("msg", "settings are faulty; they stay", "fault", fault)
+	}
+	if len(faults) > 0 {
+		return
+	}
+	running, start := r.known.Changed(next)
+	r.known = next
+	if len(start) > 0 {
+		level.Warn(r.runner.events).Log("msg", "changed settings take effect at the next start", "settings", strings.Join(start, ","))
+	}
+	if len(running) > 0 {
+		level.Info(r.runner.events).Log("msg", "settings changed", "settings", strings.Join(running, ","))
+		r.runner.update(update{settings, running})
+	}
+}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -45,25 +45,41 @@
 // Runner runs one node.
 type Runner struct {
 	settings Settings
-	logs     io.Writer
+	events   *logger.Leveled
+	updates  chan update
 }
 
 // New returns a Runner that logs to logs.
 func New(settings Settings, logs io.Writer) *Runner {
-	return &Runner{settings: settings, logs: logs}
+	return &Runner{
+		settings: settings, updates: make(chan update, 1),
+		events: logger.NewLeveled(logs, settings.LogLevel, "node", settings.Name, "zone", settings.AvailabilityZone),
+	}
+}
+
+// update has a running node take settings that were read again.
+func (r *Runner) update(u update) {
+	select {
+	case waiting := <-r.updates:
+		// The node has not taken the last ones yet.
+		u.names = append(waiting.names, u.names...)
+	default:
+	}
+	r.updates <- u
 }
 
 // Run runs the node until ctx ends, then drains it.
 func (r *Runner) Run(ctx context.Context) error {
 	now := time.Now()
 	s := r.settings
-	events := logger.New(r.logs, s.LogLevel, "node", s.Name, "zone", s.AvailabilityZone)
 	scope, metrics, closer := meter.New(map[string]string{"node": s.Name, "zone": s.AvailabilityZone, "region": s.Region})
 	defer closer.Close()
-	n, err := newNode(now, s, events, scope, metrics)
+	n, err := newNode(now, s, r.events, scope, metrics)
 	if err != nil {
 		return err
 	}
+	r.events.SetLevel(s.LogLevel)
+	n.updates, n.setLevel = r.updates, r.events.SetLevel
 	return n.run(ctx)
 }
 
@@ -101,6 +117,7 @@
 		start("keys", n.keys.Run)
 	}
 	start("upstream", n.watchUpstream)
+	start("settings", n.follow(n.updates))
 	start("operators", serve(operators))
 	start("callers", serve(callers))
 	start("bootstrap", n.bootstrap)
