Order runs and ages without wall clocks

A clock that was set back between two runs of a node made peers refuse its sessions until the old one was closed, and its records had to catch up. An incarnation is now a count that begins at 1 and moves above each record of another run, with a random boot id below it that tells runs apart; sessions and owners of keys are told apart by the boot id alone, and the run that has just made a session counts. The start of a state travels as an age: the slow start compared the clocks of two instances. The silence of a session is measured with the monotonic clock, so that a step of the wall clock no longer closes all sessions. A seed record has no time; it is replaced when it names too few live members, and after 5 s unchanged when it names none.

TestIncarnations demanded that the session of an earlier incarnation is refused, which needs a clock to tell which one is earlier. TestRuns demands that the present run is never refused and that one run has sessions at a time. The records that TestVersionsAndRecords compares may differ in Since by the time on the way, and in nothing else.

--- a/instance.go
+++ b/instance.go
@@ -21,7 +21,7 @@
 // Only the node itself writes it.
 type Instance struct {
 	Name             string
-	Incarnation      time.Time
+	Incarnation      Incarnation
 	Sequence         uint64
 	Address          netip.AddrPort
 	AvailabilityZone string
@@ -36,8 +36,8 @@
 
 // Newer reports whether i supersedes other, a record of the same node.
 func (i Instance) Newer(other Instance) bool {
-	if !i.Incarnation.Equal(other.Incarnation) {
-		return i.Incarnation.After(other.Incarnation)
+	if i.Incarnation != other.Incarnation {
+		return i.Incarnation > other.Incarnation
 	}
 	return i.Sequence > other.Sequence
 }
--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -20,21 +20,21 @@
 	segmentsIn, segmentsOut atomic.Int64
 	headersIn, headersOut   atomic.Int64
 	segments                *segmentCounter
-	// received is the time of the last read in Unix nanoseconds.
+	// received is the time of the last read, from opened on. Go takes the
+	// difference of two times from the monotonic clock, which is never set.
 	received atomic.Int64
+	opened   time.Time
 }
 
 func newWire(conn net.Conn, now time.Time) *wire {
-	w := &wire{Conn: conn, segments: newSegmentCounter(conn)}
-	w.received.Store(now.UnixNano())
-	return w
+	return &wire{Conn: conn, segments: newSegmentCounter(conn), opened: now}
 }
 
 func (w *wire) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n > 0 {
 		w.in.Add(int64(n))
-		w.received.Store(time.Now().UnixNano())
+		w.received.Store(int64(time.Since(w.opened)))
 	}
 	return n, err
 }
@@ -62,7 +62,7 @@
 
 // silence returns how long nothing has arrived.
 func (w *wire) silence(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - w.received.Load())
+	return now.Sub(w.opened) - time.Duration(w.received.Load())
 }
 
 // Parts of a yamux frame: the header has the version, the type, two bytes of
--- a/node/connector/peer.go
+++ b/node/connector/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -15,8 +14,9 @@
 
 // Peer identifies one run of a node.
 type Peer struct {
-	Name             string
-	Incarnation      time.Time
+	Name string
+	// Boot is the random id of the run.
+	Boot             int64
 	Address          netip.AddrPort
 	AvailabilityZone string
 	Region           string
@@ -44,17 +44,17 @@
 }
 
 func (p Peer) sameRun(other Peer) bool {
-	return p.Name == other.Name && p.Incarnation.Equal(other.Incarnation)
+	return p.Name == other.Name && p.Boot == other.Boot
 }
 
 func (p Peer) hello() *Hello {
 	return &Hello{
-		Protocol:            protocol,
-		Name:                p.Name,
-		IncarnationUnixNano: p.Incarnation.UnixNano(),
-		Address:             p.Address.String(),
-		AvailabilityZone:    p.AvailabilityZone,
-		Region:              p.Region,
+		Protocol:         protocol,
+		Name:             p.Name,
+		Boot:             p.Boot,
+		Address:          p.Address.String(),
+		AvailabilityZone: p.AvailabilityZone,
+		Region:           p.Region,
 	}
 }
 
@@ -74,12 +74,12 @@
 	if err != nil {
 		return Peer{}, errors.Wrap(err, "hello address")
 	}
-	if hello.GetIncarnationUnixNano() <= 0 {
-		return Peer{}, errors.New("hello without incarnation")
+	if hello.GetBoot() <= 0 {
+		return Peer{}, errors.New("hello without boot id")
 	}
 	return Peer{
 		Name:             hello.GetName(),
-		Incarnation:      time.Unix(0, hello.GetIncarnationUnixNano()).UTC(),
+		Boot:             hello.GetBoot(),
 		Address:          address,
 		AvailabilityZone: hello.GetAvailabilityZone(),
 		Region:           hello.GetRegion(),
--- a/node/connector/registry.go
+++ b/node/connector/registry.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/pkg/errors"
 )
 
 // preferOld decides between two live sessions to the same run of a peer. When
@@ -38,7 +37,7 @@
 	return nil
 }
 
-// add returns the sessions to earlier runs at the address, to be closed.
+// add returns the sessions to other runs at the address, to be closed.
 func (c *Connector) add(s *session, dialled netip.AddrPort) (stale []*session, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,12 +45,10 @@
 		return nil, ErrClosed
 	}
 	address := s.peer.Address
+	// Two runs can't listen at one address, so that the run that has just made a
+	// session is the present one.
 	for _, old := range c.sessions[address] {
-		switch {
-		case old.peer.sameRun(s.peer):
-		case old.peer.Name == s.peer.Name && old.peer.Incarnation.After(s.peer.Incarnation):
-			return nil, errors.Errorf("peer %s with an older incarnation than its open session", s.peer.Name)
-		default:
+		if !old.peer.sameRun(s.peer) {
 			stale = append(stale, old)
 		}
 	}
--- a/node/deduplicator/codec.go
+++ b/node/deduplicator/codec.go
@@ -8,11 +8,11 @@
 )
 
 func toProcess(member Member) *Process {
-	return &Process{Name: member.Name, IncarnationUnixNano: member.Incarnation}
+	return &Process{Name: member.Name, Boot: member.Boot}
 }
 
 func fromProcess(process *Process) Member {
-	return Member{Name: process.GetName(), Incarnation: process.GetIncarnationUnixNano()}
+	return Member{Name: process.GetName(), Boot: process.GetBoot()}
 }
 
 func toProcesses(set []Member) []*Process {
--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -79,10 +79,10 @@
 
 // Deduplicator holds the records of one node.
 type Deduplicator struct {
-	// Self is the name of this node's instance, Incarnation the start of this
-	// process in Unix nanoseconds.
-	Self        string
-	Incarnation int64
+	// Self is the name of this node's instance, Boot the random id
+	// of this process.
+	Self string
+	Boot int64
 	// Clean says that no call with a key can have been served before this
 	// process began. Otherwise another member, or an earlier process beside this
 	// upstream, may have run it, and unknown keys are uncertain for Limits.Age.
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -22,11 +22,11 @@
 	chainMax = 8
 )
 
-// Member is one process that executes keys. Incarnation, in Unix nanoseconds,
-// tells it from earlier processes of the same name.
+// Member is one process that executes keys. Boot is its random id,
+// which tells it from earlier processes of the same name.
 type Member struct {
-	Name        string
-	Incarnation int64
+	Name string
+	Boot int64
 }
 
 // Owner returns the member that executes key: the one with the highest hash of
@@ -157,11 +157,9 @@
 			delete(m.seals, member) // it executes keys again
 			d.notice(member)
 		}
-		for joiner := range m.joiners {
-			if joiner.Name == member.Name && joiner.Incarnation <= member.Incarnation {
-				delete(m.joiners, joiner)
-			}
-		}
+		// A joiner with another boot of the name may be a later run. An earlier
+		// one goes after joinAge.
+		delete(m.joiners, member)
 	}
 	d.forget(now, live)
 	m.announced = slices.Clone(announced)
@@ -206,7 +204,7 @@
 	}
 }
 
-func (d *Deduplicator) member() Member { return Member{Name: d.Self, Incarnation: d.Incarnation} }
+func (d *Deduplicator) member() Member { return Member{Name: d.Self, Boot: d.Boot} }
 
 func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
 
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -135,6 +135,8 @@
 	d.forgetTerms()
 	m.terms[joiner] = term
 	delete(m.seals, joiner)
+	// Only one process of a name runs at a time, the one that asks.
+	maps.DeleteFunc(m.joiners, func(other Member, _ time.Time) bool { return other.Name == joiner.Name })
 	if !slices.Contains(m.announced, joiner) {
 		m.joiners[joiner] = now
 	}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -48,7 +48,7 @@
 	limits := deduplicator.Defaults
 	limits.Age = settings.KeyWindow
 	c.deduplicator = deduplicator.New(now, limits)
-	c.deduplicator.Self, c.deduplicator.Incarnation = settings.Name, now.UnixNano()
+	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
 	f.BodyBytes = int64(settings.MaxBody)
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -71,7 +71,7 @@
 func executors(instances []sycamorerun.Instance) []deduplicator.Member {
 	members := make([]deduplicator.Member, len(instances))
 	for i, instance := range instances {
-		members[i] = deduplicator.Member{Name: instance.Name, Incarnation: instance.Incarnation.UnixNano()}
+		members[i] = deduplicator.Member{Name: instance.Name, Boot: int64(instance.Incarnation.Boot())}
 	}
 	return members
 }
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -81,7 +82,7 @@
 	n := &node{
 		settings: settings, logger: logger, scope: scope, authenticator: credentials,
 		self: sycamorerun.Instance{
-			Name: settings.Name, Incarnation: now, Address: settings.Peers,
+			Name: settings.Name, Incarnation: sycamorerun.NewIncarnation(max(1, rand.Uint32())), Address: settings.Peers,
 			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
 			State: sycamorerun.StateNone, Since: now,
 		},
@@ -92,6 +93,7 @@
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
+	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -25,7 +25,7 @@
 func (n *node) wireConnector(security *tls.Config) {
 	n.connector = &connector.Connector{
 		Self: connector.Peer{
-			Name: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
+			Name: n.self.Name, Boot: int64(n.self.Incarnation.Boot()), Address: n.self.Address,
 			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
 		},
 		// Calls have ended before; what is left are streams without a call.
--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -26,8 +26,14 @@
 	// interval is the time between checks of the own zone's record. A full
 	// jitter keeps the nodes of a herd restart apart.
 	interval = 5 * time.Second
-	// fresh is how long a record written by another node is left alone.
-	fresh = 15 * time.Second
+	// patience is how long a record that names no live member is left alone,
+	// by this node's own clock. A node that starts apart reads the seeds after
+	// 1, 2 and 4 s, and so finds the nodes that the record names before it
+	// replaces it.
+	patience = 5 * time.Second
+	// spare is the least number of live members that a record names when there
+	// are as many.
+	spare = 2
 	// addresses is how many members a record names, so that it survives the
 	// failure of a few.
 	addresses = 4
@@ -38,7 +44,6 @@
 // record is the seed record of an availability zone.
 type record struct {
 	Addresses []netip.AddrPort `json:"addresses"`
-	Time      time.Time        `json:"time"`
 }
 
 // Seeder reads and keeps seed records. Set the fields before Run.
@@ -53,6 +58,11 @@
 	Live   func(now time.Time) []sycamorerun.Instance
 	Now    func() time.Time
 	Logger log.Logger
+
+	// seen is the revision of the stored record that was read last, since the
+	// time of its first reading.
+	seen  persister.Revision
+	since time.Time
 }
 
 // Seeds returns the addresses of possible first peers, by one list of the
@@ -97,11 +107,15 @@
 		return err
 	}
 	now := s.Now()
-	wanted := choose(s.Self, s.Live(now))
-	if !due(now, decode(object), wanted) {
+	if s.since.IsZero() || object.Revision != s.seen {
+		s.seen, s.since = object.Revision, now
+	}
+	live := s.Live(now)
+	wanted := choose(s.Self, live)
+	if !due(decode(object).Addresses, wanted, live, now.Sub(s.since)) {
 		return nil
 	}
-	value, err := json.Marshal(record{Addresses: wanted, Time: now.UTC()})
+	value, err := json.Marshal(record{Addresses: wanted})
 	if err != nil {
 		return errors.Wrap(err, "encode seed record")
 	}
@@ -127,14 +141,24 @@
 	return chosen
 }
 
-// due reports whether the stored record has to be replaced: it names other
-// members and was not written just now. Leaving a fresh record alone lets
-// nodes that start apart find each other through it before they replace it.
-func due(now time.Time, stored record, wanted []netip.AddrPort) bool {
-	if len(stored.Addresses) == 0 {
+// due reports whether the stored record has to be replaced, when its revision
+// has been there for age: it names too few live members. One that names none
+// may be from nodes that this one does not know yet, and is left alone for a
+// while, so that nodes that start apart find each other through it.
+func due(stored, wanted []netip.AddrPort, live []sycamorerun.Instance, age time.Duration) bool {
+	named := 0
+	for _, member := range live {
+		if slices.Contains(stored, member.Address) {
+			named++
+		}
+	}
+	switch {
+	case len(stored) == 0:
 		return true
+	case named == 0:
+		return age >= patience
 	}
-	return !slices.Equal(stored.Addresses, wanted) && now.Sub(stored.Time) > fresh
+	return named < min(spare, len(wanted))
 }
 
 // decode reads a record; one that can't be read counts as empty.
--- a/node/tracker/codec.go
+++ b/node/tracker/codec.go
@@ -24,26 +24,36 @@
 	sycamorerun.StateDraining, sycamorerun.StateLeft,
 }
 
-// encode converts a record to its message. The age lets the receiver start its
+// sinceMost bounds the age of a state. No slow start takes as long.
+const sinceMost = 24 * time.Hour
+
+func milli(age time.Duration) uint64 { return uint64(max(age, 0) / time.Millisecond) }
+
+// before returns the time that was age milliseconds ago, at most a bound.
+func before(now time.Time, age uint64, most time.Duration) time.Time {
+	return now.Add(-time.Duration(min(age, uint64(most/time.Millisecond))) * time.Millisecond)
+}
+
+// encode converts a record to its message. Ages let the receiver start its
 // timers at the right time without comparing clocks.
 func encode(now time.Time, r *record) *Record {
 	address, _ := r.Address.MarshalBinary()
 	message := &Record{
-		Name:                r.Name,
-		IncarnationUnixNano: r.Incarnation.UnixNano(),
-		Sequence:            r.Sequence,
-		Address:             address,
-		AvailabilityZone:    r.AvailabilityZone,
-		Region:              r.Region,
-		Service:             r.Service,
-		State:               uint32(slices.Index(states, r.State)),
-		Slots:               uint32(r.Slots),
-		SinceUnixMilli:      r.Since.UnixMilli(),
-		Suspected:           r.suspected(),
-		Unreachable:         r.unreachable,
+		Name:             r.Name,
+		Incarnation:      int64(r.Incarnation),
+		Sequence:         r.Sequence,
+		Address:          address,
+		AvailabilityZone: r.AvailabilityZone,
+		Region:           r.Region,
+		Service:          r.Service,
+		State:            uint32(slices.Index(states, r.State)),
+		Slots:            uint32(r.Slots),
+		SinceAgeMilli:    milli(now.Sub(r.Since)),
+		Suspected:        r.suspected(),
+		Unreachable:      r.unreachable,
 	}
 	if r.timed() {
-		message.AgeMilli = uint64(max(now.Sub(r.since), 0) / time.Millisecond)
+		message.AgeMilli = milli(now.Sub(r.since))
 	}
 	return message
 }
@@ -57,11 +67,10 @@
 	if err := checkMessage(message); err != nil {
 		return nil, err
 	}
-	age := min(message.GetAgeMilli(), uint64(retention/time.Millisecond))
 	r := &record{
 		Instance: sycamorerun.Instance{
 			Name:             message.GetName(),
-			Incarnation:      time.Unix(0, message.GetIncarnationUnixNano()).UTC(),
+			Incarnation:      sycamorerun.Incarnation(message.GetIncarnation()),
 			Sequence:         message.GetSequence(),
 			Address:          address,
 			AvailabilityZone: intern(message.GetAvailabilityZone()),
@@ -69,9 +78,9 @@
 			Service:          intern(message.GetService()),
 			State:            states[message.GetState()],
 			Slots:            int(message.GetSlots()),
-			Since:            time.UnixMilli(message.GetSinceUnixMilli()).UTC(),
+			Since:            before(now, message.GetSinceAgeMilli(), sinceMost),
 		},
-		since: now.Add(-time.Duration(age) * time.Millisecond),
+		since: before(now, message.GetAgeMilli(), retention),
 		key:   newKey(message.GetName()),
 	}
 	for _, zone := range message.GetUnreachable() {
@@ -95,8 +104,8 @@
 		return errors.Errorf("record of %q with a service of %d bytes", message.GetName(), len(message.GetService()))
 	case int(message.GetState()) >= len(states):
 		return errors.Errorf("record of %q with unknown state %d", message.GetName(), message.GetState())
-	case message.GetIncarnationUnixNano() <= 0:
-		return errors.Errorf("record of %q without incarnation", message.GetName())
+	case !sycamorerun.Incarnation(message.GetIncarnation()).Valid():
+		return errors.Errorf("record of %q with incarnation %d", message.GetName(), message.GetIncarnation())
 	case message.GetSequence() > sequenceMost:
 		return errors.Errorf("record of %q with sequence %d", message.GetName(), message.GetSequence())
 	case len(message.GetUnreachable()) > zonesMost:
--- a/node/tracker/digest.go
+++ b/node/tracker/digest.go
@@ -62,7 +62,7 @@
 	for _, r := range t.records {
 		if r.shared && wanted[bucket(r.key)] {
 			frame.EntryKeys = append(frame.EntryKeys, r.key)
-			frame.EntryIncarnations = append(frame.EntryIncarnations, r.Incarnation.UnixNano())
+			frame.EntryIncarnations = append(frame.EntryIncarnations, int64(r.Incarnation))
 			frame.EntryStamps = append(frame.EntryStamps, r.stamp())
 		}
 	}
@@ -98,7 +98,7 @@
 		}
 		theirs, ok := entries[r.key]
 		delete(entries, r.key)
-		order := cmp.Or(cmp.Compare(r.Incarnation.UnixNano(), theirs.incarnation), cmp.Compare(r.stamp(), theirs.stamp))
+		order := cmp.Or(cmp.Compare(int64(r.Incarnation), theirs.incarnation), cmp.Compare(r.stamp(), theirs.stamp))
 		switch {
 		case r.shared && (!ok || order > 0):
 			names = append(names, r.Name)
--- a/node/tracker/link.go
+++ b/node/tracker/link.go
@@ -129,6 +129,11 @@
 			return err
 		}
 		t.merge(now, in)
+		if frame.GetFrom() == in.Name && t.overtakes(in) {
+			// The run that has just begun learns at once that it has to move above
+			// an earlier one.
+			l.mark([]string{in.Name})
+		}
 		if old := t.records[in.Name]; old != nil && !old.Newer(in.Instance) && old.stamp() <= in.stamp() {
 			delete(l.dirty, in.Name)
 		}
--- a/node/tracker/own.go
+++ b/node/tracker/own.go
@@ -30,7 +30,7 @@
 	change(&r)
 	// A cold upstream that becomes ready goes on with its slow start.
 	if warmed := state == sycamorerun.StateCold && r.State == sycamorerun.StateReady; r.State != state && !warmed {
-		r.Since = now.Truncate(time.Millisecond).UTC()
+		r.Since = now
 	}
 	t.put(now, &r)
 }
@@ -70,7 +70,7 @@
 }
 
 func supersedes(in, old *record) bool {
-	same := in.Sequence == old.Sequence && in.Incarnation.Equal(old.Incarnation)
+	same := in.Sequence == old.Sequence && in.Incarnation == old.Incarnation
 	return in.Newer(old.Instance) || same && in.suspected() && !old.suspected()
 }
 
@@ -87,12 +87,11 @@
 		return false
 	}
 	t.update(now, func(r *record) {
-		// A clock that was set back since the earlier run must not silence
-		// this one.
-		if in.Incarnation.After(r.Incarnation) {
-			r.Incarnation = in.Incarnation
-			r.Sequence = in.Sequence + 1
+		if in.Incarnation.Boot() != r.Incarnation.Boot() {
+			r.Incarnation = r.Incarnation.Above(in.Incarnation)
+			return
 		}
+		r.Incarnation = max(r.Incarnation, in.Incarnation)
 		r.Sequence = max(r.Sequence, in.Sequence+1)
 	})
 	return true
@@ -122,3 +121,10 @@
 	}
 	return state
 }
+
+// overtakes reports whether a record that its own node sent is older here than
+// one of another run.
+func (t *table) overtakes(in *record) bool {
+	old := t.records[in.Name]
+	return old != nil && old.Newer(in.Instance) && old.Incarnation.Boot() != in.Incarnation.Boot()
+}
--- a/node/tracker/record.go
+++ b/node/tracker/record.go
@@ -58,7 +58,7 @@
 func (r *record) sum() uint64 {
 	var data [24]byte
 	binary.LittleEndian.PutUint64(data[0:], r.key)
-	binary.LittleEndian.PutUint64(data[8:], uint64(r.Incarnation.UnixNano()))
+	binary.LittleEndian.PutUint64(data[8:], uint64(r.Incarnation))
 	binary.LittleEndian.PutUint64(data[16:], r.stamp())
 	return xxhash.Sum64(data[:])
 }
--- a/node/tracker/table.go
+++ b/node/tracker/table.go
@@ -48,7 +48,7 @@
 	if self.State == "" {
 		self.State = sycamorerun.StateNone
 	}
-	self.Since = now.Truncate(time.Millisecond).UTC()
+	self.Since = now
 	t := &table{
 		suspicion: suspicion,
 		own:       own{name: self.Name},
@@ -110,7 +110,7 @@
 		return t.mergeUnknown(now, in)
 	}
 	newer := in.Newer(old.Instance)
-	same := in.Sequence == old.Sequence && in.Incarnation.Equal(old.Incarnation)
+	same := in.Sequence == old.Sequence && in.Incarnation == old.Incarnation
 	switch {
 	case newer && old.health == failed && in.health == suspect:
 		// The node failed here and elsewhere; its age decides.
