--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -71,7 +71,9 @@
 		return 0, false
 	}
 	consumed := c.stream != nil && c.stream.taken.Load()
-	if failed.reason == reasonMoved && !consumed && n <= len(moveDelays) {
+	// A key of a node whose upstream leaves is about to change hands.
+	moved := failed.reason == reasonMoved || c.key != "" && failed.reason == reasonDraining
+	if moved && !consumed && n <= len(moveDelays) {
 		return moveDelays[n-1]/2 + rand.N(moveDelays[n-1]/2), true
 	}
 	return f.Allow(f.Now(), Attempt{
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -19,6 +19,9 @@
 	// presentInterval is the time between checks of the upstream's
 	// announcements. It adds to the time after which a silent upstream lapses.
 	presentInterval = 100 * time.Millisecond
+	// pauseLeast is the time between two checks from which the process counts
+	// as paused. A busy machine delays a check by some 100 ms.
+	pauseLeast = time.Second
 )
 
 // announce takes an announcement from the operators' API, which has no ids: an
@@ -69,12 +72,16 @@
 func (n *node) watchUpstream(ctx context.Context) error {
 	ticker := time.NewTicker(presentInterval)
 	defer ticker.Stop()
-	for {
+	for last := time.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			n.calls.upstream.announcer.Expire(now)
+			// After a pause of this process, announcements wait to be read.
+			if now.Sub(last) < pauseLeast {
+				n.calls.upstream.announcer.Expire(now)
+			}
+			last = now
 			n.present(now)
 		}
 	}
@@ -85,6 +92,11 @@
 func (n *node) present(now time.Time) {
 	n.presenting.Lock()
 	defer n.presenting.Unlock()
+	if !n.presented.IsZero() && now.Sub(n.presented) >= lapseDelay {
+		// This process was paused, and others may have executed its keys.
+		n.publisher.lapse(now)
+	}
+	n.presented = now
 	upstream, ok := n.calls.upstream.announcer.Current()
 	shown := presence{upstream.Service, upstream.State, upstream.Slots}
 	if !ok {
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -48,9 +48,11 @@
 	store    persister.Store
 	phase    atomic.Value
 	parsing  sync.Mutex
-	// presenting guards shown, the presence that was published last.
+	// presenting guards shown, the presence that was published last, and the
+	// time of that.
 	presenting sync.Mutex
 	shown      presence
+	presented  time.Time
 	// reporting is set reportDelay after the node became ready.
 	reporting atomic.Bool
 
