--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -38,6 +38,9 @@
 	// returnDelay is the time after which an id without a boot may come back
 	// after it has left. Announcements arrive seconds late, not half a minute.
 	returnDelay = 30 * time.Second
+	// departureAge is the time for which an id that left before it was announced
+	// is not taken into use: its announcements may be on their way.
+	departureAge = 10 * time.Second
 )
 
 // Announcement is what an upstream says about itself.
@@ -126,7 +129,7 @@
 func (a *Announcer) supersedes(now time.Time, in Announcement) bool {
 	later := in.Boot > a.current.Boot && a.current.ID != ""
 	switch {
-	case a.ended.has(in.ID, in.Boot):
+	case a.ended.has(in.ID, in.Boot), a.ended.departed(now, in.ID):
 		return false
 	case !later && !a.gone(now):
 		return false
@@ -139,9 +142,7 @@
 		// message.
 		return a.claimed(now, in)
 	default:
-		// A departure that overtook the first announcement of its upstream
-		// doesn't say of which boot it was.
-		return !a.ended.departed(now, in.ID) || a.claimed(now, in)
+		return true
 	}
 }
 
@@ -338,7 +339,7 @@
 }
 
 func (e *ended) departed(now time.Time, id string) bool {
-	return slices.ContainsFunc(e.ids, func(d departure) bool { return d.id == id && now.Sub(d.at) < returnDelay })
+	return slices.ContainsFunc(e.ids, func(d departure) bool { return d.id == id && now.Sub(d.at) < departureAge })
 }
 
 func (e *ended) forget(id string) {
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -106,6 +106,8 @@
 		"delete overtakes the first announcement": {
 			{event: "leave", id: "a", want: Ignored},
 			{at: 1000, id: "a", boot: 5, seq: 1, want: Ignored},
+			{at: 9999, id: "a", boot: 5, seq: 7, want: Ignored},
+			{at: 10_000, id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
 		},
 		"silence": {
 			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
