--- a/instance.go
+++ b/instance.go
@@ -21,7 +21,7 @@
 // Only the node itself writes it.
 type Instance struct {
 	Name             string
-	Incarnation      time.Time
+	Incarnation      Incarnation
 	Sequence         uint64
 	Address          netip.AddrPort
 	AvailabilityZone string
@@ -29,14 +29,15 @@
 	Service          string
 	State            State
 	Slots            int
-	// Since is when the upstream entered State.
+	// Since is when the upstream entered State. Cold and ready count as one,
+	// since the slow start goes on.
 	Since time.Time
 }
 
 // Newer reports whether i supersedes other, a record of the same node.
 func (i Instance) Newer(other Instance) bool {
-	if !i.Incarnation.Equal(other.Incarnation) {
-		return i.Incarnation.After(other.Incarnation)
+	if i.Incarnation != other.Incarnation {
+		return i.Incarnation > other.Incarnation
 	}
 	return i.Sequence > other.Sequence
 }
--- a/node/forwarder/deadline_test.go
+++ b/node/forwarder/deadline_test.go
@@ -173,7 +173,7 @@
 			want:  Attempt{Result: sycamorerun.NotRun, Reason: "draining"},
 		},
 		"upstream refuses": {
-			setUp: func(b *bed) { b.beside.Upstream = Transport(netip.MustParseAddrPort(closed()), 1) },
+			setUp: func(b *bed) { b.beside.Upstream = Transport(netip.MustParseAddrPort(closed()), 1, DefaultContract) },
 			want:  Attempt{Result: sycamorerun.NotRun, Reason: "upstream-unreachable"},
 		},
 		"upstream rejects": {
@@ -181,7 +181,8 @@
 				w.Header().Set(unexecuted, "1")
 				w.WriteHeader(http.StatusServiceUnavailable)
 			},
-			want: Attempt{Result: sycamorerun.NotRun, Reason: "refused", Sent: true, Sends: 1},
+			setUp: contracted,
+			want:  Attempt{Result: sycamorerun.NotRun, Reason: "rejected", Sent: true, Sends: 1},
 		},
 		"upstream breaks": {
 			handler: hijack(""),
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -30,6 +30,7 @@
 // execute sends a call to the upstream beside this node. admitted is called
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watch *watch, c *call, id string, body io.ReadCloser, level uint32, admitted func() error) (*answer, *failure) {
+	ctx = WithService(ctx, c.match.Service)
 	release, rejection := f.Acquire(ctx, f.Now(), c.want())
 	if rejection.Reason == reasonCanceled {
 		// The limiter does not know why the call ended in the queue.
@@ -54,7 +55,7 @@
 	out, failed := f.start(ctx, watch, c, body, level, admitted, finish)
 	if failed != nil {
 		// An upstream has rejected a call with this reason.
-		failed.sent = failed.sent || failed.reason == reasonRefused
+		failed.sent = failed.sent || failed.reason == reasonRejected || failed.reason == reasonMisdirected
 		finish(Ending{Result: failed.result})
 	}
 	return out, failed
@@ -110,6 +111,9 @@
 
 // classify says what the failure of a round trip means for the request.
 func classify(ctx context.Context, c *call, err error) *failure {
+	if errors.Is(err, ErrDraining) {
+		return notRun(reasonDraining)
+	}
 	if c.stream != nil && c.stream.large.Load() {
 		return unknown(reasonBody)
 	}
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -293,11 +293,11 @@
 		},
 		"upstream says that it did not run it": {
 			handler: marked("X-Unexecuted", http.StatusTooManyRequests), setUp: contracted,
-			want: result{status: 503, outcome: "not-run", reason: "refused"}, executed: 1,
+			want: result{status: 503, outcome: "not-run", reason: "rejected"}, executed: 1,
 		},
 		"upstream is another instance": {
 			handler: marked("X-Id", http.StatusMisdirectedRequest), setUp: contracted,
-			want: result{status: 503, outcome: "not-run", reason: "refused"}, executed: 1,
+			want: result{status: 503, outcome: "not-run", reason: "misdirected"}, executed: 1,
 		},
 		"upstream fails": {
 			handler: marked("X-Id", http.StatusServiceUnavailable), setUp: contracted,
@@ -876,6 +876,25 @@
 	})
 }
 
+// Guards against calls that all go to one upstream, or that are refused as
+// repeated, where keys have no meaning.
+func TestContractWithoutKeys(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply("ok"))
+		b.entry.Contract.Key = ""
+		b.entry.Owner = func(string, string) (sycamorerun.Instance, bool) {
+			t.Error("owner of a key asked")
+			return sycamorerun.Instance{}, false
+		}
+		for _, body := range []string{"one", "two"} {
+			got := b.send(http.MethodPost, "/x", strings.NewReader(body), sycamorerun.HeaderKey, "k")
+			is.Equal(got, result{status: 200, outcome: "answered", body: "ok"})
+		}
+		b.reached(t, 2)
+	})
+}
+
 // Guards the promise that a planned stop interrupts no call.
 func TestDrain(t *testing.T) {
 	paths(t, func(t *testing.T, local bool) {
@@ -911,6 +930,33 @@
 	})
 }
 
+// Guards against a connection that is closed under a request on its way: after
+// the grace, callers are still served, on connections that then close.
+func TestLinger(t *testing.T) {
+	paths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		b := newBed(t, local, reply("done"))
+		b.entry.Linger = time.Minute
+		is.Equal(b.send(http.MethodGet, "/x", nil).body, "done") // the connection stays open
+		drained := make(chan error, 1)
+		go func() { drained <- b.entry.Drain(context.Background()) }()
+		for !b.entry.drain.leaving() {
+			time.Sleep(time.Millisecond)
+		}
+		response, err := b.caller.Client().Get(b.caller.URL + "/x")
+		is.NoErr(err)
+		data, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(data), "done")
+		is.True(response.Close)
+		if local {
+			is.True(!b.entry.drain.enterPeer())
+		}
+		is.NoErr(<-drained) // when callers are quiet, long before Linger ends
+		is.Equal(b.send(http.MethodGet, "/x", nil).reason, "draining")
+	})
+}
+
 // Guards the decoder of streams from peers: any bytes end the call and run
 // nothing twice, without a panic or a hang.
 func FuzzServeCall(f *testing.F) {
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/requester"
 )
 
 // Values of the header Sycamorerun-Reason.
@@ -21,12 +22,13 @@
 	reasonKey        = "key-mismatch"
 	reasonMoved      = "key-elsewhere"
 
-	reasonNoUpstream = "no-upstream"
-	reasonDraining   = "draining"
-	reasonPeer       = "peer-unreachable"
-	reasonRefused    = "refused"
-	reasonUpstream   = "upstream-unreachable"
-	reasonQueried    = "peer-not-started"
+	reasonNoUpstream  = "no-upstream"
+	reasonDraining    = "draining"
+	reasonPeer        = "peer-unreachable"
+	reasonRejected    = requester.ReasonRejected
+	reasonMisdirected = requester.ReasonMisdirected
+	reasonUpstream    = "upstream-unreachable"
+	reasonQueried     = "peer-not-started"
 
 	reasonExpired   = "deadline"
 	reasonIdle      = "idle"
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -62,7 +62,7 @@
 	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
 		_ = control.EnableFullDuplex()
 		c.stream = &upload{
-			body: r.Body, left: f.BodyBytes, watch: watch, release: release,
+			body: r.Body, left: f.bodyBytes(), watch: watch, release: release,
 			finished: func() { c.fill(r.Trailer) },
 		}
 		return nil
@@ -165,6 +165,7 @@
 
 // outcome tells the caller how its call ended, in the headers of the contract.
 func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
+	f.farewell(header)
 	for _, line := range [...]struct{ name, value string }{
 		{f.Contract.Outcome, string(result)}, {f.Contract.Reason, reason}, {f.Contract.Request, c.id},
 	} {
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -118,16 +118,15 @@
 
 // Announcement is what the upstream beside the node says about itself.
 type Announcement struct {
-	// ID names the upstream process, or is empty.
+	// ID names the upstream instance; it is empty in the operators' API.
 	ID      string
 	Service string
 	Address netip.AddrPort
 	State   sycamorerun.State
 	Slots   int
-	// Warmup is how long the upstream stays slow after its start.
+	// Warmup is the time for which the upstream stays slow.
 	Warmup time.Duration
-	// Sequence orders the announcements of a process, and Boot the processes
-	// with one id; zero means unknown.
+	// Sequence and Boot order announcements, see announcer.Announcement.
 	Sequence uint64
 	Boot     int64
 }
--- a/node/requester/contract.go
+++ b/node/requester/contract.go
@@ -26,22 +26,29 @@
 	foreign
 	unidentified
 	refused
+	// misdirected is the response of another instance than the one meant.
+	misdirected
 	unsigned
 )
 
 // judge compares a response with the request that waits for it.
 func (c *Contract) judge(request, response http.Header, status int) verdict {
-	if id := lookup(request, c.Identity); id != "" {
-		switch repeated := response.Values(c.Identity); {
-		case len(repeated) == 0:
-			return unidentified
-		case len(repeated) > 1 || repeated[0] != id:
-			return foreign
-		}
+	id := lookup(request, c.Identity)
+	var repeated []string
+	if id != "" {
+		repeated = response.Values(c.Identity)
 	}
+	// An upstream that rejects a request before it reads its headers repeats no
+	// id.
 	switch {
-	case c.Unexecuted != "" && (lookup(response, c.Unexecuted) != "" || status == http.StatusMisdirectedRequest):
+	case len(repeated) > 1 || len(repeated) == 1 && repeated[0] != id:
+		return foreign
+	case c.Unexecuted != "" && status == http.StatusMisdirectedRequest:
+		return misdirected
+	case c.Unexecuted != "" && lookup(response, c.Unexecuted) != "":
 		return refused
+	case id != "" && len(repeated) == 0:
+		return unidentified
 	case c.Signature != "" && status >= 200 && status < 300 && lookup(response, c.Signature) == "":
 		return unsigned
 	default:
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -140,9 +140,9 @@
 		case unsigned:
 			return nil, x.fail(ReasonUnsigned, nil)
 		case refused:
-			x.responded.Store(true)
-			x.discard(x.body(response))
-			return nil, &Failure{Ran: No, Reason: ReasonRefused}
+			return nil, x.reject(response, ReasonRejected)
+		case misdirected:
+			return nil, x.reject(response, ReasonMisdirected)
 		}
 		x.responded.Store(true)
 		response.Body = x.body(response)
@@ -150,6 +150,13 @@
 	}
 }
 
+// reject ends a request that the upstream says it did not run.
+func (x *exchange) reject(response *http.Response, reason string) *Failure {
+	x.responded.Store(true)
+	x.discard(x.body(response))
+	return &Failure{Ran: No, Reason: reason}
+}
+
 // skip reads the response to an earlier request. Whether it has a body depends
 // on the method of that request.
 func (x *exchange) skip(response *http.Response) error {
--- a/node/requester/failure.go
+++ b/node/requester/failure.go
@@ -20,8 +20,10 @@
 	ReasonUnreachable = "upstream-unreachable"
 	// ReasonFull means that all connections are in use.
 	ReasonFull = "connections-full"
-	// ReasonRefused means that the upstream says that it did not run the request.
-	ReasonRefused = "refused"
+	// ReasonRejected means that the upstream says that it did not run the request.
+	ReasonRejected = "rejected"
+	// ReasonMisdirected means that another instance answers at the address.
+	ReasonMisdirected = "misdirected"
 	// ReasonBroken means that the connection ended, or carried no HTTP.
 	ReasonBroken = "upstream-broken"
 	// ReasonUnsigned is a response without signature.
--- a/node/requester/requester_test.go
+++ b/node/requester/requester_test.go
@@ -40,7 +40,7 @@
 	signed := step{answer: with(with(ok("ab"), "X-Id: ID"), "X-Signature: s"), want: outcome{status: 200, body: "ab"}}
 	other := with(with(ok("old"), "X-Id: 0"), "X-Signature: s")
 	unknown := outcome{ran: Unknown, reason: ReasonBroken}
-	refusal := outcome{ran: No, reason: ReasonRefused}
+	refusal := outcome{ran: No, reason: ReasonRejected}
 	cases := map[string]struct {
 		contract    Contract
 		steps       []step
@@ -81,7 +81,7 @@
 		"unsigned failure":    {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "500", 1), want: outcome{status: 500, body: "a"}}, signed}, connections: 1},
 		"refused":             {contract: checks, steps: []step{{answer: strings.Replace(with(with(ok("a"), "X-Id: ID"), "X-Unexecuted: 1"), "200", "503", 1), want: refusal}, signed}, connections: 1},
 		"refused, no length":  {contract: checks, steps: []step{{answer: "HTTP/1.1 429 Slow\r\nX-Id: ID\r\nX-Unexecuted: 1\r\n\r\n", want: refusal}, signed}, connections: 2},
-		"misdirected":         {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "421", 1), want: refusal}, signed}, connections: 1},
+		"misdirected":         {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "421", 1), want: outcome{ran: No, reason: ReasonMisdirected}}, signed}, connections: 1},
 		"status alone":        {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "503", 1), want: outcome{status: 503, body: "a"}}}, connections: 1},
 		"no such check":       {steps: []step{{answer: strings.Replace(with(ok("a"), "X-Unexecuted: 1"), "200", "421", 1), want: outcome{status: 421, body: "a"}}, fine}, connections: 1},
 		"response of another": {contract: checks, steps: []step{signed, {answer: other + signed.answer, want: signed.want}, signed}, connections: 2},
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/announcer"
 	"sycamorerun/node/applier"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/deduplicator"
@@ -30,7 +31,7 @@
 // newCalls wires the data path over the configuration in force and the
 // members of each service.
 func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance, members func() []sycamorerun.Instance) *calls {
-	c := &calls{upstream: &localUpstream{}}
+	c := &calls{upstream: &localUpstream{announcer: announcer.New(settings.AnnouncePeriod)}}
 	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
 
 	c.limiter = limiter.New(limiter.Limits{})
@@ -59,7 +60,7 @@
 	limits := deduplicator.Defaults
 	limits.Age = settings.KeyWindow
 	c.deduplicator = deduplicator.New(now, limits)
-	c.deduplicator.Self, c.deduplicator.Incarnation = settings.Name, now.UnixNano()
+	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
 	f.BodyBytes = int64(settings.MaxBody)
@@ -67,6 +68,11 @@
 	f.Upstream = c.upstream
 	f.Service = settings.Service
 	f.Target = c.upstream.id
+	c.upstream.contract = func() forwarder.Contract { return f.Contract }
+	c.upstream.target = func(request *http.Request) string { return request.Header.Get(f.Contract.Target) }
+	if !settings.Keys {
+		f.Contract.Key = ""
+	}
 	f.Match = func(request *http.Request) (forwarder.Match, bool) { return match(current().Table, request) }
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
@@ -88,6 +94,9 @@
 		})
 	}
 	f.Acquire = func(ctx context.Context, now time.Time, want forwarder.Want) (func(), forwarder.Rejection) {
+		if !c.upstream.admits(forwarder.ServiceOf(ctx)) {
+			return nil, forwarder.Rejection{Reason: limiter.Draining}
+		}
 		release, refusal := c.limiter.Acquire(ctx, now, limiter.Want(want))
 		return release, forwarder.Rejection(refusal)
 	}
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -46,6 +46,7 @@
 	n.publisher = &publisher{
 		publish: func(p presence) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots) },
 		join:    n.takeKeys,
+		keyless: !n.settings.Keys,
 		leave: func() {
 			limited, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 			defer cancel()
@@ -70,7 +71,7 @@
 func executors(instances []sycamorerun.Instance) []deduplicator.Member {
 	members := make([]deduplicator.Member, len(instances))
 	for i, instance := range instances {
-		members[i] = deduplicator.Member{Name: instance.Name, Incarnation: instance.Incarnation.UnixNano()}
+		members[i] = deduplicator.Member{Name: instance.Name, Boot: int64(instance.Incarnation.Boot())}
 	}
 	return members
 }
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -37,6 +38,10 @@
 // node holds the slices of one node and wires them.
 type node struct {
 	settings Settings
+	// updates brings settings that were read again; tuned are those in force.
+	updates  <-chan update
+	setLevel func(least string)
+	tuned    atomic.Pointer[Settings]
 	self     sycamorerun.Instance
 	logger   log.Logger
 	scope    tally.Scope
@@ -44,9 +49,13 @@
 	// document is nil when the configuration is the log in the store.
 	document   *distributor.Document
 	handlersBy map[netip.AddrPort]func(API) http.Handler
-	metrics    http.Handler
 	phase      atomic.Value
 	parsing    sync.Mutex
+	// presenting guards shown, the presence that was published last, and the
+	// time of that.
+	presenting sync.Mutex
+	shown      presence
+	presented  time.Time
 	// reporting is set reportDelay after the node became ready.
 	reporting atomic.Bool
 
@@ -79,16 +88,17 @@
 	n := &node{
 		settings: settings, logger: logger, scope: scope, authenticator: credentials,
 		self: sycamorerun.Instance{
-			Name: settings.Name, Incarnation: now, Address: settings.Peers,
+			Name: settings.Name, Incarnation: sycamorerun.NewIncarnation(max(1, rand.Uint32())), Address: settings.Peers,
 			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region,
 			State: sycamorerun.StateNone, Since: now,
 		},
 		store:    persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
-		document: r.Document, handlersBy: r.Handlers, metrics: metrics,
+		document: r.Document, handlersBy: r.Handlers,
 	}
 	if r.Store != nil {
 		n.store = *r.Store
 	}
+	n.tuned.Store(&settings)
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
@@ -96,6 +106,7 @@
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
 	}
+	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
@@ -106,6 +117,7 @@
 	n.wireConnector(security)
 	n.wireManager(metrics)
 	n.calls.forwarder.Open = n.connector.Open
+	n.calls.upstream.changed = n.present
 	return n, nil
 }
 
@@ -227,50 +239,10 @@
 	n.authenticator.Update(state.Tree.Items)
 	n.membersMoved(state.Since)
 	n.report(state.Since)
-	if announcement, ok := n.calls.upstream.service(); ok {
-		n.resize(announcement)
-	}
+	n.present(time.Now())
 	level.Info(n.logger).Log("msg", "configuration applied", "version", state.Tree.Version, "routes", state.Table.Routes())
 }
 
-// resize takes the limits of the announced upstream's service.
-// It returns the slots.
-func (n *node) resize(announcement manager.Announcement) int {
-	service, known := n.applier.Current().Table.Service(announcement.Service)
-	limits := n.calls.upstream.update(announcement, service, known)
-	n.calls.limiter.Resize(limits)
-	return limits.Slots
-}
-
-// announce takes the local upstream's announcement. While the node drains,
-// its upstream counts as draining whatever it says.
-func (n *node) announce(announcement manager.Announcement) error {
-	if current, ok := n.calls.upstream.service(); ok && current.Service != announcement.Service {
-		return errors.Errorf("this node serves %s already", current.Service)
-	}
-	state := announcement.State
-	phase := n.phase.Load()
-	if (phase == manager.PhaseDraining || phase == manager.PhaseStopped) && state != sycamorerun.StateLeft {
-		state = sycamorerun.StateDraining
-	}
-	slots := n.resize(announcement)
-	switch {
-	case state == sycamorerun.StateLeft:
-		// The node stays a member; only its upstream is gone.
-		state = sycamorerun.StateNone
-	case phase == manager.PhaseStarting:
-		// A node without the newest version takes no calls for its upstream.
-		state = sycamorerun.StateNone
-	}
-	if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
-		n.publisher.lapse(time.Now())
-	}
-	// The record has the slots that the limiter uses. More of them than the
-	// service allows would only attract calls that are refused.
-	n.publisher.want(presence{announcement.Service, state, slots})
-	return nil
-}
-
 // handlers are the stream kinds that peers can open.
 func (n *node) handlers() map[string]connector.Handler {
 	return map[string]connector.Handler{
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -25,10 +25,12 @@
 func (n *node) wireConnector(security *tls.Config) {
 	n.connector = &connector.Connector{
 		Self: connector.Peer{
-			Name: n.self.Name, Incarnation: n.self.Incarnation, Address: n.self.Address,
+			Name: n.self.Name, Boot: int64(n.self.Incarnation.Boot()), Address: n.self.Address,
 			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
 		},
-		TLS: security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
+		// Calls have ended before; what is left are streams without a call.
+		Limits: connector.Limits{Drain: leaveTimeout},
+		TLS:    security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
 	}
 }
 
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -37,7 +37,9 @@
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration
 
-	KeyWindow time.Duration
+	Keys           bool
+	KeyWindow      time.Duration
+	AnnouncePeriod time.Duration
 
 	// RetryRatio is negative for the services' own.
 	RetryRatio  float64
@@ -67,16 +69,19 @@
 	loader.Add(l, &s.AdminHash, "admin-hash", "", adminHash(), "hash of the first administrator's token")
 	loader.Add(l, &s.Mode, "mode", "tree", loader.Choice("tree", "poll", "gossip"), "how versions spread; all but tree are baselines to measure against")
 	loader.Add(l, &s.Balance, "balance", "load", loader.Choice("load", "round-robin"), "how calls are spread; round-robin is a baseline to measure against")
-	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself")
+	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself", loader.Reloadable)
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging that the start is held up")
-	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
-	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight")
+	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves", loader.Reloadable)
+	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight", loader.Reloadable)
+	loader.Add(l, &s.Keys, "keys", "true", loader.Bool(), "whether a request with an idempotency key goes to the key's owner; false hands no keys over and forwards such a request like any other")
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long a key of a lost process gets the result unknown")
 	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "retries of the fleet as a fraction of a service's calls; negative: the service's own setting")
 	loader.Add(l, &s.RetryWindow, "retry-window", "10s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which retries are counted")
 	loader.Add(l, &s.RetrySlack, "retry-slack", "10", loader.Float(0, 1e6), "retries of the fleet in a window beyond the ratio, for each service")
-	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes")
-	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
+	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "time between two announcements of the upstream; it lapses after three", loader.Reloadable)
+	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes", loader.Reloadable)
+	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged", loader.Reloadable)
+	l.AddFile()
 	l.Check(s.checkTLS)
 	l.Check(s.checkAddresses)
 }
