--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(CHECKED)))
 PROTOS := $(shell git ls-files '*.proto')
 
-.PHONY: build test demo bench generate generated tools format lint race
+.PHONY: build test demo bench generate generated tools format names lint race
 
 build:
 	go build -o $(BIN)/ ./node/cmd/... ./ctl/cmd/... ./objectstore/cmd/... ./upstream/cmd/... ./bench/cmd/...
@@ -32,7 +32,11 @@
 format:
 	$(BIN)/gofumpt -w $(SOURCES)
 
-lint:
+# Fails when a Go file outside platform/ has a name of the users' platform.
+names:
+	.ci/names
+
+lint: names
 	@bad=$$($(BIN)/gofumpt -l $(SOURCES)); test -z "$$bad" || { echo "not formatted with gofumpt: $$bad"; exit 1; }
 	$(BIN)/revive -set_exit_status $(LINTED)
 	go vet $(PACKAGES)
