--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -105,6 +105,9 @@
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving, n.fleet.live)
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
+		if !settings.Keys {
+			n.calls.forwarder.Contract.Key = ""
+		}
 	}
 	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
--- a/node/runner/program.go
+++ b/node/runner/program.go
@@ -59,7 +59,7 @@
 	done, end := context.WithCancel(context.Background())
 	defer end()
 	hangups := make(chan struct{}, 1)
-	reloads := &reloader{program: p.Name, args: args, lookup: lookup, runner: r, known: known, stamp: stamp}
+	reloads := &reloader{program: p.Name, register: p.Register, args: args, lookup: lookup, runner: r, known: known, stamp: stamp}
 	go reloads.run(done, hangups)
 	go p.listen(done, signals, stop, hangups, streams)
 	if err := r.Run(ctx); err != nil {
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -57,9 +57,11 @@
 // reloader reads the settings again on SIGHUP and when their file changes.
 type reloader struct {
 	program string
-	args    []string
-	lookup  func(string) (string, bool)
-	runner  *Runner
+	// register adds the program's own settings, or is nil.
+	register func(*loader.Loader)
+	args     []string
+	lookup   func(string) (string, bool)
+	runner   *Runner
 	// known holds the settings that were read last, stamp the file's state then.
 	known   *loader.Loader
 	stamp   stamp
@@ -123,6 +125,9 @@
 	var settings Settings
 	next := loader.New(r.program)
 	settings.Register(next)
+	if r.register != nil {
+		r.register(next)
+	}
 	loader.AddPrint(next, new(bool))
 	faults, err := next.Load(r.args, r.lookup, io.Discard)
 	for _, note := range next.Notes() {
