Distribute a document that operators write into the store

Distributor.Document makes few members watch one document instead of the log. Versions grow with gaps, so an entry names the version that its difference is based on, and a watcher passes on the difference to the version that it holds. Members publish the distance of the store, the nearest ones watch, and deputies take over within seconds when no watcher reaches the store.

--- a/encoder/pack.go
+++ b/encoder/pack.go
@@ -55,6 +55,7 @@
 func FromEntry(entry sycamorerun.Entry) *Entry {
 	message := &Entry{
 		Version:  uint64(entry.Version),
+		Base:     uint64(entry.Base),
 		Hash:     entry.Hash[:],
 		Put:      fromItems(entry.Difference.Put),
 		UnixNano: entry.Time.UnixNano(),
@@ -74,6 +75,7 @@
 func ToEntry(message *Entry) (sycamorerun.Entry, error) {
 	entry := sycamorerun.Entry{
 		Version:    sycamorerun.Version(message.GetVersion()),
+		Base:       sycamorerun.Version(message.GetBase()),
 		Difference: sycamorerun.Difference{Put: toItems(message.GetPut())},
 		Time:       time.Unix(0, message.GetUnixNano()).UTC(),
 	}
--- a/instance.go
+++ b/instance.go
@@ -29,10 +29,16 @@
 	Service          string
 	State            State
 	Slots            int
+	// Distance is a bucket of the latency of the store, 1 and up. Zero means
+	// that the node has not measured it, Unreachable that its calls fail.
+	Distance int
 	// Since is when the upstream entered State.
 	Since time.Time
 }
 
+// Unreachable is the distance of a node whose calls of the store fail.
+const Unreachable = -1
+
 // Newer reports whether i supersedes other, a record of the same node.
 func (i Instance) Newer(other Instance) bool {
 	if !i.Incarnation.Equal(other.Incarnation) {
--- a/node/acceptor/acceptor.go
+++ b/node/acceptor/acceptor.go
@@ -41,8 +41,11 @@
 	Now      func() time.Time
 	Validate func(sycamorerun.Tree) []sycamorerun.Fault
 	Patience time.Duration
-	Logger   log.Logger
-	Scope    tally.Scope
+	// Owned is set when operators write the configuration as one document.
+	// Every change is refused then, and the log is not read.
+	Owned  bool
+	Logger log.Logger
+	Scope  tally.Scope
 
 	queue chan *job
 	// busy is held by whoever uses the fields below; a channel lets a waiting
@@ -88,6 +91,9 @@
 	if change.ID == "" || len(change.ID) > MaxID || change.ID == change.Proposal {
 		return refuse(change.ID, "bad-id", "", "the id must have 1 to %d characters and differ from the proposal's", MaxID)
 	}
+	if a.Owned {
+		return refuse(change.ID, CodeOwned, "", "the configuration is owned by the operators' document")
+	}
 	j := &job{ctx: ctx, request: Request{Change: change}, done: make(chan sycamorerun.Outcome, 1), start: a.Now()}
 	select {
 	case a.queue <- j:
@@ -106,6 +112,9 @@
 // Lookup returns how the change with id ended, from the entries of the ring
 // and the proposals of every team under review. Find is cheaper.
 func (a *Acceptor) Lookup(ctx context.Context, id string) sycamorerun.Outcome {
+	if a.Owned {
+		return unknown(id, errNoChange)
+	}
 	if err := a.acquire(ctx); err != nil {
 		return unknown(id, err)
 	}
@@ -151,6 +160,10 @@
 	return outcome
 }
 
+// CodeOwned is the code of a change that is refused because the configuration
+// belongs to the operators' document.
+const CodeOwned = "owned-elsewhere"
+
 // CodeNoChange is the code of a look-up that found nothing.
 const CodeNoChange = "no-such-change"
 
--- a/node/distributor/bootstrap.go
+++ b/node/distributor/bootstrap.go
@@ -53,10 +53,13 @@
 // Bootstrap returns once the node has the newest version that the reachable
 // peers and the store report. It keeps trying while neither is reachable.
 func (d *Distributor) Bootstrap(ctx context.Context) error {
+	if d.Document != nil {
+		return d.bootstrapDocument(ctx)
+	}
 	started := time.Now()
 	jitter := 1 + d.Random()
 	for failures := 1; ; failures++ {
-		reports := d.probe(ctx)
+		reports := d.probe(ctx, probeTimeout)
 		if d.mayReadStore(reports, time.Duration(float64(time.Since(started))/jitter)) {
 			if err := d.checkStore(ctx); err != nil {
 				level.Debug(d.Logger).Log("msg", "start without the store", "err", err)
@@ -66,9 +69,7 @@
 		}
 		newest, final := assess(reports)
 		if final && d.reached(newest.version) {
-			d.ready.Store(true)
-			signal(d.wakeWatch)
-			level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", len(reports))
+			d.started(len(reports))
 			return nil
 		}
 		if newest.version > d.Held() && newest.peer != "" {
@@ -88,6 +89,13 @@
 	}
 }
 
+// started makes the node ready.
+func (d *Distributor) started(reports int) {
+	d.ready.Store(true)
+	signal(d.wakeWatch)
+	level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", reports)
+}
+
 // reached reports whether the node holds version and has some version in
 // force. A refused version counts as held, since the other nodes that refuse
 // it keep the one before it in force too.
@@ -110,7 +118,7 @@
 }
 
 // probe asks all linked peers for their versions at once.
-func (d *Distributor) probe(ctx context.Context) []reported {
+func (d *Distributor) probe(ctx context.Context, timeout time.Duration) []reported {
 	var (
 		group   sync.WaitGroup
 		mutex   sync.Mutex
@@ -118,7 +126,7 @@
 	)
 	for peer := range peers(d.Plan().Links) {
 		group.Go(func() {
-			reply, err := d.request(ctx, peer, 0, true, probeTimeout)
+			reply, err := d.request(ctx, peer, 0, true, timeout)
 			if err != nil {
 				return
 			}
--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,10 @@
 	// StandbyDelay is how long the standby waits for the primary's push.
 	StandbyDelay time.Duration
 	Store        persister.Store
+	// Document is the operators' document; nil selects the log in Store.
+	Document *Document
+	// Measure publishes the distance of the store.
+	Measure func(now time.Time, distance int)
 	// Current returns the tree in force and its hash.
 	Current func() (sycamorerun.Tree, sycamorerun.Hash)
 	// Apply and Install put a version in force or return why they did not.
@@ -74,6 +79,8 @@
 	// refused is the newest version that was verified but refused here, the
 	// base of the entry after it.
 	refused *sycamorerun.Tree
+	// recent are the trees held before, for entries that are based on them.
+	recent []sycamorerun.Tree
 
 	planning sync.Mutex
 
@@ -93,6 +100,9 @@
 	serving   chan struct{}
 	casting   chan struct{}
 	packed    snapshotCache
+	reach     reach
+	// taken is set while this node watches in place of the planned watchers.
+	taken atomic.Bool
 }
 
 // New returns a Distributor with its defaults.
@@ -100,6 +110,7 @@
 	return &Distributor{
 		Mode:         Tree,
 		StandbyDelay: DefaultStandbyDelay,
+		Measure:      func(time.Time, int) {},
 		Random:       rand.Float64,
 		Peers:        func() []string { return nil },
 		Logger:       log.NewNopLogger(),
@@ -122,7 +133,12 @@
 	d.running = ctx
 	d.mutex.Unlock()
 	d.Replan()
-	group.Go(func() { d.watch(ctx) })
+	if d.Document == nil {
+		group.Go(func() { d.watch(ctx) })
+	} else {
+		group.Go(func() { d.watchDocument(ctx) })
+		group.Go(func() { d.monitor(ctx) })
+	}
 	group.Go(func() { d.pulls(ctx) })
 	switch d.Mode {
 	case Gossip:
@@ -159,11 +175,17 @@
 		}
 		d.wants.keep(kept)
 	}
+	d.adjustWatch(plan)
+	signal(d.wakePull)
+}
+
+// adjustWatch ends a watch in a role other than that of the plan; the caller
+// holds the mutex.
+func (d *Distributor) adjustWatch(plan planner.Plan) {
 	if d.stopWatch != nil && d.role != d.watchRole(plan) {
 		d.stopWatch()
 	}
 	signal(d.wakeWatch)
-	signal(d.wakePull)
 }
 
 // relink starts and stops links; the caller holds the mutex.
@@ -216,7 +238,7 @@
 	d.mutex.Lock()
 	d.parent.hear(now, peer)
 	d.mutex.Unlock()
-	d.heard(now, peer, version, pullDelay+d.detour(peer))
+	d.heard(now, peer, version, d.pullDelay()+d.detour(peer))
 }
 
 func (d *Distributor) heard(now time.Time, peer string, version sycamorerun.Version, delay time.Duration) {
@@ -241,6 +263,20 @@
 	return entry, err == nil
 }
 
+// Entries returns up to limit recent entries, newest first.
+func (d *Distributor) Entries(limit int) []sycamorerun.Entry {
+	d.mutex.Lock()
+	newest := slices.Clone(d.ring.entries[max(0, len(d.ring.entries)-limit):])
+	d.mutex.Unlock()
+	var entries []sycamorerun.Entry
+	for _, kept := range slices.Backward(newest) {
+		if entry, err := persister.DecodeEntry(kept.data); err == nil {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
 // errGap means that versions before an entry are missing.
 var errGap = errors.New("versions are missing")
 
@@ -255,14 +291,19 @@
 	if entry.Version <= held {
 		return nil
 	}
-	if entry.Version != held+1 {
-		return errors.Wrapf(errGap, "version %s after %s", entry.Version, held)
+	if base := entry.Basis(); base != held {
+		if tree, ok := d.recall(base); ok {
+			return d.advance(now, differ.Apply(tree, entry.Version, entry.Difference), entry.Hash, entry.Time, source)
+		}
+		return errors.Wrapf(errGap, "version %s on top of %s after %s", entry.Version, base, held)
 	}
+	before := d.base()
 	if err := d.put(now, entry); err != nil {
 		return err
 	}
+	d.remember(before)
 	d.mutex.Lock()
-	d.ring.add(entry.Version, data)
+	d.ring.chain(entry.Version, held, data)
 	d.mutex.Unlock()
 	d.forward(entry.Version, data, source)
 	return nil
@@ -304,6 +345,9 @@
 	if tree.Version <= d.Held() {
 		return nil
 	}
+	if d.Document != nil {
+		return d.advance(now, tree, hash, now, source)
+	}
 	if err := d.settle(tree, hash, d.Install(now, tree, hash)); err != nil {
 		return err
 	}
--- a/node/distributor/fallback.go
+++ b/node/distributor/fallback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -59,6 +60,18 @@
 	return true, bits.OnesCount(p.periods) == 1
 }
 
+// fallbackStore reads the store for news. Deputies of the document's watchers
+// know whether one of them works and read the document when none does.
+func (d *Distributor) fallbackStore(ctx context.Context) error {
+	switch {
+	case d.Document == nil:
+		return d.checkStore(ctx)
+	case slices.Contains(d.Plan().Deputies, d.Self):
+		return nil
+	}
+	return d.readDocument(ctx)
+}
+
 // fallback looks for new versions elsewhere while the parent is silent. Each
 // part of the fleet that is cut off from the watchers has a topmost node whose
 // parent is silent, and that node brings the version to those below it.
@@ -77,7 +90,7 @@
 			continue
 		}
 		go func() {
-			if err := d.checkStore(ctx); err != nil && ctx.Err() == nil {
+			if err := d.fallbackStore(ctx); err != nil && ctx.Err() == nil {
 				level.Debug(d.Logger).Log("msg", "store not read while the parent is silent", "err", err)
 			}
 		}()
--- a/node/distributor/serve.go
+++ b/node/distributor/serve.go
@@ -55,7 +55,7 @@
 	case *Message_Push:
 		return d.pushed(now, from, kind.Push)
 	case *Message_Have:
-		delay := pullDelay
+		delay := d.pullDelay()
 		if kind.Have.GetDirect() {
 			delay = 0
 		}
@@ -92,7 +92,7 @@
 	version := sycamorerun.Version(message.GetVersion())
 	if version <= d.Held() {
 		d.count("distributor_duplicate_pushes", 1)
-		d.heard(now, from, version, pullDelay)
+		d.heard(now, from, version, d.pullDelay())
 		return nil
 	}
 	entry, err := unpackEntry(message.GetEntry())
@@ -103,13 +103,17 @@
 		err = d.accept(now, entry, message.GetEntry().GetData(), from)
 	}
 	switch {
+	case errors.Is(err, errGap) && entry.Basis() < d.Held():
+		// Another watcher's entry that is based on this node's version may be
+		// on its way, and costs less than a snapshot.
+		d.heard(now, from, version, d.pullDelay())
 	case errors.Is(err, errGap):
 		d.heard(now, from, version, 0)
 	case err != nil:
 		d.count("distributor_damaged", 1)
 		return errors.Wrap(err, "push")
 	default:
-		d.heard(now, from, version, pullDelay)
+		d.heard(now, from, version, d.pullDelay())
 	}
 	return nil
 }
@@ -137,7 +141,7 @@
 // reply chooses between entries and a snapshot by size.
 func (d *Distributor) reply(after sycamorerun.Version, probe bool) (reply *Reply, large bool) {
 	held := d.Held()
-	reply = &Reply{Version: uint64(held), Ready: d.Ready()}
+	reply = &Reply{Version: uint64(held), Ready: d.Ready(), Watching: d.watching(time.Now())}
 	if probe || after >= held {
 		return reply, false
 	}
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -47,6 +47,8 @@
 // node would read the whole log.
 func (d *Distributor) watchRole(plan planner.Plan) planner.Watch {
 	switch {
+	case d.Document != nil:
+		return d.documentRole(plan)
 	case d.Mode == Poll:
 		return planner.Primary
 	case len(plan.Links) == 0 && !d.Ready():
--- a/node/planner/plan.go
+++ b/node/planner/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"sycamorerun"
 )
@@ -55,6 +56,11 @@
 	// other regions in the order of their names, then the children by rank.
 	Links []Link
 	Watch Watch
+	// Watchers and Deputies are set with Options.Watchers: the members that
+	// watch the store, in the order of their rank, and those that come next and
+	// look after them.
+	Watchers []string
+	Deputies []string
 	// Regions lists the first member of every region in tree 0, this node
 	// included, in the order of the regions' names. A survey starts there.
 	Regions []Link
@@ -63,9 +69,18 @@
 	Seed bool
 }
 
+// Options change what is planned.
+type Options struct {
+	// Watchers is the number of members of the whole fleet that watch the
+	// store, the nearest to it first. Zero selects a primary and a standby for
+	// each region.
+	Watchers int
+}
+
 // New returns self's part of the trees over members, which are the live ones
-// and include self. Without self the plan has no links.
-func New(self string, members []sycamorerun.Instance) Plan {
+// and include self. Without self the plan has no links. At most one Options
+// counts.
+func New(self string, members []sycamorerun.Instance, options ...Options) Plan {
 	me := find(self, members)
 	if me == nil {
 		return Plan{Watch: None}
@@ -76,6 +91,13 @@
 		plan.Links = append(plan.Links, orders[tree].links(me)...)
 	}
 	plan.Watch = watch(self, &orders)
+	if len(options) > 0 && options[0].Watchers > 0 {
+		plan.Watchers, plan.Deputies = watchers(options[0].Watchers, members)
+		plan.Watch = None
+		if slices.Contains(plan.Watchers, self) {
+			plan.Watch = Primary
+		}
+	}
 	plan.Regions = orders[0].regionLinks()
 	plan.Seed = orders[0].rank(self) == 0
 	return plan
--- a/node/runner/fleet.go
+++ b/node/runner/fleet.go
@@ -10,7 +10,9 @@
 
 // fleet is this node's view of the members, derived once for each change.
 type fleet struct {
-	view atomic.Pointer[view]
+	// options are those of the plan; set before the first update.
+	options planner.Options
+	view    atomic.Pointer[view]
 }
 
 // view is immutable.
@@ -31,7 +33,7 @@
 // over.
 func (f *fleet) update(self string, live, reachable []sycamorerun.Instance) {
 	next := &view{
-		plan:      planner.New(self, reachable),
+		plan:      planner.New(self, reachable, f.options),
 		live:      live,
 		byName:    make(map[string]sycamorerun.Instance, len(live)),
 		byService: map[string][]sycamorerun.Instance{},
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -23,6 +23,7 @@
 	"sycamorerun/node/distributor"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/planner"
 	"sycamorerun/node/reporter"
 	"sycamorerun/node/router"
 	"sycamorerun/node/seeder"
@@ -41,6 +42,8 @@
 	logger   log.Logger
 	scope    tally.Scope
 	store    persister.Store
+	// document is the operators' document; nil selects the log in the store.
+	document *distributor.Document
 	phase    atomic.Value
 	parsing  sync.Mutex
 	// reporting is set reportDelay after the node became ready.
@@ -82,6 +85,7 @@
 	}
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
+	n.fleet.options = planner.Options{Watchers: settings.Watchers}
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving)
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
@@ -126,6 +130,8 @@
 	d.Mode = distributor.Mode(n.settings.Mode)
 	d.StandbyDelay = n.settings.StandbyDelay
 	d.Store = n.store
+	d.Document = n.document
+	d.Measure = n.tracker.Measure
 	d.Current = n.current
 	d.Apply, d.Install = n.apply, n.applier.Install
 	d.Plan = n.fleet.plan
@@ -146,6 +152,7 @@
 	a.Current = func() sycamorerun.Tree { return n.applier.Current().Tree }
 	a.Entry = n.distributor.Entry
 	a.Learn = n.distributor.Learn
+	a.Owned = n.document != nil
 	checker := &validator.Checker{}
 	a.Validate = func(tree sycamorerun.Tree) []sycamorerun.Fault { return checker.Check(tree.Items) }
 	a.Logger, a.Scope = n.logger, n.scope
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -93,6 +93,9 @@
 // team are found. A node that caught up by a snapshot lacks entries; the rest
 // then comes from the store by one list, or is left out while it is down.
 func (n *node) history(ctx context.Context, team string, limit int) []sycamorerun.Entry {
+	if n.document != nil {
+		return n.written(team, limit)
+	}
 	var entries []sycamorerun.Entry
 	var stored map[sycamorerun.Version]sycamorerun.Entry
 	for version := n.applier.Current().Tree.Version; version > 0 && limit > 0; version-- {
@@ -116,6 +119,24 @@
 	return entries
 }
 
+// kindDocument is the kind of a version that the operators' document brought.
+const kindDocument sycamorerun.ChangeKind = "document"
+
+// written returns up to limit versions of the operators' document that this
+// node still has, newest first. They belong to the administrators.
+func (n *node) written(team string, limit int) []sycamorerun.Entry {
+	if team != "" && team != sycamorerun.AdminTeam {
+		return nil
+	}
+	entries := n.distributor.Entries(limit)
+	for i := range entries {
+		entries[i].Changes = []sycamorerun.Accepted{{
+			ID: "document-" + entries[i].Version.String(), Team: sycamorerun.AdminTeam, Kind: kindDocument,
+		}}
+	}
+	return entries
+}
+
 // storedEntries returns the entries of the log in the store by version.
 func (n *node) storedEntries(ctx context.Context) map[sycamorerun.Version]sycamorerun.Entry {
 	entries := map[sycamorerun.Version]sycamorerun.Entry{}
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -31,6 +31,7 @@
 	Mode         string
 	Balance      string
 	StandbyDelay time.Duration
+	Watchers     int
 	StartWait    time.Duration
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration
@@ -60,6 +61,7 @@
 	loader.Add(l, &s.Mode, "mode", "tree", loader.Choice("tree", "poll", "gossip"), "how versions spread; all but tree are baselines to measure against")
 	loader.Add(l, &s.Balance, "balance", "load", loader.Choice("load", "round-robin"), "how calls are spread; round-robin is a baseline to measure against")
 	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself")
+	loader.Add(l, &s.Watchers, "watchers", "0", loader.Int(0, 64), "members of the whole fleet that watch the store, the nearest first; 0 selects two for each region")
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging that the start is held up")
 	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still takes new calls, while peers learn that it leaves")
 	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight")
--- a/node/tracker/codec.go
+++ b/node/tracker/codec.go
@@ -16,6 +16,8 @@
 	nameBytes = 253
 	zonesMost = 64
 	slotsMost = 1 << 20
+	// distanceMost is above the bucket of any latency that a call can have.
+	distanceMost = 64
 )
 
 // states maps the numbers on the wire.
@@ -38,6 +40,7 @@
 		Service:             r.Service,
 		State:               uint32(slices.Index(states, r.State)),
 		Slots:               uint32(r.Slots),
+		Distance:            int32(r.Distance),
 		SinceUnixMilli:      r.Since.UnixMilli(),
 		Suspected:           r.suspected(),
 		Unreachable:         r.unreachable,
@@ -69,6 +72,7 @@
 			Service:          intern(message.GetService()),
 			State:            states[message.GetState()],
 			Slots:            int(message.GetSlots()),
+			Distance:         int(message.GetDistance()),
 			Since:            time.UnixMilli(message.GetSinceUnixMilli()).UTC(),
 		},
 		since: now.Add(-time.Duration(age) * time.Millisecond),
@@ -101,6 +105,8 @@
 		return errors.Errorf("record of %q with sequence %d", message.GetName(), message.GetSequence())
 	case len(message.GetUnreachable()) > zonesMost:
 		return errors.Errorf("record of %q with %d zones", message.GetName(), len(message.GetUnreachable()))
+	case message.GetDistance() < sycamorerun.Unreachable || message.GetDistance() > distanceMost:
+		return errors.Errorf("record of %q with distance %d", message.GetName(), message.GetDistance())
 	case message.GetSlots() > slotsMost:
 		return errors.Errorf("record of %q with %d slots", message.GetName(), message.GetSlots())
 	}
--- a/node/tracker/own.go
+++ b/node/tracker/own.go
@@ -49,6 +49,17 @@
 	return true
 }
 
+// measure takes the distance of the store and reports whether the record
+// changed.
+func (t *table) measure(now time.Time, distance int) bool {
+	old := t.records[t.own.name]
+	if old.State == sycamorerun.StateLeft || old.Distance == distance {
+		return false
+	}
+	t.update(now, func(r *record) { r.Distance = distance })
+	return true
+}
+
 func (t *table) leave(now time.Time) {
 	t.update(now, func(r *record) {
 		r.State = sycamorerun.StateLeft
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -131,6 +131,16 @@
 	t.spread(nil)
 }
 
+// Measure takes the distance of the store from this node.
+func (t *Tracker) Measure(now time.Time, distance int) {
+	t.setup()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table.measure(now, distance) {
+		t.spread(nil)
+	}
+}
+
 // Live returns the instances that take part, sorted by name, suspects
 // included. The slice is shared and must not be changed.
 func (t *Tracker) Live(time.Time) []sycamorerun.Instance {
