--- a/node/distributor/document_fleet_test.go
+++ b/node/distributor/document_fleet_test.go
@@ -1,6 +1,7 @@
 package distributor
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -8,228 +9,239 @@
 
 	"sycamorerun"
 	"sycamorerun/node/planner"
+	"sycamorerun/persister"
 )
 
-// officers is a fleet of 14 members with 3 watchers of a document.
-type officers struct {
-	*fleet
-	paper
-	faults map[string]fault
-}
+// fault is what a member's store does instead of answering, or the member
+// itself.
+type fault string
 
-func runDocument(t *testing.T, scenario func(t *testing.T, o *officers)) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, Tree, 14)
-		o := &officers{f, paper{f.store}, map[string]fault{}}
-		defer func() {
-			f.stop()
-			f.set(func() {
-				for _, m := range f.members {
-					m.mute = false
-				}
-			})
-			time.Sleep(time.Minute)
-			synctest.Wait()
-		}()
-		f.options = planner.Options{Watchers: 3}
-		f.document = func(m *member, delay time.Duration) *Document {
-			return o.paper.document(delay, func() (found fault) {
-				f.set(func() { found = o.faults[m.Name] })
-				return found
-			})
+const (
+	healthy fault = ""
+	rejects fault = "rejected by the store"
+	silent  fault = "store silent"
+	paused  fault = "paused"
+	killed  fault = "killed"
+)
+
+// follow returns the document as seen from a member that is delay away.
+func (f *fleet) follow(m *member, delay time.Duration) *Document {
+	// wait looks for a revision above after for some time.
+	wait := func(ctx context.Context, after persister.Revision, limit time.Duration) (sycamorerun.Tree, persister.Revision, error) {
+		f.store.set(func() { f.store.cost.calls++ })
+		for begin := time.Now(); sleep(ctx, delay); {
+			switch f.fault(m) {
+			case rejects:
+				return sycamorerun.Tree{}, 0, persister.ErrUnavailable
+			case silent, paused:
+				continue
+			}
+			f.store.mutex.Lock()
+			tree, revision := f.store.tree, f.store.revision
+			f.store.mutex.Unlock()
+			if revision > after || time.Since(begin) >= limit {
+				return tree, revision, nil
+			}
 		}
-		o.edit(10)
-		scenario(t, o)
-	})
+		return sycamorerun.Tree{}, 0, ctx.Err()
+	}
+	return &Document{
+		Read: func(ctx context.Context) (sycamorerun.Tree, persister.Revision, error) { return wait(ctx, 0, 0) },
+		Watch: func(ctx context.Context, after persister.Revision) (sycamorerun.Tree, persister.Revision, bool, error) {
+			tree, revision, err := wait(ctx, after, 2500*time.Millisecond)
+			return tree, revision, revision > after, err
+		},
+	}
 }
 
-// settled starts the fleet and lets the watchers take their roles.
-func (o *officers) settled(t *testing.T) *officers {
-	t.Helper()
-	o.fleet.start(o.names()...)
-	mustConverge(t, o.fleet, 10, 2*time.Second)
-	time.Sleep(5 * time.Second)
-	return o
+func (f *fleet) fault(m *member) (found fault) {
+	f.set(func() { found = m.fault })
+	return found
 }
 
-// ready returns the time until the members are ready.
-func (o *officers) ready(t *testing.T, names []string, bound time.Duration) time.Duration {
-	t.Helper()
-	begin := time.Now()
+func (f *fleet) fail(kind fault, names ...string) {
 	for _, name := range names {
-		for !o.members[name].process.Load().Ready() {
-			if time.Since(begin) > bound {
-				t.Fatalf("%s is not ready after %s", name, bound)
-			}
-			time.Sleep(10 * time.Millisecond)
+		f.set(func() { f.members[name].fault, f.members[name].mute = kind, kind == paused })
+		if kind == killed {
+			f.kill(name)
 		}
 	}
-	return time.Since(begin)
 }
 
 // order returns the watchers and their deputies.
-func (o *officers) order() []string {
-	plan := o.members["node-00"].plan.Load()
+func (f *fleet) order() []string {
+	plan := planner.New("node-00", f.instances(), f.options)
 	return slices.Concat(plan.Watchers, plan.Deputies)
 }
 
-func (o *officers) fail(f fault, names ...string) {
-	o.fleet.set(func() {
-		for _, name := range names {
-			o.faults[name] = f
-		}
-	})
+func (f *fleet) instances() (all []sycamorerun.Instance) {
+	for _, name := range f.names() {
+		f.set(func() { all = append(all, f.members[name].Instance) })
+	}
+	return all
 }
 
-// working returns the time until a member that is up watches the store.
-func (o *officers) working(t *testing.T, bound time.Duration) time.Duration {
+// until returns how long it takes until reached, or fails after a bound.
+func until(t *testing.T, what string, bound time.Duration, reached func() bool) {
 	t.Helper()
 	begin := time.Now()
-	for time.Since(begin) <= bound {
-		for _, name := range o.names() {
-			m := o.members[name]
-			healthy := o.is(func() bool { return m.up && !m.mute && o.faults[name] == none })
-			if healthy && m.process.Load().watching(time.Now()) {
-				return time.Since(begin)
-			}
+	for !reached() {
+		if time.Since(begin) > bound {
+			t.Fatalf("not %s after %s", what, bound)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	t.Fatalf("no watcher after %s", bound)
-	return 0
+	t.Log(what, time.Since(begin))
 }
 
-// TestDocumentFleet guards against a version that is not in force everywhere in
-// time, a fleet without a watcher, and a start that takes too long.
+func (f *fleet) ready(names ...string) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(names, func(name string) bool { return !f.members[name].process.Load().Ready() })
+	}
+}
+
+// watched reports whether a healthy member watches the store.
+func (f *fleet) watched() bool {
+	return slices.ContainsFunc(f.names(), func(name string) bool {
+		m := f.members[name]
+		return f.fault(m) == healthy && m.process.Load().watching(time.Now())
+	})
+}
+
+func runDocument(t *testing.T, scenario func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, Tree, 14)
+		f.options, f.document = planner.Options{Watchers: 3}, f.follow
+		defer func() {
+			f.stop()
+			f.fail(healthy, f.names()...)
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		}()
+		f.store.edit(10)
+		scenario(t, f)
+	})
+}
+
+// The targets: a version in force everywhere, the same while the store fails
+// for some members, and a working watcher.
+const (
+	inForce  = 2500 * time.Millisecond
+	impaired = 7500 * time.Millisecond
+	takeover = 3 * time.Second
+)
+
+// TestTakeover guards against a fleet without a working watcher, and against a
+// version that comes late, after some of the first members in the order fail.
+func TestTakeover(t *testing.T) {
+	type failing struct {
+		fault    fault
+		from, to int
+	}
+	cases := map[string]struct {
+		failing  []failing
+		watched  time.Duration
+		converge time.Duration
+	}{
+		"watchers killed":                {[]failing{{killed, 0, 3}}, takeover, impaired},
+		"watchers and deputies killed":   {[]failing{{killed, 0, 9}}, takeover, impaired},
+		"watchers paused":                {[]failing{{paused, 0, 3}}, takeover, impaired},
+		"a third rejected":               {[]failing{{rejects, 0, 5}}, takeover, inForce},
+		"watchers killed, next rejected": {[]failing{{killed, 0, 3}, {rejects, 3, 7}}, takeover, impaired},
+		"store silent for the watchers":  {[]failing{{silent, 0, 3}}, impaired, impaired},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runDocument(t, func(t *testing.T, f *fleet) {
+				f.start(f.names()...)
+				time.Sleep(10 * time.Second)
+				for order := f.order(); len(c.failing) > 0; c.failing = c.failing[1:] {
+					f.fail(c.failing[0].fault, order[c.failing[0].from:c.failing[0].to]...)
+				}
+				f.store.edit(20)
+				until(t, "watched", c.watched, f.watched)
+				t.Log("in force", mustConverge(t, f, 20, c.converge))
+			})
+		})
+	}
+}
+
+// TestDocumentFleet guards against a start that takes too long or that ends
+// without a version, and against traffic and calls without need.
 func TestDocumentFleet(t *testing.T) {
-	const (
-		inForce  = 2500 * time.Millisecond // a version, from its confirmation
-		impaired = 7500 * time.Millisecond // the same, while the store fails for some nodes
-		takeover = 3 * time.Second
-	)
-	cases := map[string]func(t *testing.T, o *officers){
-		"cold start": func(t *testing.T, o *officers) {
-			o.fleet.start(o.names()...)
-			t.Log(o.ready(t, o.names(), 2*time.Second))
-			mustConverge(t, o.fleet, 10, 0)
+	cases := map[string]func(t *testing.T, f *fleet){
+		"cold start": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			until(t, "ready", 2*time.Second, f.ready(f.names()...))
+			// Each watcher reads and watches once; the others read nothing.
+			if calls := f.cost().calls; calls > 2*3 {
+				t.Errorf("%d calls", calls)
+			}
 		},
-		"cold start, a third is rejected": func(t *testing.T, o *officers) {
-			plan := planner.New("node-00", o.instances(), o.options)
-			o.fail(rejects, append(slices.Clone(plan.Watchers), plan.Deputies[0])...)
-			o.fleet.start(o.names()...)
-			t.Log(o.ready(t, o.names(), 3*time.Second))
+		"cold start, a third rejected": func(t *testing.T, f *fleet) {
+			f.fail(rejects, f.order()[:4]...)
+			f.start(f.names()...)
+			until(t, "ready", takeover, f.ready(f.names()...))
 		},
-		"cold start, store down": func(t *testing.T, o *officers) {
-			o.fail(rejects, o.names()...)
-			o.fleet.start(o.names()...)
+		"cold start, store down": func(t *testing.T, f *fleet) {
+			f.fail(rejects, f.names()...)
+			f.start(f.names()...)
 			time.Sleep(10 * time.Second)
-			for _, name := range o.names() {
-				if o.members[name].process.Load().Ready() {
-					t.Fatalf("%s is ready without a version", name)
-				}
+			if slices.ContainsFunc(f.names(), func(name string) bool { return f.ready(name)() }) {
+				t.Error("ready without a version")
 			}
-			o.fail(none, o.names()...)
-			t.Log(o.ready(t, o.names(), impaired))
+			f.fail(healthy, f.names()...)
+			until(t, "ready", impaired, f.ready(f.names()...))
 		},
-		"one member restarts": func(t *testing.T, o *officers) {
-			o.settled(t).fail(rejects, o.names()...)
-			name := o.order()[13]
-			o.kill(name)
-			time.Sleep(100 * time.Millisecond)
-			o.fleet.start(name)
-			t.Log(o.ready(t, []string{name}, time.Second))
+		"one member restarts, store down": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			time.Sleep(10 * time.Second)
+			f.fail(rejects, f.names()...)
+			last := f.order()[13]
+			f.kill(last)
+			f.start(last)
+			until(t, "ready", time.Second, f.ready(last))
+			// The other members count as starting too.
+			f.kill(last)
+			for _, name := range f.names() {
+				f.members[name].process.Load().ready.Store(false)
+			}
+			f.start(last)
+			until(t, "ready among others that start", 2*time.Second, f.ready(last))
 		},
-		"burst": func(t *testing.T, o *officers) {
-			o.settled(t)
-			before := o.cost()
-			for i := range 15 {
-				o.edit(sycamorerun.Version(20 + 7*i))
+		"burst": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			time.Sleep(10 * time.Second)
+			before := f.cost()
+			for i := range sycamorerun.Version(15) {
+				f.store.edit(20 + 7*i)
 				time.Sleep(200 * time.Millisecond)
 			}
-			t.Log(mustConverge(t, o.fleet, 118, inForce))
+			t.Log("in force", mustConverge(t, f, 118, inForce))
 			time.Sleep(5 * time.Second)
-			// A snapshot has about 4 KB; each member may get an entry of about
-			// 100 bytes twice.
-			if spent := o.cost().since(before, 15); spent.sent > 14*2*150 {
+			// A member may get an entry of about 100 bytes twice, no snapshot.
+			if spent := f.cost().since(before, 15); spent.sent > 14*2*150 {
 				t.Errorf("%d bytes a version", spent.sent)
-			} else {
-				t.Log(spent)
-			}
-		},
-		"watchers killed": func(t *testing.T, o *officers) {
-			for _, name := range o.settled(t).order()[:3] {
-				o.kill(name)
-			}
-			o.edit(20)
-			t.Log(o.working(t, takeover))
-			t.Log(mustConverge(t, o.fleet, 20, takeover))
-		},
-		"watchers and 6 deputies killed": func(t *testing.T, o *officers) {
-			for _, name := range o.settled(t).order()[:9] {
-				o.kill(name)
-			}
-			o.edit(20)
-			t.Log(o.working(t, takeover))
-			t.Log(mustConverge(t, o.fleet, 20, takeover))
-		},
-		"watchers paused": func(t *testing.T, o *officers) {
-			watchers := o.settled(t).order()[:3]
-			o.fleet.set(func() {
-				for _, name := range watchers {
-					o.members[name].mute = true
-				}
-			})
-			o.fail(silent, watchers...)
-			o.edit(20)
-			t.Log(o.working(t, takeover+500*time.Millisecond))
-			t.Log(mustConverge(t, o.fleet, 20, takeover))
-		},
-		"a third is rejected": func(t *testing.T, o *officers) {
-			o.settled(t).fail(rejects, o.order()[:5]...)
-			time.Sleep(3 * time.Second) // the waits in flight end
-			t.Log(o.working(t, takeover))
-			o.edit(20)
-			t.Log(mustConverge(t, o.fleet, 20, inForce))
-		},
-		"watchers killed, the next are rejected": func(t *testing.T, o *officers) {
-			order := o.settled(t).order()
-			o.fail(rejects, order[3:7]...)
-			for _, name := range order[:3] {
-				o.kill(name)
 			}
-			o.edit(20)
-			t.Log(o.working(t, takeover))
-			t.Log(mustConverge(t, o.fleet, 20, impaired))
 		},
-		"store silent for the watchers": func(t *testing.T, o *officers) {
-			o.settled(t).fail(silent, o.order()[:3]...)
-			o.edit(20)
-			t.Log(mustConverge(t, o.fleet, 20, impaired))
-		},
-		"store comes back": func(t *testing.T, o *officers) {
-			o.settled(t).fail(rejects, o.names()...)
+		"store comes back": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			time.Sleep(10 * time.Second)
+			f.fail(rejects, f.names()...)
 			time.Sleep(20 * time.Second)
-			before := o.cost()
+			before := f.cost()
 			time.Sleep(10 * time.Second)
-			// Members without a role call once a second at most, those with one
-			// twice a second on average.
-			if calls := o.cost().calls - before.calls; calls > 10*14*2 {
+			// 11 members without a role call at most once a second, the 3 with
+			// one twice on average.
+			if calls := f.cost().calls - before.calls; calls > 10*(11+2*3) {
 				t.Errorf("%d calls", calls)
 			}
-			o.fail(none, o.names()...)
-			o.edit(20)
-			t.Log(mustConverge(t, o.fleet, 20, inForce))
+			f.fail(healthy, f.names()...)
+			f.store.edit(20)
+			t.Log("in force", mustConverge(t, f, 20, inForce))
 		},
 	}
 	for name, scenario := range cases {
 		t.Run(name, func(t *testing.T) { runDocument(t, scenario) })
 	}
 }
-
-func (o *officers) instances() []sycamorerun.Instance {
-	var all []sycamorerun.Instance
-	for _, name := range o.names() {
-		all = append(all, o.members[name].Instance)
-	}
-	return all
-}
--- a/node/distributor/fallback.go
+++ b/node/distributor/fallback.go
@@ -60,13 +60,14 @@
 	return true, bits.OnesCount(p.periods) == 1
 }
 
-// fallbackStore reads the store for news. Deputies of the document's watchers
-// know whether one of them works and read the document when none does.
+// fallbackStore reads the store for news. The document's watchers follow it
+// anyway, and their deputies know whether one of them works.
 func (d *Distributor) fallbackStore(ctx context.Context) error {
+	plan := d.Plan()
 	switch {
 	case d.Document == nil:
 		return d.checkStore(ctx)
-	case slices.Contains(d.Plan().Deputies, d.Self):
+	case d.watchRole(plan) != planner.None || slices.Contains(plan.Deputies, d.Self):
 		return nil
 	}
 	return d.readDocument(ctx)
--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -235,6 +235,8 @@
 	cut bool
 	// lost counts the heartbeats since it was last up, not mute and not cut.
 	lost int
+	// fault is how the member or its document's store fails.
+	fault fault
 }
 
 // process is one life of a member.
