Let deputies that are cut off from the store probe the watchers too

Cause: a member that the store rejects stopped its probes, so that with dead parents it heard of a version only by the fallback after 2.5 s of silence.

--- a/node/distributor/deputy.go
+++ b/node/distributor/deputy.go
@@ -33,11 +33,14 @@
 		plan := d.Plan()
 		rank := slices.Index(plan.Deputies, d.Self)
 		switch {
-		case rank < 0 || !d.Ready() || d.reach.failed() >= failuresMost:
+		case rank < 0 || !d.Ready():
+			d.takeOver(false)
+		case d.reach.failed() >= failuresMost:
 			// A deputy that is cut off from the store itself tries at the
 			// slower pace of standAside, which bounds the calls of a fleet at a
-			// store that is down.
+			// store that is down. It still hears the watchers' versions.
 			d.takeOver(false)
+			d.lookedAfter(ctx, plan.Watchers, rank)
 		case d.taken.Load():
 			if time.Since(since) >= takeoverLeast && d.anyWatching(ctx, plan.Watchers) {
 				d.takeOver(false)
@@ -50,17 +53,23 @@
 	}
 }
 
-// orphaned reports whether none of the watchers and of the deputies before
-// this one reaches the store. While all is well it costs one probe.
-func (d *Distributor) orphaned(ctx context.Context, watchers, before []string) bool {
-	own := len(before) % len(watchers)
+// lookedAfter reports whether some watcher reaches the store, starting with
+// the one that this deputy probes. While all is well it costs one probe.
+func (d *Distributor) lookedAfter(ctx context.Context, watchers []string, rank int) bool {
+	own := rank % len(watchers)
 	if d.anyWatching(ctx, watchers[own:own+1]) {
-		return false
+		return true
 	}
 	// The session to the watcher broke, so that news may have to come from
 	// elsewhere.
 	d.askRandom(ctx, fallbackPeers)
-	if d.anyWatching(ctx, slices.Delete(slices.Clone(watchers), own, own+1)) {
+	return d.anyWatching(ctx, slices.Delete(slices.Clone(watchers), own, own+1))
+}
+
+// orphaned reports whether none of the watchers and of the deputies before
+// this one reaches the store.
+func (d *Distributor) orphaned(ctx context.Context, watchers, before []string) bool {
+	if d.lookedAfter(ctx, watchers, len(before)) {
 		return false
 	}
 	group := 1 + len(before)/len(watchers)
