Try the store after one patience when peers that start have a version

Cause: TestDocumentFleet failed once with the race detector. A restarted node held the version of peers that were starting too, but tried the store only after twice the patience, and so counted it as unreachable after up to 2.5 s.

--- a/node/distributor/bootstrap_document.go
+++ b/node/distributor/bootstrap_document.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sycamorerun"
 	"sycamorerun/node/planner"
 )
 
@@ -40,8 +41,10 @@
 }
 
 // mayRead decides whether the store is read at now. The planned watchers read
-// it when no peer is ready; the others first wait for those.
-func (o *opening) mayRead(now time.Time, reports []reported, plan planner.Plan) bool {
+// it when no peer is ready; the others first wait for those. A node that already
+// holds what its peers have waits less, since only the answer of the store, or
+// its failure, is missing.
+func (o *opening) mayRead(now time.Time, reports []reported, held sycamorerun.Version, plan planner.Plan) bool {
 	_, final := assess(reports)
 	waited := now.Sub(o.started)
 	switch {
@@ -49,7 +52,7 @@
 		return false
 	case !final && plan.Watch != planner.None && len(plan.Links) > 0:
 		return true
-	case len(reports) == 0:
+	case len(reports) == 0, held > 0:
 		return waited >= o.patience
 	}
 	return waited >= 2*o.patience
@@ -113,7 +116,7 @@
 			d.started(len(reports))
 			return nil
 		}
-		if o.mayRead(now, reports, d.Plan()) {
+		if o.mayRead(now, reports, d.Held(), d.Plan()) {
 			o.begin(ctx, d)
 		}
 		limit := documentRound
