--- a/node/distributor/bootstrap.go
+++ b/node/distributor/bootstrap.go
@@ -54,18 +54,12 @@
 // peers and the store report. It keeps trying while neither is reachable.
 func (d *Distributor) Bootstrap(ctx context.Context) error {
 	if d.Document != nil {
-		for d.Held() == 0 {
-			if !sleep(ctx, 20*time.Millisecond) {
-				return ctx.Err()
-			}
-		}
-		d.ready.Store(true)
-		return nil
+		return d.bootstrapDocument(ctx)
 	}
 	started := time.Now()
 	jitter := 1 + d.Random()
 	for failures := 1; ; failures++ {
-		reports := d.probe(ctx)
+		reports := d.probe(ctx, probeTimeout)
 		if d.mayReadStore(reports, time.Duration(float64(time.Since(started))/jitter)) {
 			if err := d.checkStore(ctx); err != nil {
 				level.Debug(d.Logger).Log("msg", "start without the store", "err", err)
@@ -75,9 +69,7 @@
 		}
 		newest, final := assess(reports)
 		if final && d.reached(newest.version) {
-			d.ready.Store(true)
-			signal(d.wakeWatch)
-			level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", len(reports))
+			d.started(len(reports))
 			return nil
 		}
 		if newest.version > d.Held() && newest.peer != "" {
@@ -97,6 +89,13 @@
 	}
 }
 
+// started makes the node ready.
+func (d *Distributor) started(reports int) {
+	d.ready.Store(true)
+	signal(d.wakeWatch)
+	level.Info(d.Logger).Log("msg", "newest version reached", "version", d.Held(), "reports", reports)
+}
+
 // reached reports whether the node holds version and has some version in
 // force. A refused version counts as held, since the other nodes that refuse
 // it keep the one before it in force too.
@@ -119,7 +118,7 @@
 }
 
 // probe asks all linked peers for their versions at once.
-func (d *Distributor) probe(ctx context.Context) []reported {
+func (d *Distributor) probe(ctx context.Context, timeout time.Duration) []reported {
 	var (
 		group   sync.WaitGroup
 		mutex   sync.Mutex
@@ -127,7 +126,7 @@
 	)
 	for peer := range peers(d.Plan().Links) {
 		group.Go(func() {
-			reply, err := d.request(ctx, peer, 0, true, probeTimeout)
+			reply, err := d.request(ctx, peer, 0, true, timeout)
 			if err != nil {
 				return
 			}
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -47,7 +47,9 @@
 // node would read the whole log.
 func (d *Distributor) watchRole(plan planner.Plan) planner.Watch {
 	switch {
-	case d.Mode == Poll || d.Document != nil:
+	case d.Document != nil:
+		return d.documentRole(plan)
+	case d.Mode == Poll:
 		return planner.Primary
 	case len(plan.Links) == 0 && !d.Ready():
 		return planner.None
@@ -70,13 +72,7 @@
 			}
 			continue
 		}
-		worked := func() { failures = 0 }
-		var err error
-		if d.Document != nil {
-			err = d.followDocument(following, worked)
-		} else {
-			err = d.follow(following, role, worked)
-		}
+		err := d.follow(following, role, func() { failures = 0 })
 		if following.Err() != nil {
 			continue
 		}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -24,6 +24,7 @@
 	"sycamorerun/node/distributor"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/planner"
 	"sycamorerun/node/reporter"
 	"sycamorerun/node/router"
 	"sycamorerun/node/seeder"
@@ -46,7 +47,7 @@
 	logger   log.Logger
 	scope    tally.Scope
 	store    persister.Store
-	// document is nil when the configuration is the log in the store.
+	// document is the operators' document; nil selects the log in the store.
 	document   *distributor.Document
 	handlersBy map[netip.AddrPort]func(API) http.Handler
 	phase      atomic.Value
@@ -101,6 +102,7 @@
 	n.tuned.Store(&settings)
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
+	n.fleet.options = planner.Options{Watchers: settings.Watchers}
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving, n.fleet.live)
 	if r.Contract != nil {
@@ -154,6 +156,7 @@
 	d.StandbyDelay = n.settings.StandbyDelay
 	d.Store = n.store
 	d.Document = n.document
+	d.Measure = n.tracker.Measure
 	d.Current = n.current
 	d.Apply, d.Install = n.apply, n.applier.Install
 	d.Plan = n.fleet.plan
@@ -174,6 +177,7 @@
 	a.Current = func() sycamorerun.Tree { return n.applier.Current().Tree }
 	a.Entry = n.distributor.Entry
 	a.Learn = n.distributor.Learn
+	a.Owned = n.document != nil
 	checker := &validator.Checker{}
 	a.Validate = func(tree sycamorerun.Tree) []sycamorerun.Fault { return checker.Check(tree.Items) }
 	a.Logger, a.Scope = n.logger, n.scope
