--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -37,6 +38,20 @@
 	return err
 }
 
+// sendUntil sends a frame, and returns when ctx ends also if the frame has not
+// been sent: a session whose connection takes no bytes blocks a write for
+// longer than its deadline.
+func (l *link) sendUntil(ctx context.Context, frame *Frame) error {
+	sent := make(chan error, 1)
+	go func() { sent <- l.send(frame) }()
+	select {
+	case err := <-sent:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // receive reads a frame. The bytes of a chunk are valid until the next call.
 func (l *link) receive() (*Frame, error) {
 	var prefix [4]byte
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -77,7 +77,7 @@
 		link: peer, watch: watch, release: release,
 		park: func() { f.pool.give(f.Now(), to.Address, peer) },
 	}
-	out, failed := f.exchange(body, c, id, level)
+	out, failed := f.exchange(ctx, body, c, id, level)
 	if failed != nil && ctx.Err() != nil {
 		// Closing a stream can take long when the peer is silent, and the caller is
 		// answered at once.
@@ -96,12 +96,12 @@
 }
 
 // exchange sends the head and waits for the head of the response.
-func (f *Forwarder) exchange(body *inflow, c *call, id string, level uint32) (*answer, *failure) {
+func (f *Forwarder) exchange(ctx context.Context, body *inflow, c *call, id string, level uint32) (*answer, *failure) {
 	head := toHead(f.Now(), c, id, level)
 	if head == nil {
 		return nil, notRun(reasonHeaders)
 	}
-	if err := body.link.send(&Frame{Kind: &Frame_Head{Head: head}}); err != nil {
+	if err := body.link.sendUntil(ctx, &Frame{Kind: &Frame_Head{Head: head}}); err != nil {
 		return nil, unknown(reasonLost)
 	}
 	for {
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -85,6 +85,8 @@
 	Sent   bool
 	// Limit bounds Sends; zero means the default.
 	Limit int
+	// Same says that a repetition goes to the same instance.
+	Same bool
 	// Left is the time until the deadline; zero means that there is none.
 	Left time.Duration
 	// Level is the attempt number that the caller's own request had, which is
--- a/node/retrier/retrier.go
+++ b/node/retrier/retrier.go
@@ -40,6 +40,8 @@
 	Sent   bool
 	// Limit bounds Sends; zero means the default.
 	Limit int
+	// Same says that a repetition goes to the same instance.
+	Same bool
 	// Left is the time until the deadline; zero means that there is none.
 	Left time.Duration
 	// Level is the attempt number of the request from which this call stems.
@@ -109,8 +111,8 @@
 }
 
 // Allow reports whether the attempt may be repeated, and after which delay. A
-// repetition after an attempt that was not sent takes nothing from the budget.
-// It needs no delay either, since it goes to another instance.
+// repetition after an attempt that was not sent takes nothing from the budget,
+// and needs no delay if it goes to another instance.
 func (r *Retrier) Allow(now time.Time, attempt Attempt) (time.Duration, bool) {
 	if !permitted(attempt) {
 		return 0, false
@@ -119,7 +121,7 @@
 	defer r.mutex.Unlock()
 	s := r.service(now, attempt.Service)
 	delay := time.Duration(0)
-	if attempt.Sent {
+	if attempt.Sent || attempt.Same {
 		delay = time.Duration(r.Random(int64(ceiling(attempt.Number))))
 	}
 	if attempt.Left != 0 && attempt.Left-delay <= time.Duration(timeLeast*float64(s.typical)) {
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -80,7 +80,7 @@
 	f.Call = c.retrier.Call
 	f.Allow = func(now time.Time, a forwarder.Attempt) (time.Duration, bool) {
 		return c.retrier.Allow(now, retrier.Attempt{
-			Service: a.Service, Number: a.Number, Sends: a.Sends, Sent: a.Sent, Limit: a.Limit, Left: a.Left,
+			Service: a.Service, Number: a.Number, Sends: a.Sends, Sent: a.Sent, Limit: a.Limit, Same: a.Same, Left: a.Left,
 			Level: a.Level, Result: a.Result,
 			Repeatable: a.Repeatable, Consumed: a.Consumed, Passed: a.Passed,
 		})
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -83,6 +83,9 @@
 		"negative body limit":   {[]string{"--insecure-peers", "--max-body=-1"}, "max-body"},
 		"store by name":         {[]string{"--insecure-peers", "--store=store:7000"}, "store"},
 		"zone with upper case":  {[]string{"--insecure-peers", "--availability-zone=Z"}, "availability-zone"},
+		"ratio above one":       {[]string{"--insecure-peers", "--retry-ratio=1.5"}, "retry-ratio"},
+		"ratio is no number":    {[]string{"--insecure-peers", "--retry-ratio=NaN"}, "retry-ratio"},
+		"retries":               {[]string{"--insecure-peers", "--retry-ratio=0.2", "--retry-window=10s", "--retry-slack=64"}, ""},
 		"second listen address": {[]string{"--insecure-peers", "--listen-peers=0.0.0.0:7060"}, ""},
 	}
 	for name, c := range cases {
