Bound retries in every window, also in one without calls

A count of the calls of the last window let 13 nodes repeat 1,546 calls in a window in which none arrived, when failures began as the calls ended. A bucket that calls fill and a few retries beyond it bound the sum in every window.

--- a/node/retrier/budget.go
+++ b/node/retrier/budget.go
@@ -34,22 +34,68 @@
 	restWindows = 1.5
 )
 
-// slack returns this node's share of the slack, a whole number: the sum over
-// the members is at most the slack, although a share may be below one.
-func (r *Retrier) slack(now time.Time) float64 {
+// budget is what one node may spend on a service. Calls fill a bucket of tokens
+// with a fraction of a retry each; beyond these there are some retries in each
+// window. In every window, also in one that begins when the calls have ended, the
+// charges are at most what its calls earn, the tokens that a full bucket holds
+// and those retries. The last two are the node's share of the slack. A count of
+// the calls of the last window would let retries follow when there are no calls
+// any more.
+type budget struct {
+	tokens float64
+	beyond window
+	begun  bool
+}
+
+func (b *budget) earn(tokens float64, share share) {
+	b.begin(share)
+	b.tokens = min(b.tokens+tokens, share.bucket())
+}
+
+// spend takes a retry, if there is one.
+func (b *budget) spend(at int64, share share) bool {
+	b.begin(share)
+	b.tokens = min(b.tokens, share.bucket())
+	switch {
+	case b.tokens >= 1:
+		b.tokens--
+	case b.beyond.sum(at) < share.total+share.turn-share.total/2:
+		b.beyond.add(at)
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *budget) begin(share share) {
+	if !b.begun {
+		b.begun, b.tokens = true, float64(share.total/2)
+	}
+}
+
+// share is a node's part of the slack: total always, turn in its turn.
+type share struct{ total, turn int }
+
+// bucket is the capacity of the bucket: half of the share, but one token at
+// least, since a node could not use what its calls earn otherwise.
+func (s share) bucket() float64 { return float64(max(1, s.total/2)) }
+
+// share returns this node's share in whole numbers, although an equal share may
+// be below one.
+func (r *Retrier) share(now time.Time) share {
 	count := r.members.largest(now, r.Members())
-	total := int(margin * r.Budget.Slack)
-	share, rest := total/count, total%count
+	slack := int(margin * r.Budget.Slack)
+	result, rest := share{total: slack / count}, slack%count
 	if r.Budget.Window <= 0 {
-		return float64(share)
+		return result
 	}
 	// The members agree on the turn only by the wall clock.
 	window := float64(r.Budget.Window)
 	turn, at := math.Modf(float64(now.UnixNano()) / (window * turnWindows))
 	if at*turnWindows >= restWindows && (r.Place()+int(turn)*rest)%count < rest {
-		share++
+		result.turn = 1
 	}
-	return float64(share)
+	return result
 }
 
 // members holds the largest number of members of the last one to two
--- a/node/retrier/retrier.go
+++ b/node/retrier/retrier.go
@@ -77,7 +77,7 @@
 
 // service is what is known of one service.
 type service struct {
-	window  window
+	budget  budget
 	typical time.Duration
 	used    time.Time
 }
@@ -95,8 +95,7 @@
 func (r *Retrier) Call(now time.Time, name string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	s := r.service(now, name)
-	s.window.call(r.bucket(now))
+	r.service(now, name).budget.earn(margin*r.ratio(name), r.share(now))
 }
 
 // Ran tells how long an answered attempt took.
@@ -135,19 +134,15 @@
 
 // charge takes a retry from this node's share of the budget, if there is one.
 func (r *Retrier) charge(now time.Time, name string, s *service) bool {
-	ratio := r.Budget.Ratio
-	if ratio < 0 {
-		ratio = r.Ratio(name)
-	}
-	if ratio <= 0 {
-		return false
-	}
-	at := r.bucket(now)
-	if s.window.charged(at)+1 > margin*ratio*s.window.earned(at)+r.slack(now) {
-		return false
+	return r.ratio(name) > 0 && s.budget.spend(r.bucket(now), r.share(now))
+}
+
+// ratio returns the retries that a call of a service earns the fleet.
+func (r *Retrier) ratio(name string) float64 {
+	if r.Budget.Ratio >= 0 {
+		return r.Budget.Ratio
 	}
-	s.window.charge(at)
-	return true
+	return r.Ratio(name)
 }
 
 // permitted reports whether a repetition is safe and useful, whatever the
