--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -192,7 +192,10 @@
 		return victim
 	}
 	if l.queue.count(w.rank) == 0 && l.fairness.starves(now, w.rank) {
-		return l.queue.newest(func(rank int) bool { return l.queue.count(rank) > 1 })
+		if victim := l.queue.newest(func(rank int) bool { return l.queue.count(rank) > 1 }); victim != nil {
+			return victim
+		}
+		return l.queue.newest(spare)
 	}
 	return nil
 }
--- a/node/limiter/wait_test.go
+++ b/node/limiter/wait_test.go
@@ -101,32 +101,43 @@
 		})
 	}
 	is := is.New(t)
-	l := New(Limits{Slots: 1, Queue: 1})
-	_, refusal := l.Acquire(context.Background(), time.Now(), Want{})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	l := New(Limits{Slots: 1, Queue: 2})
+	_, refusal := l.Acquire(ctx, time.Now(), Want{})
 	is.Equal(refusal, Refusal{})
+	later := arrive(ctx, l, Want{Objective: time.Hour})
 	began := time.Now()
-	_, refusal = l.Acquire(context.Background(), began, Want{Objective: 40 * ms}) // by the timer
+	_, refusal = l.Acquire(ctx, began, Want{Objective: 40 * ms}) // by the timer
 	is.Equal(refusal.Reason, Busy)
 	is.True(time.Since(began) >= 20*ms)
+	is.Equal(l.Load().Queued, 1)
+	cancel()
+	is.Equal(later.wait(), Canceled)
 }
 
 // Guards the order under overload: no rank is served much less often than a
 // less urgent one, and none falls below a quarter of the overall rate.
 func TestRanksUnderOverload(t *testing.T) {
-	cases := map[string][3]int{ // calls in a step of 10 runs, by rank 1, 5, 9
-		"alike":            {10, 10, 10},
-		"mostly urgent":    {30, 3, 3},
-		"mostly last":      {3, 3, 30},
-		"few of the last":  {20, 0, 1},
-		"far too many":     {40, 40, 40},
-		"urgent alone fit": {9, 9, 9},
+	cases := map[string]struct {
+		rates [3]int // calls in the time of 10 runs, by rank 1, 5, 9
+		queue int
+	}{
+		"alike":            {[3]int{10, 10, 10}, 8},
+		"mostly urgent":    {[3]int{30, 3, 3}, 8},
+		"mostly last":      {[3]int{3, 3, 30}, 8},
+		"few of the last":  {[3]int{20, 0, 1}, 8},
+		"far too many":     {[3]int{40, 40, 40}, 8},
+		"urgent alone fit": {[3]int{9, 9, 9}, 8},
+		"short queue":      {[3]int{60, 6, 6}, 2},
+		"queue of one":     {[3]int{200, 10, 10}, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := start
 			var passed atomic.Int64 // read by the queue's timer
-			l := New(Limits{Slots: 2, Queue: 8})
+			l := New(Limits{Slots: 2, Queue: c.queue})
 			l.Now = func() time.Time { return start.Add(time.Duration(passed.Load())) }
 			random := rand.New(rand.NewPCG(1, 2))
 			ranks := [3]int{1, 5, 9}
@@ -156,7 +167,7 @@
 						l.end(r, true)
 					}
 				}
-				for at, rate := range c {
+				for at, rate := range c.rates {
 					if random.Float64() < float64(rate)/100 {
 						asked[at]++
 						w := newWaiter(now, Want{Rank: ranks[at], Objective: 200 * time.Millisecond, Deadline: now.Add(time.Second)})
@@ -169,12 +180,12 @@
 			}
 			var all, got float64
 			var rates [3]float64
-			for at := range c {
+			for at := range c.rates {
 				all, got = all+float64(asked[at]), got+float64(served[at])
 				rates[at] = float64(served[at]) / float64(max(1, asked[at]))
 			}
 			t.Logf("asked %v, served %v, rates %.2f, overall %.2f", asked, served, rates, got/all)
-			for at := range c {
+			for at := range c.rates {
 				if asked[at] == 0 {
 					continue
 				}
