Leave no write deadline behind on a caller's connection

Ruled out: a panic of a handler (none logged), idle limits, garbled responses of the upstream (none at that time). The callback is awaited and the deadline taken back; a response that is in memory is delivered although its call has ended. The new test fails before and passes after.

--- /dev/null
+++ b/node/forwarder/reply_test.go
@@ -0,0 +1,39 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a response that arrives at the end of its call and leaves a
+// write deadline on the caller's connection, which cuts off the next response.
+func TestLateResponseLeavesConnection(t *testing.T) {
+	cases := map[string]string{"empty": "", "small": "late", "larger than the buffer": string(make([]byte, 16<<10))}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := New("n")
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				ctx, watch, stop := bound(r.Context(), f.Now(), 0)
+				stop(context.DeadlineExceeded)
+				body := whole(text)
+				out := &answer{status: http.StatusGatewayTimeout, header: http.Header{}, length: int64(len(text)), body: &body}
+				f.reply(ctx, watch, w, http.NewResponseController(w), &call{complete: true}, out)
+			}))
+			defer server.Close()
+			for range 50 {
+				response, err := server.Client().Post(server.URL, "", nil) // is not repeated by the client
+				is.NoErr(err)
+				data, err := io.ReadAll(response.Body)
+				is.NoErr(err)
+				is.NoErr(response.Body.Close())
+				is.Equal(string(data), text)
+			}
+		})
+	}
+}
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -9,9 +9,15 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"sycamorerun"
 )
 
+// writeWait is the time for which a write of a response that is in memory may go
+// on after its call has ended.
+const writeWait = 100 * time.Millisecond
+
 // ServeHTTP handles a caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := f.Now()
@@ -125,10 +131,10 @@
 	}
 	f.head(w, c, out)
 	// Unblocks a write to a caller that stopped reading.
-	release := context.AfterFunc(ctx, func() { _ = control.SetWriteDeadline(time.Unix(1, 0)) })
-	defer release()
+	defer limitWrites(ctx, control)()
+	_, inMemory := out.body.(*whole)
 	for ; err != io.EOF; data, err = out.body.Next() {
-		if err == nil {
+		if err == nil && !inMemory {
 			err = context.Cause(ctx)
 		}
 		if err == nil && len(data) > 0 {
@@ -138,7 +144,10 @@
 			err = control.Flush()
 		}
 		if err != nil {
-			f.record(c, sycamorerun.Unknown, ended(ctx, reasonTruncated))
+			reason := ended(ctx, reasonTruncated)
+			f.record(c, sycamorerun.Unknown, reason)
+			_ = level.Warn(f.Logger).Log("msg", "response broken off", "request", c.id, "caller", c.header.Get(f.Contract.Identity),
+				"service", c.match.Service, "reason", reason, "err", err)
 			panic(http.ErrAbortHandler)
 		}
 		watch.progress()
@@ -149,6 +158,22 @@
 	f.record(c, sycamorerun.Answered, "")
 }
 
+// limitWrites ends the writes to a caller when ctx ends. The returned function
+// takes the limit back: it would fail the next response on the connection.
+func limitWrites(ctx context.Context, control *http.ResponseController) func() {
+	limited := make(chan struct{})
+	release := context.AfterFunc(ctx, func() {
+		_ = control.SetWriteDeadline(time.Now().Add(writeWait))
+		close(limited)
+	})
+	return func() {
+		if !release() {
+			<-limited
+			_ = control.SetWriteDeadline(time.Time{})
+		}
+	}
+}
+
 // head passes the head of the response on.
 func (f *Forwarder) head(w http.ResponseWriter, c *call, out *answer) {
 	header := w.Header()
