Answer not run on a node that is stopped before it has a version

Ruled out: a version that lost its routes (the node applied its first one at 26.7 s). The new test fails before and passes after.

--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -51,7 +51,9 @@
 	document   *distributor.Document
 	handlersBy map[netip.AddrPort]func(API) http.Handler
 	phase      atomic.Value
-	parsing    sync.Mutex
+	// unversioned is set on a node that is stopped before it has a version.
+	unversioned atomic.Bool
+	parsing     sync.Mutex
 	// presenting guards shown, the presence that was published last, and the
 	// time of that.
 	presenting sync.Mutex
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -223,7 +223,7 @@
 func (n *node) drain(callers *http.Server) (limit time.Time) {
 	s := n.tuned.Load()
 	level.Info(n.logger).Log("msg", "draining", "delay", s.DrainDelay, "timeout", s.DrainTimeout)
-	n.phase.Store(manager.PhaseDraining)
+	n.unversioned.Store(n.phase.Swap(manager.PhaseDraining) == manager.PhaseStarting)
 	ended := time.Now().Add(s.DrainDelay + s.DrainTimeout)
 	// The hand-over of keys begins now; calls go on meanwhile.
 	n.present(time.Now())
@@ -247,10 +247,11 @@
 	return limit
 }
 
-// ready refuses calls before the node has the newest version.
+// ready refuses calls before the node has the newest version, also when it is
+// stopped before.
 func (n *node) ready(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.phase.Load() == manager.PhaseStarting {
+		if n.phase.Load() == manager.PhaseStarting || n.unversioned.Load() {
 			w.Header().Set(sycamorerun.HeaderOutcome, string(sycamorerun.NotRun))
 			w.Header().Set(sycamorerun.HeaderReason, "starting")
 			http.Error(w, "the node does not have the newest configuration yet", http.StatusServiceUnavailable)
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -147,3 +148,20 @@
 	n.publisher.settle()
 	is.Equal(state(), sycamorerun.StateLeft)
 }
+
+// Guards against a node that is stopped before it has a version and answers
+// that there is no route, which a caller takes for final.
+func TestStoppedBeforeReady(t *testing.T) {
+	is := is.New(t)
+	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.DrainTimeout = time.Millisecond, time.Millisecond })
+	n.phase.Store(manager.PhaseStarting)
+	status := func() int {
+		recorder := httptest.NewRecorder()
+		n.ready(n.calls.forwarder).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "http://h.example/a", nil))
+		return recorder.Code
+	}
+	is.Equal(status(), http.StatusServiceUnavailable)
+	n.drain(&http.Server{})
+	is.Equal(n.phase.Load(), manager.PhaseDraining)
+	is.Equal(status(), http.StatusServiceUnavailable)
+}
