--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -164,12 +164,11 @@
 // body prepares the connection for its next request and returns the body, at
 // whose end it is free.
 func (x *exchange) body(response *http.Response) io.ReadCloser {
-	limit := idle(response.Header)
-	if response.Close || x.out.Close || !response.ProtoAtLeast(1, 1) || x.conn.raw == nil || limit == 0 {
+	if response.Close || x.out.Close || !response.ProtoAtLeast(1, 1) || x.conn.raw == nil {
 		x.spoiled.Store(true)
 	}
 	b := &body{
-		Reader: response.Body, exchange: x, limit: limit,
+		Reader: response.Body, exchange: x, limit: idle(response.Header),
 		unframed: response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked"),
 	}
 	if response.Body == http.NoBody {
--- a/node/requester/requester.go
+++ b/node/requester/requester.go
@@ -151,7 +151,8 @@
 // source is a body that is written while the response is read.
 type source struct {
 	io.ReadCloser
-	// left is what is missing of a body with a length, otherwise negative.
+	// left is what is missing of a body with a length, otherwise negative. More
+	// is not read: net/http asks for no more.
 	left  int64
 	ended atomic.Bool
 }
@@ -162,20 +163,13 @@
 	if s.left == 0 {
 		return 0, io.EOF
 	}
-	if s.left > 0 {
-		p = p[:min(int64(len(p)), s.left)]
-	}
 	n, err := s.ReadCloser.Read(p)
 	if s.left > 0 {
-		s.left -= int64(n)
-		switch {
-		case s.left == 0:
+		if s.left -= int64(n); s.left == 0 {
 			err = io.EOF
-		case err == io.EOF:
-			err = io.ErrUnexpectedEOF
 		}
 	}
-	if err == io.EOF {
+	if err == io.EOF && s.left <= 0 {
 		s.ended.Store(true)
 	}
 	return n, err
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -124,6 +124,32 @@
 	}
 }
 
+// Guards an upload against waiting in a buffer for the rest of it.
+func TestBodyIsNotHeldBack(t *testing.T) {
+	for name, length := range map[string]int64{"sized": 4, "chunked": -1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body := newGate("abcd", nil)
+			upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				request, err := http.ReadRequest(reader)
+				if err == nil {
+					_, err = io.ReadFull(request.Body, make([]byte, 2))
+				}
+				close(body.open)
+				if err == nil {
+					_, err = io.Copy(io.Discard, request.Body)
+				}
+				if err == nil {
+					_, _ = io.WriteString(conn, ok("a"))
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			is.Equal(do(New(upstream.address, 1), post(ctx, body, length)).status, 200)
+		})
+	}
+}
+
 // Guards the end of a body before there is a response, and a response whose
 // upstream refuses the rest of the body.
 func TestBodyBreaks(t *testing.T) {
