--- a/node/requester/fake_test.go
+++ b/node/requester/fake_test.go
@@ -83,8 +83,11 @@
 		return outcome{reason: err.Error()}
 	}
 	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		_, err = response.Body.Read(make([]byte, 1)) // the end does not change
+	}
 	_ = response.Body.Close()
-	return outcome{status: response.StatusCode, body: string(data), broken: err != nil}
+	return outcome{status: response.StatusCode, body: string(data), broken: err != nil && err != io.EOF}
 }
 
 // get returns a request with an id, if it has one.
--- a/node/requester/requester_test.go
+++ b/node/requester/requester_test.go
@@ -60,11 +60,11 @@
 		"reset without response":  {steps: []step{{then: rst, want: unknown}, fine}, connections: 2},
 		"no http":                 {steps: []step{{answer: "220 mail ready\r\n\r\n", want: unknown}, fine}, connections: 2},
 		"http 2":                  {steps: []step{{answer: strings.Replace(ok("a"), "1.1", "2.0", 1), want: unknown}}, connections: 1},
-		"status too small":        {steps: []step{{answer: strings.Replace(ok("a"), "200", "020", 1), want: unknown}}, connections: 1},
+		"status too small":        {steps: []step{{answer: strings.Replace(ok(""), "200", "020", 1) + ok("a"), want: unknown}}, connections: 1},
 		"head too large":          {steps: []step{{answer: with(ok("a"), "X: "+strings.Repeat("x", headBytes)), want: unknown}}, connections: 1},
 		"informational":           {steps: []step{{answer: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok("a"), want: outcome{status: 200, body: "a"}}, fine}, connections: 1},
-		"informational only":      {steps: []step{{answer: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100), want: unknown}}, connections: 1},
-		"other protocol":          {steps: []step{{answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n", want: unknown}}, connections: 1},
+		"informational only":      {steps: []step{{answer: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100) + ok("a"), want: unknown}}, connections: 1},
+		"other protocol":          {steps: []step{{answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok("a"), want: unknown}}, connections: 1},
 		"cut in the head":         {steps: []step{{answer: "HTTP/1.1 200 OK\r\nX", then: shut, want: unknown}}, connections: 1},
 
 		"empty":                   {steps: []step{{answer: ok(""), want: outcome{status: 200}}, {answer: "HTTP/1.1 204 No Content\r\n\r\n", want: outcome{status: 204}}, fine}, connections: 1},
@@ -81,6 +81,7 @@
 		"unsigned":            {contract: checks, steps: []step{{answer: with(ok("a"), "X-Id: ID"), want: outcome{ran: Unknown, reason: ReasonUnsigned}}, signed}, connections: 2},
 		"unsigned failure":    {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "500", 1), want: outcome{status: 500, body: "a"}}, signed}, connections: 1},
 		"refused":             {contract: checks, steps: []step{{answer: strings.Replace(with(with(ok("a"), "X-Id: ID"), "X-Unexecuted: 1"), "200", "503", 1), want: refusal}, signed}, connections: 1},
+		"refused, cut body":   {contract: checks, steps: []step{{answer: "HTTP/1.1 421 No\r\nX-Id: ID\r\nContent-Length: 9\r\n\r\n", want: refusal}, signed}, connections: 2},
 		"slow after refused":  {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "421", 1), want: refusal}, {late: 2 * spareWait, answer: signed.answer, want: signed.want}}, connections: 1},
 		"refused, no length":  {contract: checks, steps: []step{{answer: "HTTP/1.1 429 Slow\r\nX-Id: ID\r\nX-Unexecuted: 1\r\n\r\n", want: refusal}, signed}, connections: 2},
 		"misdirected":         {contract: checks, steps: []step{{answer: strings.Replace(with(ok("a"), "X-Id: ID"), "200", "421", 1), want: refusal}, signed}, connections: 1},
@@ -125,12 +126,13 @@
 			r.Contract = c.contract
 			defer r.Close()
 			for at, step := range c.steps {
-				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-				request := get(ctx, "id-"+itoa(at+1))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				began, request := time.Now(), get(ctx, "id-"+itoa(at+1))
 				if step.method != "" {
 					request.Method = step.method
 				}
 				is.Equal(do(r, request), step.want)
+				is.True(step.want != refusal || time.Since(began) < 700*time.Millisecond) // is not held back
 				<-settled
 				cancel()
 			}
@@ -193,13 +195,11 @@
 		if round == 1 {
 			cancel() // closed connections make room for others
 		}
-		for range 3 {
-			if round != 1 {
-				proceed <- struct{}{}
-				is.Equal((<-outcomes).status, 200)
+		for n := range 6 {
+			if (n < 3) == (round == 1) { // canceled ones end before the upstream answers
+				is.Equal((<-outcomes).status == 200, round != 1)
 			} else {
-				is.Equal((<-outcomes).ran, Unknown)
-				proceed <- struct{}{} // a response to nobody
+				proceed <- struct{}{}
 			}
 		}
 		cancel()
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -101,6 +101,7 @@
 				data, err := io.ReadAll(response.Body)
 				is.NoErr(err)
 				is.Equal(string(data), "early")
+				is.Equal(kept(&r.pool), 0) // the body is still being sent
 			}
 			close(body.open)
 			if !c.first {
@@ -117,6 +118,8 @@
 			for c.whole && kept(&r.pool) == 0 && ctx.Err() == nil {
 				time.Sleep(time.Millisecond)
 			}
+			time.Sleep(5 * time.Millisecond)
+			is.Equal(kept(&r.pool) > 0, c.whole)
 			is.Equal(do(r, get(ctx, "")).body, "early")
 			is.Equal(<-got, "")
 			is.Equal(upstream.accepted.Load(), c.connections)
@@ -213,6 +216,31 @@
 	}
 }
 
+// Guards the rest of a response against the end of the caller's body, and the
+// upstream against waiting for it.
+func TestResponseAfterBrokenBody(t *testing.T) {
+	is := is.New(t)
+	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+		if _, err = io.Copy(io.Discard, request.Body); err != nil {
+			_, _ = io.WriteString(conn, "cd")
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	body := newGate("half", errBroke)
+	response, err := New(upstream.address, 1).RoundTrip(post(ctx, body, -1))
+	is.NoErr(err)
+	close(body.open)
+	data, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "abcd")
+}
+
 // broken is the end of a body whose caller has gone.
 type broken struct{}
 
