--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -35,7 +35,7 @@
 var (
 	// An idle call that did not run waited for a slot for too long, or its peer
 	// answered the query about it.
-	overloads = map[string]bool{"queue-full": true, "shed": true, "deadline": true, "idle": true}
+	overloads = map[string]bool{"queue-full": true, "connections-full": true, "shed": true, "deadline": true, "idle": true}
 	drainings = map[string]bool{"draining": true}
 	// neutrals are the ends of calls that their callers or the configuration
 	// brought about.
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -170,7 +170,7 @@
 		"shorter than stated": {body: strings.NewReader("half"), length: 9, want: unknown},
 		"refused and closed": {
 			body: strings.NewReader(large), length: int64(len(large)), want: outcome{status: 413, body: "no"},
-			serve: func(conn *net.TCPConn, reader *bufio.Reader) {
+			serve: func(conn *net.TCPConn, _ *bufio.Reader) {
 				_, _ = io.WriteString(conn, sized)
 				time.Sleep(20 * time.Millisecond)
 				_ = conn.Close() // a reset, since the body was not read
@@ -186,7 +186,7 @@
 		},
 		"without length, reset while the body is sent": {
 			body: &slow{}, length: -1, want: outcome{status: 200, body: "ab", broken: true},
-			serve: func(conn *net.TCPConn, reader *bufio.Reader) {
+			serve: func(conn *net.TCPConn, _ *bufio.Reader) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nab")
 				reset(conn)
 			},
