--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -45,7 +45,7 @@
 var (
 	// An idle call that did not run waited for a slot for too long, or its peer
 	// answered the query about it.
-	overloads    = map[string]bool{"queue-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
+	overloads    = map[string]bool{"queue-full": true, "connections-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
 	unreachables = map[string]bool{"peer-unreachable": true, "upstream-unreachable": true}
 	drainings    = map[string]bool{"draining": true, "no-upstream": true}
 	// neutrals are the ends of calls that their callers or the configuration
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -101,6 +101,7 @@
 				data, err := io.ReadAll(response.Body)
 				is.NoErr(err)
 				is.Equal(string(data), "early")
+				is.Equal(kept(&r.pool), 0) // the body is still being sent
 			}
 			close(body.open)
 			if !c.first {
@@ -117,6 +118,8 @@
 			for c.whole && kept(&r.pool) == 0 && ctx.Err() == nil {
 				time.Sleep(time.Millisecond)
 			}
+			time.Sleep(5 * time.Millisecond)
+			is.Equal(kept(&r.pool) > 0, c.whole)
 			is.Equal(do(r, get(ctx, "")).body, "early")
 			is.Equal(<-got, "")
 			is.Equal(upstream.accepted.Load(), c.connections)
@@ -124,6 +127,32 @@
 	}
 }
 
+// Guards an upload against waiting in a buffer for the rest of it.
+func TestBodyIsNotHeldBack(t *testing.T) {
+	for name, length := range map[string]int64{"sized": 4, "chunked": -1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body := newGate("abcd", nil)
+			upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				request, err := http.ReadRequest(reader)
+				if err == nil {
+					_, err = io.ReadFull(request.Body, make([]byte, 2))
+				}
+				close(body.open)
+				if err == nil {
+					_, err = io.Copy(io.Discard, request.Body)
+				}
+				if err == nil {
+					_, _ = io.WriteString(conn, ok("a"))
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			is.Equal(do(New(upstream.address, 1), post(ctx, body, length)).status, 200)
+		})
+	}
+}
+
 // Guards the end of a body before there is a response, and a response whose
 // upstream refuses the rest of the body.
 func TestBodyBreaks(t *testing.T) {
@@ -141,7 +170,7 @@
 		"shorter than stated": {body: strings.NewReader("half"), length: 9, want: unknown},
 		"refused and closed": {
 			body: strings.NewReader(large), length: int64(len(large)), want: outcome{status: 413, body: "no"},
-			serve: func(conn *net.TCPConn, reader *bufio.Reader) {
+			serve: func(conn *net.TCPConn, _ *bufio.Reader) {
 				_, _ = io.WriteString(conn, sized)
 				time.Sleep(20 * time.Millisecond)
 				_ = conn.Close() // a reset, since the body was not read
@@ -157,7 +186,7 @@
 		},
 		"without length, reset while the body is sent": {
 			body: &slow{}, length: -1, want: outcome{status: 200, body: "ab", broken: true},
-			serve: func(conn *net.TCPConn, reader *bufio.Reader) {
+			serve: func(conn *net.TCPConn, _ *bufio.Reader) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nab")
 				reset(conn)
 			},
@@ -187,6 +216,31 @@
 	}
 }
 
+// Guards the rest of a response against the end of the caller's body, and the
+// upstream against waiting for it.
+func TestResponseAfterBrokenBody(t *testing.T) {
+	is := is.New(t)
+	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+		if _, err = io.Copy(io.Discard, request.Body); err != nil {
+			_, _ = io.WriteString(conn, "cd")
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	body := newGate("half", errBroke)
+	response, err := New(upstream.address, 1).RoundTrip(post(ctx, body, -1))
+	is.NoErr(err)
+	close(body.open)
+	data, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "abcd")
+}
+
 // broken is the end of a body whose caller has gone.
 type broken struct{}
 
