Spill calls to other regions only from a higher load

Cause: a call went to another region as soon as its own region was 70% used, and all excess went to whatever tier had any slot free. Spilling within a region stays at 0.7 to 1.3 of the slots, to other regions it begins at 1.05 and is complete at 1.6.

--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// spillFrom is the utilisation of a tier from which calls spill to the next
-	// one, spillAll the one at which all do if the next tier has the capacity.
-	// The range between them lets the share rise gradually.
-	spillFrom = 0.7
-	spillAll  = 1.3
 	// weightMin keeps a failing upstream in the draw, so that its recovery or
 	// its ejection is noticed.
 	weightMin = 0.1
@@ -29,6 +24,21 @@
 	slotsDefault = 1
 )
 
+// spill is a range of the utilisation of a tier: from its start on, calls go
+// to a farther tier that has capacity, and from its end on all do. In between
+// the share rises gradually.
+type spill struct{ from, all float64 }
+
+// spills are the ranges for the own region and for other regions. A response
+// that crosses regions costs as much as a fifth of a read is worth, and 40 ms;
+// a queue of half the slots takes about as long.
+var spills = [...]spill{{0.7, 1.3}, {1.05, 1.6}}
+
+// excess returns the share of the calls that utilisation drives away.
+func (s spill) excess(utilisation float64) float64 {
+	return min(1, max(0, (utilisation-s.from)/(s.all-s.from)))
+}
+
 // candidate is an instance with its statistics and their evaluation.
 type candidate struct {
 	instance sycamorerun.Instance
@@ -97,7 +107,7 @@
 		s.weight += c.weight
 		// One instance that is slow, or reports a load that can't be, does not
 		// make its whole tier look full.
-		s.load += min(c.load, spillAll*c.capacity)
+		s.load += min(c.load, spills[1].all*c.capacity)
 	}
 }
 
@@ -183,15 +193,16 @@
 // spill returns the share of calls that tier at passes on.
 func (t *tiers) spill(at int) float64 {
 	near := &t.sets[at]
-	var spare float64
+	var share float64
 	for next := at + 1; next < len(t.sets); next++ {
-		spare += t.sets[next].spare()
-	}
-	if spare <= 0 {
-		return 0
+		spare := t.sets[next].spare()
+		if spare <= 0 {
+			continue
+		}
+		excess := spills[next-1].excess(near.load / near.capacity)
+		share = max(share, excess*spare/(spare+near.spare()))
 	}
-	excess := min(1, max(0, (near.load/near.capacity-spillFrom)/(spillAll-spillFrom)))
-	return excess * spare / (spare + near.spare())
+	return share
 }
 
 // choose returns the tier for a random number in [0, 1), or nil when no
