--- a/bench/stresser/leave.go
+++ b/bench/stresser/leave.go
@@ -36,6 +36,8 @@
 	Last time.Duration
 	// Failed counts the calls at other nodes that were not answered, of Calls.
 	Failed, Calls int
+	// Results counts the calls at other nodes by what the callers were told.
+	Results map[sycamorerun.Result]int
 }
 
 // leaves are the ways in which an upstream leaves.
@@ -102,8 +104,11 @@
 	if err != nil {
 		return Leave{}, err
 	}
-	result := Leave{Before: before.Requests, After: after.Requests - before.Requests, Last: max(0, after.Last.Sub(at))}
+	result := Leave{Before: before.Requests, After: after.Requests - before.Requests, Last: max(0, after.Last.Sub(at)), Results: map[sycamorerun.Result]int{}}
 	for _, r := range results {
+		for told, count := range r.Results {
+			result.Results[told] += count
+		}
 		result.Calls += r.Calls()
 		result.Failed += r.Calls() - r.Results[sycamorerun.Answered]
 	}
