--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -79,7 +79,7 @@
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long a key of a lost process gets the result unknown")
 	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "retries of the fleet as a fraction of a service's calls; negative: the service's own setting")
 	loader.Add(l, &s.RetryWindow, "retry-window", "10s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which retries are counted")
-	loader.Add(l, &s.RetrySlack, "retry-slack", "10", loader.Float(0, 1e6), "retries of the fleet in a window beyond the ratio, for each service")
+	loader.Add(l, &s.RetrySlack, "retry-slack", "64", loader.Float(0, 1e6), "retries of the fleet in a window beyond the ratio, for each service; divided among the nodes")
 	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "time between two announcements of the upstream; it lapses after three", loader.Reloadable)
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes", loader.Reloadable)
 	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged", loader.Reloadable)
