--- a/node/distributor/document.go
+++ b/node/distributor/document.go
@@ -224,6 +224,7 @@
 	defer cancel()
 	d.count("distributor_store_calls", 1)
 	after := d.reach.revision()
+	started := time.Now()
 	tree, next, changed, err := d.Document.Watch(limited, after)
 	switch {
 	case ctx.Err() != nil:
@@ -236,7 +237,11 @@
 		d.answered(time.Now(), 0)
 		return false, err
 	case err != nil:
-		d.unanswered(time.Now())
+		now := time.Now()
+		if now.Sub(started) >= silentWatch {
+			d.reach.silent()
+		}
+		d.unanswered(now)
 		return false, err
 	}
 	d.answered(time.Now(), 0)
--- a/node/distributor/document_test.go
+++ b/node/distributor/document_test.go
@@ -119,8 +119,10 @@
 		"unavailable":       {answers{two}, answers{unavailable, nine}, 9, time.Second, 5, 1},
 		"down":              {answers{two}, slices.Repeat(answers{unavailable}, 100), 2, 10 * time.Second, 60, sycamorerun.Unreachable},
 		"silent connection": {answers{two}, answers{silent, nine}, 9, 5 * time.Second, 5, 1},
-		"never answering":   {answers{silent, silent, nine}, nil, 9, 10 * time.Second, 7, 1},
-		"no document yet":   {answers{missing, missing, nine}, nil, 9, 3 * time.Second, 10, 1},
+		// The second watch is still waiting.
+		"silent store":    {answers{two}, answers{silent, silent}, 2, 5 * time.Second, 5, sycamorerun.Unreachable},
+		"never answering": {answers{silent, silent, nine}, nil, 9, 10 * time.Second, 7, 1},
+		"no document yet": {answers{missing, missing, nine}, nil, 9, 3 * time.Second, 10, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/node/distributor/reach.go
+++ b/node/distributor/reach.go
@@ -14,6 +14,10 @@
 	// failuresMost is the number of failed calls in a row after which a node
 	// counts as cut off from the store.
 	failuresMost = 2
+	// silentWatch is the time from which on a watch that failed shows a store
+	// that is silent towards this node. A second call would take as long again,
+	// and a version must be in force before.
+	silentWatch = time.Second
 	// workingFor is how long a call that succeeded shows that the node reaches
 	// the store: the wait of a watch and a second for its answer.
 	workingFor = documentWait + time.Second
@@ -51,6 +55,14 @@
 	r.after = revision
 }
 
+// silent records that the store was silent for so long that the next failure
+// counts as the last one needed.
+func (r *reach) silent() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.failures = max(r.failures, failuresMost-1)
+}
+
 // failed returns the number of calls that failed in a row.
 func (r *reach) failed() int {
 	r.mutex.Lock()
