Wait for the log line in TestRouteWithoutUpstream

The node shows operators that a route has upstreams again some time before it logs the line: members are in view first, the reporter follows. It waits for the line now and still demands exactly one of each.

--- a/bench/system/route_test.go
+++ b/bench/system/route_test.go
@@ -58,11 +58,15 @@
 		is.NoErr(deployer.Put(ctx, node.Control, "/behavior", map[string]any{"state": "ready"}))
 	}
 	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return unserved() == "" }))
-	text, err := os.ReadFile(filepath.Join(fleet.Spec.Directory, observer.Name+".log"))
-	is.NoErr(err)
-	lines := string(text)
-	is.Equal(strings.Count(lines, "routes have no upstream; their calls are not run"), 1)
-	is.Equal(strings.Count(lines, "routes have upstreams again"), 1)
+	// The node answers operators with the new members before it logs the line.
+	count := func(line string) int {
+		text, err := os.ReadFile(filepath.Join(fleet.Spec.Directory, observer.Name+".log"))
+		is.NoErr(err)
+		return strings.Count(string(text), line)
+	}
+	is.NoErr(deployer.Eventually(ctx, converged, func() bool { return count("routes have upstreams again") > 0 }))
+	is.Equal(count("routes have upstreams again"), 1)
+	is.Equal(count("routes have no upstream; their calls are not run"), 1)
 }
 
 // gauge returns the value of a gauge in the text of the metrics page.
