Register settings and set headers in one place; remove what nothing uses

Settings were registered alike at the start and when they are read again, and each header of the contract had its own check for an empty name, except the deadline. One function does each now. Removed: two reasons that no path gives, API.Metrics and a method without callers, and a field of the upstream that follows from its contract.

--- a/Makefile
+++ b/Makefile
@@ -9,13 +9,13 @@
 build:
 	go build -o $(BIN)/ ./node/cmd/... ./ctl/cmd/... ./objectstore/cmd/... ./upstream/cmd/... ./bench/cmd/...
 
-# The tests with real processes always run: go test does not know that they
-# depend on the programs that they build.
 # Pattern of the tests that KNOWN-RED.txt lists.
 RED = $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 
 SKIP = $(if $(RED),-skip '^($(RED))$$')
 
+# The tests with real processes always run: go test does not know that they
+# depend on the programs that they build.
 test:
 	@test -z '$(RED)' || echo 'passed over, see KNOWN-RED.txt: $(RED)'
 	go test -timeout 240s $(SKIP) $(filter-out ./bench/...,$(PACKAGES))
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -98,9 +98,7 @@
 	}
 	c.target = r.URL.RequestURI()
 	c.header = f.clean(r.Header)
-	if f.Contract.Origin != "" {
-		c.header.Set(f.Contract.Origin, f.Service)
-	}
+	set(c.header, f.Contract.Origin, f.Service)
 	c.trailers = announced(r.Trailer)
 	c.trailer = blank(c.trailers)
 	if key := c.header.Get(f.Contract.Key); key != "" {
@@ -177,17 +175,11 @@
 	}
 	address.Scheme, address.Host = "http", "upstream"
 	header := c.header.Clone()
-	if f.Contract.Request != "" {
-		header.Set(f.Contract.Request, c.id)
-	}
-	if f.Contract.Attempt != "" {
-		header.Set(f.Contract.Attempt, strconv.Itoa(int(n)))
-	}
-	if f.Contract.Target != "" {
-		header.Set(f.Contract.Target, f.Target())
-	}
+	set(header, f.Contract.Request, c.id)
+	set(header, f.Contract.Attempt, strconv.Itoa(int(n)))
+	set(header, f.Contract.Target, f.Target())
 	if !c.deadline.IsZero() {
-		header.Set(f.Contract.Deadline, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
+		set(header, f.Contract.Deadline, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
--- a/node/forwarder/contract.go
+++ b/node/forwarder/contract.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/http"
 	"slices"
 
 	"sycamorerun"
@@ -41,6 +42,13 @@
 	Outcome: sycamorerun.HeaderOutcome, Reason: sycamorerun.HeaderReason, Request: sycamorerun.HeaderRequest,
 }
 
+// set gives a header its value, unless the contract has no name for it.
+func set(header http.Header, name, value string) {
+	if name != "" {
+		header.Set(name, value)
+	}
+}
+
 // passed reports whether a header with the internal prefix is passed on
 // between callers and upstreams all the same.
 func (c *Contract) passed(name string) bool {
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -27,7 +27,6 @@
 	reasonPeer        = "peer-unreachable"
 	reasonRejected    = requester.ReasonRejected
 	reasonMisdirected = requester.ReasonMisdirected
-	reasonUpstream    = "upstream-unreachable"
 	reasonQueried     = "peer-not-started"
 
 	reasonExpired   = "deadline"
@@ -36,7 +35,6 @@
 	reasonLost      = "peer-lost"
 	reasonBroken    = "upstream-broken"
 	reasonTruncated = "response-incomplete"
-	reasonUnframed  = "response-unframed"
 )
 
 // failure is the end of an attempt without a response.
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -191,13 +191,11 @@
 // outcome tells the caller how its call ended, in the headers of the contract.
 func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
 	f.farewell(header)
-	for _, line := range [...]struct{ name, value string }{
-		{f.Contract.Outcome, string(result)}, {f.Contract.Reason, reason}, {f.Contract.Request, c.id},
-	} {
-		if line.name != "" && line.value != "" {
-			header.Set(line.name, line.value)
-		}
+	set(header, f.Contract.Outcome, string(result))
+	if reason != "" {
+		set(header, f.Contract.Reason, reason)
 	}
+	set(header, f.Contract.Request, c.id)
 }
 
 // closing asks the server to close the connection if the body is not read.
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -53,10 +53,8 @@
 	return outcome
 }
 
-// leave takes the departure of the upstream. When it returns, no call starts
+// depart takes the departure of the upstream. When it returns, no call starts
 // there.
-func (n *node) leave(id string) announcer.Outcome { return n.depart(time.Now(), id) }
-
 func (n *node) depart(now time.Time, id string) announcer.Outcome {
 	outcome := n.calls.upstream.announcer.Leave(now, id)
 	n.present(now)
--- a/node/runner/api.go
+++ b/node/runner/api.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"net/http"
 	"time"
 
 	"sycamorerun/node/announcer"
@@ -16,8 +15,7 @@
 	Announce func(now time.Time, announcement manager.Announcement) announcer.Outcome
 	Leave    func(now time.Time, id string) announcer.Outcome
 	// Ready reports whether the node accepts work.
-	Ready   func() bool
-	Metrics http.Handler
+	Ready func() bool
 }
 
 func (n *node) api() API {
@@ -25,6 +23,5 @@
 		Announce: n.take,
 		Leave:    n.depart,
 		Ready:    func() bool { return n.phase.Load() == manager.PhaseReady },
-		Metrics:  n.manager.Metrics,
 	}
 }
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -69,7 +69,6 @@
 	f.Service = settings.Service
 	f.Target = c.upstream.id
 	c.upstream.contract = func() forwarder.Contract { return f.Contract }
-	c.upstream.target = func(request *http.Request) string { return request.Header.Get(f.Contract.Target) }
 	if !settings.Keys {
 		f.Contract.Key = ""
 	}
--- a/node/runner/program.go
+++ b/node/runner/program.go
@@ -39,11 +39,7 @@
 	defer signal.Stop(signals)
 
 	var settings Settings
-	known := loader.New(p.Name)
-	settings.Register(known)
-	if p.Register != nil {
-		p.Register(known)
-	}
+	known := p.loader(&settings)
 	proceed, code := known.Start(args, lookup, streams)
 	if !proceed {
 		return code
@@ -59,7 +55,7 @@
 	done, end := context.WithCancel(context.Background())
 	defer end()
 	hangups := make(chan struct{}, 1)
-	reloads := &reloader{program: p.Name, register: p.Register, args: args, lookup: lookup, runner: r, known: known, stamp: stamp}
+	reloads := &reloader{program: p, args: args, lookup: lookup, runner: r, known: known, stamp: stamp}
 	go reloads.run(done, hangups)
 	go p.listen(done, signals, stop, hangups, streams)
 	if err := r.Run(ctx); err != nil {
@@ -69,6 +65,16 @@
 	return 0
 }
 
+// loader returns a loader of the node's settings and of the program's own.
+func (p *Program) loader(settings *Settings) *loader.Loader {
+	l := loader.New(p.Name)
+	settings.Register(l)
+	if p.Register != nil {
+		p.Register(l)
+	}
+	return l
+}
+
 // listen acts on signals until ctx ends.
 func (p *Program) listen(ctx context.Context, signals <-chan os.Signal, stop func(), hangups chan<- struct{}, streams loader.Streams) {
 	stopping := false
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -56,12 +56,10 @@
 
 // reloader reads the settings again on SIGHUP and when their file changes.
 type reloader struct {
-	program string
-	// register adds the program's own settings, or is nil.
-	register func(*loader.Loader)
-	args     []string
-	lookup   func(string) (string, bool)
-	runner   *Runner
+	program *Program
+	args    []string
+	lookup  func(string) (string, bool)
+	runner  *Runner
 	// known holds the settings that were read last, stamp the file's state then.
 	known   *loader.Loader
 	stamp   stamp
@@ -123,11 +121,7 @@
 // read checks all settings and applies those that changed.
 func (r *reloader) read() {
 	var settings Settings
-	next := loader.New(r.program)
-	settings.Register(next)
-	if r.register != nil {
-		r.register(next)
-	}
+	next := r.program.loader(&settings)
 	loader.AddPrint(next, new(bool))
 	faults, err := next.Load(r.args, r.lookup, io.Discard)
 	for _, note := range next.Notes() {
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -27,9 +27,6 @@
 // the transport to it and the limits that apply to it.
 type localUpstream struct {
 	announcer *announcer.Announcer
-	// target returns the instance that a request is meant for, empty when the
-	// contract has no header for it.
-	target func(*http.Request) string
 	// contract names the headers that the upstream uses.
 	contract func() forwarder.Contract
 	// changed is called when the announcer may have dropped the upstream.
@@ -46,7 +43,7 @@
 // RoundTrip implements http.RoundTripper with the current transport. A request
 // that entered the queue before the upstream left or was replaced is not sent.
 func (u *localUpstream) RoundTrip(request *http.Request) (*http.Response, error) {
-	service, target := forwarder.ServiceOf(request.Context()), u.target(request)
+	service, target := forwarder.ServiceOf(request.Context()), request.Header.Get(u.contract().Target)
 	u.mutex.Lock()
 	transport, id := u.transport, u.announcement.ID
 	open := u.admitsLocked(service) && (target == "" || target == id)
