Prefer the faster upstreams of a service

Upstreams of one service differ in speed, and the balancer gave slots the same worth on all: a slow one collected calls that another would have ended in time. The node beside an upstream now reports the mean run time of calls of the same rank and objective; the balancer compares it with the median of the service, within an availability zone or region.

The limiter learns run times by rank and objective: a rank can mix calls of 55 and 880 ms, and the short ones were refused for the mean of both. Within a rank the call whose objective ends first starts first.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -18,6 +18,9 @@
 	Tried []string
 	// Rank is the call's, 1 first.
 	Rank int
+	// Objective is the call's. Run times are compared between calls of the same
+	// rank and objective.
+	Objective time.Duration
 }
 
 // Load is the work that the node beside an upstream reported.
@@ -25,6 +28,10 @@
 	Running int
 	Queued  int
 	Slots   int
+	// Run is the mean time for which recent calls of the same rank and objective
+	// held a slot; zero
+	// means unknown.
+	Run time.Duration
 }
 
 // Observation is the end of an attempt at a picked instance.
@@ -40,7 +47,9 @@
 	// After is the time after which the instance expects capacity for calls of
 	// Rank; zero means unknown.
 	After time.Duration
-	Rank  int
+	// Rank and Objective are the call's.
+	Rank      int
+	Objective time.Duration
 }
 
 // Chance is the share of the next calls that an instance would get.
@@ -146,6 +155,7 @@
 		})
 	}
 	eject(now, all)
+	compare(now, all, work{query.Rank, query.Objective})
 	sorted := tiers{all: all}
 	var full []*candidate
 	for at := range all {
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -61,6 +61,7 @@
 	report    Load
 	reported  time.Time
 	ownAt     int // calls of this node in flight at the report
+	runs      map[work]runTime
 	rate      float64
 	outcomes  int
 	failures  int
@@ -88,6 +89,7 @@
 	s.used = now
 	if observation.Load != nil {
 		s.report, s.reported, s.ownAt = *observation.Load, now, s.inFlight
+		s.ran(now, work{observation.Rank, observation.Objective}, observation.Load.Run)
 	}
 	switch {
 	case neutrals[observation.Reason]:
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -47,6 +47,9 @@
 	ejected  bool
 	// capacity is the slots, less while the upstream warms up.
 	capacity float64
+	// speed is how fast the upstream runs calls of the query's kind, 1 being
+	// that of the median of the service.
+	speed float64
 	// weight is the capacity, less while calls to the upstream fail. Samples
 	// are drawn by weight but compared by load and capacity: a failure makes an
 	// instance rarer, not the loser of every comparison with equal ones.
@@ -54,8 +57,9 @@
 	load   float64
 }
 
-// busy is the load per slot that one more call would bring.
-func (c *candidate) busy() float64 { return (c.load + 1) / c.capacity }
+// busy is the load per slot that one more call would bring, by the speed at
+// which the upstream would work it off.
+func (c *candidate) busy() float64 { return (c.load + 1) / (c.capacity * c.speed) }
 
 // eject marks the ejected candidates, at most half of them: beyond that the
 // fault is probably not in the instances, and the rest would be overloaded.
@@ -102,7 +106,7 @@
 		c.load = c.stats.load(now, mean)
 		c.capacity = float64(max(slotsDefault, c.instance.Slots)) * ramp(now, c, warmup)
 		success := max(weightMin, 1-c.stats.failing(now))
-		c.weight = c.capacity * success * success
+		c.weight = c.capacity * c.speed * success * success
 		s.capacity += c.capacity
 		s.weight += c.weight
 		// One instance that is slow, or reports a load that can't be, does not
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -37,7 +37,7 @@
 			f.Observe(f.Now(), Observation{
 				Instance: to.Name, Service: c.match.Service, Result: failed.result,
 				Reason: failed.reason, Head: f.Now().Sub(now), Load: failed.load,
-				After: failed.after, Rank: c.match.Rank,
+				After: failed.after, Rank: c.match.Rank, Objective: c.match.Objective,
 			})
 		}
 		last = merge(last, failed)
@@ -58,7 +58,7 @@
 	if c.key != "" {
 		return f.Owner(c.match.Service, c.key)
 	}
-	return f.Pick(now, Query{Service: c.match.Service, Tried: tried, Rank: c.match.Rank})
+	return f.Pick(now, Query{Service: c.match.Service, Tried: tried, Rank: c.match.Rank, Objective: c.match.Objective})
 }
 
 // merge returns the failure of the whole call: once an attempt may have run,
@@ -133,7 +133,7 @@
 	return &observedBody{source: out.body, ctx: ctx, done: func(result sycamorerun.Result, reason string) {
 		f.Observe(f.Now(), Observation{
 			Instance: to.Name, Service: c.match.Service, Result: result, Reason: reason, Status: out.status,
-			Load: out.load, Head: out.at.Sub(began),
+			Load: out.load, Head: out.at.Sub(began), Rank: c.match.Rank, Objective: c.match.Objective,
 		})
 	}}
 }
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -132,7 +132,7 @@
 func (f *Forwarder) receive(ctx context.Context, watch *watch, c *call, response *http.Response, finish func(Ending)) (*answer, *failure) {
 	out := &answer{
 		status: response.StatusCode, header: f.clean(response.Header),
-		trailers: announced(response.Trailer), length: response.ContentLength, load: f.Load(),
+		trailers: announced(response.Trailer), length: response.ContentLength, load: f.Load(c.match),
 	}
 	bodyless := c.method == http.MethodHead || out.status == http.StatusNoContent || out.status == http.StatusNotModified
 	switch {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -76,8 +76,8 @@
 	// Acquire waits for a slot at the upstream beside this node; the rejection
 	// is zero when the call is admitted.
 	Acquire func(ctx context.Context, now time.Time, want Want) (release func(), rejection Rejection)
-	// Load describes the work at the upstream beside this node.
-	Load func() *Load
+	// Load describes the work at the upstream beside this node to a call.
+	Load func(match Match) *Load
 	// Begin claims the execution of a call, Finish records its end, Refuse
 	// returns the state of a call that was opened age ago and has it refused
 	// from then on if it was not seen.
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -43,7 +43,7 @@
 func (f *Forwarder) serve(ctx context.Context, peer *link, in *inbound) bool {
 	defer in.close()
 	if !f.drain.enterPeer() {
-		return f.sendRefusal(peer, notRun(reasonDraining))
+		return f.sendRefusal(peer, Match{}, notRun(reasonDraining))
 	}
 	defer f.drain.leave()
 	c := fromHead(f.Now(), in.head)
@@ -60,7 +60,7 @@
 	if failed != nil {
 		_ = level.Debug(f.Logger).Log("msg", "call of a peer not answered", "request", in.head.GetId(),
 			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
-		return f.sendRefusal(peer, failed)
+		return f.sendRefusal(peer, c.match, failed)
 	}
 	_ = level.Debug(f.Logger).Log("msg", "call of a peer answered", "request", in.head.GetId(),
 		"service", c.match.Service, "status", out.status)
@@ -83,13 +83,13 @@
 	return err == nil && keep
 }
 
-// sendRefusal tells the peer that there is no response, and reports whether the stream
-// can carry another call.
-func (f *Forwarder) sendRefusal(peer *link, failed *failure) bool {
+// sendRefusal tells the peer that there is no response to its call, and
+// reports whether the stream can carry another call.
+func (f *Forwarder) sendRefusal(peer *link, match Match, failed *failure) bool {
 	keep := f.keep()
 	_ = peer.conn.SetWriteDeadline(f.Now().Add(headWait))
 	err := peer.send(&Frame{Kind: &Frame_Refused{Refused: &Refusal{
-		Result: string(failed.result), Reason: failed.reason, Load: f.Load(), Keep: keep,
+		Result: string(failed.result), Reason: failed.reason, Load: f.Load(match), Keep: keep,
 		RetryMs: failed.after.Milliseconds(), Sent: failed.sent,
 	}}})
 	_ = peer.conn.SetWriteDeadline(time.Time{})
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -54,6 +54,9 @@
 	// Rank is the call's, since an instance that is full for one rank may take
 	// calls of a more urgent one.
 	Rank int
+	// Objective is the call's. Calls of one rank and objective are expected to
+	// take about the same time.
+	Objective time.Duration
 }
 
 // Observation is the end of an attempt.
@@ -67,12 +70,14 @@
 	Status int
 	// Head is the time until the head of the response or the failure.
 	Head time.Duration
-	// Load is what the node beside the upstream reported, or nil.
+	// Load is what the node beside the upstream reported for calls of Rank and
+	// Objective, or nil.
 	Load *Load
 	// After is the time after which it expects capacity for calls of Rank; zero
 	// means unknown.
-	After time.Duration
-	Rank  int
+	After     time.Duration
+	Rank      int
+	Objective time.Duration
 }
 
 // Attempt is a failed attempt that may be repeated.
--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -43,7 +43,7 @@
 	// means none.
 	Objective time.Duration
 	// Arrived is when the call entered the fleet; zero means now. Calls of a rank
-	// start in this order.
+	// start in the order in which their objectives end.
 	Arrived time.Time
 	// Returned says that the caller comes back after a refusal. Such a call is
 	// treated as one that arrives for the first time.
@@ -102,7 +102,7 @@
 
 // run is a call that holds a slot.
 type run struct {
-	rank  int
+	work  work
 	began time.Time
 }
 
@@ -134,6 +134,14 @@
 	return Load{Running: len(l.running), Queued: l.queue.length, Slots: l.limits.running()}
 }
 
+// Run returns the mean time for which recent calls of the same rank and objective
+// held a slot, or zero if none has ended.
+func (l *Limiter) Run(rank int, objective time.Duration) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.estimate.ran(work{rank: clamp(rank), objective: objective})
+}
+
 // Resize sets new limits. Running calls continue; waiting calls beyond a
 // smaller queue are shed, lowest rank first.
 func (l *Limiter) Resize(limits Limits) {
@@ -205,7 +213,7 @@
 	var bound time.Duration
 	bounded := false
 	if !w.want.Deadline.IsZero() {
-		bound, bounded = w.want.Deadline.Sub(now)-scale(l.estimate.mean(w.rank), runReserve), true
+		bound, bounded = w.want.Deadline.Sub(now)-scale(l.estimate.work(w.work), runReserve), true
 	}
 	if objective := scale(w.want.Objective, objectiveShare); objective > 0 && (!bounded || objective < bound) {
 		bound, bounded = objective, true
@@ -221,13 +229,13 @@
 	for rank := 1; rank <= w.rank; rank++ {
 		count := l.queue.ahead(rank, w)
 		before += count
-		work += time.Duration(count) * l.estimate.mean(rank)
+		work += time.Duration(count) * l.estimate.rank(rank)
 	}
 	if l.fairness.starves(now, w.rank) {
 		// Its turn comes at least once in turnEvery slots.
 		turn := turnEvery * (l.queue.ahead(w.rank, w) + 1)
 		if turn < before {
-			work = time.Duration(turn) * l.estimate.mean(0)
+			work = time.Duration(turn) * l.estimate.all.value
 		}
 	}
 	return l.remainder(now) + work/time.Duration(max(1, l.limits.running()))
@@ -242,7 +250,7 @@
 	}
 	least := time.Duration(-1)
 	for r := range l.running {
-		mean := l.estimate.mean(r.rank)
+		mean := l.estimate.work(r.work)
 		left := max(mean-now.Sub(r.began), mean/4)
 		if least < 0 || left < least {
 			least = left
@@ -253,7 +261,7 @@
 
 // late reports whether w can't meet its deadline any more.
 func (l *Limiter) late(now time.Time, w *waiter) bool {
-	return !w.want.Deadline.IsZero() && w.want.Deadline.Sub(now) <= scale(l.estimate.mean(w.rank), runLeast)
+	return !w.want.Deadline.IsZero() && w.want.Deadline.Sub(now) <= scale(l.estimate.work(w.work), runLeast)
 }
 
 // refuse takes w out of the queue.
@@ -269,7 +277,7 @@
 
 // start gives a slot to w.
 func (l *Limiter) start(now time.Time, w *waiter) {
-	w.run = &run{rank: w.rank, began: now}
+	w.run = &run{work: w.work, began: now}
 	l.running[w.run] = struct{}{}
 	l.fairness.count(now, w.rank, true)
 	w.settled <- Refusal{}
@@ -349,7 +357,7 @@
 	delete(l.running, r)
 	now := l.Now()
 	if started {
-		l.estimate.add(r.rank, now.Sub(r.began))
+		l.estimate.add(r.work, now.Sub(r.began))
 	}
 	l.grant(now)
 }
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,6 +12,7 @@
 type waiter struct {
 	want Want
 	rank int
+	work work
 	// until is when the wait has become too long; zero means never.
 	until time.Time
 	// settled receives exactly one value, and has room for it.
@@ -23,15 +25,19 @@
 	if want.Arrived.IsZero() {
 		want.Arrived = now
 	}
-	rank := want.Rank
+	return &waiter{want: want, rank: clamp(want.Rank), work: workOf(want), settled: make(chan Refusal, 1)}
+}
+
+// clamp returns the rank as which rank counts.
+func clamp(rank int) int {
 	if rank < 1 || rank > RankMax {
-		rank = RankMax
+		return RankMax
 	}
-	return &waiter{want: want, rank: rank, settled: make(chan Refusal, 1)}
+	return rank
 }
 
 // queue holds the waiting calls of each rank in the order in which they start:
-// nested calls first, then by arrival.
+// nested calls first, then by the end of their objectives.
 type queue struct {
 	waiters [RankMax + 1][]*waiter
 	length  int
@@ -61,7 +67,15 @@
 	if a.want.Nested != b.want.Nested {
 		return a.want.Nested
 	}
-	return a.want.Arrived.Before(b.want.Arrived)
+	return a.due().Before(b.due())
+}
+
+// objectiveDefault orders the calls without an objective among the others.
+const objectiveDefault = time.Second
+
+// due is when the objective of the call ends.
+func (w *waiter) due() time.Time {
+	return w.want.Arrived.Add(cmp.Or(w.want.Objective, objectiveDefault))
 }
 
 func (q *queue) push(w *waiter) {
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -99,9 +99,12 @@
 		release, refusal := c.limiter.Acquire(ctx, now, limiter.Want(want))
 		return release, forwarder.Rejection(refusal)
 	}
-	f.Load = func() *forwarder.Load {
+	f.Load = func(match forwarder.Match) *forwarder.Load {
 		load := c.limiter.Load()
-		return &forwarder.Load{Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots)}
+		return &forwarder.Load{
+			Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots),
+			RunUs: c.limiter.Run(match.Rank, match.Objective).Microseconds(),
+		}
 	}
 	f.Begin = func(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
 		return c.deduplicator.Begin(now, claim.ID, key(claim))
@@ -132,11 +135,12 @@
 func observation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
 		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
-		After: o.After, Rank: o.Rank,
+		After: o.After, Rank: o.Rank, Objective: o.Objective,
 	}
 	if o.Load != nil {
 		result.Load = &balancer.Load{
 			Running: int(o.Load.GetRunning()), Queued: int(o.Load.GetQueued()), Slots: int(o.Load.GetSlots()),
+			Run: time.Duration(o.Load.GetRunUs()) * time.Microsecond,
 		}
 	}
 	return result
