Wait at an upstream for what the objective leaves beside two runs

A call waited for up to half of its objective. Under overload the slots are busy either way: longer waits serve no more calls, only later ones, and most of those missed their objective. The wait is now the objective less two mean run times (most calls take less), between 0.15 and 0.4 of the objective.

Runs are kept for the sake of slow upstreams and of short objectives.

--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -27,10 +27,14 @@
 	// runLeast is the part below which a call is not started any more: hardly any
 	// call is that much faster than the mean, and it would take a slot for nothing.
 	runLeast = 0.1
-	// objectiveShare is the part of its objective that a call may wait here. The
-	// rest is for the run and the way; a call that waits for longer has lost most
-	// of its value, and is better tried elsewhere.
-	objectiveShare = 0.5
+	// objectiveRuns is the number of mean run times that a wait leaves of the
+	// objective: most calls take less, and so end in time. With longer waits the
+	// same number of calls is served under overload, and most of them late.
+	objectiveRuns = 2
+	// objectiveLeast and objectiveMost bound the wait as parts of the objective,
+	// for upstreams that are slow and for those that are not known yet.
+	objectiveLeast = 0.15
+	objectiveMost  = 0.4
 )
 
 // Want describes a call that asks for a slot.
@@ -215,8 +219,14 @@
 	if !w.want.Deadline.IsZero() {
 		bound, bounded = w.want.Deadline.Sub(now)-scale(l.estimate.work(w.work), runReserve), true
 	}
-	if objective := scale(w.want.Objective, objectiveShare); objective > 0 && (!bounded || objective < bound) {
-		bound, bounded = objective, true
+	objective := w.want.Objective
+	if objective <= 0 {
+		return bound, bounded
+	}
+	wait := objective - objectiveRuns*l.estimate.work(w.work)
+	wait = min(max(wait, scale(objective, objectiveLeast)), scale(objective, objectiveMost))
+	if !bounded || wait < bound {
+		bound, bounded = wait, true
 	}
 	return bound, bounded
 }
