Eject no upstream for failures that all of a service have

When a dependency was overloaded, all upstreams of the service in front of it answered 500, and the balancer ejected half of them. The others had twice the load. Failures eject an instance only while the median of the service fails less than one call in five.

--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -61,12 +61,19 @@
 // which the upstream would work it off.
 func (c *candidate) busy() float64 { return (c.load + 1) / (c.capacity * c.speed) }
 
+// commonFailure is the failure rate of the median instance from which on failures
+// are the service's: of a dependency, or of what callers send. To eject
+// instances would only overload the others, which fail as often.
+const commonFailure = 0.2
+
 // eject marks the ejected candidates, at most half of them: beyond that the
 // fault is probably not in the instances, and the rest would be overloaded.
 func eject(now time.Time, all []candidate) {
 	var out []*candidate
+	common := medianFailure(now, all) >= commonFailure
 	for at := range all {
-		if now.Before(all[at].stats.out()) {
+		s := all[at].stats
+		if now.Before(s.unreachable) || !common && now.Before(s.ejected) {
 			out = append(out, &all[at])
 		}
 	}
@@ -79,6 +86,21 @@
 	}
 }
 
+// medianFailure returns the failure rate of the median candidate with outcomes.
+func medianFailure(now time.Time, all []candidate) float64 {
+	var rates []float64
+	for at := range all {
+		if s := all[at].stats; !s.judged.IsZero() && now.Sub(s.judged) < rateLife {
+			rates = append(rates, s.failing(now))
+		}
+	}
+	if len(rates) < 2 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[len(rates)/2]
+}
+
 // set are the candidates of a tier.
 type set struct {
 	candidates []*candidate
