--- a/node/limiter/wait_test.go
+++ b/node/limiter/wait_test.go
@@ -29,8 +29,8 @@
 		// nested says that the queued calls go before the others.
 		nested bool
 		want   Want
-		reason        string
-		after         time.Duration
+		reason string
+		after  time.Duration
 	}{
 		"no bound":                       {slots: 1, queued: 9, want: Want{Rank: interactive}},
 		"first in the queue":             {slots: 1, want: Want{Rank: interactive, Deadline: start.Add(201 * ms)}},
