--- a/loader/kind.go
+++ b/loader/kind.go
@@ -26,13 +26,6 @@
 	return Kind[string]{Allowed: allowed, Parse: func(text string) (string, error) { return text, nil }}
 }
 
-// Secret allows any text and never shows it.
-func Secret(allowed string) Kind[string] {
-	kind := Text(allowed)
-	kind.Secret = true
-	return kind
-}
-
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // Name allows names of instances, availability zones and regions.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -176,15 +175,6 @@
 	return errors.Wrap(table.Flush(), "print settings")
 }
 
-// Names returns the names of the settings in order.
-func (l *Loader) Names() []string {
-	names := make([]string, 0, len(l.settings))
-	for _, s := range l.settings {
-		names = append(names, s.name)
-	}
-	return slices.Sorted(slices.Values(names))
-}
-
 // changes says when a change takes effect.
 func (s *setting) changes() string {
 	if s.reloadable {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -21,7 +21,9 @@
 	l := loader.New("program")
 	loader.Add(l, &s.name, "name", "one", loader.Name(), "name of the instance")
 	loader.Add(l, &s.delay, "standby-delay", "500ms", loader.Duration(0, 10*time.Second), "delay")
-	loader.Add(l, &s.token, "token", "", loader.Secret("a token"), "token")
+	hidden := loader.Text("a token")
+	hidden.Secret = true
+	loader.Add(l, &s.token, "token", "", hidden, "token")
 	return l
 }
 
--- a/node/connector/connector.go
+++ b/node/connector/connector.go
@@ -212,14 +212,3 @@
 func (c *Connector) Sessions() int {
 	return len(c.all())
 }
-
-// Close closes the sessions to the peer at an address, with their streams.
-// The next Open dials.
-func (c *Connector) Close(to netip.AddrPort) {
-	c.mu.Lock()
-	list := append([]*session(nil), c.sessions[c.resolve(to)]...)
-	c.mu.Unlock()
-	for _, s := range list {
-		c.closeSession(s, "requested")
-	}
-}
--- a/node/connector/decision_test.go
+++ b/node/connector/decision_test.go
@@ -110,6 +110,17 @@
 	is.Equal(c.targets[to].failures, 2)
 }
 
+// Close closes the sessions to the peer at an address, with their streams.
+// The next Open dials.
+func (c *Connector) Close(to netip.AddrPort) {
+	c.mu.Lock()
+	list := append([]*session(nil), c.sessions[c.resolve(to)]...)
+	c.mu.Unlock()
+	for _, s := range list {
+		c.closeSession(s, "requested")
+	}
+}
+
 // Guards against hellos that pass the check but can't be represented.
 func FuzzHello(f *testing.F) {
 	valid, _ := proto.Marshal(Peer{
--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -180,7 +180,7 @@
 		last := sycamorerun.Version(0)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			last += sycamorerun.Version(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 7}).Draw(t, "step"))
-			r.add(last, make([]byte, rapid.SampledFrom([]int{1, 1000, ringBytes / 4, ringBytes}).Draw(t, "size")))
+			r.chain(last, last-1, make([]byte, rapid.SampledFrom([]int{1, 1000, ringBytes / 4, ringBytes}).Draw(t, "size")))
 			if r.bytes > ringBytes || len(r.entries) > ringEntries {
 				t.Fatalf("%d bytes, %d entries", r.bytes, len(r.entries))
 			}
--- a/node/distributor/ring.go
+++ b/node/distributor/ring.go
@@ -25,9 +25,6 @@
 	data          []byte
 }
 
-// add appends the entry of version, which is based on the preceding number.
-func (r *ring) add(version sycamorerun.Version, data []byte) { r.chain(version, version-1, data) }
-
 // chain appends an entry. One that is not based on the last one replaces the
 // content, since an answer with a gap is of no use.
 func (r *ring) chain(version, base sycamorerun.Version, data []byte) {
--- a/node/forwarder/contract.go
+++ b/node/forwarder/contract.go
@@ -32,7 +32,9 @@
 	// Signature is present on each response that the upstream made by running
 	// a request.
 	Signature string
-	// Load describes the work at the upstream, in a response.
+	// Load describes the work at the upstream, in a response. It is passed on to
+	// the caller. Nodes don't read it: the node beside the upstream sends it all
+	// its requests and knows as much from its own count.
 	Load string
 }
 
--- a/node/requester/requester_test.go
+++ b/node/requester/requester_test.go
@@ -326,19 +326,3 @@
 	time.Sleep(10 * time.Millisecond)
 	return copy(p, "abc"), nil
 }
-
-// Guards the report of an upstream's load against any text.
-func TestLoad(t *testing.T) {
-	for text, want := range map[string]Load{
-		"3,0,8": {3, 0, 8}, " 3, 1 ,8": {3, 1, 8}, "": {}, "3,0": {}, "3,0,8,1": {}, "-1,0,8": {}, "a,b,c": {},
-		"3,0,0": {}, "3,0,99999999999999999999": {}, "1e3,0,8": {}, "+3,0,8": {}, ",,": {}, strings.Repeat("1,", 1<<16): {},
-	} {
-		load, known := ReadLoad(http.Header{"X-Load": {text}}, "X-Load")
-		is.New(t).Equal(known, want != Load{})
-		if known {
-			is.New(t).Equal(load, want)
-		}
-	}
-	_, known := ReadLoad(http.Header{"": {"3,0,8"}}, "")
-	is.New(t).Equal(known, false)
-}
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -197,8 +197,8 @@
 	is.True(len(faults) <= parser.Faults)
 }
 
-// TestVerify guards against items from the network that no file can produce.
-func TestVerify(t *testing.T) {
+// TestDecode guards against items from the network that no file can produce.
+func TestDecode(t *testing.T) {
 	service := `{"slots":6,"queue":12,"connections":130,"timeout":"2s","idle":"10s","warmup":"5s","retries":0.2}`
 	for name, test := range map[string]struct{ path, item, code string }{
 		"service":         {"a/service/s", service, ""},
@@ -225,7 +225,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			code := ""
-			if faults := parser.Verify(sycamorerun.Path(test.path), sycamorerun.Item(test.item)); len(faults) > 0 {
+			if _, faults := parser.Decode(sycamorerun.Path(test.path), sycamorerun.Item(test.item)); len(faults) > 0 {
 				code = faults[0].Code
 			}
 			is.Equal(code, test.code)
--- a/parser/verify.go
+++ b/parser/verify.go
@@ -12,14 +12,9 @@
 // Bounds of a hold, which no settings file contains.
 const reasonBytes = 1024
 
-// Verify returns the faults of one item: a path of a wrong form, JSON that is
-// not canonical, or fields out of bounds. Neither argument is trusted.
-func Verify(path sycamorerun.Path, item sycamorerun.Item) []sycamorerun.Fault {
-	_, faults := Decode(path, item)
-	return faults
-}
-
-// Decode verifies an item and returns it as a pointer to its root type.
+// Decode returns an item as a pointer to its root type, and its faults: a path
+// of a wrong form, JSON that is not canonical, or fields out of bounds. Neither
+// argument is trusted.
 func Decode(path sycamorerun.Path, item sycamorerun.Item) (any, []sycamorerun.Fault) {
 	object, faults := newObject(path)
 	if faults != nil {
