Have slices read the settings in force instead of calling setters

Now all read the settings in force: the slices have a function field, and the table of changes copies fields.

node.handlersBy is node.handlers; the stream kinds, which had that name, are node.kinds. Each node of a test that builds Settings itself sets the announce period, since zero no longer stands for a default.

TestDropped is TestDroppedByResponses with a row for an upstream that falls silent.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -3,7 +3,6 @@
 package announcer
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -78,7 +77,7 @@
 // Announcer holds the upstream in use. All methods can be called concurrently.
 type Announcer struct {
 	mutex   sync.Mutex
-	period  time.Duration
+	period  func() time.Duration
 	current Announcement
 	// heard is the time of the last announcement, warm the end of the warm-up
 	// and left the time at which the upstream began to leave.
@@ -90,20 +89,10 @@
 	claim   claim
 }
 
-// DefaultPeriod is the default of the setting --announce-period.
-const DefaultPeriod = 1500 * time.Millisecond
-
 // New returns an Announcer for upstreams that announce themselves once in a
-// period. Zero means the default.
-func New(period time.Duration) *Announcer {
-	return &Announcer{period: cmp.Or(period, DefaultPeriod)}
-}
-
-// SetPeriod changes the time between announcements.
-func (a *Announcer) SetPeriod(period time.Duration) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.period = period
+// period. What period returns may change.
+func New(period func() time.Duration) *Announcer {
+	return &Announcer{period: period}
 }
 
 // Announce takes an announcement.
@@ -186,7 +175,7 @@
 
 // gone reports whether another upstream may take the place of the known one.
 func (a *Announcer) gone(now time.Time) bool {
-	return a.current.ID == "" || a.lapsed || leaving(a.current.State) || now.Sub(a.heard) >= replaceable*a.period
+	return a.current.ID == "" || a.lapsed || leaving(a.current.State) || now.Sub(a.heard) >= replaceable*a.period()
 }
 
 // replace puts another boot in the place of the known one.
@@ -264,7 +253,7 @@
 }
 
 func (a *Announcer) expire(now time.Time) {
-	if now.Sub(a.heard) >= lapsed*a.period {
+	if now.Sub(a.heard) >= lapsed*a.period() {
 		a.lapsed = true
 	}
 	if a.current.State == sycamorerun.StateCold && !a.warm.After(now) && a.current.Warmup > 0 {
@@ -284,13 +273,13 @@
 // enough to count: with rising sequences for two periods.
 func (a *Announcer) claimed(now time.Time, in Announcement) bool {
 	c := &a.claim
-	if c.id != in.ID || c.boot != in.Boot || now.Sub(c.last) >= lapsed*a.period {
+	if c.id != in.ID || c.boot != in.Boot || now.Sub(c.last) >= lapsed*a.period() {
 		*c = claim{id: in.ID, boot: in.Boot, since: now}
 	} else if in.Sequence <= c.sequence {
 		return false
 	}
 	c.last, c.sequence = now, in.Sequence
-	return serving(in.State) && now.Sub(c.since) >= replaceable*a.period
+	return serving(in.State) && now.Sub(c.since) >= replaceable*a.period()
 }
 
 // claim is a boot that may be a new one although it looks like a late one.
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -162,7 +162,7 @@
 	for name, steps := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a := New(period)
+			a := New(func() time.Duration { return period })
 			for i, s := range steps {
 				now := begin.Add(time.Duration(s.at) * time.Millisecond)
 				var outcome Outcome
@@ -194,7 +194,7 @@
 // forgets the last boots.
 func TestEndedIsBounded(t *testing.T) {
 	is := is.New(t)
-	a := New(period)
+	a := New(func() time.Duration { return period })
 	for boot := int64(1); boot <= 100; boot++ {
 		is.Equal(a.Announce(begin, step{id: "a", boot: boot, seq: 1}.announcement()), Accepted)
 		a.Leave(begin, fmt.Sprint(boot))
--- a/node/distributor/distributor.go
+++ b/node/distributor/distributor.go
@@ -48,10 +48,8 @@
 	// Self is the node's name.
 	Self string
 	Mode Mode
-	// StandbyDelay is how long the standby waits for the primary's push, until
-	// SetStandbyDelay is called.
-	StandbyDelay time.Duration
-	changedDelay atomic.Pointer[time.Duration]
+	// StandbyDelay returns how long the standby waits for the primary's push.
+	StandbyDelay func() time.Duration
 	Store        persister.Store
 	// Document is the operators' document; nil selects the log in Store.
 	Document *Document
@@ -111,7 +109,7 @@
 func New() *Distributor {
 	return &Distributor{
 		Mode:         Tree,
-		StandbyDelay: DefaultStandbyDelay,
+		StandbyDelay: func() time.Duration { return DefaultStandbyDelay },
 		Measure:      func(time.Time, int) {},
 		Random:       rand.Float64,
 		Peers:        func() []string { return nil },
--- a/node/distributor/serve.go
+++ b/node/distributor/serve.go
@@ -79,7 +79,7 @@
 			if link.Tree == 0 || link.Role != planner.RoleRegion {
 				return 0
 			}
-			extra = d.standbyDelay()
+			extra = d.StandbyDelay()
 		}
 	}
 	return extra
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -166,7 +166,7 @@
 		}
 	}
 	if newest > d.Held() {
-		_ = sleep(ctx, d.standbyDelay())
+		_ = sleep(ctx, d.StandbyDelay())
 	}
 	return after, newest <= d.Held()
 }
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -78,7 +78,7 @@
 	if size(r.Header) > headerBytes {
 		return c, notRun(reasonHeaders)
 	}
-	if r.ContentLength > f.bodyBytes() {
+	if r.ContentLength > f.BodyBytes() {
 		return c, notRun(reasonBody)
 	}
 	match, ok := f.Match(r)
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -91,8 +91,8 @@
 
 	// Now is the clock.
 	Now func() time.Time
-	// BodyBytes bounds a request body, until SetBodyBytes is called.
-	BodyBytes int64
+	// BodyBytes returns the bound of a request body.
+	BodyBytes func() int64
 	// QueryWait bounds the query about a call whose stream was lost.
 	QueryWait time.Duration
 	// Grace is the time between the start of a drain and the first refusal, in
@@ -104,10 +104,8 @@
 	Logger log.Logger
 	Scope  tally.Scope
 
-	// changedBytes is the bound that SetBodyBytes set, or nil.
-	changedBytes atomic.Pointer[int64]
-	drain        drain
-	pool         pool
+	drain drain
+	pool  pool
 	// waiting counts the streams of peers that wait for their next call.
 	waiting atomic.Int64
 	metrics metrics
@@ -116,8 +114,8 @@
 // New returns a forwarder with defaults for everything but the collaborators.
 func New(self string) *Forwarder {
 	return &Forwarder{
-		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now, BodyBytes: DefaultBodyBytes,
-		QueryWait: DefaultQueryWait, Grace: DefaultGrace,
+		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
+		BodyBytes: func() int64 { return DefaultBodyBytes }, QueryWait: DefaultQueryWait, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
 }
@@ -130,16 +128,6 @@
 	}
 }
 
-// SetBodyBytes changes BodyBytes of a running forwarder.
-func (f *Forwarder) SetBodyBytes(limit int64) { f.changedBytes.Store(&limit) }
-
-func (f *Forwarder) bodyBytes() int64 {
-	if changed := f.changedBytes.Load(); changed != nil {
-		return *changed
-	}
-	return f.BodyBytes
-}
-
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -68,7 +68,7 @@
 	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
 		_ = control.EnableFullDuplex()
 		c.stream = &upload{
-			body: r.Body, left: f.bodyBytes(), watch: watch, release: release,
+			body: r.Body, left: f.BodyBytes(), watch: watch, release: release,
 			finished: func() { c.fill(r.Trailer) },
 		}
 		return nil
--- a/node/runner/announce_test.go
+++ b/node/runner/announce_test.go
@@ -26,7 +26,7 @@
 	t.Helper()
 	settings := Settings{
 		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
-		Insecure: true, Mode: "tree", KeyWindow: time.Minute,
+		Insecure: true, Mode: "tree", KeyWindow: time.Minute, AnnouncePeriod: 1500 * time.Millisecond,
 	}
 	for _, change := range changes {
 		change(&settings)
@@ -124,10 +124,12 @@
 }
 
 // Guards against calls to an address at which nothing listens any more, or
-// another instance does, until its announcement expires.
-func TestDroppedByResponses(t *testing.T) {
+// another instance does, until its announcement expires, and against an upstream
+// that stays in use after that.
+func TestDropped(t *testing.T) {
 	cases := map[string]func(t *testing.T) netip.AddrPort{
 		"refused": free,
+		"silent":  free,
 		"misdirected": func(t *testing.T) netip.AddrPort {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.WriteHeader(http.StatusMisdirectedRequest)
@@ -144,6 +146,12 @@
 			in := manager.Announcement{ID: "a", Service: "s", Address: address(t), State: sycamorerun.StateReady, Slots: 2, Sequence: 1, Boot: 5}
 			is.Equal(n.take(time.Now(), in), announcer.Accepted)
 			for range 2 {
+				if name == "silent" {
+					lapsed := time.Now().Add(3 * n.settings.AnnouncePeriod)
+					n.calls.upstream.announcer.Expire(lapsed)
+					n.present(lapsed)
+					break
+				}
 				request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://upstream/", nil)
 				is.NoErr(err)
 				request.Header.Set("X-Target", "a")
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -30,8 +30,11 @@
 
 // newCalls wires the data path over the configuration in force and the
 // members of each service.
-func newCalls(now time.Time, settings Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance, members func() []sycamorerun.Instance) *calls {
-	c := &calls{upstream: &localUpstream{announcer: announcer.New(settings.AnnouncePeriod)}}
+func newCalls(now time.Time, inForce func() *Settings, current func() *applier.State, instances func(service string) []sycamorerun.Instance, members func() []sycamorerun.Instance) *calls {
+	settings := inForce()
+	c := &calls{upstream: &localUpstream{
+		announcer: announcer.New(func() time.Duration { return inForce().AnnouncePeriod }),
+	}}
 	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
 
 	c.limiter = limiter.New(limiter.Limits{})
@@ -63,7 +66,7 @@
 	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
-	f.BodyBytes = int64(settings.MaxBody)
+	f.BodyBytes = func() int64 { return int64(inForce().MaxBody) }
 	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
 	f.Service = settings.Service
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -39,18 +39,20 @@
 // node holds the slices of one node and wires them.
 type node struct {
 	settings Settings
-	// updates brings settings that were read again; tuned are those in force.
+	// updates brings settings that were read again; inForce has them applied to
+	// settings.
 	updates  <-chan update
 	setLevel func(least string)
-	tuned    atomic.Pointer[Settings]
+	inForce  atomic.Pointer[Settings]
 	self     sycamorerun.Instance
 	logger   log.Logger
 	scope    tally.Scope
 	store    persister.Store
 	// document is the operators' document; nil selects the log in the store.
-	document   *distributor.Document
-	handlersBy map[netip.AddrPort]func(API) http.Handler
-	phase      atomic.Value
+	document *distributor.Document
+	// handlers serve further addresses, by address.
+	handlers map[netip.AddrPort]func(API) http.Handler
+	phase    atomic.Value
 	// unversioned is set on a node that is stopped before it has a version.
 	unversioned atomic.Bool
 	parsing     sync.Mutex
@@ -96,17 +98,17 @@
 			State: sycamorerun.StateNone, Since: now,
 		},
 		store:    persister.NewClient(persister.ClientConfig{Address: settings.Store, Caller: settings.Name}),
-		document: r.Document, handlersBy: r.Handlers,
+		document: r.Document, handlers: r.Handlers,
 	}
 	if r.Store != nil {
 		n.store = *r.Store
 	}
-	n.tuned.Store(&settings)
+	n.inForce.Store(&settings)
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.fleet.options = planner.Options{Watchers: settings.Watchers}
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
-	n.calls = newCalls(now, settings, n.applier.Current, n.fleet.serving, n.fleet.live)
+	n.calls = newCalls(now, n.inForce.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
 		if !settings.Keys {
@@ -155,7 +157,7 @@
 	d := distributor.New()
 	d.Self = n.settings.Name
 	d.Mode = distributor.Mode(n.settings.Mode)
-	d.StandbyDelay = n.settings.StandbyDelay
+	d.StandbyDelay = func() time.Duration { return n.inForce.Load().StandbyDelay }
 	d.Store = n.store
 	d.Document = n.document
 	d.Measure = n.tracker.Measure
@@ -252,8 +254,8 @@
 	level.Info(n.logger).Log("msg", "configuration applied", "version", state.Tree.Version, "routes", state.Table.Routes())
 }
 
-// handlers are the stream kinds that peers can open.
-func (n *node) handlers() map[string]connector.Handler {
+// kinds are the stream kinds that peers can open.
+func (n *node) kinds() map[string]connector.Handler {
 	return map[string]connector.Handler{
 		kindTracker: func(ctx context.Context, from connector.Peer, stream net.Conn) {
 			n.tracker.Serve(ctx, from.Name, stream)
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -30,7 +30,7 @@
 		},
 		// Calls have ended before; what is left are streams without a call.
 		Limits: connector.Limits{Drain: leaveTimeout},
-		TLS:    security, Listen: n.settings.listen(), Handlers: n.handlers(), Logger: n.logger, Scope: n.scope,
+		TLS:    security, Listen: n.settings.listen(), Handlers: n.kinds(), Logger: n.logger, Scope: n.scope,
 	}
 }
 
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -21,15 +21,15 @@
 	names    []string
 }
 
-// changes apply a setting that was read again, by its name. The drain takes
-// its settings from those in force when it begins.
-var changes = map[string]func(n *node, inForce *Settings, read Settings){
-	"standby-delay":   func(n *node, _ *Settings, s Settings) { n.distributor.SetStandbyDelay(s.StandbyDelay) },
-	"max-body":        func(n *node, _ *Settings, s Settings) { n.calls.forwarder.SetBodyBytes(int64(s.MaxBody)) },
-	"announce-period": func(n *node, _ *Settings, s Settings) { n.calls.upstream.announcer.SetPeriod(s.AnnouncePeriod) },
-	"log-level":       func(n *node, _ *Settings, s Settings) { n.setLevel(s.LogLevel) },
-	"drain-delay":     func(_ *node, inForce *Settings, s Settings) { inForce.DrainDelay = s.DrainDelay },
-	"drain-timeout":   func(_ *node, inForce *Settings, s Settings) { inForce.DrainTimeout = s.DrainTimeout },
+// changes take over a setting that was read again, by its name. The slices read
+// the settings in force when they need them.
+var changes = map[string]func(inForce, read *Settings){
+	"standby-delay":   func(inForce, read *Settings) { inForce.StandbyDelay = read.StandbyDelay },
+	"max-body":        func(inForce, read *Settings) { inForce.MaxBody = read.MaxBody },
+	"announce-period": func(inForce, read *Settings) { inForce.AnnouncePeriod = read.AnnouncePeriod },
+	"log-level":       func(inForce, read *Settings) { inForce.LogLevel = read.LogLevel },
+	"drain-delay":     func(inForce, read *Settings) { inForce.DrainDelay = read.DrainDelay },
+	"drain-timeout":   func(inForce, read *Settings) { inForce.DrainTimeout = read.DrainTimeout },
 }
 
 // follow applies updates until ctx ends.
@@ -47,11 +47,12 @@
 }
 
 func (n *node) tune(u update) {
-	inForce := *n.tuned.Load()
+	inForce := *n.inForce.Load()
 	for _, name := range u.names {
-		changes[name](n, &inForce, u.settings)
+		changes[name](&inForce, &u.settings)
 	}
-	n.tuned.Store(&inForce)
+	n.inForce.Store(&inForce)
+	n.setLevel(inForce.LogLevel)
 }
 
 // reloader reads the settings again on SIGHUP and when their file changes.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -135,7 +135,7 @@
 	start("settings", n.follow(n.updates))
 	start("operators", serve(operators))
 	start("callers", serve(callers))
-	for address, handler := range n.handlersBy {
+	for address, handler := range n.handlers {
 		start("handler", serve(&http.Server{
 			Addr: address.String(), Handler: handler(n.api()), ReadHeaderTimeout: headerTimeout,
 		}))
@@ -221,7 +221,7 @@
 // flight and announces that the node is gone. It returns the time by which the
 // process has to end.
 func (n *node) drain(callers *http.Server) (limit time.Time) {
-	s := n.tuned.Load()
+	s := n.inForce.Load()
 	level.Info(n.logger).Log("msg", "draining", "delay", s.DrainDelay, "timeout", s.DrainTimeout)
 	n.unversioned.Store(n.phase.Swap(manager.PhaseDraining) == manager.PhaseStarting)
 	ended := time.Now().Add(s.DrainDelay + s.DrainTimeout)
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,9 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/matryer/is"
-	"github.com/uber-go/tally/v4"
 
 	"sycamorerun"
 	"sycamorerun/loader"
@@ -48,7 +45,8 @@
 			defer listener.Close()
 			settings := Settings{
 				Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t),
-				Store: free(t), Insecure: true, Mode: "tree", StartWait: time.Minute, KeyWindow: time.Minute, LogLevel: "error",
+				Store: free(t), Insecure: true, Mode: "tree", StartWait: time.Minute, KeyWindow: time.Minute,
+				AnnouncePeriod: time.Second, LogLevel: "error",
 			}
 			set(&settings, listener.Addr().(*net.TCPAddr).AddrPort())
 			ended := make(chan error, 1)
@@ -113,13 +111,8 @@
 // announces itself again.
 func TestDrainStates(t *testing.T) {
 	is := is.New(t)
-	settings := Settings{
-		Name: "n", AvailabilityZone: "z", Region: "r", Callers: free(t), Peers: free(t), Operators: free(t), Store: free(t),
-		Insecure: true, Mode: "tree", KeyWindow: time.Minute, DrainDelay: time.Second, DrainTimeout: 10 * time.Second,
-	}
-	n, err := newNode(time.Now(), New(settings, io.Discard), log.NewNopLogger(), tally.NoopScope, http.NotFoundHandler())
-	is.NoErr(err)
-	n.phase.Store(manager.PhaseReady)
+	const delay = time.Second
+	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.DrainTimeout = delay, 10*time.Second })
 	ready := manager.Announcement{Service: "s", Address: free(t), State: sycamorerun.StateReady, Slots: 1}
 	state := func() sycamorerun.State {
 		if live := n.tracker.Live(time.Now()); len(live) > 0 {
@@ -135,7 +128,7 @@
 		defer close(drained)
 		n.drain(&http.Server{})
 	}()
-	for begun := time.Now(); state() == sycamorerun.StateReady && time.Since(begun) < settings.DrainDelay/2; {
+	for begun := time.Now(); state() == sycamorerun.StateReady && time.Since(begun) < delay/2; {
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(state(), sycamorerun.StateDraining)
