Publish the upstream's presence on change only

The check of the announcements ran publish ten times a second, each time with the tracker's lock. The tracker needed the repetition for a second expiry of its own (5 s, 10 s), which the announcer's (three periods, then none) precedes; only a check that hangs in a process that goes on would have come to it. After a pause of the process it had marked the record as draining until the keys were taken over again; from 2 s on the check begins the join within 100 ms (publisher.lapse), and no unknown key starts until that has ended. take asked for the same join when the own record was not serving; now the record is what the publisher published, which then has given the keys away already.

--- a/node/distributor/deputy.go
+++ b/node/distributor/deputy.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return false
 	}
-	d.heard(time.Now(), name, sycamorerun.Version(reply.GetVersion()), pullDelay)
+	d.heard(time.Now(), name, sycamorerun.Version(reply.GetVersion()), d.pullDelay())
 	return reply.GetWatching()
 }
 
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -43,11 +43,6 @@
 // that is draining or has left.
 func (n *node) take(now time.Time, announcement manager.Announcement) announcer.Outcome {
 	outcome := n.calls.upstream.announcer.Announce(now, announcer.Announcement(announcement))
-	if outcome == announcer.Accepted {
-		if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
-			n.publisher.lapse(now)
-		}
-	}
 	n.present(now)
 	n.taken(announcement.ID, announcement.State, outcome)
 	return outcome
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -26,9 +26,10 @@
 	// keyless says that there are no keys to hand over.
 	keyless bool
 
-	mutex   sync.Mutex
-	wanted  presence
-	serving bool
+	mutex     sync.Mutex
+	wanted    presence
+	published presence
+	serving   bool
 	// since is when serving last changed.
 	since time.Time
 	// changing is closed when the change in progress has ended.
@@ -42,16 +43,25 @@
 	p.wanted = wanted
 	switch {
 	case p.keyless:
-		p.publish(wanted)
+		p.show(wanted)
 	case p.changing != nil: // published when the change has ended
 	case wanted.serving() == p.serving:
-		p.publish(wanted)
+		p.show(wanted)
 	default:
 		p.changing = make(chan struct{})
 		go p.change()
 	}
 }
 
+// show publishes a presence that differs from the last one. The caller holds
+// mutex.
+func (p *publisher) show(wanted presence) {
+	if wanted != p.published {
+		p.published = wanted
+		p.publish(wanted)
+	}
+}
+
 // lapse records that the members no longer count the upstream as serving, since
 // it was silent for too long: others may have executed its keys. A record that
 // was published less than lapseDelay ago may not be in view yet.
@@ -77,7 +87,7 @@
 	for {
 		p.mutex.Lock()
 		if p.wanted.serving() == p.serving {
-			p.publish(p.wanted)
+			p.show(p.wanted)
 			p.since = time.Now()
 			close(p.changing)
 			p.changing = nil
