--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -467,9 +467,15 @@
 		frames = append(frames, frame(push(entry.Version, data))...)
 		frames = append(frames, frame(want(0, false))...)
 	}
+	f.Add(frames)
+	for _, base := range []sycamorerun.Version{3, 4, 9} {
+		entry := store.next()
+		entry.Version, entry.Base = 9, base
+		data, _ := persister.EncodeEntry(entry)
+		f.Add(slices.Concat(frames, frame(push(9, data)), frame(want(3, false))))
+	}
 	tree := differ.Hash(store.tree.Items)
 	data, _ := persister.EncodeSnapshot(store.tree, tree)
-	f.Add(frames)
 	f.Add(slices.Concat(frame(have(7, true)), frame(&Message{Kind: &Message_Survey{Survey: &Survey{}}}), []byte{0, 0, 0, 9, 1}))
 	f.Add(frame(&Reply{Version: 3, Snapshot: pack(data)}))
 	f.Add([]byte{255, 255, 255, 255})
--- a/persister/log_test.go
+++ b/persister/log_test.go
@@ -16,6 +16,7 @@
 func sample() sycamorerun.Entry {
 	return sycamorerun.Entry{
 		Version: 1031,
+		Base:    1029,
 		Hash:    sycamorerun.Hash{1, 2},
 		Difference: sycamorerun.Difference{
 			Put:    map[sycamorerun.Path]sycamorerun.Item{"quoting/service/desk": sycamorerun.Item(`{"slots":6}`)},
