Merge tests of the forwarder that repeat each other

TestIdleInQueue goes: its outcome is the row 'idle in the queue' of TestOutcomes, and that the attempt may be repeated the row of that name of TestSent. With 'canceled' instead of 'idle' in watch.go the old test and both rows fail. TestLostStreamIsNotHeldBack is TestFailureIsNotHeldBack/stream: without the flush in fail both versions fail.

--- a/node/forwarder/deadline_test.go
+++ b/node/forwarder/deadline_test.go
@@ -183,6 +183,14 @@
 			},
 			want: Attempt{Result: sycamorerun.NotRun, Reason: "busy"},
 		},
+		"idle in the queue": { // not canceled by its caller: it may be tried elsewhere
+			setUp: func(b *bed) {
+				b.limiter.Resize(limiter.Limits{Slots: 1, Queue: 2})
+				_, _ = b.limiter.Acquire(context.Background(), time.Now(), limiter.Want{})
+				b.match.Idle = 100 * time.Millisecond
+			},
+			want: Attempt{Result: sycamorerun.NotRun, Reason: "idle"},
+		},
 		"draining": {
 			setUp: func(b *bed) { _ = b.beside.Drain(context.Background()) },
 			want:  Attempt{Result: sycamorerun.NotRun, Reason: "draining"},
@@ -274,56 +282,44 @@
 // Guards against a failure that is told only after the wait for the rest of a
 // body whose caller sends nothing.
 func TestFailureIsNotHeldBack(t *testing.T) {
-	paths(t, func(t *testing.T, local bool) {
-		is := is.New(t)
-		broke := make(chan time.Time, 1)
-		b := newBed(t, local, func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.ReadFull(r.Body, make([]byte, 4))
-			conn, _, err := http.NewResponseController(w).Hijack()
-			broke <- time.Now()
-			if err == nil {
-				_ = conn.Close()
-			}
+	for _, fails := range []string{"upstream", "stream"} {
+		t.Run(fails, func(t *testing.T) {
+			paths(t, func(t *testing.T, local bool) {
+				if local && fails == "stream" {
+					t.SkipNow()
+				}
+				is := is.New(t)
+				broke, calls := make(chan time.Time, 1), make(chan net.Conn, 1)
+				b := newBed(t, local, func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.ReadFull(r.Body, make([]byte, 4))
+					if broke <- time.Now(); fails == "stream" {
+						_ = (<-calls).Close()
+						_, _ = io.Copy(io.Discard, r.Body)
+					} else if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+						_ = conn.Close()
+					}
+				})
+				b.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
+					conn, err := b.dial(ctx, to, kind)
+					if kind == KindCall {
+						calls <- conn
+					}
+					return conn, err
+				}
+				conn, reader, err := raw(b, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\nhalf")
+				is.NoErr(err)
+				defer func() { _ = conn.Close() }()
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				took := time.Since(<-broke)
+				is.NoErr(response.Body.Close())
+				is.Equal(response.StatusCode, http.StatusBadGateway)
+				if took > answerTime {
+					t.Errorf("answered %s after the failure", took)
+				}
+			})
 		})
-		conn, reader, err := raw(b, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\nhalf")
-		is.NoErr(err)
-		defer func() { _ = conn.Close() }()
-		response, err := http.ReadResponse(reader, nil)
-		is.NoErr(err)
-		took := time.Since(<-broke)
-		is.NoErr(response.Body.Close())
-		is.Equal(response.StatusCode, http.StatusBadGateway)
-		if took > answerTime {
-			t.Errorf("answered %s after the failure", took)
-		}
-	})
-}
-
-// Guards against the same wait when a stream to a peer is lost in an upload.
-func TestLostStreamIsNotHeldBack(t *testing.T) {
-	is := is.New(t)
-	b := newBed(t, false, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
-	cut := make(chan net.Conn, 1)
-	b.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
-		conn, err := b.dial(ctx, to, kind)
-		if kind == KindCall {
-			cut <- conn
-		}
-		return conn, err
-	}
-	conn, reader, err := raw(b, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\nhalf")
-	is.NoErr(err)
-	defer func() { _ = conn.Close() }()
-	b.reached(t, 1)
-	began := time.Now()
-	is.NoErr((<-cut).Close())
-	response, err := http.ReadResponse(reader, nil)
-	is.NoErr(err)
-	if took := time.Since(began); took > answerTime {
-		t.Errorf("answered %s after the failure", took)
 	}
-	is.NoErr(response.Body.Close())
-	is.Equal(response.StatusCode, http.StatusBadGateway)
 }
 
 // Guards the order of the queue against attributes that are lost on the way.
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -174,6 +174,14 @@
 			header: []string{sycamorerun.HeaderDeadline, "30"},
 			want:   result{status: 503, outcome: "not-run", reason: "deadline"},
 		},
+		"idle in the queue": {
+			setUp: func(b *bed) {
+				b.limiter.Resize(limiter.Limits{Slots: 1, Queue: 2})
+				_, _ = b.limiter.Acquire(context.Background(), time.Now(), limiter.Want{})
+				b.match.Idle = 100 * time.Millisecond
+			},
+			want: result{status: 503, outcome: "not-run", reason: "idle"},
+		},
 		"stream cut before the head": {
 			on: peer, setUp: func(b *bed) { cutCalls(b, 0, plenty) },
 			want: result{status: 503, outcome: "not-run", reason: "peer-not-started"},
@@ -860,29 +868,6 @@
 	}
 }
 
-// Guards against a call that waits for a slot for too long and is reported as
-// canceled by its caller: it did not run and may be tried elsewhere.
-func TestIdleInQueue(t *testing.T) {
-	paths(t, func(t *testing.T, local bool) {
-		is := is.New(t)
-		b := newBed(t, local, reply(""))
-		b.limiter.Resize(limiter.Limits{Slots: 1, Queue: 2})
-		release, _ := b.limiter.Acquire(context.Background(), time.Now(), limiter.Want{})
-		defer release()
-		b.match.Idle = 100 * time.Millisecond
-		var asked atomic.Int64
-		b.entry.Allow = func(time.Time, Attempt) (time.Duration, bool) {
-			asked.Add(1)
-			return 0, false
-		}
-		got := b.send(http.MethodGet, "/x", nil)
-		is.Equal(got.outcome, "not-run")
-		is.Equal(got.reason, "idle")
-		is.Equal(asked.Load(), int64(1))
-		is.Equal(b.executed.Load(), int64(0))
-	})
-}
-
 // Guards against calls that all go to one upstream, or that are refused as
 // repeated, where keys have no meaning.
 func TestContractWithoutKeys(t *testing.T) {
