Merge tests of the tracker and the requester that repeat each other

TestHerdRestart of the tracker is the row 'most of them, at once' of TestCrashAndRestart: without the step above an earlier run's incarnation both versions of both tests fail.

--- a/node/requester/fake_test.go
+++ b/node/requester/fake_test.go
@@ -54,6 +54,24 @@
 	return request, err
 }
 
+// serving answers each request of a connection until that ends, which it returns.
+func serving(conn *net.TCPConn, reader *bufio.Reader, answer func(body string) string) {
+	for {
+		request, err := http.ReadRequest(reader)
+		var data []byte
+		if err == nil {
+			data, err = io.ReadAll(request.Body)
+		}
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer(string(data)))
+	}
+}
+
+// echo answers each request of a connection with its body.
+func echo(conn *net.TCPConn, reader *bufio.Reader) { serving(conn, reader, ok) }
+
 // reset closes a connection so that its other side sees no clean end, after the
 // other side had the time to read what was written.
 func reset(conn *net.TCPConn) {
--- a/node/requester/requester_test.go
+++ b/node/requester/requester_test.go
@@ -171,14 +171,11 @@
 	is := is.New(t)
 	taken, proceed := make(chan struct{}), make(chan struct{})
 	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		for {
-			if _, err := take(reader); err != nil {
-				return
-			}
+		serving(conn, reader, func(string) string {
 			taken <- struct{}{}
 			<-proceed
-			_, _ = io.WriteString(conn, ok("a"))
-		}
+			return ok("a")
+		})
 	})
 	r := New(upstream.address, 3)
 	defer r.Close()
@@ -253,13 +250,8 @@
 	is := is.New(t)
 	closed := make(chan time.Time, 1)
 	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		for {
-			if _, err := take(reader); err != nil {
-				closed <- time.Now()
-				return
-			}
-			_, _ = io.WriteString(conn, with(ok("a"), "Keep-Alive: timeout=1"))
-		}
+		serving(conn, reader, func(string) string { return with(ok("a"), "Keep-Alive: timeout=1") })
+		closed <- time.Now()
 	})
 	r := New(upstream.address, 1)
 	is.Equal(do(r, get(t.Context(), "")).status, 200)
--- a/node/requester/socket_linux_test.go
+++ b/node/requester/socket_linux_test.go
@@ -1,9 +1,7 @@
 package requester
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,14 +11,7 @@
 // Guards the detection of silent connections, also after an upload.
 func TestProbes(t *testing.T) {
 	is := is.New(t)
-	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		for {
-			if _, err := take(reader); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, ok("a"))
-		}
-	})
+	upstream := newFake(t, echo)
 	r := New(upstream.address, 1)
 	defer r.Close()
 	for _, body := range []io.Reader{nil, &slow{}} {
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -269,14 +269,7 @@
 // to an upload: the sender may not have noticed yet that it is done.
 func TestUploadsKeepConnections(t *testing.T) {
 	is := is.New(t)
-	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		for {
-			if _, err := take(reader); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, ok("a"))
-		}
-	})
+	upstream := newFake(t, echo)
 	r := New(upstream.address, 2)
 	defer r.Close()
 	for n := range 200 {
@@ -301,9 +294,7 @@
 	is := is.New(t)
 	upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
 		time.Sleep(userTimeout + time.Second)
-		if _, err := take(reader); err == nil {
-			_, _ = io.WriteString(conn, ok("a"))
-		}
+		echo(conn, reader)
 	})
 	is.Equal(do(New(upstream.address, 1), post(t.Context(), strings.NewReader(strings.Repeat(large, 8)), -1)).status, 200)
 }
@@ -340,16 +331,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			upstream := newFake(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					data, _ := io.ReadAll(request.Body)
-					_, _ = io.WriteString(conn, ok(string(data)))
-				}
-			})
+			upstream := newFake(t, echo)
 			r := New(upstream.address, 2)
 			defer r.Close()
 			dial, opened := r.dial, []*lost{}
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -199,45 +199,44 @@
 	})
 }
 
-// Guards against a crashed node that stays in the list, and a restarted one
-// that stays out of it.
+// Guards against crashed nodes that stay in the list, and restarted ones that
+// stay out of it, also after a restart of most of the fleet.
 func TestCrashAndRestart(t *testing.T) {
-	t.Parallel()
-	f := newFabric(t)
-	trackers, stops := f.fleet(14, "a1", "a2")
-	const crashed = 11
-	stops[crashed]()
-	others := slices.Delete(slices.Clone(trackers), crashed, crashed+1)
-	f.all("drop the crashed node and no other", others, func(t *Tracker) bool { return count(t) == len(others) })
-	self := trackers[crashed].Self
-	self.Incarnation = sycamorerun.NewIncarnation(self.Incarnation.Boot() - 1)
-	f.start(self)
-	f.all("list the new run", others, func(t *Tracker) bool {
-		return find(t, self.Name).Incarnation.Boot() == self.Incarnation.Boot()
-	})
-}
-
-// Guards against nodes that stay away after a restart of most of the fleet.
-func TestHerdRestart(t *testing.T) {
-	t.Parallel()
-	f := newFabric(t)
-	trackers, stops := f.fleet(18, "a1", "a2", "b1")
-	for _, stop := range stops[3:] {
-		stop()
-	}
-	for i := range trackers[3:] {
-		self := trackers[3+i].Self
-		self.Incarnation = sycamorerun.NewIncarnation(self.Incarnation.Boot() - 1)
-		trackers[3+i], _ = f.start(self)
-	}
-	f.all("list all new runs", trackers, func(t *Tracker) bool {
-		for _, other := range trackers {
-			if find(t, other.Self.Name).Incarnation.Boot() != other.Self.Incarnation.Boot() {
-				return false
+	for name, c := range map[string]struct {
+		zones        []string
+		nodes, first int
+		crashed      int
+		noticed      bool
+	}{
+		"one, after its failure": {[]string{"a1", "a2"}, 14, 11, 1, true},
+		"most of them, at once":  {[]string{"a1", "a2", "b1"}, 18, 3, 15, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFabric(t)
+			trackers, stops := f.fleet(c.nodes, c.zones...)
+			for _, stop := range stops[c.first : c.first+c.crashed] {
+				stop()
 			}
-		}
-		return true
-	})
+			if c.noticed {
+				others := slices.Delete(slices.Clone(trackers), c.first, c.first+c.crashed)
+				f.all("drop the crashed node and no other", others, func(t *Tracker) bool { return count(t) == len(others) })
+			}
+			for i := c.first; i < c.first+c.crashed; i++ {
+				self := trackers[i].Self
+				self.Incarnation = sycamorerun.NewIncarnation(self.Incarnation.Boot() - 1)
+				trackers[i], _ = f.start(self)
+			}
+			f.all("list all new runs", trackers, func(t *Tracker) bool {
+				for _, other := range trackers {
+					if find(t, other.Self.Name).Incarnation.Boot() != other.Self.Incarnation.Boot() {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
 }
 
 // Guards against nodes that start at the same time, find only a part of each
