Return from a long pause as an upstream that does not serve yet

Members that had counted it as failed would then take it for a stranger, and doubt all keys until it has answered. The publisher now publishes the draining state itself after such a pause, at the next check instead of the tracker's next step.

--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -85,9 +85,8 @@
 func (n *node) present(now time.Time) {
 	n.presenting.Lock()
 	defer n.presenting.Unlock()
-	if !n.presented.IsZero() && now.Sub(n.presented) >= lapseDelay {
-		// This process was paused, and others may have executed its keys.
-		n.publisher.lapse(now)
+	if !n.presented.IsZero() { // this process may have been paused
+		n.publisher.lapse(now, now.Sub(n.presented))
 	}
 	n.presented = now
 	upstream, ok := n.calls.upstream.announcer.Current()
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -16,7 +16,14 @@
 
 func (p presence) serving() bool { return sycamorerun.Instance{State: p.state}.Serving() }
 
-const lapseDelay = 2 * time.Second
+const (
+	// lapseDelay is the silence after which others may have executed the keys.
+	lapseDelay = 2 * time.Second
+	// goneDelay is the silence after which the members may count this node as
+	// failed, which takes 6 s at least. If it came back to them as serving, they
+	// would take it for a stranger and doubt all keys until it has answered.
+	goneDelay = 5 * time.Second
+)
 
 // publisher publishes the presence of the upstream. Before the upstream starts
 // or stops serving, its keys change hands, which takes a moment.
@@ -62,14 +69,21 @@
 	}
 }
 
-// lapse records that the members no longer count the upstream as serving, since
-// it was silent for too long: others may have executed its keys. A record that
-// was published less than lapseDelay ago may not be in view yet.
-func (p *publisher) lapse(now time.Time) {
+// lapse records that the members may no longer count the upstream as serving,
+// since this process was silent for some time: others may have executed its
+// keys. A record that was published less than lapseDelay ago may not be in view
+// yet.
+func (p *publisher) lapse(now time.Time, silent time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.changing == nil && now.Sub(p.since) >= lapseDelay {
-		p.serving = false
+	if p.changing != nil || !p.serving || silent < lapseDelay || now.Sub(p.since) < lapseDelay {
+		return
+	}
+	p.serving = false
+	if silent >= goneDelay {
+		gone := p.published
+		gone.state = sycamorerun.StateDraining
+		p.show(gone)
 	}
 }
 
