Measure the answer at the deadline by the clock of synctest

TestDeadlineIsPrompt failed on a busy machine. Cause: the thread that holds the call's timer waits in the run queue of the operating system. Stamps in the path of late calls, with the race tests of ten packages beside them and a load average of 19 to 30, show the timer's function begin 118 to 618 ms after the deadline, while a thread of the process waited 284 to 1,135 ms (/proc/self/task/*/schedstat). From there the answer took 0.5 ms, 50.5 ms with a query, and up to 6 ms once. A plain time.Sleep in the same process was late by up to 465 ms. Ruled out: a lock, a blocking write or close, the query, large bodies (the same delay with and without).

The bound of 100 ms stays. Waits are measured by the clock of synctest over connections within the process, without any tolerance for the machine, and the work of the whole call by its processor time; the test also fails now when something goes on a minute after the deadline. TestHangingConnect failed for the same reason, up to 8 of 180 runs at a load average of 40, and is changed likewise.

The requester's Dial is exported for the test.

--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -44,6 +44,12 @@
 }
 
 func newBed(t testing.TB, local bool, handler http.HandlerFunc) *bed {
+	t.Helper()
+	return newBedOver(t, local, handler, func(*httptest.Server) {})
+}
+
+// newBedOver is newBed with servers that listen as set up by over.
+func newBedOver(t testing.TB, local bool, handler http.HandlerFunc, over func(*httptest.Server)) *bed {
 	t.Helper()
 	b := &bed{
 		routed:   true,
@@ -53,11 +59,13 @@
 		observed: make(chan Observation, 16),
 	}
 	b.records.Self, b.records.Clean = "beside", true
-	b.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b.upstream = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.executed.Add(1)
 		handler(w, r)
 	}))
 	b.upstream.Config.ErrorLog = quiet
+	over(b.upstream)
+	b.upstream.Start()
 	b.open = b.dial
 	b.beside = b.node("beside")
 	b.entry = b.beside
@@ -68,7 +76,13 @@
 	b.caller = httptest.NewUnstartedServer(b.entry)
 	b.caller.Config.ErrorLog = quiet
 	b.caller.Config.MaxHeaderBytes = headerBytes
+	over(b.caller)
 	b.caller.Start()
+	if memory, ok := b.caller.Listener.(*memoryListener); ok {
+		b.caller.Client().Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return memory.dial(ctx)
+		}
+	}
 	t.Cleanup(func() {
 		b.caller.CloseClientConnections()
 		b.caller.Close()
@@ -116,10 +130,58 @@
 	f.Open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
 		return b.open(ctx, to, kind)
 	}
-	f.Upstream = Transport(netip.MustParseAddrPort(b.upstream.Listener.Addr().String()), 6, f.Contract)
+	upstream := Transport(netip.MustParseAddrPort(b.upstream.Listener.Addr().String()), 6, f.Contract)
+	if memory, ok := b.upstream.Listener.(*memoryListener); ok {
+		upstream.Dial = memory.dial
+	}
+	f.Upstream = upstream
 	return f
 }
 
+// memoryListener accepts connections within the process, on which synctest can
+// tell that a goroutine waits.
+type memoryListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// inMemory makes a server listen within the process.
+func inMemory(server *httptest.Server) {
+	address := server.Listener.Addr()
+	_ = server.Listener.Close()
+	server.Listener = &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *memoryListener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Addr() net.Addr { return l.address }
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
 // dial opens a stream to the node beside the upstream.
 func (b *bed) dial(_ context.Context, _ netip.AddrPort, kind string) (net.Conn, error) {
 	near, far := net.Pipe()
--- a/node/forwarder/deadline_test.go
+++ b/node/forwarder/deadline_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -66,7 +67,10 @@
 }
 
 // Guards against an answer that is late because something is silent at the
-// deadline, and against work that goes on after it.
+// deadline, and against work that goes on after it. In real time, a busy machine
+// lets the thread with the call's timer wait for up to 620 ms, so the waits are
+// measured by the clock of synctest, and the work by the processor time of the
+// whole call.
 func TestDeadlineIsPrompt(t *testing.T) {
 	const both, local, peer = 0, 1, 2
 	busy := func(b *bed) {
@@ -104,30 +108,37 @@
 				if c.on == local && !onLocal || c.on == peer && onLocal {
 					t.SkipNow()
 				}
-				is := is.New(t)
-				ended := make(chan time.Time, 1)
-				b := newBed(t, onLocal, func(_ http.ResponseWriter, r *http.Request) {
-					_, _ = io.Copy(io.Discard, r.Body)
-					<-r.Context().Done()
-					ended <- time.Now()
-				})
-				b.match.Timeout = 300 * time.Millisecond
-				if c.setUp != nil {
-					c.setUp(b)
-				}
-				due := time.Now().Add(b.match.Timeout)
-				got := b.send(http.MethodPost, "/x", strings.NewReader(c.body))
-				late := time.Since(due)
-				is.Equal(got.status, c.status)
-				is.Equal(got.reason, "deadline")
-				if late > answerTime {
-					t.Errorf("answered %s after the deadline", late)
-				}
-				if c.reached {
-					if late := (<-ended).Sub(due); late > answerTime {
-						t.Errorf("upstream canceled %s after the deadline", late)
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ended := make(chan time.Time, 1)
+					b := newBedOver(t, onLocal, func(_ http.ResponseWriter, r *http.Request) {
+						_, _ = io.Copy(io.Discard, r.Body)
+						<-r.Context().Done()
+						ended <- time.Now()
+					}, inMemory)
+					b.match.Timeout = 300 * time.Millisecond
+					if c.setUp != nil {
+						c.setUp(b)
 					}
-				}
+					due := time.Now().Add(b.match.Timeout)
+					before := processor()
+					got := b.send(http.MethodPost, "/x", strings.NewReader(c.body))
+					late := time.Since(due)
+					is.Equal(got.status, c.status)
+					is.Equal(got.reason, "deadline")
+					if late > answerTime {
+						t.Errorf("answered %s after the deadline", late)
+					}
+					if c.reached {
+						if late := (<-ended).Sub(due); late > answerTime {
+							t.Errorf("upstream canceled %s after the deadline", late)
+						}
+					}
+					if took := processor() - before; took > answerTime {
+						t.Errorf("took %s of processor time", took)
+					}
+					time.Sleep(time.Minute) // synctest fails if anything goes on after that
+				})
 			})
 		})
 	}
@@ -139,22 +150,25 @@
 func TestHangingConnect(t *testing.T) {
 	for name, repeatable := range map[string]bool{"repeatable": true, "not repeatable": false} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			b := newBed(t, false, reply("ok"))
-			b.match.Repeatable, b.retries = repeatable, 1
-			b.picks = []sycamorerun.Instance{{Name: "hanging"}, {Name: "beside", Address: peerAddress}}
-			b.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
-				if to != peerAddress {
-					return hang(ctx, to, kind)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBedOver(t, false, reply("ok"), inMemory)
+				b.match.Repeatable, b.retries = repeatable, 1
+				b.picks = []sycamorerun.Instance{{Name: "hanging"}, {Name: "beside", Address: peerAddress}}
+				b.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
+					if to != peerAddress {
+						return hang(ctx, to, kind)
+					}
+					return b.dial(ctx, to, kind)
 				}
-				return b.dial(ctx, to, kind)
-			}
-			began := time.Now()
-			is.Equal(b.send(http.MethodPost, "/x", strings.NewReader("a")).body, "ok")
-			took := time.Since(began)
-			is.True(took >= openTime)
-			is.True(took < openTime+answerTime)
-			is.Equal((<-b.observed).Reason, reasonPeer)
+				began := time.Now()
+				is.Equal(b.send(http.MethodPost, "/x", strings.NewReader("a")).body, "ok")
+				took := time.Since(began)
+				is.True(took >= openTime)
+				is.True(took < openTime+answerTime)
+				is.Equal((<-b.observed).Reason, reasonPeer)
+				time.Sleep(time.Minute)
+			})
 		})
 	}
 }
--- a/node/requester/fuzz_test.go
+++ b/node/requester/fuzz_test.go
@@ -43,7 +43,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte, head bool) {
 		r := &Requester{Contract: checks, pool: pool{most: 1}}
-		r.dial = func(context.Context) (net.Conn, error) { return canned{Reader: bytes.NewReader(data)}, nil }
+		r.Dial = func(context.Context) (net.Conn, error) { return canned{Reader: bytes.NewReader(data)}, nil }
 		request := get(t.Context(), "1")
 		if head {
 			request.Method = http.MethodHead
--- a/node/requester/requester.go
+++ b/node/requester/requester.go
@@ -34,8 +34,10 @@
 type Requester struct {
 	// Contract is set before the first request.
 	Contract Contract
+	// Dial opens a connection to the upstream. It may be replaced before the first
+	// request.
+	Dial func(ctx context.Context) (net.Conn, error)
 
-	dial func(ctx context.Context) (net.Conn, error)
 	pool pool
 }
 
@@ -44,7 +46,7 @@
 func New(address netip.AddrPort, connections int) *Requester {
 	dialer := &net.Dialer{Timeout: dialWait, KeepAliveConfig: probes, Control: bound}
 	return &Requester{
-		dial: func(ctx context.Context) (net.Conn, error) {
+		Dial: func(ctx context.Context) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address.String())
 		},
 		pool: pool{most: connections},
@@ -93,7 +95,7 @@
 		case reason != "":
 			return nil, &Failure{Ran: No, Reason: reason}
 		case kept == nil:
-			fresh, err := r.dial(ctx)
+			fresh, err := r.Dial(ctx)
 			if err != nil {
 				r.pool.release()
 				return nil, &Failure{Ran: No, Reason: ReasonUnreachable, Cause: err}
--- a/node/requester/requester_test.go
+++ b/node/requester/requester_test.go
@@ -154,7 +154,7 @@
 	invalid := get(t.Context(), "")
 	invalid.Header["X"] = []string{"a\r\nY: b"}
 	is.Equal(do(r, invalid), outcome{ran: No, reason: ReasonRequest})
-	r.dial = func(ctx context.Context) (net.Conn, error) {
+	r.Dial = func(ctx context.Context) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -352,8 +352,8 @@
 			})
 			r := New(upstream.address, 2)
 			defer r.Close()
-			dial, opened := r.dial, []*lost{}
-			r.dial = func(ctx context.Context) (net.Conn, error) {
+			dial, opened := r.Dial, []*lost{}
+			r.Dial = func(ctx context.Context) (net.Conn, error) {
 				conn, err := dial(ctx)
 				if err != nil {
 					return nil, err
