Replace a silent session within 1.4 s while a call waits on it

A call on a session that loses everything, while new ones work, waited until the session was closed 3 s after its last byte. Now a session on which a call waits is pinged after 0.3 s of silence. When seven checks in the next 0.7 s bring nothing, another session to the peer is opened, and the silent one is closed when the peer is heard there. A peer that is paused answers on neither and keeps its session, and a process that was itself paused reads before it judges. The query of the call goes over the new session, so at-most-once holds as before.

Idle sessions send nothing more: the timer runs only while calls wait.

Two sessions that both ends dialled are told from a replacement by Await plus Answer (1 s) and no longer by Stall, since a dead session is found that soon.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -124,9 +124,22 @@
 // stream counts the payload bytes of one stream.
 type stream struct {
 	net.Conn
-	in, out tally.Counter
+	in, out   tally.Counter
+	connector *Connector
+	session   *session
 }
 
+func (c *Connector) wrap(s *session, conn net.Conn, kind string) net.Conn {
+	return &stream{
+		Conn: conn, connector: c, session: s,
+		in: c.metrics.streamBytes(s.scope, "in", kind), out: c.metrics.streamBytes(s.scope, "out", kind),
+	}
+}
+
+// Await says that a call on the stream begins to wait for the peer, or ends. While
+// calls wait, a silent session is found sooner.
+func (s *stream) Await(waits bool) { s.connector.await(s.session, waits) }
+
 func (s *stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.in.Inc(int64(n))
--- a/node/connector/connector.go
+++ b/node/connector/connector.go
@@ -197,7 +197,7 @@
 		for _, s := range c.candidates(time.Now(), to) {
 			conn, err := s.open(kind)
 			if err == nil {
-				return c.metrics.stream(conn, s.scope, kind), nil
+				return c.wrap(s, conn, kind), nil
 			}
 			level.Debug(c.Logger).Log("msg", "stream not opened", "peer", s.peer.Name, "kind", kind, "err", err)
 		}
--- a/node/connector/decision_test.go
+++ b/node/connector/decision_test.go
@@ -67,6 +67,68 @@
 	}
 }
 
+// Guards against a session with a waiting call that stays although it is dead,
+// and against one that is closed although the peer is slow or paused, this
+// process was, or what was sent is still on its way.
+func TestFollow(t *testing.T) {
+	const never = time.Hour
+	limits, start := Limits{}.withDefaults(), time.Unix(1000, 0)
+	// Each case is a silence from start on with a check whenever the last one
+	// asked for it, until the session is closed or 5 s have passed.
+	cases := map[string]struct {
+		// heard, elsewhere are the times at which something arrives on the session
+		// and on another one after that was opened.
+		heard, elsewhere time.Duration
+		// paused is the time for which this process stops after 400 ms.
+		paused, acknowledged, ended time.Duration
+		closed                      time.Duration
+	}{
+		"dead":                             {heard: never, closed: 1300 * time.Millisecond},
+		"dead, new session takes 300 ms":   {heard: never, elsewhere: 300 * time.Millisecond, closed: 1500 * time.Millisecond},
+		"peer paused or host down":         {heard: never, elsewhere: never},
+		"peer paused for 2 s":              {heard: 2 * time.Second, elsewhere: 1200 * time.Millisecond},
+		"round trip of 600 ms":             {heard: 900 * time.Millisecond},
+		"this process paused":              {heard: 2500 * time.Millisecond, paused: 2 * time.Second},
+		"sends for 2 s, then dead":         {heard: never, acknowledged: 2 * time.Second, closed: 2900 * time.Millisecond},
+		"call ended":                       {heard: never, ended: time.Second},
+		"answer crosses the other session": {heard: 1250 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var p probe
+			var opened time.Duration
+			closed := time.Duration(0)
+			for at := limits.Await; at < 5*time.Second; {
+				if c.paused > 0 && at > 400*time.Millisecond && at < c.paused {
+					at = 400*time.Millisecond + c.paused
+				}
+				e := evidence{waiting: c.ended == 0 || at < c.ended, silence: at, elsewhere: at, acknowledged: at < c.acknowledged}
+				if at >= c.heard {
+					e.silence = 0 // it answers everything from then on
+				}
+				if opened > 0 && at >= opened+c.elsewhere {
+					e.elsewhere = 0
+				}
+				var next move
+				var wait time.Duration
+				p, next, wait = limits.follow(start.Add(at), p, e)
+				if next == rest || next == closeSilent {
+					if next == closeSilent {
+						closed = at
+					}
+					break
+				}
+				if next == openAnother {
+					opened = at
+				}
+				at += wait
+			}
+			is.Equal(closed.Round(10*time.Millisecond), c.closed)
+		})
+	}
+}
+
 func TestBackoff(t *testing.T) {
 	is := is.New(t)
 	most := func(n int64) int64 { return n - 1 }
--- a/node/connector/failure_test.go
+++ b/node/connector/failure_test.go
@@ -56,7 +56,9 @@
 	address netip.AddrPort
 	// conns numbers the connections; those up to frozen drop everything.
 	conns, frozen atomic.Int64
-	to            atomic.Pointer[netip.AddrPort]
+	// paused is held while all connections stand still.
+	paused sync.RWMutex
+	to     atomic.Pointer[netip.AddrPort]
 }
 
 func newProxy(t *testing.T) *proxy {
@@ -94,12 +96,20 @@
 			_ = to.Close()
 			return
 		}
+		p.paused.RLock()
+		p.paused.RUnlock()
 		if number > p.frozen.Load() {
 			_, _ = to.Write(data[:n])
 		}
 	}
 }
 
+// pause holds up everything for a time, as a process does that is stopped.
+func (p *proxy) pause(d time.Duration) {
+	p.paused.Lock()
+	time.AfterFunc(d, p.paused.Unlock)
+}
+
 func (p *proxy) freeze() { p.frozen.Store(p.conns.Load()) }
 
 // Guards against new work that waits for a session which went silent.
@@ -117,6 +127,56 @@
 	is.True(p.conns.Load() > p.frozen.Load())
 }
 
+// Guards against a call that waits for seconds on a session that went silent
+// while new ones work, and against a peer that is cut off while it is paused. It
+// runs with the times of production, but for those after which a session is
+// closed without a waiting call; TestFollow holds the times.
+func TestCallOnSilentSession(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		silence func(p *proxy)
+		kept    bool
+	}{
+		"drops everything": {silence: func(p *proxy) { p.freeze() }},
+		"paused for 2 s":   {silence: func(p *proxy) { p.pause(2 * time.Second) }, kept: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := newProxy(t)
+			b, _ := start(t, "b", nil, func(c *connector.Connector) { c.Self.Address = p.address })
+			p.to.Store(&b.Listen)
+			a, _ := start(t, "a", nil, func(c *connector.Connector) {
+				c.Limits = connector.Limits{Ping: time.Hour, Stall: time.Hour}
+			})
+			stream, err := a.Open(t.Context(), p.address, "echo")
+			is.NoErr(err)
+			defer stream.Close()
+			is.NoErr(ask(stream))
+			stream.(interface{ Await(bool) }).Await(true)
+			c.silence(p)
+			began := time.Now()
+			err = ask(stream)
+			took := time.Since(began)
+			t.Logf("%s: %v", took, err)
+			is.Equal(err == nil, c.kept)
+			is.True(took < patience) // else the stream's deadline ended it
+			is.NoErr(echo(a, p.address))
+		})
+	}
+}
+
+// ask sends a message over a stream and reads it back.
+func ask(stream net.Conn) error {
+	_ = stream.SetDeadline(time.Now().Add(patience))
+	if _, err := stream.Write([]byte("ping")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(stream, make([]byte, 4))
+	return err
+}
+
 // Guards against input that ends the connector, holds a session or reaches a
 // handler.
 func TestGarbage(t *testing.T) {
--- a/node/connector/limits.go
+++ b/node/connector/limits.go
@@ -13,6 +13,11 @@
 	Dial time.Duration
 	// Ping is the silence after which a session is pinged.
 	Ping time.Duration
+	// Await is the silence after which a session on which a call waits is pinged,
+	// Answer the time after that until the session is replaced if the peer is
+	// heard on a new one. Answer covers a round trip between regions of up to
+	// 100 ms and a peer that does not get its processor for half a second.
+	Await, Answer time.Duration
 	// Stall is the silence after which a session is closed.
 	Stall time.Duration
 	// Linger is how long a session that another one replaced stays open after
@@ -34,6 +39,8 @@
 	return Limits{
 		Dial:   cmp.Or(l.Dial, 3*time.Second),
 		Ping:   cmp.Or(l.Ping, time.Second),
+		Await:  cmp.Or(l.Await, 300*time.Millisecond),
+		Answer: cmp.Or(l.Answer, 700*time.Millisecond),
 		Stall:  cmp.Or(l.Stall, 3*time.Second),
 		Linger: cmp.Or(l.Linger, 5*time.Second),
 		Idle:   cmp.Or(l.Idle, time.Minute),
--- a/node/connector/metrics.go
+++ b/node/connector/metrics.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 
@@ -58,11 +57,6 @@
 		map[string]string{"scope": string(scope), "direction": direction, "kind": kind})
 }
 
-// stream wraps conn with the counters of its kind.
-func (m *metrics) stream(conn net.Conn, scope Scope, kind string) net.Conn {
-	return &stream{Conn: conn, in: m.streamBytes(scope, "in", kind), out: m.streamBytes(scope, "out", kind)}
-}
-
 // flush adds what was counted since the last flush to the counters. Network
 // bytes are wire bytes with the headers of TCP and IP.
 func (m *metrics) flush(s *session) {
--- a/node/connector/registry.go
+++ b/node/connector/registry.go
@@ -12,10 +12,10 @@
 // both ends dialled at about the same time, both have to choose the same one:
 // the one that the lower name dialled. Later, a second dial means that the
 // other end has found the first session dead, and the newer one counts. A
-// session can't be found dead within the stall time, so that time separates
-// the two cases. Ends that disagree only keep a second session for longer.
-func preferOld(old, fresh *session, self string, stall time.Duration) bool {
-	if old.dialled == fresh.dialled || fresh.opened.Sub(old.opened) >= stall {
+// session can't be found dead within least, so that time separates the two
+// cases. Ends that disagree only keep a second session for longer.
+func preferOld(old, fresh *session, self string, least time.Duration) bool {
+	if old.dialled == fresh.dialled || fresh.opened.Sub(old.opened) >= least {
 		return false
 	}
 	return old.diallerName(self) < fresh.diallerName(self)
@@ -53,7 +53,7 @@
 		}
 	}
 	list := slices.DeleteFunc(c.sessions[address], func(old *session) bool { return slices.Contains(stale, old) })
-	if last := len(list) - 1; last >= 0 && preferOld(list[last], s, c.Self.Name, c.limits.Stall) {
+	if last := len(list) - 1; last >= 0 && preferOld(list[last], s, c.Self.Name, c.limits.Await+c.limits.Answer) {
 		s.retired = true
 		list = slices.Insert(list, last, s)
 	} else {
--- a/node/connector/segments.go
+++ b/node/connector/segments.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Bytes of headers without options, and of the timestamp option, which a
@@ -20,6 +21,10 @@
 type segments struct {
 	in, out    uint32
 	timestamps bool
+	// pending says that the peer's system has not acknowledged all that was sent,
+	// acknowledged is the time since its last acknowledgement.
+	pending      bool
+	acknowledged time.Duration
 }
 
 // segmentCounter follows the segments of a connection. The zero value counts nothing.
@@ -44,6 +49,16 @@
 	return m
 }
 
+// acknowledges reports whether the peer's system still takes what was sent: some
+// of it is not acknowledged yet, some was within the given time.
+func (m *segmentCounter) acknowledges(within time.Duration) bool {
+	if m.raw == nil {
+		return false
+	}
+	now, ok := readSegments(m.raw)
+	return ok && now.pending && now.acknowledged < within
+}
+
 // advance returns the segments since the last call and their headers' bytes.
 func (m *segmentCounter) advance() (in, out, inBytes, outBytes int64) {
 	if m.raw == nil {
--- a/node/connector/segments_linux.go
+++ b/node/connector/segments_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,5 +19,8 @@
 	if err != nil || failed != nil {
 		return segments{}, false
 	}
-	return segments{info.Segs_in, info.Segs_out, info.Options&optionTimestamps != 0}, true
+	return segments{
+		info.Segs_in, info.Segs_out, info.Options&optionTimestamps != 0,
+		info.Unacked > 0, time.Duration(info.Last_ack_recv) * time.Millisecond,
+	}, true
 }
--- a/node/connector/session.go
+++ b/node/connector/session.go
@@ -27,6 +27,7 @@
 	// handled counts the inbound streams whose handler runs.
 	handled atomic.Int64
 	pinging atomic.Bool
+	prober  prober
 
 	// The connector's mutex guards the fields below.
 
@@ -175,7 +176,7 @@
 		level.Debug(c.Logger).Log("msg", "stream of unknown kind", "peer", s.peer.Name, "kind", head.GetKind())
 		return
 	}
-	handler(s.ctx, s.peer, c.metrics.stream(conn, s.scope, head.GetKind()))
+	handler(s.ctx, s.peer, c.wrap(s, conn, head.GetKind()))
 }
 
 // muxLogger passes yamux's messages on.
--- a/node/connector/sweep.go
+++ b/node/connector/sweep.go
@@ -79,16 +79,21 @@
 		c.mu.Unlock()
 		go s.mux.GoAway()
 	case ping:
-		if s.pinging.CompareAndSwap(false, true) {
-			go func() {
-				defer s.pinging.Store(false)
-				_, _ = s.mux.Ping()
-			}()
-		}
+		c.ping(s)
 	case keep:
 	}
 }
 
+// ping asks the peer for a sign of life, unless an earlier ping is under way.
+func (c *Connector) ping(s *session) {
+	if s.pinging.CompareAndSwap(false, true) {
+		go func() {
+			defer s.pinging.Store(false)
+			_, _ = s.mux.Ping()
+		}()
+	}
+}
+
 // forgetTargets drops the failures of addresses that nobody dials any more.
 func (c *Connector) forgetTargets(now time.Time) {
 	c.mu.Lock()
--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// await tells the session whether a call waits on the stream.
+func (l *link) await(waits bool) {
+	if waiter, ok := l.conn.(interface{ Await(bool) }); ok {
+		waiter.Await(waits)
+	}
+}
+
 // broken describes the end of a stream. It is never io.EOF, which stands for
 // the end of a complete body.
 func broken(err error) error {
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -77,6 +77,7 @@
 		link: peer, watch: watch, release: release,
 		park: func() { f.pool.give(f.Now(), to.Address, peer) },
 	}
+	peer.await(true)
 	out, failed := f.exchange(ctx, body, c, id, level)
 	if failed != nil && ctx.Err() != nil {
 		// Closing a stream can take long when the peer is silent, and the caller is
@@ -273,6 +274,7 @@
 		return
 	}
 	i.closed = true
+	i.link.await(false)
 	if i.release() && i.ended && i.keep && (!i.sending || i.sent.Load()) {
 		i.park()
 		return
--- /dev/null
+++ b/node/forwarder/silent_test.go
@@ -0,0 +1,180 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/node/connector"
+)
+
+// silentTime is the time in which a call that waits on a silent session gets its
+// result, or goes on.
+const silentTime = 2 * time.Second
+
+// dropper forwards connections to an address. Those that were open when drop was
+// called stay open and lose everything.
+type dropper struct {
+	net.Listener
+	to             atomic.Pointer[netip.AddrPort]
+	conns, dropped atomic.Int64
+}
+
+func newDropper(t *testing.T) *dropper {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	d := &dropper{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", d.to.Load().String())
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			number := d.conns.Add(1)
+			go d.forward(number, near, far)
+			go d.forward(number, far, near)
+		}
+	}()
+	return d
+}
+
+func (d *dropper) forward(number int64, to, from net.Conn) {
+	data := make([]byte, 4096)
+	for {
+		n, err := from.Read(data)
+		if number > d.dropped.Load() {
+			_, _ = to.Write(data[:n])
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (d *dropper) drop() { d.dropped.Store(d.conns.Load()) }
+
+// connect runs a connector for each node of the bed, with a dropper between them.
+func (b *bed) connect(t *testing.T) *dropper {
+	is := is.New(t)
+	run := func(name string, announced netip.AddrPort, handlers map[string]connector.Handler) (*connector.Connector, netip.AddrPort) {
+		c := &connector.Connector{
+			Self:   connector.Peer{Name: name, Boot: 1, Address: announced, AvailabilityZone: "z", Region: "r"},
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Handlers: handlers,
+			Limits: connector.Limits{Drain: time.Millisecond},
+		}
+		address, err := c.Bind()
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = c.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+		})
+		return c, address
+	}
+	d := newDropper(t)
+	announced := netip.MustParseAddrPort(d.Addr().String())
+	_, address := run("beside", announced, map[string]connector.Handler{
+		KindCall:  func(ctx context.Context, _ connector.Peer, stream net.Conn) { b.beside.ServeCall(ctx, stream) },
+		KindQuery: func(ctx context.Context, _ connector.Peer, stream net.Conn) { b.beside.ServeQuery(ctx, stream) },
+	})
+	d.to.Store(&address)
+	entry, _ := run("entry", peerAddress, nil)
+	b.open = entry.Open
+	b.picks = []sycamorerun.Instance{
+		{Name: "beside", Address: announced, Service: "s"}, {Name: "beside", Address: announced, Service: "s"},
+	}
+	return d
+}
+
+// Guards against a call that waits for seconds on a session to a peer that went
+// silent while new sessions work, and against a repetition of one that may have
+// run.
+func TestCallOnSilentSession(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		// early says that the session is silent before the call is sent.
+		early, repeatable bool
+		reason            string
+		executed          int64
+	}{
+		"not seen by the peer":     {early: true, executed: 1},
+		"running":                  {reason: reasonLost, executed: 1},
+		"running, may be repeated": {repeatable: true, executed: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var d *dropper
+			release := make(chan struct{})
+			var calls atomic.Int64
+			b := newBed(t, false, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if calls.Add(1) == 2 && !c.early {
+					d.drop()
+					<-release
+				}
+				_, _ = io.WriteString(w, "ok")
+			})
+			defer close(release)
+			b.match.Repeatable, b.retries = c.repeatable, 1
+			d = b.connect(t)
+			is.Equal(b.send(http.MethodPost, "/x", strings.NewReader("a")).body, "ok")
+			if c.early {
+				d.drop()
+			}
+			delayed := delays(t)
+			began := time.Now()
+			got := b.send(http.MethodPost, "/x", strings.NewReader("a"))
+			took := time.Since(began)
+			machine := delayed()
+			t.Logf("%d %s %q after %s, of which the machine took %s", got.status, got.reason, got.body, took, machine)
+			is.Equal(got.reason, c.reason)
+			is.Equal(got.body == "ok", c.reason == "")
+			is.Equal(b.executed.Load(), 1+c.executed)
+			is.True(took-machine < silentTime)
+		})
+	}
+}
+
+// delays returns a function that returns for how long a goroutine that sleeps in
+// short steps was delayed by a busy machine until then.
+func delays(t *testing.T) func() time.Duration {
+	const step = 50 * time.Millisecond
+	ctx, stop := context.WithCancel(t.Context())
+	total := make(chan time.Duration, 1)
+	go func() {
+		var late time.Duration
+		for ctx.Err() == nil {
+			due := time.Now().Add(step)
+			time.Sleep(step)
+			late += time.Since(due)
+		}
+		total <- late
+	}()
+	return func() time.Duration {
+		stop()
+		return <-total
+	}
+}
