Wait for a write under way before a request counts as written

When the upstream closed a kept connection while the request was written, the read could fail between the moment at which the write was noted and its error, which takes the note back. The request of which nothing was written was then unknown (502) instead of not run. TestNothingWrittenYet failed before: {unknown upstream-broken} != {no upstream-unreachable}.

--- a/node/requester/conn.go
+++ b/node/requester/conn.go
@@ -37,6 +37,8 @@
 	// wrote says that a part of the current request may have been written, failed
 	// that a write failed.
 	wrote, failed atomic.Bool
+	// writing is held during a write.
+	writing sync.Mutex
 	dropped       sync.Once
 }
 
@@ -67,6 +69,8 @@
 // Write implements net.Conn and notes whether the upstream may have got
 // something.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	first := !c.wrote.Swap(true)
 	n, err := c.Conn.Write(p)
 	if err != nil {
@@ -78,6 +82,14 @@
 	return n, err
 }
 
+// untouched reports whether nothing of the request was written. The connection
+// is closed, so that a write under way ends and none follows.
+func (c *conn) untouched() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return !c.wrote.Load()
+}
+
 // copyBytes is the size of the reads of a streamed body.
 const copyBytes = 32 << 10
 
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -199,10 +199,10 @@
 // fail closes the connection and says what that means for the request.
 func (x *exchange) fail(reason string, cause error) *Failure {
 	x.abandon()
-	switch {
-	case x.conn.wrote.Load() && reason == ReasonRequest:
+	switch untouched := x.conn.untouched(); {
+	case !untouched && reason == ReasonRequest:
 		return &Failure{Ran: Unknown, Reason: ReasonBroken, Cause: cause}
-	case x.conn.wrote.Load():
+	case !untouched:
 		return &Failure{Ran: Unknown, Reason: reason, Cause: cause}
 	case reason != ReasonRequest:
 		reason = ReasonUnreachable
--- a/node/requester/stream_test.go
+++ b/node/requester/stream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -321,6 +322,50 @@
 	return l.TCPConn.Write(p)
 }
 
+// crossing is a connection whose read ends while its first write is under way,
+// which writes nothing.
+type crossing struct {
+	*net.TCPConn
+	writing, closed chan struct{}
+	once            sync.Once
+}
+
+func (c *crossing) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.closed
+	return 0, syscall.ECONNRESET
+}
+
+func (c *crossing) Read([]byte) (int, error) {
+	<-c.writing
+	return 0, syscall.ECONNRESET
+}
+
+func (c *crossing) Close() error {
+	c.once.Do(func() {
+		time.AfterFunc(20*time.Millisecond, func() { close(c.closed) })
+	})
+	return c.TCPConn.Close()
+}
+
+// Guards against a request that counts as one that may have run because its
+// first write, which writes nothing, has not returned when the read fails.
+func TestNothingWrittenYet(t *testing.T) {
+	is := is.New(t)
+	upstream := newFake(t, func(_ *net.TCPConn, reader *bufio.Reader) { _, _ = take(reader) })
+	r := New(upstream.address, 1)
+	defer r.Close()
+	dial := r.Dial
+	r.Dial = func(ctx context.Context) (net.Conn, error) {
+		conn, err := dial(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return &crossing{TCPConn: conn.(*net.TCPConn), writing: make(chan struct{}), closed: make(chan struct{})}, nil
+	}
+	is.Equal(do(r, post(t.Context(), strings.NewReader("abc"), -1)), outcome{ran: No, reason: ReasonUnreachable})
+}
+
 // Guards a request of which nothing was written: it is sent over another
 // connection, whole, or is not run.
 func TestNothingWritten(t *testing.T) {
