Do not ask about a call of which nothing was sent

When a stream to a peer had ended before the head of a call was written, as when the node beside the upstream ends, the peer was asked about the call. If it was gone, the caller was told unknown (502), and a call that may not be repeated was not sent again. A write to an ended stream is now net.ErrClosed; the call goes over a new stream, to another instance, or is not run. TestClosedBeforeSending got 502 in all three cases before.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -146,9 +148,15 @@
 	return n, err
 }
 
+// Write returns an error that is net.ErrClosed if the stream had ended before,
+// so that nothing of p was sent. Other errors of yamux leave that open: a frame
+// that waits in its queue may still be written.
 func (s *stream) Write(p []byte) (int, error) {
 	n, err := s.Conn.Write(p)
 	s.out.Inc(int64(n))
+	if n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)) {
+		err = errors.Wrap(net.ErrClosed, err.Error())
+	}
 	return n, err
 }
 
--- a/node/connector/failure_test.go
+++ b/node/connector/failure_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -167,6 +168,23 @@
 	}
 }
 
+// Guards against a write that looks as if the peer may have got something,
+// although its session had ended.
+func TestWriteAfterTheEnd(t *testing.T) {
+	is := is.New(t)
+	b, stop := start(t, "b", nil, func(c *connector.Connector) { c.Limits.Drain = time.Millisecond })
+	a, _ := start(t, "a", nil, nil)
+	stream, err := a.Open(t.Context(), b.Self.Address, "echo")
+	is.NoErr(err)
+	defer stream.Close()
+	is.NoErr(ask(stream))
+	stop()
+	eventually(t, "the session ends", func() bool { return a.Sessions() == 0 })
+	n, err := stream.Write([]byte("ping"))
+	is.Equal(n, 0)
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
 // ask sends a message over a stream and reads it back.
 func ask(stream net.Conn) error {
 	_ = stream.SetDeadline(time.Now().Add(patience))
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -20,7 +20,8 @@
 	id := c.identity(n)
 	if peer := f.pool.take(f.Now(), to.Address); peer != nil {
 		out, failed := f.through(ctx, watch, c, to, peer, id, level)
-		if failed == nil || failed.reason != reasonQueried || ctx.Err() != nil {
+		unseen := failed != nil && (failed.reason == reasonQueried || failed.reason == reasonPeer)
+		if !unseen || ctx.Err() != nil {
 			return out, failed
 		}
 		id += "+"
@@ -102,7 +103,9 @@
 	if head == nil {
 		return nil, notRun(reasonHeaders)
 	}
-	if err := body.link.sendUntil(ctx, &Frame{Kind: &Frame_Head{Head: head}}); err != nil {
+	if err := body.link.sendUntil(ctx, &Frame{Kind: &Frame_Head{Head: head}}); errors.Is(err, net.ErrClosed) {
+		return nil, notRun(ended(ctx, reasonPeer)) // the stream ended before, and nothing was sent
+	} else if err != nil {
 		return nil, unknown(reasonLost)
 	}
 	for {
--- a/node/forwarder/silent_test.go
+++ b/node/forwarder/silent_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"sycamorerun"
 	"sycamorerun/node/connector"
@@ -178,3 +179,61 @@
 		return <-total
 	}
 }
+
+// closing is a stream whose peer can close it just before a write.
+type closing struct {
+	net.Conn
+	closed *atomic.Bool
+}
+
+func (c closing) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, errors.Wrap(net.ErrClosed, "stream closed")
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a call that is told unknown, or is not sent again, although
+// its stream was closed before anything was sent, as when the node beside the
+// upstream ends. Nobody can be asked then.
+func TestClosedBeforeSending(t *testing.T) {
+	cases := map[string]struct {
+		// streams is the number of streams that close, picks that of instances.
+		streams, picks   int
+		body, reason     string
+		executed, status int
+	}{
+		"kept stream":                    {streams: 1, picks: 1, body: "ok", executed: 2, status: 200},
+		"kept and new stream":            {streams: 2, picks: 1, reason: reasonPeer, executed: 1, status: 503},
+		"kept and new stream, elsewhere": {streams: 2, picks: 2, body: "ok", executed: 2, status: 200},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, false, reply("ok"))
+			b.retries = 1
+			for len(b.picks) < c.picks {
+				b.picks = append(b.picks, sycamorerun.Instance{Name: "other", Address: peerAddress, Service: "s"})
+			}
+			var opened int
+			var closed atomic.Bool
+			b.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
+				if kind == KindQuery {
+					return nil, errRefusedDial
+				}
+				conn, err := b.dial(ctx, to, kind)
+				if opened++; opened <= c.streams {
+					return closing{conn, &closed}, err
+				}
+				return conn, err
+			}
+			is.Equal(b.send(http.MethodPost, "/x", strings.NewReader("a")).body, "ok")
+			closed.Store(true)
+			got := b.send(http.MethodPost, "/x", strings.NewReader("a"))
+			is.Equal(got.status, c.status)
+			is.Equal(got.reason, c.reason)
+			is.Equal(got.body == "ok", c.body == "ok")
+			is.Equal(b.executed.Load(), int64(c.executed))
+		})
+	}
+}
