--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -124,18 +126,37 @@
 // stream counts the payload bytes of one stream.
 type stream struct {
 	net.Conn
-	in, out tally.Counter
+	in, out   tally.Counter
+	connector *Connector
+	session   *session
 }
 
+func (c *Connector) wrap(s *session, conn net.Conn, kind string) net.Conn {
+	return &stream{
+		Conn: conn, connector: c, session: s,
+		in: c.metrics.streamBytes(s.scope, "in", kind), out: c.metrics.streamBytes(s.scope, "out", kind),
+	}
+}
+
+// Await says that a call on the stream begins to wait for the peer, or ends. While
+// calls wait, a silent session is found sooner.
+func (s *stream) Await(waits bool) { s.connector.await(s.session, waits) }
+
 func (s *stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.in.Inc(int64(n))
 	return n, err
 }
 
+// Write returns an error that is net.ErrClosed if the stream had ended before,
+// so that nothing of p was sent. Other errors of yamux leave that open: a frame
+// that waits in its queue may still be written.
 func (s *stream) Write(p []byte) (int, error) {
 	n, err := s.Conn.Write(p)
 	s.out.Inc(int64(n))
+	if n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)) {
+		err = errors.Wrap(net.ErrClosed, err.Error())
+	}
 	return n, err
 }
 
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -20,7 +20,8 @@
 	id := c.identity(n)
 	if peer := f.pool.take(f.Now(), to.Address); peer != nil {
 		out, failed := f.through(ctx, watch, c, to, peer, id, level)
-		if failed == nil || failed.reason != reasonQueried || ctx.Err() != nil {
+		unseen := failed != nil && (failed.reason == reasonQueried || failed.reason == reasonPeer)
+		if !unseen || ctx.Err() != nil {
 			return out, failed
 		}
 		id += "+"
@@ -77,6 +78,7 @@
 		link: peer, watch: watch, release: release,
 		park: func() { f.pool.give(f.Now(), to.Address, peer) },
 	}
+	peer.await(true)
 	out, failed := f.exchange(ctx, body, c, id, level)
 	if failed != nil && ctx.Err() != nil {
 		// Closing a stream can take long when the peer is silent, and the caller is
@@ -101,7 +103,9 @@
 	if head == nil {
 		return nil, notRun(reasonHeaders)
 	}
-	if err := body.link.sendUntil(ctx, &Frame{Kind: &Frame_Head{Head: head}}); err != nil {
+	if err := body.link.sendUntil(ctx, &Frame{Kind: &Frame_Head{Head: head}}); errors.Is(err, net.ErrClosed) {
+		return nil, notRun(ended(ctx, reasonPeer)) // the stream ended before, and nothing was sent
+	} else if err != nil {
 		return nil, unknown(reasonLost)
 	}
 	for {
@@ -273,6 +277,7 @@
 		return
 	}
 	i.closed = true
+	i.link.await(false)
 	if i.release() && i.ended && i.keep && (!i.sending || i.sent.Load()) {
 		i.park()
 		return
