Apply the limits for callers that the configuration sets

Limits is an item of the administrators, admin/limits: a node applies it before it knows a request's team. It travels, is validated and compared like other items. The new package listener holds callers' connections to it: 431 for a header that is too large, 408 for one that is not there in time, a close after the idle time. net/http's Server reads its timeouts without a lock and closes a connection whose header is late without a response, so that a server for each change of the limits would not do, and would leave open connections under the old ones.

A chunked body that turns out too long ends with 413, whatever the attempt failed of; the upstream's connection is cut.

--- a/duration.go
+++ b/duration.go
@@ -10,9 +10,12 @@
 // Duration is a time.Duration written as text, such as "2s", in items.
 type Duration time.Duration
 
+// String formats d like a time.Duration.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalJSON writes d in the form of time.Duration.String.
 func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(time.Duration(d).String())
+	return json.Marshal(d.String())
 }
 
 // UnmarshalJSON reads the form that time.ParseDuration takes.
--- a/node/acceptor/decide.go
+++ b/node/acceptor/decide.go
@@ -269,7 +269,8 @@
 		team, kind, name := path.Split()
 		admin := kind == sycamorerun.KindTeam && team == sycamorerun.AdminTeam
 		owned := kind == sycamorerun.KindService || kind == sycamorerun.KindRoute
-		if team != change.Team || name == "" || !admin && !owned {
+		named := name != "" && (admin || owned)
+		if team != change.Team || !named && path != sycamorerun.LimitsPath {
 			return refuse(change.ID, "wrong-path", string(path), "team %s can't set this path with a settings file", change.Team), true
 		}
 	}
--- a/node/acceptor/decide_test.go
+++ b/node/acceptor/decide_test.go
@@ -54,9 +54,14 @@
 		"other team's path": {change: with("other/service/desk", item(1)), status: sycamorerun.StatusRefused, code: "wrong-path"},
 		"hold in a file":    {change: with("flow/hold", item(1)), status: sycamorerun.StatusRefused, code: "wrong-path"},
 		"team by a team":    {change: with("flow/team/x", item(1)), status: sycamorerun.StatusRefused, code: "wrong-path"},
-		"invalid":           {change: with("flow/service/invalid", item(1)), status: sycamorerun.StatusRefused, code: "invalid"},
-		"large item":        {change: with("flow/service/x", item(strings.Repeat("x", MaxItemBytes))), status: sycamorerun.StatusRefused, code: "too-large"},
-		"review":            {change: apply("", "review", 6), status: sycamorerun.StatusPending},
+		"limits by a team":  {change: with("flow/limits", item(1)), status: sycamorerun.StatusRefused, code: "wrong-path"},
+		"limits": {change: sycamorerun.Change{
+			Kind: sycamorerun.Apply, Team: sycamorerun.AdminTeam,
+			Items: map[sycamorerun.Path]sycamorerun.Item{sycamorerun.LimitsPath: sycamorerun.Item(`{}`)},
+		}, status: sycamorerun.StatusAccepted},
+		"invalid":    {change: with("flow/service/invalid", item(1)), status: sycamorerun.StatusRefused, code: "invalid"},
+		"large item": {change: with("flow/service/x", item(strings.Repeat("x", MaxItemBytes))), status: sycamorerun.StatusRefused, code: "too-large"},
+		"review":     {change: apply("", "review", 6), status: sycamorerun.StatusPending},
 
 		"same base":     {change: based(20), status: sycamorerun.StatusAccepted},
 		"base":          {change: based(12), status: sycamorerun.StatusAccepted},
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -34,7 +34,12 @@
 	// unread says that a body is left on an HTTP/1 connection of the caller. The
 	// connection must then be closed, since the rest of the body would be read
 	// as the next request.
-	unread   bool
+	unread bool
+	// limits are those in force when the call began, persistent says that the
+	// caller keeps its connection. Both are for calls of callers.
+	limits     *limits
+	persistent bool
+
 	key      string
 	print    uint64
 	deadline time.Time
@@ -68,18 +73,18 @@
 
 // parse checks a caller's request and describes it as a call, without its body.
 func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
-	c := &call{id: uuid.NewString(), began: now, arrived: now, level: 1, unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength}
+	c := &call{
+		id: uuid.NewString(), began: now, arrived: now, level: 1, limits: f.limits.Load(), persistent: persistent(r),
+		unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength,
+	}
 	if r.Method == http.MethodConnect || r.URL.Path == "" {
 		return c, notRun(reasonRequest)
 	}
 	if dotted(r.URL.Path) {
 		return c, notRun(reasonPath)
 	}
-	if size(r.Header) > headerBytes {
-		return c, notRun(reasonHeaders)
-	}
-	if r.ContentLength > f.bodyBytes() {
-		return c, notRun(reasonBody)
+	if failed := c.limits.admits(r); failed != nil {
+		return c, failed
 	}
 	match, ok := f.Match(r)
 	if !ok {
--- a/node/forwarder/drain.go
+++ b/node/forwarder/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -124,10 +123,3 @@
 		return context.Cause(ctx)
 	}
 }
-
-// farewell asks a caller to close its connection when the node is about to end.
-func (f *Forwarder) farewell(header http.Header) {
-	if f.drain.leaving() {
-		header.Set("Connection", "close")
-	}
-}
--- a/node/forwarder/failure_test.go
+++ b/node/forwarder/failure_test.go
@@ -338,7 +338,7 @@
 			want: result{status: 504, outcome: "unknown", reason: "deadline"}, executed: 1,
 		},
 		"body above the limit": {
-			method: http.MethodPost, body: large, setUp: func(b *bed) { b.entry.BodyBytes = 1 << 10 },
+			method: http.MethodPost, body: large, setUp: func(b *bed) { b.entry.SetLimits(sycamorerun.Limits{Header: headerBytes, Body: 1 << 10}) },
 			want: result{status: 413, outcome: "not-run", reason: "body-too-large"},
 		},
 		"header above the limit": {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -31,18 +31,21 @@
 	// chunkBytes is the size of the reads of a streamed body. A chunk fills two
 	// TLS records with its frame's 8 bytes and the 12 of the session's.
 	chunkBytes = 32<<10 - 20
-	// headerBytes bounds the header of a request and of a response.
+	// headerBytes bounds the header of a response, and that of a request unless
+	// SetLimits says otherwise.
 	headerBytes = 64 << 10
-	// frameBytes holds a header of headerBytes and a body of wholeBytes with
-	// their encoding.
-	frameBytes = 2*headerBytes + wholeBytes
+	// lineBytes is what the server reads beyond its bound on a header. It leaves
+	// room for the request line, which the limit on a header does not count.
+	lineBytes = 4 << 10
+	// frameBytes holds the largest header with its request line and a body of
+	// wholeBytes with their encoding.
+	frameBytes = 2*(headerMost+lineBytes) + wholeBytes
 	// headWait bounds the time until the head arrives on an opened stream.
 	headWait = 10 * time.Second
 )
 
 // Defaults of the fields of Forwarder.
 const (
-	DefaultBodyBytes = 1 << 30
 	DefaultQueryWait = 500 * time.Millisecond
 	DefaultGrace     = 3 * time.Second
 )
@@ -91,8 +94,6 @@
 
 	// Now is the clock.
 	Now func() time.Time
-	// BodyBytes bounds a request body, until SetBodyBytes is called.
-	BodyBytes int64
 	// QueryWait bounds the query about a call whose stream was lost.
 	QueryWait time.Duration
 	// Grace is the time between the start of a drain and the first refusal, in
@@ -104,10 +105,10 @@
 	Logger log.Logger
 	Scope  tally.Scope
 
-	// changedBytes is the bound that SetBodyBytes set, or nil.
-	changedBytes atomic.Pointer[int64]
-	drain        drain
-	pool         pool
+	// limits are those that SetLimits set last.
+	limits atomic.Pointer[limits]
+	drain  drain
+	pool   pool
 	// waiting counts the streams of peers that wait for their next call.
 	waiting atomic.Int64
 	metrics metrics
@@ -115,29 +116,19 @@
 
 // New returns a forwarder with defaults for everything but the collaborators.
 func New(self string) *Forwarder {
-	return &Forwarder{
-		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now, BodyBytes: DefaultBodyBytes,
+	f := &Forwarder{
+		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
 		QueryWait: DefaultQueryWait, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
+	f.SetLimits(DefaultLimits)
+	return f
 }
 
-// Server returns a server for callers. It bounds the header, and the time that
-// a caller may take to send it.
+// Server returns a server for callers. Its connections come from a
+// listener.Listener, which bounds header and time as the limits say.
 func (f *Forwarder) Server() *http.Server {
-	return &http.Server{
-		Handler: f, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headWait, IdleTimeout: 2 * time.Minute,
-	}
-}
-
-// SetBodyBytes changes BodyBytes of a running forwarder.
-func (f *Forwarder) SetBodyBytes(limit int64) { f.changedBytes.Store(&limit) }
-
-func (f *Forwarder) bodyBytes() int64 {
-	if changed := f.changedBytes.Load(); changed != nil {
-		return *changed
-	}
-	return f.BodyBytes
+	return &http.Server{Handler: f, MaxHeaderBytes: headerMost}
 }
 
 // sleep waits for d or until ctx is done.
--- /dev/null
+++ b/node/forwarder/limits.go
@@ -0,0 +1,79 @@
+package forwarder
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/parser"
+)
+
+// headerMost bounds the header of a request whatever the limits say. The server
+// that reads it has a fixed bound, see Server.
+const headerMost = parser.HeaderBytes
+
+// DefaultLimits are those of a new forwarder.
+var DefaultLimits = sycamorerun.Limits{Header: headerBytes, Body: 1 << 30}
+
+// limits are those of requests, and the value of the header Keep-Alive.
+type limits struct {
+	sycamorerun.Limits
+	keepAlive []string
+}
+
+// SetLimits bounds the requests that begin from now on. A header limit of zero
+// is the default, a body limit of zero permits no body, and an idle time below a
+// second is not told to callers.
+func (f *Forwarder) SetLimits(l sycamorerun.Limits) {
+	l.Header = cmp.Or(l.Header, DefaultLimits.Header)
+	next := &limits{Limits: l}
+	if seconds := int64(time.Duration(l.Idle) / time.Second); seconds > 0 {
+		next.keepAlive = []string{"timeout=" + strconv.FormatInt(seconds, 10)}
+	}
+	f.limits.Store(next)
+}
+
+// admits returns the failure of a request that is beyond the limits.
+func (l *limits) admits(r *http.Request) *failure {
+	if size(r.Header)+len("Host: \r\n")+len(r.Host) > l.Header {
+		return notRun(reasonHeaders)
+	}
+	if r.ContentLength > int64(l.Body) {
+		return notRun(reasonBody)
+	}
+	return nil
+}
+
+// headerReasons are those of requests without a whole header, by status.
+var headerReasons = map[int]string{
+	http.StatusRequestHeaderFieldsTooLarge: reasonHeaders,
+	http.StatusRequestTimeout:              reasonHeadersSlow,
+}
+
+// RefuseHeader returns the response to a request whose header was not read, and counts
+// it as a call.
+func (f *Forwarder) RefuseHeader(status int) []byte {
+	reason := headerReasons[status]
+	f.counter(counter{result: sycamorerun.NotRun, reason: reason}).Inc(1)
+	text := string(sycamorerun.NotRun) + ": " + reason + "\n"
+	header := http.Header{}
+	set(header, f.Contract.Outcome, string(sycamorerun.NotRun))
+	set(header, f.Contract.Reason, reason)
+	header.Set("Connection", "close")
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	header.Set("Date", f.Now().UTC().Format(http.TimeFormat))
+	var response bytes.Buffer
+	_, _ = fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&response)
+	response.WriteString("\r\n" + text)
+	return response.Bytes()
+}
+
+// persistent reports whether the connection of r carries further requests, as
+// far as the caller decides that.
+func persistent(r *http.Request) bool { return r.ProtoMajor == 1 && !r.Close }
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -11,16 +11,17 @@
 
 // Values of the header Sycamorerun-Reason.
 const (
-	reasonRoute      = "no-route"
-	reasonRequest    = "bad-request"
-	reasonPath       = "bad-path"
-	reasonDeadline   = "bad-deadline"
-	reasonHeaders    = "headers-too-large"
-	reasonBody       = "body-too-large"
-	reasonBodyBroken = "body-incomplete"
-	reasonBodySlow   = "body-slow"
-	reasonKey        = "key-mismatch"
-	reasonMoved      = "key-elsewhere"
+	reasonRoute       = "no-route"
+	reasonRequest     = "bad-request"
+	reasonPath        = "bad-path"
+	reasonDeadline    = "bad-deadline"
+	reasonHeaders     = "headers-too-large"
+	reasonHeadersSlow = "headers-slow"
+	reasonBody        = "body-too-large"
+	reasonBodyBroken  = "body-incomplete"
+	reasonBodySlow    = "body-slow"
+	reasonKey         = "key-mismatch"
+	reasonMoved       = "key-elsewhere"
 
 	reasonNoUpstream  = "no-upstream"
 	reasonDraining    = "draining"
@@ -91,6 +92,11 @@
 
 // status returns the HTTP status for the caller.
 func (f *failure) status() int {
+	if f.reason == reasonBody {
+		// Also for a streamed body: the upstream may have seen a part of it, and a
+		// repetition is refused again.
+		return http.StatusRequestEntityTooLarge
+	}
 	if f.result == sycamorerun.NotRun {
 		if status, ok := faults[f.reason]; ok {
 			return status
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -293,7 +293,7 @@
 	if !c.deadline.IsZero() {
 		head.DeadlineMs = max(1, c.deadline.Sub(now).Milliseconds())
 	}
-	if len(c.target)+size(c.header) > headerBytes {
+	if len(c.target)+size(c.header) > headerMost+lineBytes {
 		return nil
 	}
 	return head
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -51,6 +51,10 @@
 	}
 	out, failed := f.attempts(ctx, watch, c)
 	if failed != nil {
+		if c.stream != nil && c.stream.large.Load() {
+			// Whatever the attempt failed of, the body was cut at its limit.
+			failed.reason = reasonBody
+		}
 		f.fail(w, c, failed)
 		return
 	}
@@ -68,7 +72,7 @@
 	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
 		_ = control.EnableFullDuplex()
 		c.stream = &upload{
-			body: r.Body, left: f.bodyBytes(), watch: watch, release: release,
+			body: r.Body, left: int64(c.limits.Body), watch: watch, release: release,
 			finished: func() { c.fill(r.Trailer) },
 		}
 		return nil
@@ -106,7 +110,7 @@
 	if failed.status() == http.StatusServiceUnavailable {
 		header.Set("Retry-After", failed.retryAfter(rand.Float64()))
 	}
-	c.closing(header)
+	f.persist(header, c)
 	text := string(failed.result) + ": " + failed.reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(failed.status())
@@ -184,13 +188,12 @@
 		header.Set("Trailer", strings.Join(out.trailers, ", "))
 	}
 	f.outcome(header, c, sycamorerun.Answered, out.reason)
-	c.closing(header)
+	f.persist(header, c)
 	w.WriteHeader(out.status)
 }
 
 // outcome tells the caller how its call ended, in the headers of the contract.
 func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
-	f.farewell(header)
 	set(header, f.Contract.Outcome, string(result))
 	if reason != "" {
 		set(header, f.Contract.Reason, reason)
@@ -198,9 +201,15 @@
 	set(header, f.Contract.Request, c.id)
 }
 
-// closing asks the server to close the connection if the body is not read.
-func (c *call) closing(header http.Header) {
-	if c.unread && (c.stream == nil || !c.stream.ended.Load()) {
+// persist tells the caller whether its connection stays open, and for how long
+// without a request. It closes when the body is not read, or the node is about
+// to end.
+func (f *Forwarder) persist(header http.Header, c *call) {
+	left := c.unread && (c.stream == nil || !c.stream.ended.Load())
+	switch {
+	case left || f.drain.leaving():
 		header.Set("Connection", "close")
+	case c.persistent && c.limits.keepAlive != nil:
+		header["Keep-Alive"] = c.limits.keepAlive
 	}
 }
--- a/node/router/compile.go
+++ b/node/router/compile.go
@@ -62,6 +62,7 @@
 			c.route(path, tree.Items[path])
 		}
 	}
+	c.limits(tree.Items)
 	if len(c.faults) > 0 {
 		return nil, c.faults
 	}
@@ -110,6 +111,18 @@
 	return value, err
 }
 
+func (c *compiler) limits(items map[sycamorerun.Path]sycamorerun.Item) {
+	item, ok := items[sycamorerun.LimitsPath]
+	if !ok {
+		return
+	}
+	limits, err := decode[sycamorerun.Limits](c, sycamorerun.LimitsPath, item)
+	if err != nil {
+		c.fault(sycamorerun.LimitsPath, CodeInvalidItem, "limits cannot be decoded: %v", err)
+	}
+	c.table.limits = limits
+}
+
 func (c *compiler) service(path sycamorerun.Path, name string, item sycamorerun.Item) {
 	service, err := decode[sycamorerun.Service](c, path, item)
 	if err != nil {
--- a/node/router/table.go
+++ b/node/router/table.go
@@ -27,6 +27,7 @@
 	routes []*route
 	// decoded is what Recompile takes over.
 	decoded map[sycamorerun.Path]decoded
+	limits  sycamorerun.Limits
 }
 
 // group holds the routes of one host by prefix, the most specific first.
@@ -97,6 +98,9 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.routes) }
 
+// Limits returns the limits for callers; zero fields are the node's own.
+func (t *Table) Limits() sycamorerun.Limits { return t.limits }
+
 // Service returns the settings of the service with name.
 func (t *Table) Service(name string) (sycamorerun.Service, bool) {
 	service, ok := t.services[name]
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -14,6 +14,7 @@
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/limiter"
+	"sycamorerun/node/listener"
 	"sycamorerun/node/retrier"
 	"sycamorerun/node/router"
 )
@@ -26,6 +27,13 @@
 	retrier      *retrier.Retrier
 	deduplicator *deduplicator.Deduplicator
 	upstream     *localUpstream
+	listener     *listener.Listener
+}
+
+// setLimits applies the limits for callers to requests that begin from now on.
+func (c *calls) setLimits(limits sycamorerun.Limits) {
+	c.forwarder.SetLimits(limits)
+	c.listener.SetLimits(limits)
 }
 
 // newCalls wires the data path over the configuration in force and the
@@ -63,7 +71,10 @@
 	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
-	f.BodyBytes = int64(settings.MaxBody)
+	f.SetLimits(settings.limits())
+	c.listener = listener.New()
+	c.listener.Refuse = f.RefuseHeader
+	c.listener.SetLimits(settings.limits())
 	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
 	f.Service = settings.Service
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -54,6 +54,8 @@
 	// unversioned is set on a node that is stopped before it has a version.
 	unversioned atomic.Bool
 	parsing     sync.Mutex
+	// limiting orders changes of the limits for callers.
+	limiting sync.Mutex
 	// presenting guards shown, the presence that was published last, and the
 	// time of that.
 	presenting sync.Mutex
@@ -245,6 +247,7 @@
 
 // configured is called after each version that came into force.
 func (n *node) configured(state applier.State) {
+	n.setLimits()
 	n.authenticator.Update(state.Tree.Items)
 	n.membersMoved(state.Since)
 	n.report(state.Since)
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -234,6 +234,7 @@
 	for _, step := range found.Steps {
 		result.Steps = append(result.Steps, step.String())
 	}
+	result.Steps = append(result.Steps, "limits for callers here: "+n.limits().String())
 	if !found.Found {
 		return result
 	}
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sycamorerun"
 	"sycamorerun/loader"
 )
 
@@ -25,7 +26,10 @@
 // its settings from those in force when it begins.
 var changes = map[string]func(n *node, inForce *Settings, read Settings){
 	"standby-delay":   func(n *node, _ *Settings, s Settings) { n.distributor.SetStandbyDelay(s.StandbyDelay) },
-	"max-body":        func(n *node, _ *Settings, s Settings) { n.calls.forwarder.SetBodyBytes(int64(s.MaxBody)) },
+	"max-header":      func(_ *node, inForce *Settings, s Settings) { inForce.MaxHeader = s.MaxHeader },
+	"max-body":        func(_ *node, inForce *Settings, s Settings) { inForce.MaxBody = s.MaxBody },
+	"header-timeout":  func(_ *node, inForce *Settings, s Settings) { inForce.HeaderTimeout = s.HeaderTimeout },
+	"idle-timeout":    func(_ *node, inForce *Settings, s Settings) { inForce.IdleTimeout = s.IdleTimeout },
 	"announce-period": func(n *node, _ *Settings, s Settings) { n.calls.upstream.announcer.SetPeriod(s.AnnouncePeriod) },
 	"log-level":       func(n *node, _ *Settings, s Settings) { n.setLevel(s.LogLevel) },
 	"drain-delay":     func(_ *node, inForce *Settings, s Settings) { inForce.DrainDelay = s.DrainDelay },
@@ -52,6 +56,20 @@
 		changes[name](n, &inForce, u.settings)
 	}
 	n.tuned.Store(&inForce)
+	n.setLimits()
+}
+
+// setLimits applies the limits of the configuration in force, and the node's own
+// where it has none. It is called after a change of either.
+func (n *node) setLimits() {
+	n.limiting.Lock()
+	defer n.limiting.Unlock()
+	n.calls.setLimits(n.limits())
+}
+
+// limits returns the limits in force for callers.
+func (n *node) limits() sycamorerun.Limits {
+	return n.applier.Current().Table.Limits().Or(n.tuned.Load().limits())
 }
 
 // reloader reads the settings again on SIGHUP and when their file changes.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -122,7 +123,7 @@
 	operators := &http.Server{
 		Addr: n.settings.Operators.String(), Handler: n.manager.Handler(), ReadHeaderTimeout: headerTimeout,
 	}
-	callers := callerServer(n.settings.Callers, n.calls.forwarder.Server(), n.ready)
+	callers := callerServer(n.settings.Callers, n.calls, n.ready)
 	start("connector", n.connector.Run)
 	start("tracker", n.tracker.Run)
 	start("seeder", n.seeder.Run)
@@ -134,7 +135,7 @@
 	start("upstream", n.watchUpstream)
 	start("settings", n.follow(n.updates))
 	start("operators", serve(operators))
-	start("callers", serve(callers))
+	start("callers", serveOn(callers, n.calls.listener.On))
 	for address, handler := range n.handlersBy {
 		start("handler", serve(&http.Server{
 			Addr: address.String(), Handler: handler(n.api()), ReadHeaderTimeout: headerTimeout,
@@ -186,9 +187,18 @@
 // serve runs an HTTP server as a function for start. The end of the context
 // closes it at once, for a start that failed elsewhere.
 func serve(server *http.Server) func(context.Context) error {
+	return serveOn(server, func(plain net.Listener) net.Listener { return plain })
+}
+
+// serveOn is serve with a wrapper of the listener.
+func serveOn(server *http.Server, wrap func(net.Listener) net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		plain, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		if err := server.Serve(wrap(plain)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -4,7 +4,9 @@
 	"net/netip"
 	"time"
 
+	"sycamorerun"
 	"sycamorerun/loader"
+	"sycamorerun/parser"
 )
 
 // Settings are a node's process settings.
@@ -47,8 +49,13 @@
 	RetryWindow time.Duration
 	RetrySlack  float64
 
-	MaxBody  int
-	LogLevel string
+	// MaxHeader, MaxBody, HeaderTimeout and IdleTimeout are the limits for
+	// callers that the configuration leaves to the node.
+	MaxHeader     int
+	MaxBody       int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	LogLevel      string
 }
 
 // Register adds the settings to l.
@@ -81,13 +88,24 @@
 	loader.Add(l, &s.RetryWindow, "retry-window", "10s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which retries are counted")
 	loader.Add(l, &s.RetrySlack, "retry-slack", "64", loader.Float(0, 1e6), "retries of the fleet in a window beyond the ratio, for each service; divided among the nodes")
 	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "time between two announcements of the upstream; it lapses after three", loader.Reloadable)
-	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, 1<<40), "largest request body in bytes", loader.Reloadable)
+	loader.Add(l, &s.MaxHeader, "max-header", "65536", loader.Int(1024, parser.HeaderBytes), "largest request header in bytes, unless the configuration has limits", loader.Reloadable)
+	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, parser.BodyBytes), "largest request body in bytes, unless the configuration has limits", loader.Reloadable)
+	loader.Add(l, &s.HeaderTimeout, "header-timeout", "10s", loader.Duration(time.Millisecond, parser.Wait), "time for a request's header, unless the configuration has limits", loader.Reloadable)
+	loader.Add(l, &s.IdleTimeout, "idle-timeout", "2m", loader.Duration(time.Millisecond, parser.Idle), "time for which a caller's connection without a request is kept, unless the configuration has limits", loader.Reloadable)
 	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged", loader.Reloadable)
 	l.AddFile()
 	l.Check(s.checkTLS)
 	l.Check(s.checkAddresses)
 }
 
+// limits returns the node's own limits for callers.
+func (s *Settings) limits() sycamorerun.Limits {
+	return sycamorerun.Limits{
+		Header: s.MaxHeader, Body: s.MaxBody,
+		Wait: sycamorerun.Duration(s.HeaderTimeout), Idle: sycamorerun.Duration(s.IdleTimeout),
+	}
+}
+
 func adminHash() loader.Kind[string] {
 	kind := loader.Pattern(`^(sha256:[0-9a-f]{64})?$`, `"sha256:" and 64 hex digits, or nothing`)
 	kind.Secret = true
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -139,7 +139,9 @@
 
 // callerServer returns the HTTP server for callers, over HTTP/1.1 or HTTP/2
 // without TLS.
-func callerServer(address netip.AddrPort, server *http.Server, wrap func(http.Handler) http.Handler) *http.Server {
+func callerServer(address netip.AddrPort, c *calls, wrap func(http.Handler) http.Handler) *http.Server {
+	server := c.forwarder.Server()
+	server.ConnState = c.listener.Track
 	server.Addr = address.String()
 	server.Handler = wrap(server.Handler)
 	server.Protocols = new(http.Protocols)
--- a/parser/field.go
+++ b/parser/field.go
@@ -21,6 +21,15 @@
 	Teams    = 512
 	Services = 1024
 	Routes   = 4096
+	// HeaderBytes bounds what the limits can set for a header. A header travels
+	// between nodes in one frame.
+	HeaderBytes = 1 << 20
+	// BodyBytes bounds what the limits can set for a body.
+	BodyBytes = 1 << 40
+	// Wait and Idle bound what the limits can set for the time of a header and
+	// of a connection without a request.
+	Wait = time.Hour
+	Idle = 24 * time.Hour
 	// Aliases bounds the anchors and aliases of a settings file.
 	Aliases = 64
 	// Faults bounds how many faults are reported at once.
@@ -87,6 +96,7 @@
 	objectService  = "service"
 	objectRoute    = "route"
 	objectTarget   = "target"
+	objectLimits   = "limits"
 )
 
 // of turns a typed accessor into one for any object.
@@ -200,6 +210,24 @@
 		Object: objectTarget, Name: "weight", Type: "integer", Unit: "parts", Default: "100", Low: 0, High: 1000,
 		at: of(func(t *sycamorerun.Target) any { return &t.Weight }),
 	},
+	{
+		Object: objectLimits, Name: "header", Type: "integer", Unit: "bytes", Default: "0", Low: 0, High: HeaderBytes,
+		at: of(func(l *sycamorerun.Limits) any { return &l.Header }),
+	},
+	{
+		Object: objectLimits, Name: "body", Type: "integer", Unit: "bytes", Default: "0", Low: 0, High: BodyBytes,
+		at: of(func(l *sycamorerun.Limits) any { return &l.Body }),
+	},
+	{
+		Object: objectLimits, Name: "wait", Type: "duration", Default: "0s",
+		Low: 0, High: float64(Wait),
+		at: of(func(l *sycamorerun.Limits) any { return &l.Wait }),
+	},
+	{
+		Object: objectLimits, Name: "idle", Type: "duration", Default: "0s",
+		Low: 0, High: float64(Idle),
+		at: of(func(l *sycamorerun.Limits) any { return &l.Idle }),
+	},
 }
 
 // frame has the fields of the file itself, which hold the items.
@@ -208,6 +236,7 @@
 	{Object: objectFile, Name: "teams", Type: "map", Unit: "teams", High: Teams, Format: nameFormat},
 	{Object: objectFile, Name: "services", Type: "map", Unit: "services", High: Services, Format: nameFormat},
 	{Object: objectFile, Name: "routes", Type: "map", Unit: "routes", High: Routes, Format: nameFormat},
+	{Object: objectFile, Name: "limits", Type: "map", Unit: "fields", High: 4},
 }
 
 // fieldsOf indexes table by object, in its order.
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -28,13 +28,16 @@
 	field Field
 	kind  string
 	admin bool
-	make  func() any
+	// single says that the field of the file is itself the only item.
+	single bool
+	make   func() any
 }
 
 var sections = map[string]section{
-	"teams":    {frame[1], sycamorerun.KindTeam, true, func() any { return new(sycamorerun.Team) }},
-	"services": {frame[2], sycamorerun.KindService, false, func() any { return new(sycamorerun.Service) }},
-	"routes":   {frame[3], sycamorerun.KindRoute, false, func() any { return new(sycamorerun.Route) }},
+	"teams":    {frame[1], sycamorerun.KindTeam, true, false, func() any { return new(sycamorerun.Team) }},
+	"services": {frame[2], sycamorerun.KindService, false, false, func() any { return new(sycamorerun.Service) }},
+	"routes":   {frame[3], sycamorerun.KindRoute, false, false, func() any { return new(sycamorerun.Route) }},
+	"limits":   {frame[4], sycamorerun.KindLimits, true, true, func() any { return new(sycamorerun.Limits) }},
 }
 
 // Parse reads a team's or the administrators' settings file. It returns either
@@ -185,9 +188,11 @@
 		switch {
 		case pair.name == frame[0].Name:
 		case !known:
-			r.fault(CodeUnknownField, pair.at, pair.key, "the fields of the file are team, services and routes, or team and teams")
+			r.fault(CodeUnknownField, pair.at, pair.key, "the fields of the file are team, services and routes, or team, teams and limits")
 		case subtree.Team != "" && section.admin != admin:
 			r.fault(CodeUnknownField, pair.at, pair.key, "the file of team %s has no such field", quote(subtree.Team))
+		case section.single:
+			r.item(subtree, pair, section)
 		default:
 			r.section(subtree, pair, section)
 		}
@@ -237,7 +242,9 @@
 func (r *reader) item(subtree Subtree, in pair, section section) {
 	// The lines of other items are not looked up any more.
 	r.lines = map[string]int{in.at: in.key.Line}
-	r.take(section.field.Format.check(in.at, in.name))
+	if !section.single {
+		r.take(section.field.Format.check(in.at, in.name))
+	}
 	object := section.make()
 	r.object(section.kind, in.at, in.value, object)
 	if r.failed[in.at] {
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -34,6 +34,7 @@
 const admins = `team: admin
 teams:
   quoting: {mode: review, operators: [{name: ann, hash: "sha256:` + digits + `"}]}
+limits: {header: 16384, idle: 60s}
 `
 
 const digits = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
@@ -52,6 +53,7 @@
 		}},
 		"admin": {admins, map[sycamorerun.Path]string{
 			"admin/team/quoting": `{"mode":"review","operators":[{"name":"ann","hash":"sha256:` + digits + `"}]}`,
+			"admin/limits":       `{"header":16384,"idle":"1m0s"}`,
 		}},
 		"defaults": {"team: a\nservices: {null: }\nroutes: {r: {split: [{service: s}]}}", map[sycamorerun.Path]string{
 			"a/service/null": service,
--- a/parser/part.go
+++ b/parser/part.go
@@ -77,7 +77,7 @@
 	// partValues is the size of a part. A decoder for each item took twice the
 	// allocations.
 	partValues = 512
-	// entriesMax bounds the entries of a file in parts; three are known.
+	// entriesMax bounds the entries of a file in parts; four are known.
 	entriesMax = 16
 )
 
@@ -124,7 +124,7 @@
 		}
 		s.parts = append(s.parts, part{name: name, line: before})
 		s.current, s.depth = &s.parts[len(s.parts)-1], closed
-		if _, known := sections[name]; known && sectionLine.Match(bytes.TrimRight(line, "\n")) {
+		if section, known := sections[name]; known && !section.single && sectionLine.Match(bytes.TrimRight(line, "\n")) {
 			s.depth = 0
 		}
 	case s.current == nil:
--- a/parser/render.go
+++ b/parser/render.go
@@ -13,7 +13,7 @@
 )
 
 // sectionOrder is the order of the sections in a rendered file.
-var sectionOrder = []string{"teams", "services", "routes"}
+var sectionOrder = []string{"teams", "services", "routes", "limits"}
 
 // Render writes the settings file that Parse reads as items of team. Holds
 // are left out, since no settings file contains them.
@@ -31,6 +31,10 @@
 		if len(faults) > 0 {
 			return nil, errors.Errorf("item %s: %s", faults[0].Path, faults[0].Reason)
 		}
+		if name == "" {
+			kinds[kind] = objectNode(kind, object, 0)
+			continue
+		}
 		if kinds[kind] == nil {
 			kinds[kind] = mapping(0)
 		}
--- a/parser/verify.go
+++ b/parser/verify.go
@@ -53,12 +53,14 @@
 	team, kind, name := path.Split()
 	admin := team == sycamorerun.AdminTeam
 	if path != sycamorerun.NewPath(team, kind, name) || !nameFormat.pattern.MatchString(team) ||
-		(kind != sycamorerun.KindHold && !nameFormat.pattern.MatchString(name)) {
-		return nil, badPath(path, "the form is <team>/<kind>/<name> or <team>/hold")
+		(kind != sycamorerun.KindHold && kind != sycamorerun.KindLimits && !nameFormat.pattern.MatchString(name)) {
+		return nil, badPath(path, "the form is <team>/<kind>/<name>, <team>/hold or admin/limits")
 	}
 	switch {
 	case kind == sycamorerun.KindHold:
 		return new(sycamorerun.Hold), nil
+	case path == sycamorerun.LimitsPath:
+		return new(sycamorerun.Limits), nil
 	case kind == sycamorerun.KindTeam && admin:
 		return new(sycamorerun.Team), nil
 	case kind == sycamorerun.KindService && !admin:
--- a/tree.go
+++ b/tree.go
@@ -5,7 +5,7 @@
 	"maps"
 )
 
-// Item is the canonical JSON of one team, hold, service or route.
+// Item is the canonical JSON of one team, hold, service or route, or of the limits.
 type Item = json.RawMessage
 
 // Hash is the SHA-256 of a tree.
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -22,8 +22,8 @@
 	// of the store.
 	PackedBytes = 900 << 10
 	// items is the most items that a tree of legal counts can have: a hold for
-	// each team and for the administrators.
-	items = 2*parser.Teams + 1 + parser.Services + parser.Routes
+	// each team and for the administrators, and the limits.
+	items = 2*parser.Teams + 2 + parser.Services + parser.Routes
 )
 
 // Codes of the faults that only the whole tree shows. Faults of single items
