Bound the time for which a refused or slow body holds anything

After a refusal with a part of the body unread, net/http reads up to 256 KB of it when the handler has returned, without a deadline: a caller that announced 5,000 bytes and sent none kept its connection for as long as it liked (TestRefusedBody did not end within 100 s).

Before a connection is closed with unread bytes, some of what the caller still sends is read, so that a caller that looks for the response late finds it.

A caller that sends nothing of its body for 10 s ends its call. Until now only the idle time of the service did that, which is for upstreams and can be minutes; a streamed body holds a slot meanwhile. Time in which the node does not read the body does not count.

--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -19,6 +19,7 @@
 	"sycamorerun"
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/limiter"
+	"sycamorerun/node/listener"
 )
 
 var peerAddress = netip.MustParseAddrPort("127.0.0.1:9")
@@ -68,6 +69,9 @@
 	b.caller = httptest.NewUnstartedServer(b.entry)
 	b.caller.Config.ErrorLog = quiet
 	b.caller.Config.MaxHeaderBytes = headerBytes
+	limits := listener.New()
+	limits.Refuse = b.entry.RefuseHeader
+	b.caller.Listener, b.caller.Config.ConnState = limits.On(b.caller.Listener), limits.Track
 	b.caller.Start()
 	t.Cleanup(func() {
 		b.caller.CloseClientConnections()
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -71,12 +71,17 @@
 	return c.id + "/" + strconv.Itoa(n)
 }
 
-// parse checks a caller's request and describes it as a call, without its body.
-func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
-	c := &call{
+// describe returns a call that begins at now, without what depends on the route.
+func (f *Forwarder) describe(now time.Time, r *http.Request) *call {
+	return &call{
 		id: uuid.NewString(), began: now, arrived: now, level: 1, limits: f.limits.Load(), persistent: persistent(r),
 		unread: r.ProtoMajor == 1 && r.ContentLength != 0, method: r.Method, host: r.Host, length: r.ContentLength,
 	}
+}
+
+// parse checks a caller's request and describes it as a call, without its body.
+func (f *Forwarder) parse(now time.Time, r *http.Request) (*call, *failure) {
+	c := f.describe(now, r)
 	if r.Method == http.MethodConnect || r.URL.Path == "" {
 		return c, notRun(reasonRequest)
 	}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -46,6 +46,7 @@
 
 // Defaults of the fields of Forwarder.
 const (
+	DefaultBodyWait  = 10 * time.Second
 	DefaultQueryWait = 500 * time.Millisecond
 	DefaultGrace     = 3 * time.Second
 )
@@ -94,6 +95,9 @@
 
 	// Now is the clock.
 	Now func() time.Time
+	// BodyWait bounds the time in which a caller sends nothing of a body that is
+	// being read.
+	BodyWait time.Duration
 	// QueryWait bounds the query about a call whose stream was lost.
 	QueryWait time.Duration
 	// Grace is the time between the start of a drain and the first refusal, in
@@ -118,7 +122,7 @@
 func New(self string) *Forwarder {
 	f := &Forwarder{
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
-		QueryWait: DefaultQueryWait, Grace: DefaultGrace,
+		BodyWait: DefaultBodyWait, QueryWait: DefaultQueryWait, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
 	f.SetLimits(DefaultLimits)
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -71,19 +71,24 @@
 	release := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
 		_ = control.EnableFullDuplex()
+		patience := f.patience(watch)
+		patience.Stop() // runs during reads
 		c.stream = &upload{
-			body: r.Body, left: int64(c.limits.Body), watch: watch, release: release,
+			body: r.Body, left: int64(c.limits.Body), watch: watch, release: release, wait: f.BodyWait, patience: patience,
 			finished: func() { c.fill(r.Trailer) },
 		}
 		return nil
 	}
 	defer release()
 	c.body = make([]byte, c.length)
+	patience := f.patience(watch)
+	defer patience.Stop()
 	for at := 0; at < len(c.body); {
 		n, err := r.Body.Read(c.body[at:])
 		at += n
 		if n > 0 {
 			watch.progress()
+			patience.Reset(f.BodyWait)
 		}
 		if err != nil && at < len(c.body) {
 			if ctx.Err() != nil {
@@ -101,6 +106,13 @@
 	return nil
 }
 
+// patience returns a timer that ends a call whose caller has sent nothing of its
+// body for BodyWait. The idle limit of a service can be far longer, since it is
+// for upstreams.
+func (f *Forwarder) patience(watch *watch) *time.Timer {
+	return time.AfterFunc(f.BodyWait, func() { watch.cancel(errIdle) })
+}
+
 // fail tells the caller that there is no response, and why.
 func (f *Forwarder) fail(w http.ResponseWriter, c *call, failed *failure) {
 	f.record(c, failed.result, failed.reason)
@@ -111,12 +123,22 @@
 		header.Set("Retry-After", failed.retryAfter(rand.Float64()))
 	}
 	f.persist(header, c)
+	control := http.NewResponseController(w)
+	if c.unread && c.stream == nil {
+		// The server reads some of the rest when the handler has returned.
+		_ = control.SetReadDeadline(time.Now().Add(linger))
+	}
 	text := string(failed.result) + ": " + failed.reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(failed.status())
 	_, _ = io.WriteString(w, text)
 	// The handler may still read the rest of the caller's body.
-	_ = http.NewResponseController(w).Flush()
+	_ = control.Flush()
+}
+
+// Decline answers a request that is not looked at, with status 503.
+func (f *Forwarder) Decline(w http.ResponseWriter, r *http.Request, reason string) {
+	f.fail(w, f.describe(f.Now(), r), notRun(reason))
 }
 
 // reply passes the response on. It aborts the caller's connection when the
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -26,6 +26,9 @@
 	finished func()
 	left     int64
 	watch    *watch
+	// patience runs during each read, for at most wait.
+	patience *time.Timer
+	wait     time.Duration
 	// release stops the function that unblocks a read when the call ends.
 	release func() bool
 	shut    bool
@@ -43,7 +46,9 @@
 	if u.shut {
 		return 0, errDone
 	}
+	u.patience.Reset(u.wait)
 	n, err := u.body.Read(p)
+	u.patience.Stop()
 	if n > 0 {
 		u.watch.progress()
 	}
@@ -64,6 +69,7 @@
 // finish ends all reading. After it returns the body is no longer in use.
 func (u *upload) finish(control *http.ResponseController, now time.Time) {
 	u.release()
+	u.patience.Stop()
 	if !u.ended.Load() {
 		_ = control.SetReadDeadline(now.Add(linger))
 	}
--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -24,8 +24,9 @@
 	// caller's bytes are read after it. Closing at once would reset the
 	// connection, and a caller that still sends would not see the response.
 	refuseTime = 500 * time.Millisecond
-	// refuseBytes bounds the bytes that are read after a refusal.
-	refuseBytes = 1 << 20
+	// refuseBytes bounds the bytes that are read after a refusal. The systems of
+	// both sides take a few MB more.
+	refuseBytes = 4 << 20
 )
 
 // phase is what a connection is used for.
@@ -188,22 +189,35 @@
 	c.mutex.Unlock()
 	limit := time.Now().Add(refuseTime)
 	_ = c.Conn.SetDeadline(limit)
-	if _, err := c.Conn.Write(c.listener.Refuse(status)); err == nil && c.CloseWrite() == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, refuseBytes)
+	if _, err := c.Conn.Write(c.listener.Refuse(status)); err == nil && c.halfClose() == nil {
+		c.discard()
 	}
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	return failed
 }
 
-// CloseWrite ends the responses, as net/http does before it closes a connection
-// with unread bytes.
+// CloseWrite ends the responses. net/http does that half a second before it
+// closes a connection with unread bytes. Some of these are read meanwhile, since
+// many callers look for a response only when they have sent all.
 func (c *conn) CloseWrite() error {
+	err := c.halfClose()
+	if err == nil {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(refuseTime))
+		go c.discard()
+	}
+	return err
+}
+
+func (c *conn) halfClose() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
 }
 
+// discard reads what the caller still sends, within bounds.
+func (c *conn) discard() { _, _ = io.CopyN(io.Discard, c.Conn, refuseBytes) }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -14,7 +14,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"sycamorerun"
 	"sycamorerun/logger"
 	"sycamorerun/meter"
 	"sycamorerun/node/distributor"
@@ -262,9 +261,7 @@
 func (n *node) ready(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.phase.Load() == manager.PhaseStarting || n.unversioned.Load() {
-			w.Header().Set(sycamorerun.HeaderOutcome, string(sycamorerun.NotRun))
-			w.Header().Set(sycamorerun.HeaderReason, "starting")
-			http.Error(w, "the node does not have the newest configuration yet", http.StatusServiceUnavailable)
+			n.calls.forwarder.Decline(w, r, "starting")
 			return
 		}
 		next.ServeHTTP(w, r)
