--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -54,6 +54,9 @@
 	// began is when the phase began, ends when its time is over; zero means
 	// never.
 	began, ends time.Time
+	// told is the idle time in force when the last request began, which its caller
+	// may have been told.
+	told sycamorerun.Duration
 	// looked says that lookTime was granted.
 	looked bool
 	// bytes counts those of the header, and of a body behind it in one read.
@@ -72,6 +75,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.fresh = c.fresh && next == reading
+	switch {
+	case next == serving:
+		c.told = limits.Idle
+	case next == resting && limits.Idle > 0 && c.told > 0:
+		limits.Idle = max(limits.Idle, c.told)
+	case next == resting:
+		limits.Idle = 0
+	}
 	c.phase, c.began, c.ends, c.looked, c.bytes = next, now, time.Time{}, false, 0
 	if allowed := c.allowed(limits); allowed > 0 {
 		c.ends = now.Add(allowed)
