Read on after the answer to a malformed request

net/http closes at once after its own 400 and 501, with the rest of the request unread. The listener knows such a connection by a request that never reached the handler.

--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -71,7 +71,8 @@
 	b.caller.Config.MaxHeaderBytes = headerBytes
 	limits := listener.New()
 	limits.Refuse = b.entry.RefuseHeader
-	b.caller.Listener, b.caller.Config.ConnState = limits.On(b.caller.Listener), limits.Track
+	limits.Serve(b.caller.Config)
+	b.caller.Listener = limits.On(b.caller.Listener)
 	b.caller.Start()
 	t.Cleanup(func() {
 		b.caller.CloseClientConnections()
--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -68,6 +69,8 @@
 	// and end within them, so that only the time without any is limited here.
 	http2   bool
 	refused error
+	// handled says that the request has reached the handler.
+	handled atomic.Bool
 }
 
 // enter begins a phase.
@@ -75,6 +78,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.fresh = c.fresh && next == reading
+	c.handled.Store(false)
 	switch {
 	case next == serving:
 		c.told = limits.Idle
@@ -229,8 +233,24 @@
 // discard reads what the caller still sends, within bounds.
 func (c *conn) discard() { _, _ = io.CopyN(io.Discard, c.Conn, refuseBytes) }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After its own answer to a malformed request,
+// net/http closes at once, with the rest of the request unread.
 func (c *conn) Close() error {
 	c.listener.remove(c)
-	return c.Conn.Close()
+	if !c.rejected() || c.halfClose() != nil {
+		return c.Conn.Close()
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refuseTime))
+	go func() {
+		c.discard()
+		_ = c.Conn.Close()
+	}()
+	return nil
+}
+
+// rejected reports whether a request was read and did not reach the handler.
+func (c *conn) rejected() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.phase == serving && !c.http2 && c.refused == nil && !c.handled.Load()
 }
--- a/node/listener/listener.go
+++ b/node/listener/listener.go
@@ -4,6 +4,7 @@
 package listener
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -14,9 +15,7 @@
 )
 
 // Listener keeps the limits and the connections that they apply to. An
-// http.Server without timeouts of its own serves On and has Track as its hook
-// ConnState: net/http reads its fields without a lock, so that they can't
-// change while it serves.
+// http.Server that Serve has prepared serves On.
 type Listener struct {
 	// Refuse returns the response to a header that is too large (status 431) or
 	// not there in time (408). The connection is closed after it.
@@ -53,8 +52,26 @@
 // On returns a listener whose connections are those of inner under the limits.
 func (l *Listener) On(inner net.Listener) net.Listener { return &accepting{inner, l} }
 
-// Track is the hook ConnState of the server.
-func (l *Listener) Track(of net.Conn, state http.ConnState) {
+// Serve prepares a server, which must have no timeouts of its own: net/http reads
+// them without a lock, so that they can't change while it serves.
+func (l *Listener) Serve(server *http.Server) {
+	next := server.Handler
+	server.ConnState = l.track
+	server.ConnContext = func(ctx context.Context, of net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, of)
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.handled.Store(true)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// track is the hook ConnState of the server.
+func (l *Listener) track(of net.Conn, state http.ConnState) {
 	c, ok := of.(*conn)
 	if !ok {
 		return
--- a/node/listener/listener_test.go
+++ b/node/listener/listener_test.go
@@ -26,7 +26,8 @@
 	l.SetLimits(limits)
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	server := &http.Server{Handler: handler, MaxHeaderBytes: 1 << 20, ConnState: l.Track, Protocols: new(http.Protocols)}
+	server := &http.Server{Handler: handler, MaxHeaderBytes: 1 << 20, Protocols: new(http.Protocols)}
+	l.Serve(server)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
 	go func() { _ = server.Serve(l.On(plain)) }()
@@ -271,3 +272,34 @@
 		is.Equal(p.get("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"), 200)
 	})
 }
+
+// Guards against a malformed request whose caller loses the response, because
+// it sends the body first and the connection is reset meanwhile. Without the
+// reading after the response, 18 to 24 of 50 were lost.
+func TestMalformed(t *testing.T) {
+	cases := map[string]struct {
+		head   string
+		status int
+	}{
+		"bad line":    {"Host: h\r\nbad line\r\nContent-Length: 300000", 400},
+		"two lengths": {"Host: h\r\nContent-Length: 300000\r\nContent-Length: 4", 400},
+		"no host":     {"Content-Length: 300000", 400},
+		"encoding":    {"Host: h\r\nTransfer-Encoding: x", 501},
+		"expectation": {"Host: h\r\nExpect: x\r\nContent-Length: 300000", 417},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			_, address := serve(t, sycamorerun.Limits{Header: 8 << 10}, ok)
+			for range 20 {
+				p := dial(t, address)
+				_, err := io.WriteString(p, "POST / HTTP/1.1\r\n"+c.head+"\r\n\r\n")
+				is.NoErr(err)
+				is.Equal(p.get(strings.Repeat("x", 300000)), c.status)
+				_, err = p.closed()
+				is.Equal(err, io.EOF)
+			}
+		})
+	}
+}
--- a/node/runner/upstream.go
+++ b/node/runner/upstream.go
@@ -141,9 +141,9 @@
 // without TLS.
 func callerServer(address netip.AddrPort, c *calls, wrap func(http.Handler) http.Handler) *http.Server {
 	server := c.forwarder.Server()
-	server.ConnState = c.listener.Track
 	server.Addr = address.String()
 	server.Handler = wrap(server.Handler)
+	c.listener.Serve(server)
 	server.Protocols = new(http.Protocols)
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
