--- a/node/forwarder/bed_test.go
+++ b/node/forwarder/bed_test.go
@@ -19,6 +19,7 @@
 	"sycamorerun"
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/limiter"
+	"sycamorerun/node/listener"
 )
 
 var peerAddress = netip.MustParseAddrPort("127.0.0.1:9")
@@ -76,9 +77,14 @@
 	b.caller = httptest.NewUnstartedServer(b.entry)
 	b.caller.Config.ErrorLog = quiet
 	b.caller.Config.MaxHeaderBytes = headerBytes
+	limits := listener.New()
+	limits.Refuse = b.entry.RefuseHeader
+	limits.Serve(b.caller.Config)
 	over(b.caller)
+	under := b.caller.Listener
+	b.caller.Listener = limits.On(under)
 	b.caller.Start()
-	if memory, ok := b.caller.Listener.(*memoryListener); ok {
+	if memory, ok := under.(*memoryListener); ok {
 		b.caller.Client().Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return memory.dial(ctx)
 		}
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -51,6 +51,10 @@
 	}
 	out, failed := f.attempts(ctx, watch, c)
 	if failed != nil {
+		if c.stream != nil && c.stream.large.Load() {
+			// Whatever the attempt failed of, the body was cut at its limit.
+			failed.reason = reasonBody
+		}
 		f.fail(w, c, failed)
 		return
 	}
@@ -67,19 +71,24 @@
 	release := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	if c.length > wholeBytes || c.length < 0 || len(c.trailers) > 0 {
 		_ = control.EnableFullDuplex()
+		patience := f.patience(watch)
+		patience.Stop() // runs during reads
 		c.stream = &upload{
-			body: r.Body, left: f.BodyBytes(), watch: watch, release: release,
+			body: r.Body, left: int64(c.limits.Body), watch: watch, release: release, wait: f.BodyWait, patience: patience,
 			finished: func() { c.fill(r.Trailer) },
 		}
 		return nil
 	}
 	defer release()
 	c.body = make([]byte, c.length)
+	patience := f.patience(watch)
+	defer patience.Stop()
 	for at := 0; at < len(c.body); {
 		n, err := r.Body.Read(c.body[at:])
 		at += n
 		if n > 0 {
 			watch.progress()
+			patience.Reset(f.BodyWait)
 		}
 		if err != nil && at < len(c.body) {
 			if ctx.Err() != nil {
@@ -97,6 +106,13 @@
 	return nil
 }
 
+// patience returns a timer that ends a call whose caller has sent nothing of its
+// body for BodyWait. The idle limit of a service can be far longer, since it is
+// for upstreams.
+func (f *Forwarder) patience(watch *watch) *time.Timer {
+	return time.AfterFunc(f.BodyWait, func() { watch.cancel(errIdle) })
+}
+
 // fail tells the caller that there is no response, and why.
 func (f *Forwarder) fail(w http.ResponseWriter, c *call, failed *failure) {
 	f.record(c, failed.result, failed.reason)
@@ -106,13 +122,23 @@
 	if failed.status() == http.StatusServiceUnavailable {
 		header.Set("Retry-After", failed.retryAfter(rand.Float64()))
 	}
-	c.closing(header)
+	f.persist(header, c)
+	control := http.NewResponseController(w)
+	if c.unread && c.stream == nil {
+		// The server reads some of the rest when the handler has returned.
+		_ = control.SetReadDeadline(time.Now().Add(linger))
+	}
 	text := string(failed.result) + ": " + failed.reason + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(failed.status())
 	_, _ = io.WriteString(w, text)
 	// The handler may still read the rest of the caller's body.
-	_ = http.NewResponseController(w).Flush()
+	_ = control.Flush()
+}
+
+// Decline answers a request that is not looked at, with status 503.
+func (f *Forwarder) Decline(w http.ResponseWriter, r *http.Request, reason string) {
+	f.fail(w, f.describe(f.Now(), r), notRun(reason))
 }
 
 // reply passes the response on. It aborts the caller's connection when the
@@ -184,13 +210,12 @@
 		header.Set("Trailer", strings.Join(out.trailers, ", "))
 	}
 	f.outcome(header, c, sycamorerun.Answered, out.reason)
-	c.closing(header)
+	f.persist(header, c)
 	w.WriteHeader(out.status)
 }
 
 // outcome tells the caller how its call ended, in the headers of the contract.
 func (f *Forwarder) outcome(header http.Header, c *call, result sycamorerun.Result, reason string) {
-	f.farewell(header)
 	set(header, f.Contract.Outcome, string(result))
 	if reason != "" {
 		set(header, f.Contract.Reason, reason)
@@ -198,9 +223,15 @@
 	set(header, f.Contract.Request, c.id)
 }
 
-// closing asks the server to close the connection if the body is not read.
-func (c *call) closing(header http.Header) {
-	if c.unread && (c.stream == nil || !c.stream.ended.Load()) {
+// persist tells the caller whether its connection stays open, and for how long
+// without a request. It closes when the body is not read, or the node is about
+// to end.
+func (f *Forwarder) persist(header http.Header, c *call) {
+	left := c.unread && (c.stream == nil || !c.stream.ended.Load())
+	switch {
+	case left || f.drain.leaving():
 		header.Set("Connection", "close")
+	case c.persistent && c.limits.keepAlive != nil:
+		header["Keep-Alive"] = c.limits.keepAlive
 	}
 }
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -14,6 +14,7 @@
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/limiter"
+	"sycamorerun/node/listener"
 	"sycamorerun/node/retrier"
 	"sycamorerun/node/router"
 )
@@ -26,6 +27,13 @@
 	retrier      *retrier.Retrier
 	deduplicator *deduplicator.Deduplicator
 	upstream     *localUpstream
+	listener     *listener.Listener
+}
+
+// setLimits applies the limits for callers to requests that begin from now on.
+func (c *calls) setLimits(limits sycamorerun.Limits) {
+	c.forwarder.SetLimits(limits)
+	c.listener.SetLimits(limits)
 }
 
 // newCalls wires the data path over the configuration in force and the
@@ -66,7 +74,10 @@
 	c.deduplicator.Self = settings.Name
 
 	f := forwarder.New(settings.Name)
-	f.BodyBytes = func() int64 { return int64(inForce().MaxBody) }
+	f.SetLimits(settings.limits())
+	c.listener = listener.New()
+	c.listener.Refuse = f.RefuseHeader
+	c.listener.SetLimits(settings.limits())
 	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
 	f.Service = settings.Service
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"sycamorerun"
 	"sycamorerun/loader"
 )
 
@@ -25,7 +26,10 @@
 // the settings in force when they need them.
 var changes = map[string]func(inForce, read *Settings){
 	"standby-delay":   func(inForce, read *Settings) { inForce.StandbyDelay = read.StandbyDelay },
+	"max-header":      func(inForce, read *Settings) { inForce.MaxHeader = read.MaxHeader },
 	"max-body":        func(inForce, read *Settings) { inForce.MaxBody = read.MaxBody },
+	"header-timeout":  func(inForce, read *Settings) { inForce.HeaderTimeout = read.HeaderTimeout },
+	"idle-timeout":    func(inForce, read *Settings) { inForce.IdleTimeout = read.IdleTimeout },
 	"announce-period": func(inForce, read *Settings) { inForce.AnnouncePeriod = read.AnnouncePeriod },
 	"log-level":       func(inForce, read *Settings) { inForce.LogLevel = read.LogLevel },
 	"drain-delay":     func(inForce, read *Settings) { inForce.DrainDelay = read.DrainDelay },
@@ -53,6 +57,20 @@
 	}
 	n.inForce.Store(&inForce)
 	n.setLevel(inForce.LogLevel)
+	n.setLimits()
+}
+
+// setLimits applies the limits of the configuration in force, and the node's own
+// where it has none. It is called after a change of either.
+func (n *node) setLimits() {
+	n.limiting.Lock()
+	defer n.limiting.Unlock()
+	n.calls.setLimits(n.limits())
+}
+
+// limits returns the limits in force for callers.
+func (n *node) limits() sycamorerun.Limits {
+	return n.applier.Current().Table.Limits().Or(n.inForce.Load().limits())
 }
 
 // reloader reads the settings again on SIGHUP and when their file changes.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -13,7 +14,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"sycamorerun"
 	"sycamorerun/logger"
 	"sycamorerun/meter"
 	"sycamorerun/node/distributor"
@@ -122,7 +122,7 @@
 	operators := &http.Server{
 		Addr: n.settings.Operators.String(), Handler: n.manager.Handler(), ReadHeaderTimeout: headerTimeout,
 	}
-	callers := callerServer(n.settings.Callers, n.calls.forwarder.Server(), n.ready)
+	callers := callerServer(n.settings.Callers, n.calls, n.ready)
 	start("connector", n.connector.Run)
 	start("tracker", n.tracker.Run)
 	start("seeder", n.seeder.Run)
@@ -134,7 +134,7 @@
 	start("upstream", n.watchUpstream)
 	start("settings", n.follow(n.updates))
 	start("operators", serve(operators))
-	start("callers", serve(callers))
+	start("callers", serveOn(callers, n.calls.listener.On))
 	for address, handler := range n.handlers {
 		start("handler", serve(&http.Server{
 			Addr: address.String(), Handler: handler(n.api()), ReadHeaderTimeout: headerTimeout,
@@ -186,9 +186,18 @@
 // serve runs an HTTP server as a function for start. The end of the context
 // closes it at once, for a start that failed elsewhere.
 func serve(server *http.Server) func(context.Context) error {
+	return serveOn(server, func(plain net.Listener) net.Listener { return plain })
+}
+
+// serveOn is serve with a wrapper of the listener.
+func serveOn(server *http.Server, wrap func(net.Listener) net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		plain, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		if err := server.Serve(wrap(plain)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -252,9 +261,7 @@
 func (n *node) ready(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.phase.Load() == manager.PhaseStarting || n.unversioned.Load() {
-			w.Header().Set(sycamorerun.HeaderOutcome, string(sycamorerun.NotRun))
-			w.Header().Set(sycamorerun.HeaderReason, "starting")
-			http.Error(w, "the node does not have the newest configuration yet", http.StatusServiceUnavailable)
+			n.calls.forwarder.Decline(w, r, "starting")
 			return
 		}
 		next.ServeHTTP(w, r)
