Add callers in an open loop and events in the upstreams' journals

Each attempt has an id in header and body, and the stand-in upstream's /run checks both and notes start and end, so that records of callers and upstreams can be compared. http.Transport would repeat requests without a body by itself and hide an attempt; every request has a body that it can't get again.

--- /dev/null
+++ b/bench/caller/caller_test.go
@@ -0,0 +1,126 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/upstream/recorder"
+	"sycamorerun/upstream/server"
+)
+
+// Guards against experiments that can't be repeated, and against bursts that
+// are not what the description says.
+func TestSchedule(t *testing.T) {
+	is := is.New(t)
+	c := &Caller{
+		Entries: []Entry{{Name: "a", Zone: "x"}, {Name: "b", Zone: "y"}}, Seed: 7,
+		Kinds:  []Kind{{Name: "k", Rate: 200, Hasty: 0.5, Leaving: 0.5}},
+		Bursts: []Burst{{Kind: "k", At: 10 * time.Second, For: 5 * time.Second, Factor: 4}, {At: 15 * time.Second, For: time.Second}},
+	}
+	is.NoErr(c.verify())
+	first := slices.Collect(c.schedule(0, 20*time.Second))
+	is.Equal(first, slices.Collect(c.schedule(0, 20*time.Second)))
+	c.Seed = 8
+	is.True(!slices.Equal(first, slices.Collect(c.schedule(0, 20*time.Second))))
+	count := func(from, to time.Duration) (n int) {
+		for _, next := range first {
+			if next.due >= from && next.due < to {
+				n++
+			}
+		}
+		return n
+	}
+	within := func(n, wanted int) bool { return n > wanted*9/10 && n < wanted*11/10 }
+	is.True(within(count(0, 10*time.Second), 2000))
+	is.True(within(count(10*time.Second, 15*time.Second), 4000))
+	is.Equal(count(15*time.Second, 16*time.Second), 0)
+	is.True(within(count(16*time.Second, 20*time.Second), 800))
+}
+
+// Guards against callers that misread what they are told, hide waiting time,
+// repeat what must not run twice or ignore the stated time.
+func TestAttempts(t *testing.T) {
+	upstream := &server.Server{Name: "u", Slots: 100, Recorder: recorder.New(), Now: time.Now}
+	handler := upstream.Handler()
+	refuse := func(w http.ResponseWriter) {
+		w.Header().Set("Retry-After", "0.200")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+	}
+	cases := map[string]struct {
+		kind Kind
+		// first answers the first attempt, nil: the upstream does.
+		first    func(w http.ResponseWriter, r *http.Request)
+		attempts int
+		result   sycamorerun.Result // of the first attempt
+		served   bool
+		least    time.Duration
+	}{
+		"answered":  {Kind{Body: 3000, Response: 5000}, nil, 1, sycamorerun.Answered, true, 0},
+		"chunked":   {Kind{Body: 3000, Chunked: true}, nil, 1, sycamorerun.Answered, true, 0},
+		"refused":   {Kind{Retries: 2, Once: true}, func(w http.ResponseWriter, _ *http.Request) { refuse(w) }, 2, sycamorerun.NotRun, true, 200 * time.Millisecond},
+		"hasty":     {Kind{Retries: 2, Hasty: 1}, func(w http.ResponseWriter, _ *http.Request) { refuse(w) }, 2, sycamorerun.NotRun, true, 0},
+		"broken":    {Kind{Retries: 2}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 2, sycamorerun.Unknown, true, 0},
+		"run once":  {Kind{Retries: 2, Once: true}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 1, sycamorerun.Unknown, false, 0},
+		"truncated": {Kind{Response: 9}, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("short")) }, 1, sycamorerun.Answered, false, 0},
+		"another's": {Kind{}, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(server.Answer("x", server.Body("x", 0), 0))
+		}, 1, sycamorerun.Answered, false, 0},
+		"not found": {Kind{Retries: 2}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, 1, sycamorerun.Answered, false, 0},
+		"leaves":    {Kind{Leaving: 1, Retries: 2, Work: time.Minute, Timeout: 100 * time.Millisecond}, nil, 1, sycamorerun.Unknown, false, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var mutex sync.Mutex
+			seen := map[string]bool{}
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				request, _, _ := strings.Cut(r.Header.Get(server.HeaderCall), ".")
+				mutex.Lock()
+				first := !seen[request] && test.first != nil
+				seen[request] = true
+				mutex.Unlock()
+				if first {
+					test.first(w, r)
+					return
+				}
+				handler.ServeHTTP(w, r)
+			}))
+			defer node.Close()
+			test.kind.Name, test.kind.Rate = "k", 100
+			c := &Caller{Kinds: []Kind{test.kind}, Entries: []Entry{{Name: "n", Address: netip.MustParseAddrPort(node.Listener.Addr().String())}}}
+			is.NoErr(c.Run(t.Context(), 100*time.Millisecond))
+			is.True(len(c.Records()) > 0)
+			for _, record := range c.Records() {
+				is.Equal(len(record.Attempts), test.attempts)
+				is.Equal(record.Attempts[0].Result, test.result)
+				is.Equal(record.Attempts[0].Left, test.kind.Leaving > 0)
+				is.Equal(record.Served(), test.served)
+				is.True(record.Latency() >= test.least)
+				is.True(!record.Attempts[0].Start.Before(record.Start))
+			}
+			summary := c.Summarize(time.Time{}, time.Now())[0]
+			is.Equal(summary.Requests, len(c.Records()))
+			is.Equal(summary.Served == summary.Requests, test.served)
+		})
+	}
+}
+
+// Guards against a version that is read as another one.
+func TestMarker(t *testing.T) {
+	for _, version := range []int{1, 2, MaxMarker} {
+		is := is.New(t)
+		least := Marker(version) - markerStep + time.Millisecond
+		is.True(Marker(version) <= time.Hour)
+		is.Equal(versionOf(int(Marker(version).Milliseconds())), version)
+		is.Equal(versionOf(int(least.Milliseconds())), version)
+	}
+}
--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -245,6 +245,17 @@
 	return recorder.Replay(file)
 }
 
+// Events returns the journal of the upstreams that ran beside a node, also of
+// killed ones.
+func (f *Fleet) Events(node *Node) ([]recorder.Event, error) {
+	file, err := os.Open(f.journal(node))
+	if err != nil {
+		return nil, errors.Wrap(err, "journal")
+	}
+	defer file.Close()
+	return recorder.Events(file)
+}
+
 // Stop ends everything.
 func (f *Fleet) Stop() {
 	f.Heal()
--- a/upstream/announcer/announcer.go
+++ b/upstream/announcer/announcer.go
@@ -39,7 +39,9 @@
 	// Node is the node's operators' address.
 	Node    netip.AddrPort
 	Current func() Announcement
-	Logger  log.Logger
+	// Confirmed, if set, is called with each state that the node confirmed.
+	Confirmed func(state sycamorerun.State)
+	Logger    log.Logger
 }
 
 // Run announces until ctx ends.
@@ -96,5 +98,8 @@
 	if response.StatusCode != http.StatusNoContent {
 		return errors.Errorf("announce: status %d", response.StatusCode)
 	}
+	if a.Confirmed != nil {
+		a.Confirmed(announcement.State)
+	}
 	return nil
 }
--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -90,6 +90,8 @@
 	if s.callers.IsValid() {
 		upstream.Caller = server.NewCaller(s.callers)
 	}
+	upstream.Recorder.Instance = s.name
+	upstream.Recorder.Note(started, recorder.StepBoot, "")
 	upstream.Behave(server.Behavior{State: sycamorerun.StateReady})
 	connections, err := listener.New(s.listen, s.connections, s.connect)
 	if err != nil {
@@ -102,8 +104,9 @@
 	go func() { failed <- control.ListenAndServe() }()
 
 	announcer := &announcer.Announcer{
-		Node:   s.node,
-		Logger: events,
+		Node:      s.node,
+		Logger:    events,
+		Confirmed: upstream.Confirm,
 		Current: func() announcer.Announcement {
 			behavior := upstream.Behavior()
 			state, slots := behavior.State, s.slots
--- a/upstream/recorder/journal.go
+++ b/upstream/recorder/journal.go
@@ -37,7 +37,9 @@
 		case lineUpload:
 			recorder.Upload(value)
 		default:
-			return Records{}, errors.Errorf("journal line %q", scanner.Text())
+			if _, known, err := parseEvent(scanner.Text()); err != nil || !known {
+				return Records{}, errors.Errorf("journal line %q", scanner.Text())
+			}
 		}
 	}
 	return recorder.Records(), errors.Wrap(scanner.Err(), "read journal")
--- a/upstream/recorder/recorder.go
+++ b/upstream/recorder/recorder.go
@@ -41,6 +41,8 @@
 	// Journal, if set before use, gets a line for each run and upload before the
 	// request is answered.
 	Journal io.Writer
+	// Instance is the upstream's name in the journal's events.
+	Instance string
 
 	mutex   sync.Mutex
 	records Records
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,10 @@
 const (
 	HeaderUpstream = "X-Upstream"
 	HeaderLoad     = "X-Load"
+	// HeaderCall carries the id of a caller's attempt, which the response repeats.
+	HeaderCall = "X-Call"
+	// HeaderLeft is the deadline with which the request arrived, in the response.
+	HeaderLeft = "X-Left"
 )
 
 // maxSlow bounds the time that a request can ask the upstream to take.
@@ -44,6 +49,9 @@
 
 	behaviors behaviors
 	running   atomic.Int64
+	// confirmed guards left, whether the node confirmed that the upstream leaves.
+	confirmed sync.Mutex
+	left      bool
 }
 
 // Behavior returns the current behavior.
@@ -64,6 +72,7 @@
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("/upload", s.upload)
 	mux.HandleFunc("/book", s.book)
+	mux.HandleFunc("/run", s.run)
 	mux.HandleFunc("/slow", s.slow)
 	mux.HandleFunc("GET /bytes", s.bytes)
 	mux.HandleFunc("GET /chain/{rest...}", s.chain)
@@ -107,6 +116,7 @@
 		w.Header().Set(HeaderLoad, strconv.FormatFloat(load, 'f', 3, 64))
 		if behavior.Shed || running > int64(s.Slots) {
 			s.Recorder.Shed()
+			s.note(recorder.StepShed, r.Header.Get(HeaderCall))
 			http.Error(w, "overloaded", http.StatusServiceUnavailable)
 			return
 		}
