--- /dev/null
+++ b/bench/judge/judge_test.go
@@ -0,0 +1,151 @@
+package judge
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun"
+	"sycamorerun/bench/caller"
+	"sycamorerun/upstream/recorder"
+)
+
+// at returns a time by its milliseconds.
+func at(ms int) time.Time { return time.UnixMilli(int64(1_000_000 + ms)) }
+
+func span(node string, from, to int) Span { return Span{node, at(from), at(to)} }
+
+// try returns an attempt at node n from 0 to 100 ms.
+func try(result sycamorerun.Result, changes ...func(*caller.Attempt)) caller.Attempt {
+	attempt := caller.Attempt{ID: "r.0", Node: "n", Start: at(0), End: at(100), Result: result, Limit: time.Second}
+	if result == sycamorerun.Answered {
+		attempt.Status, attempt.Whole = http.StatusOK, true
+	}
+	for _, change := range changes {
+		change(&attempt)
+	}
+	return attempt
+}
+
+func during(from, to int) func(*caller.Attempt) {
+	return func(a *caller.Attempt) { a.Start, a.End = at(from), at(to) }
+}
+
+func showing(version int) func(*caller.Attempt) {
+	return func(a *caller.Attempt) { a.Version, a.ID, a.Limit = version, "v", 0 }
+}
+
+func left(a *caller.Attempt)      { a.Left = true }
+func unlimited(a *caller.Attempt) { a.Limit = 0 }
+func broken(a *caller.Attempt)    { a.Whole = false }
+func second(a *caller.Attempt)    { a.ID = "r.1" }
+
+// events returns the journal of upstream u from words such as "start:r.0@5".
+func events(t *testing.T, words string) []recorder.Event {
+	t.Helper()
+	var events []recorder.Event
+	for word := range strings.FieldsSeq(words) {
+		head, ms, _ := strings.Cut(word, "@")
+		step, id, _ := strings.Cut(head, ":")
+		after, err := time.ParseDuration(ms + "ms")
+		if err != nil {
+			t.Fatal(err)
+		}
+		events = append(events, recorder.Event{Step: recorder.Step(step), Instance: "u", ID: id, Time: at(0).Add(after)})
+	}
+	return events
+}
+
+// Guards against a judge that lets a broken promise pass, or that finds one
+// where there is none.
+func TestJudge(t *testing.T) {
+	const (
+		answered = sycamorerun.Answered
+		notRun   = sycamorerun.NotRun
+		unknown  = sycamorerun.Unknown
+		ran      = "boot@-9 start:r.0@5 end:r.0@90"
+	)
+	one := []Version{{1, at(0)}}
+	two := []Version{{1, at(0)}, {2, at(0)}}
+	cases := map[string]struct {
+		attempts []caller.Attempt
+		journal  string
+		operator Operator
+		want     Promise // "" for none
+	}{
+		"answered":                   {[]caller.Attempt{try(answered)}, ran, Operator{}, ""},
+		"response broken":            {[]caller.Attempt{try(answered, broken)}, ran, Operator{}, Whole},
+		"answered and did not run":   {[]caller.Attempt{try(answered)}, "", Operator{}, Whole},
+		"request damaged":            {[]caller.Attempt{try(unknown)}, "damage:r.0@5", Operator{}, Whole},
+		"not run":                    {[]caller.Attempt{try(notRun), try(answered, second)}, "start:r.1@5 end:r.1@9", Operator{}, ""},
+		"not run and ran":            {[]caller.Attempt{try(notRun)}, ran, Operator{}, NotRun},
+		"not run and ran later":      {[]caller.Attempt{try(notRun, unlimited)}, "start:r.0@20000", Operator{}, NotRun},
+		"not run, then answered":     {[]caller.Attempt{try(notRun), try(answered)}, ran, Operator{}, ""},
+		"ran twice in two attempts":  {[]caller.Attempt{try(unknown), try(answered, second)}, "start:r.0@5 end:r.0@6 start:r.1@7 end:r.1@8", Operator{}, Once},
+		"ran twice in one attempt":   {[]caller.Attempt{try(unknown)}, "start:r.0@5 break:r.0@6 start:r.0@7 end:r.0@8", Operator{Faults: []Span{span("", 0, 99)}}, Once},
+		"arrived after departure":    {[]caller.Attempt{try(answered, during(2400, 2600))}, "leave@0 start:r.0@2501 end:r.0@2590", Operator{}, Departure},
+		"shed after departure":       {[]caller.Attempt{try(notRun, during(2400, 2600))}, "leave@0 shed:r.0@2501", Operator{}, Departure},
+		"arrived soon enough":        {[]caller.Attempt{try(answered)}, "leave@0 start:r.0@90 end:r.0@95", Operator{}, ""},
+		"arrived at the next boot":   {[]caller.Attempt{try(answered, during(2600, 2900))}, "leave@0 boot@2550 start:r.0@2600 end:r.0@2601", Operator{}, ""},
+		"arrived when ready again":   {[]caller.Attempt{try(answered, during(2600, 2900))}, "leave@0 ready@2550 start:r.0@2600 end:r.0@2601", Operator{}, ""},
+		"older version":              {[]caller.Attempt{try(answered, showing(2), during(0, 5)), try(answered, showing(1), during(6, 9))}, "start:v@1 start:v@7", Operator{}, Monotonic},
+		"older version, concurrent":  {[]caller.Attempt{try(answered, showing(2), during(0, 5)), try(answered, showing(1), during(4, 9))}, "start:v@1 start:v@7", Operator{}, ""},
+		"version late":               {[]caller.Attempt{try(answered, showing(1), during(7001, 7009))}, "start:v@7002", Operator{Versions: two}, Force},
+		"version in time":            {[]caller.Attempt{try(answered, showing(1), during(6999, 7009)), try(answered, showing(2), during(7010, 7011))}, "start:v@7002", Operator{Versions: two}, ""},
+		"version late after a fault": {[]caller.Attempt{try(answered, showing(1), during(12001, 12009))}, "start:v@12002", Operator{Versions: two, Faults: []Span{span("n", 1000, 5000)}}, Force},
+		"version after a fault":      {[]caller.Attempt{try(answered, showing(1), during(11999, 12009))}, "start:v@12002", Operator{Versions: two, Faults: []Span{span("n", 1000, 5000)}}, ""},
+		"version shown":              {[]caller.Attempt{try(answered, showing(1), during(9000, 9001))}, "start:v@9000", Operator{Versions: one}, ""},
+		"interrupted at its node":    {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", 50, 500)}}, Stop},
+		"interrupted at an upstream": {[]caller.Attempt{try(unknown)}, "start:r.0@60 break:r.0@70", Operator{Stops: []Span{span("u", 50, 500)}}, Stop},
+		"came during a stop":         {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", -50, 500)}}, ""},
+		"refused by a stop":          {[]caller.Attempt{try(notRun)}, "", Operator{Stops: []Span{span("n", 50, 500)}}, ""},
+		"interrupted by a fault":     {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", 50, 500)}, Faults: []Span{span("n", 90, 95)}}, ""},
+		"told late":                  {[]caller.Attempt{try(unknown, during(0, 1501))}, "", Operator{}, Answer},
+		"told in time":               {[]caller.Attempt{try(unknown, during(0, 1499))}, "", Operator{}, ""},
+		"told late by a paused node": {[]caller.Attempt{try(unknown, during(0, 1501))}, "", Operator{Faults: []Span{span("n", 500, 900)}}, ""},
+		"ran on without its caller":  {[]caller.Attempt{try(unknown, left)}, "start:r.0@5 break:r.0@601", Operator{}, Release},
+		"runs on without its caller": {[]caller.Attempt{try(unknown, left)}, "start:r.0@5 start:x@601", Operator{}, Release},
+		"crashed with its caller":    {[]caller.Attempt{try(unknown, left)}, "start:r.0@5 boot@601", Operator{}, ""},
+		"ended with its caller":      {[]caller.Attempt{try(unknown, left)}, "start:r.0@5 break:r.0@599", Operator{}, ""},
+		"ran on after the deadline":  {[]caller.Attempt{try(unknown, during(0, 1010))}, "start:r.0@5 end:r.0@1501", Operator{}, Release},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			record := caller.Record{ID: "r", Once: true, Attempts: test.attempts}
+			if test.attempts[0].Version > 0 {
+				record.Once = false
+			}
+			findings := Judge([]caller.Record{record}, [][]recorder.Event{events(t, test.journal)}, test.operator, DefaultBounds)
+			if test.want == "" {
+				is.Equal(findings, nil)
+				return
+			}
+			is.Equal(Count(findings), map[Promise]int{test.want: 1})
+			is.True(findings[0].ID != "" && findings[0].Instance != "" && !findings[0].Start.IsZero() && !findings[0].End.IsZero())
+		})
+	}
+}
+
+// Guards against a line of a journal that is read as another one or lost.
+func TestEvents(t *testing.T) {
+	is := is.New(t)
+	var journal strings.Builder
+	upstream := recorder.New()
+	upstream.Journal, upstream.Instance = &journal, "u"
+	upstream.Note(at(0), recorder.StepBoot, "")
+	upstream.Run("key")
+	upstream.Note(at(5), recorder.StepStart, "r.0")
+	got, err := recorder.Events(strings.NewReader(journal.String() + "end 12"))
+	is.NoErr(err)
+	is.Equal(len(got), 2)
+	is.Equal(got[1], recorder.Event{Step: recorder.StepStart, Instance: "u", ID: "r.0", Time: time.Unix(0, at(5).UnixNano())})
+	records, err := recorder.Replay(strings.NewReader(journal.String()))
+	is.NoErr(err)
+	is.Equal(records.Runs, map[string]int{"key": 1})
+	_, err = recorder.Events(strings.NewReader("start x u r.0\n"))
+	is.True(err != nil)
+}
