Extend the stand-in store's faults

A rule can select a share of the callers, always the same for a seed. New kinds: mute (effect without an answer on an open connection), late (effect seconds after the connection was cut), forget (history gone) and silence (connections open at that time answer nothing, new ones work). Plans of before mean the same; the effects are a table by kind.

--- a/objectstore/cmd/srstore/main.go
+++ b/objectstore/cmd/srstore/main.go
@@ -73,7 +73,7 @@
 	}
 	_ = level.Info(s.Logger).Log("msg", "listening", "address", listener.Addr())
 	// The objects are lost with the process, so there is nothing to drain.
-	h := &http.Server{Handler: s, ReadHeaderTimeout: headTimeout}
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, ConnContext: server.Connect}
 	defer context.AfterFunc(ctx, func() { _ = h.Close() })()
 	if err := h.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve")
--- a/objectstore/injector/injector.go
+++ b/objectstore/injector/injector.go
@@ -3,6 +3,7 @@
 package injector
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -29,8 +30,36 @@
 	Lose Kind = "lose"
 	// Stale answers reads from the state at the time the plan was set.
 	Stale Kind = "stale"
+	// Mute never answers after the effect; the connection stays open.
+	Mute Kind = "mute"
+	// Late cuts the connection at once; the effect of a write comes after Delay.
+	Late Kind = "late"
+	// Forget discards the history and answers a watch that it is gone.
+	Forget Kind = "forget"
+	// Silence makes the connections that are open when the plan is set silent for
+	// good: their calls have no effect and no answer. New connections work.
+	Silence Kind = "silence"
 )
 
+// effects say what a rule of a kind does to a call.
+var effects = map[Kind]func(*Decision, Rule){
+	Refuse:  func(d *Decision, _ Rule) { d.Refuse = true },
+	Stall:   func(d *Decision, _ Rule) { d.Stall = true },
+	Delay:   func(d *Decision, r Rule) { d.Delay += time.Duration(r.Delay) },
+	Lose:    func(d *Decision, _ Rule) { d.Lose = true },
+	Stale:   func(d *Decision, _ Rule) { d.Stale = true },
+	Mute:    func(d *Decision, _ Rule) { d.Mute = true },
+	Late:    func(d *Decision, r Rule) { d.Late = max(1, time.Duration(r.Delay)) },
+	Forget:  func(d *Decision, _ Rule) { d.Forget = true },
+	Silence: func(d *Decision, _ Rule) { d.Silence = true },
+}
+
+// only lists the operations of kinds that concern no others.
+var only = map[Kind][]Operation{
+	Late:   {Put, Delete},
+	Forget: {Watch},
+}
+
 // Operation is a call of the store.
 type Operation string
 
@@ -59,6 +88,9 @@
 	Operations []Operation `json:"operations,omitempty"`
 	Prefix     string      `json:"prefix,omitempty"`
 	Caller     string      `json:"caller,omitempty"`
+	// Share is the share of the callers whose calls are selected, always the same
+	// ones for a seed; 0 meaning all.
+	Share float64 `json:"share,omitempty"`
 	// Fraction of the selected calls, 0 meaning all.
 	Fraction float64 `json:"fraction,omitempty"`
 	// Count ends the rule after so many faults, 0 meaning never.
@@ -76,10 +108,9 @@
 
 // Verify reports the first fault of the plan itself.
 func (p Plan) Verify() error {
-	kinds := []Kind{Refuse, Stall, Delay, Lose, Stale}
 	operations := []Operation{Get, List, Put, Delete, Watch}
 	for i, rule := range p.Rules {
-		if !slices.Contains(kinds, rule.Kind) {
+		if effects[rule.Kind] == nil {
 			return errors.Errorf("rule %d: unknown kind %q", i, rule.Kind)
 		}
 		for _, operation := range rule.Operations {
@@ -90,6 +121,12 @@
 		if rule.Fraction < 0 || rule.Fraction > 1 || rule.Count < 0 || rule.Delay < 0 {
 			return errors.Errorf("rule %d: fraction must be 0 to 1, count and delay not negative", i)
 		}
+		if rule.Share < 0 || rule.Share > 1 {
+			return errors.Errorf("rule %d: share must be 0 to 1", i)
+		}
+		if rule.Kind == Silence && (rule.Fraction != 0 || rule.Count != 0) {
+			return errors.Errorf("rule %d: silence concerns connections and has no fraction or count", i)
+		}
 	}
 	return nil
 }
@@ -99,6 +136,8 @@
 	Operation Operation
 	Key       string
 	Caller    string
+	// Opened is when the call's connection was opened, zero if that is not known.
+	Opened time.Time
 }
 
 // Decision is what a call meets.
@@ -108,13 +147,20 @@
 	Stall   bool
 	Lose    bool
 	Stale   bool
+	Mute    bool
+	Forget  bool
+	Silence bool
 	Delay   time.Duration
+	// Late is positive for a call whose effect comes after that time.
+	Late time.Duration
 }
 
 // Injector applies a plan. Its methods may be called concurrently.
 type Injector struct {
 	mu     sync.Mutex
+	seed   uint64
 	plan   Plan
+	since  time.Time
 	random *rand.Rand
 	reads  window
 	writes window
@@ -122,18 +168,18 @@
 
 // New returns an injector without faults whose fractions derive from seed.
 func New(seed uint64) *Injector {
-	return &Injector{random: rand.New(rand.NewPCG(seed, 0))}
+	return &Injector{seed: seed, random: rand.New(rand.NewPCG(seed, 0))}
 }
 
-// Set replaces the plan.
-func (i *Injector) Set(plan Plan) error {
+// Set replaces the plan at now.
+func (i *Injector) Set(now time.Time, plan Plan) error {
 	if err := plan.Verify(); err != nil {
 		return err
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	plan.Rules = slices.Clone(plan.Rules)
-	i.plan = plan
+	i.plan, i.since = plan, now
 	return nil
 }
 
@@ -161,8 +207,8 @@
 	var decision Decision
 	rules := i.plan.Rules[:0:0]
 	for _, rule := range i.plan.Rules {
-		if rule.selects(call) && (rule.Fraction == 0 || i.random.Float64() < rule.Fraction) {
-			decision.add(rule)
+		if i.selects(rule, call) && (rule.Fraction == 0 || i.random.Float64() < rule.Fraction) {
+			effects[rule.Kind](&decision, rule)
 			if rule.Count == 1 {
 				continue
 			}
@@ -174,18 +220,27 @@
 	return decision
 }
 
-func (r Rule) selects(call Call) bool {
+// Silences reports whether the connection of a call that waits is silent.
+func (i *Injector) Silences(call Call) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.ContainsFunc(i.plan.Rules, func(rule Rule) bool { return rule.Kind == Silence && i.selects(rule, call) })
+}
+
+func (i *Injector) selects(r Rule, call Call) bool {
 	return (len(r.Operations) == 0 || slices.Contains(r.Operations, call.Operation)) &&
+		(only[r.Kind] == nil || slices.Contains(only[r.Kind], call.Operation)) &&
 		strings.HasPrefix(call.Key, r.Prefix) &&
-		(r.Caller == "" || r.Caller == call.Caller)
+		(r.Caller == "" || r.Caller == call.Caller) &&
+		(r.Share == 0 || i.place(call.Caller) < r.Share) &&
+		(r.Kind != Silence || call.Opened.Before(i.since) && !call.Opened.IsZero())
 }
 
-func (d *Decision) add(rule Rule) {
-	d.Refuse = d.Refuse || rule.Kind == Refuse
-	d.Stall = d.Stall || rule.Kind == Stall
-	d.Lose = d.Lose || rule.Kind == Lose
-	d.Stale = d.Stale || rule.Kind == Stale
-	d.Delay += time.Duration(rule.Delay)
+// place returns a number from 0 to 1 that a caller has for good.
+func (i *Injector) place(caller string) float64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(caller)) // Never fails.
+	return rand.New(rand.NewPCG(i.seed, hash.Sum64())).Float64()
 }
 
 // window counts the calls within one second.
--- a/objectstore/injector/injector_test.go
+++ b/objectstore/injector/injector_test.go
@@ -1,6 +1,7 @@
 package injector
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -25,13 +26,17 @@
 		"prefix":    {[]Rule{{Kind: Lose, Prefix: "log/"}}, []Call{put, {Operation: Put, Key: "snapshot"}}, []Decision{{Lose: true}, {}}},
 		"caller":    {[]Rule{{Kind: Stale, Caller: "b"}}, []Call{put, {Operation: Get, Caller: "b"}}, []Decision{{}, {Stale: true}}},
 		"count":     {[]Rule{{Kind: Refuse, Count: 2}}, []Call{put, put, put}, []Decision{{Refuse: true}, {Refuse: true}, {}}},
+		"late":      {[]Rule{{Kind: Late, Delay: second}}, []Call{put, {Operation: Get}}, []Decision{{Late: time.Second}, {}}},
+		"forget":    {[]Rule{{Kind: Forget}}, []Call{put, {Operation: Watch}}, []Decision{{}, {Forget: true}}},
+		"silence":   {[]Rule{{Kind: Silence}}, []Call{put, {Opened: time.Unix(-1, 0)}, {Opened: time.Unix(1, 0)}}, []Decision{{}, {Silence: true}, {}}},
+		"mute":      {[]Rule{{Kind: Mute}}, []Call{put}, []Decision{{Mute: true}}},
 		"together":  {[]Rule{{Kind: Delay, Delay: second}, {Kind: Lose}}, []Call{put}, []Decision{{Lose: true, Delay: time.Second}}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			i := New(1)
-			is.NoErr(i.Set(Plan{Rules: test.rules}))
+			is.NoErr(i.Set(time.Unix(0, 0), Plan{Rules: test.rules}))
 			for n, call := range test.calls {
 				is.Equal(i.Decide(time.Unix(0, 0), call), test.want[n])
 			}
@@ -56,7 +61,7 @@
 	is.Equal(passed(start, Delete), 0)
 	is.Equal(passed(start.Add(999*time.Millisecond), Watch), DefaultReads)
 	is.Equal(passed(start.Add(time.Second), Put), DefaultWrites)
-	is.NoErr(i.Set(Plan{Writes: -1}))
+	is.NoErr(i.Set(time.Unix(0, 0), Plan{Writes: -1}))
 	is.Equal(passed(start, Put), 3000)
 }
 
@@ -67,10 +72,32 @@
 		"operation": {Kind: Refuse, Operations: []Operation{"PUT"}},
 		"fraction":  {Kind: Refuse, Fraction: 1.5},
 		"count":     {Kind: Refuse, Count: -1},
+		"share":     {Kind: Refuse, Share: 1.5},
+		"silence":   {Kind: Silence, Fraction: 0.5},
 	}
 	for name, rule := range cases {
 		t.Run(name, func(t *testing.T) {
-			is.New(t).True(New(1).Set(Plan{Rules: []Rule{rule}}) != nil)
+			is.New(t).True(New(1).Set(time.Unix(0, 0), Plan{Rules: []Rule{rule}}) != nil)
 		})
 	}
 }
+
+// Guards against an outage for some callers that hits other ones each time, or
+// all of them.
+func TestShare(t *testing.T) {
+	is := is.New(t)
+	i := New(1)
+	is.NoErr(i.Set(time.Unix(0, 0), Plan{Rules: []Rule{{Kind: Refuse, Share: 0.3}}}))
+	refused := func() (names []string) {
+		for n := range 200 {
+			name := strconv.Itoa(n)
+			if i.Decide(time.Unix(0, 0), Call{Caller: name}).Refuse {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	first := refused()
+	is.True(len(first) > 40 && len(first) < 80)
+	is.Equal(first, refused())
+}
--- a/objectstore/keeper/keeper.go
+++ b/objectstore/keeper/keeper.go
@@ -103,6 +103,13 @@
 	return object
 }
 
+// Forget discards the history.
+func (k *Keeper) Forget() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history, k.bytes, k.compacted = nil, 0, k.revision
+}
+
 // List returns one page of the objects under prefix above after, in the order
 // of their revisions. The listing's revision is the store's, or that of the
 // last object when the page is full and more follow.
--- a/objectstore/server/server.go
+++ b/objectstore/server/server.go
@@ -47,6 +47,7 @@
 	frozen atomic.Pointer[keeper.Keeper]
 	usages usages
 	mux    *http.ServeMux
+	calls  calls
 }
 
 // New returns a server for the keeper's objects.
@@ -78,9 +79,10 @@
 			frozen = s.Keeper.Clone()
 		}
 	}
-	if err := s.Injector.Set(plan); err != nil {
+	if err := s.Injector.Set(s.Now(), plan); err != nil {
 		return err
 	}
+	s.calls.silence(s.Injector.Silences)
 	s.frozen.Store(frozen)
 	_ = level.Info(s.Logger).Log("msg", "fault plan replaced", "rules", len(plan.Rules), "reads", plan.Reads, "writes", plan.Writes)
 	return nil
@@ -148,12 +150,21 @@
 // handle wraps a call of the store with its faults, limits and statistics.
 func (s *Server) handle(operation injector.Operation, key string, call func(request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		who := caller(r)
-		decision := s.Injector.Decide(s.Now(), injector.Call{Operation: operation, Key: r.URL.Query().Get(key), Caller: who})
+		who, link := caller(r), linkOf(r)
+		made := injector.Call{Operation: operation, Key: r.URL.Query().Get(key), Caller: who, Opened: link.opened}
+		decision := s.Injector.Decide(s.Now(), made)
+		defer s.calls.add(made, link)()
 		received := &counter{ReadCloser: http.MaxBytesReader(w, r.Body, bodyBytes)}
 		r.Body = received
 		defer func() { s.usages.add(who, func(u *Usage) { u.Received += received.n }) }()
 		s.usages.add(who, func(u *Usage) { u.count(operation, decision.Limited) })
+		if decision.Silence {
+			link.silent.Store(true)
+		}
+		if link.silent.Load() {
+			hold(r)
+			return
+		}
 		if !s.before(w, r, who, decision) {
 			return
 		}
@@ -161,20 +172,28 @@
 		if frozen := s.frozen.Load(); decision.Stale && frozen != nil {
 			from, stale = frozen, true
 		}
-		revision, err := revision(r)
-		var result any
-		if err == nil {
-			result, err = call(request{Request: r, key: r.URL.Query().Get(key), revision: revision, from: from, stale: stale})
+		perform := func(r *http.Request) (any, error) {
+			revision, err := revision(r)
+			if err != nil {
+				return nil, err
+			}
+			return call(request{Request: r, key: made.Key, revision: revision, from: from, stale: stale})
+		}
+		if decision.Late > 0 {
+			s.performLate(r, decision.Late, perform)
 		}
-		if decision.Lose {
+		result, err := perform(r)
+		switch {
+		case decision.Lose:
 			// Aborts the connection without an answer.
 			panic(http.ErrAbortHandler)
-		}
-		if err != nil {
+		case decision.Mute || link.silent.Load():
+			hold(r)
+		case err != nil:
 			s.fail(w, who, err)
-			return
+		default:
+			s.answer(w, who, http.StatusOK, result)
 		}
-		s.answer(w, who, http.StatusOK, result)
 	}
 }
 
@@ -186,9 +205,11 @@
 		s.answer(w, who, http.StatusTooManyRequests, problem{"rate limit"})
 		return false
 	case decision.Stall:
-		// The server notices that the caller gave up only once the body is read.
-		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
+		hold(r)
+		return false
+	case decision.Forget:
+		s.Keeper.Forget()
+		s.fail(w, who, persister.ErrCompacted)
 		return false
 	}
 	if decision.Delay > 0 {
--- a/objectstore/server/server_test.go
+++ b/objectstore/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -19,7 +20,9 @@
 
 func start(t *testing.T, timeout time.Duration) (string, persister.Store) {
 	t.Helper()
-	h := httptest.NewServer(New(keeper.New(64), injector.New(1)))
+	h := httptest.NewUnstartedServer(New(keeper.New(64), injector.New(1)))
+	h.Config.ConnContext = Connect
+	h.Start()
 	t.Cleanup(h.Close)
 	return h.URL, persister.NewClient(persister.ClientConfig{
 		Address: netip.MustParseAddrPort(h.Listener.Addr().String()),
@@ -90,6 +93,10 @@
 		"delay":        {`{"rules":[{"kind":"delay","delay":"5ms"}]}`, nil, nil, true, "new"},
 		"long delay":   {`{"rules":[{"kind":"delay","delay":"300ms","count":1}]}`, persister.ErrUnknown, nil, true, ""},
 		"lose":         {`{"rules":[{"kind":"lose","operations":["put"],"prefix":"k"}]}`, persister.ErrUnknown, nil, true, "new"},
+		"mute":         {`{"rules":[{"kind":"mute","operations":["put"]}]}`, persister.ErrUnknown, nil, true, "new"},
+		"late":         {`{"rules":[{"kind":"late","delay":"100ms"}]}`, persister.ErrUnknown, nil, true, "old"},
+		"silence":      {`{"rules":[{"kind":"silence","operations":["put"]}]}`, persister.ErrUnknown, nil, false, "old"},
+		"no share":     {`{"rules":[{"kind":"refuse","share":0.001}]}`, nil, nil, true, "new"},
 		"stale":        {`{"rules":[{"kind":"stale"}]}`, nil, nil, true, "old"},
 		"other caller": {`{"rules":[{"kind":"refuse","caller":"other"}]}`, nil, nil, true, "new"},
 		"rate":         {`{"writes":1,"reads":1}`, persister.ErrUnavailable, nil, false, "old"},
@@ -151,3 +158,35 @@
 	is.Equal([]int64{usage.Reads, usage.Writes, usage.Watches, usage.Limited}, []int64{2, 1, 0, 0})
 	is.True(usage.Received > 0 && usage.Sent > 0)
 }
+
+// Guards against a watch that survives the silence of its connection, and
+// against one that goes on without the discarded history.
+func TestWatchFaults(t *testing.T) {
+	is := is.New(t)
+	url, store := start(t, 300*time.Millisecond)
+	_, err := store.Put(t.Context(), "k", []byte("old"), 0)
+	is.NoErr(err)
+	is.Equal(setFaults(t, url, `{"rules":[{"kind":"forget","count":1}]}`), http.StatusOK)
+	_, err = store.Watch(t.Context(), "k", 0, false)
+	is.True(errors.Is(err, persister.ErrCompacted))
+	_, err = store.Watch(t.Context(), "k", 0, false)
+	is.True(errors.Is(err, persister.ErrCompacted)) // The history is gone for good.
+
+	waited := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go func() {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, url+"/watch?prefix=k&after=1&keys=false&wait=100ms", nil)
+		response, err := (&http.Client{Transport: &http.Transport{}}).Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		waited <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(setFaults(t, url, `{"rules":[{"kind":"silence","operations":["watch"]}]}`), http.StatusOK)
+	is.Equal(setFaults(t, url, `{}`), http.StatusOK)
+	is.True(<-waited != nil)
+	_, err = store.Get(t.Context(), "k")
+	is.NoErr(err)
+}
