Add faults of upstreams, a queue beyond the slots and a slow start

Shares of the requests fail, lose or truncate their response, or are followed by surplus bytes or an extra response; which ones follows from their ids. Full upstreams can reset connections. Existing settings mean the same: the queue is empty and the start not slow by default.

--- a/upstream/cmd/srupstream/main.go
+++ b/upstream/cmd/srupstream/main.go
@@ -39,6 +39,8 @@
 	probe       time.Duration
 	work        time.Duration
 	cold        time.Duration
+	queue       int
+	slowdown    int
 	level       string
 }
 
@@ -53,11 +55,13 @@
 	loader.Add(l, &s.callers, "callers", "", loader.OptionalAddress(), "address for callers of the node beside it, for the next calls of chains")
 	loader.Add(l, &s.journal, "journal", "", loader.Text("a file, or nothing"), "file to which runs and uploads are appended")
 	loader.Add(l, &s.slots, "slots", "6", loader.Int(1, 1024), "requests run at once")
+	loader.Add(l, &s.queue, "queue", "0", loader.Int(0, 1024), "requests that wait for a slot")
 	loader.Add(l, &s.connections, "connections", "130", loader.Int(1, 65535), "open connections at once")
 	loader.Add(l, &s.connect, "connect", "0s", loader.Duration(0, time.Second), "time that each new connection takes")
 	loader.Add(l, &s.probe, "probe", "0s", loader.Duration(0, time.Second), "time that each health probe takes")
 	loader.Add(l, &s.work, "work", "0s", loader.Duration(0, time.Minute), "time that each request takes")
 	loader.Add(l, &s.cold, "cold", "0s", loader.Duration(0, 10*time.Minute), "time to announce itself as cold after the start")
+	loader.Add(l, &s.slowdown, "slowdown", "1", loader.Int(1, 100), "factor of the work's time at the start, which falls to 1 while cold")
 	loader.Add(l, &s.level, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "least level logged")
 	proceed, code := l.Start(os.Args[1:], os.LookupEnv, loader.Streams{Out: os.Stdout, Err: os.Stderr})
 	if !proceed {
@@ -76,7 +80,8 @@
 
 	started := time.Now()
 	upstream := &server.Server{
-		Name: s.name, Service: s.service, Slots: s.slots, Work: s.work, Probe: s.probe,
+		Name: s.name, Service: s.service, Slots: s.slots, Queue: s.queue, Work: s.work, Probe: s.probe,
+		Slowdown: float64(s.slowdown), Started: started, Cold: s.cold,
 		Recorder: recorder.New(), Now: time.Now,
 	}
 	if s.journal != "" {
@@ -97,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	calls := &http.Server{Handler: upstream.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	calls := &http.Server{Handler: upstream.Handler(), ReadHeaderTimeout: 10 * time.Second, ConnContext: server.Connect}
 	control := &http.Server{Addr: s.control.String(), Handler: upstream.Control(), ReadHeaderTimeout: 10 * time.Second}
 	failed := make(chan error, 2)
 	go func() { failed <- calls.Serve(connections) }()
--- a/upstream/listener/listener.go
+++ b/upstream/listener/listener.go
@@ -47,6 +47,9 @@
 	release func()
 }
 
+// NetConn returns the connection itself.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	defer c.release()
--- a/upstream/server/behavior.go
+++ b/upstream/server/behavior.go
@@ -28,6 +28,19 @@
 	Slots int `json:"slots"`
 	// Delay is added to each request, in milliseconds.
 	Delay int `json:"delay"`
+	// Fail, Lose, Truncate, Surplus and Extra are shares of the requests. Fail
+	// answers with status 500 without a run, while the health endpoint is good.
+	Fail float64 `json:"fail"`
+	// Lose runs the request and cuts the connection in place of a response.
+	Lose float64 `json:"lose"`
+	// Truncate cuts the connection in the middle of the response's body.
+	Truncate float64 `json:"truncate"`
+	// Surplus sends bytes after the complete response, on the open connection.
+	Surplus float64 `json:"surplus"`
+	// Extra sends the response once more after some milliseconds.
+	Extra float64 `json:"extra"`
+	// Reset resets connections whose requests find slots and queue full.
+	Reset bool `json:"reset"`
 }
 
 // behaviors holds the current Behavior for concurrent readers.
--- /dev/null
+++ b/upstream/server/fault_test.go
@@ -0,0 +1,125 @@
+package server_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sycamorerun/upstream/recorder"
+	"sycamorerun/upstream/server"
+)
+
+// call sends one request to /run over a connection of its own.
+func call(address, id string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	body := server.Body(id, 0)
+	fmt.Fprintf(conn, "POST /run?size=100&bytes=%d&for=1ms HTTP/1.1\r\nHost: u\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		len(body), server.HeaderCall, id, len(body), body)
+	return conn
+}
+
+// Guards against experiments whose faults never took place, or that say that a
+// request ran when it did not.
+func TestFaults(t *testing.T) {
+	cases := map[string]struct {
+		behavior server.Behavior
+		status   int
+		broken   bool   // the body is not whole
+		more     string // bytes after the response
+		steps    string
+	}{
+		"none":     {server.Behavior{}, http.StatusOK, false, "", "start end"},
+		"fail":     {server.Behavior{Fail: 1}, http.StatusInternalServerError, false, "", ""},
+		"shed":     {server.Behavior{Shed: true}, http.StatusServiceUnavailable, false, "", "shed"},
+		"lose":     {server.Behavior{Lose: 1}, 0, true, "", "start end"},
+		"truncate": {server.Behavior{Truncate: 1}, http.StatusOK, true, "", "start end"},
+		"surplus":  {server.Behavior{Surplus: 1}, http.StatusOK, false, "surplus", "start end"},
+		"extra":    {server.Behavior{Extra: 1}, http.StatusOK, false, "HTTP/1.1 200 OK", "start end"},
+		"no share": {server.Behavior{Lose: 1e-9}, http.StatusOK, false, "", "start end"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer()
+			var journal strings.Builder
+			s.Recorder.Journal, s.Recorder.Instance = &journal, "u"
+			s.Behave(test.behavior)
+			upstream := httptest.NewUnstartedServer(s.Handler())
+			upstream.Config.ConnContext = server.Connect
+			upstream.Start()
+			conn := call(upstream.Listener.Addr().String(), "r")
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			is.Equal(err != nil, test.status == 0)
+			if err == nil {
+				is.Equal(response.StatusCode, test.status)
+				_, err = io.ReadAll(response.Body)
+				is.Equal(err != nil, test.broken)
+			}
+			if test.more != "" {
+				more, err := reader.Peek(len(test.more))
+				is.NoErr(err)
+				is.Equal(string(more), test.more)
+			}
+			upstream.Close() // Waits for the handler.
+			events, err := recorder.Events(strings.NewReader(journal.String()))
+			is.NoErr(err)
+			var steps []string
+			for _, event := range events {
+				steps = append(steps, string(event.Step))
+			}
+			is.Equal(strings.Join(steps, " "), test.steps)
+		})
+	}
+}
+
+// Guards against an upstream that runs more than its slots, has no queue, or is
+// as fast at its start as later.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	s.Queue, s.Work, s.Started, s.Cold, s.Slowdown = 1, 50*time.Millisecond, time.Now(), time.Hour, 2
+	s.Behave(server.Behavior{Reset: true})
+	upstream := httptest.NewUnstartedServer(s.Handler())
+	upstream.Config.ConnContext = server.Connect
+	upstream.Start()
+	defer upstream.Close()
+	start := time.Now()
+	var mutex sync.Mutex
+	var took []time.Duration
+	reset := 0
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() {
+			conn := call(upstream.Listener.Addr().String(), "r")
+			defer conn.Close()
+			_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil && strings.Contains(err.Error(), "reset") {
+				reset++
+			}
+			if err == nil {
+				took = append(took, time.Since(start))
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(reset, 1)
+	is.Equal(len(took), 2)
+	is.True(took[0] >= 99*time.Millisecond && took[1] >= 199*time.Millisecond)
+}
--- a/upstream/server/run.go
+++ b/upstream/server/run.go
@@ -92,14 +92,20 @@
 	s.note(recorder.StepStart, id)
 	end := recorder.StepBreak
 	defer func() { s.note(end, id) }()
-	if !s.wait(r.Context(), min(work, maxSlow)) {
+	if !s.wait(r.Context(), s.slowed(min(work, maxSlow))) {
 		expired(w)
 		return
 	}
 	w.Header().Set(HeaderCall, id)
 	w.Header().Set(HeaderLeft, r.Header.Get(sycamorerun.HeaderDeadline))
+	end = recorder.StepEnd
+	if fault := s.fault(id); fault != nil {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		fault(w, r, answer)
+		return
+	}
 	if _, err := w.Write(answer); err != nil {
+		end = recorder.StepBreak
 		panic(http.ErrAbortHandler)
 	}
-	end = recorder.StepEnd
 }
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -31,6 +31,9 @@
 	HeaderLeft = "X-Left"
 )
 
+// pathHealth is the path of the health endpoint.
+const pathHealth = "/healthz"
+
 // maxSlow bounds the time that a request can ask the upstream to take.
 const maxSlow = time.Minute
 
@@ -39,7 +42,14 @@
 	Name    string
 	Service string
 	Slots   int
-	Work    time.Duration
+	// Queue is the number of requests that wait for a slot; more are shed.
+	Queue int
+	Work  time.Duration
+	// Work takes Slowdown times as long at Started, which falls to the normal time
+	// within Cold.
+	Slowdown float64
+	Started  time.Time
+	Cold     time.Duration
 	// Probe is the time that a health probe takes.
 	Probe    time.Duration
 	Recorder *recorder.Recorder
@@ -49,6 +59,9 @@
 
 	behaviors behaviors
 	running   atomic.Int64
+	once      sync.Once
+	slots     chan struct{}
+	queued    atomic.Int64
 	// confirmed guards left, whether the node confirmed that the upstream leaves.
 	confirmed sync.Mutex
 	left      bool
@@ -69,7 +82,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.answer)
-	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET "+pathHealth, s.health)
 	mux.HandleFunc("/upload", s.upload)
 	mux.HandleFunc("/book", s.book)
 	mux.HandleFunc("/run", s.run)
@@ -114,20 +127,27 @@
 		}
 		w.Header().Set(HeaderUpstream, s.Name)
 		w.Header().Set(HeaderLoad, strconv.FormatFloat(load, 'f', 3, 64))
-		if behavior.Shed || running > int64(s.Slots) {
+		left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline))
+		limited := err == nil
+		if limited {
+			ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+			defer cancel()
+			r = r.WithContext(ctx)
+		}
+		id := r.Header.Get(HeaderCall)
+		if behavior.Shed || !s.take(r.Context()) {
 			s.Recorder.Shed()
-			s.note(recorder.StepShed, r.Header.Get(HeaderCall))
+			s.note(recorder.StepShed, id)
+			if behavior.Reset && !behavior.Shed {
+				reset(r)
+			}
 			http.Error(w, "overloaded", http.StatusServiceUnavailable)
 			return
 		}
+		defer s.release()
 		s.Recorder.Start(s.Now())
-		if left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline)); err == nil {
-			if left <= 0 {
-				s.Recorder.Expire()
-			}
-			ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
-			defer cancel()
-			r = r.WithContext(ctx)
+		if limited && left <= 0 {
+			s.Recorder.Expire()
 		}
 		switch {
 		case behavior.Silent:
@@ -136,8 +156,11 @@
 			return
 		case behavior.Cut:
 			panic(http.ErrAbortHandler)
+		case r.URL.Path != pathHealth && hits(behavior.Fail, "fail", id):
+			http.Error(w, "failing", http.StatusInternalServerError)
+			return
 		}
-		work := s.Work + time.Duration(behavior.Delay)*time.Millisecond
+		work := s.slowed(s.Work + time.Duration(behavior.Delay)*time.Millisecond)
 		if !s.wait(r.Context(), work) {
 			expired(w)
 			return
