Add jitter, loss and silence to relays

Loss delays a segment and those behind it by a retransmission. Silence concerns the connections that are open at that moment, for good; new ones work. Rules of before mean the same.

--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -78,6 +78,10 @@
 	cut map[string]bool
 	// frozen holds the zones whose open connections stand still.
 	frozen map[string]bool
+	// silent holds the zones whose open connections are just made silent, degraded
+	// the added jitter and loss of zones.
+	silent   map[string]bool
+	degraded map[string]relayer.Rule
 	// apart holds the pairs of zones that are cut off from each other alone.
 	apart map[[2]string]bool
 }
@@ -93,6 +97,7 @@
 		Spec:  spec, Observer: observer.New(), storeAt: spec.address(0, 1, portStore),
 		nodeRelays: map[string]*relayer.Relayer{}, zoneRelays: map[string]*relayer.Relayer{},
 		tokens: map[string]string{}, logs: map[string]*os.File{}, cut: map[string]bool{}, frozen: map[string]bool{}, apart: map[[2]string]bool{},
+		silent: map[string]bool{}, degraded: map[string]relayer.Rule{},
 	}
 	f.tokens["admin"], f.adminHash = issuer.Token()
 	f.launcher = &launcher.Launcher{Binaries: spec.Binaries, Line: f.line}
--- a/bench/deployer/network.go
+++ b/bench/deployer/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"sycamorerun/bench/relayer"
 )
@@ -26,12 +27,32 @@
 	f.applyRules()
 }
 
-// Heal ends all partitions and freezes.
+// Silence makes the open connections of zones with all others and the store
+// swallow all traffic for good; new ones work.
+func (f *Fleet) Silence(zones ...string) {
+	f.set(f.silent, zones, true)
+	f.set(f.silent, zones, false)
+}
+
+// Degrade adds jitter and loss to the traffic of zones with all others and the
+// store, on top of those of the Spec.
+func (f *Fleet) Degrade(jitter time.Duration, loss float64, zones ...string) {
+	f.mutex.Lock()
+	for _, zone := range zones {
+		f.degraded[zone] = relayer.Rule{Jitter: jitter, Loss: loss}
+	}
+	f.mutex.Unlock()
+	f.applyRules()
+}
+
+// Heal ends all partitions, freezes, jitter and loss that were added; silent
+// connections stay silent.
 func (f *Fleet) Heal() {
 	f.mutex.Lock()
 	clear(f.cut)
 	clear(f.frozen)
 	clear(f.apart)
+	clear(f.degraded)
 	f.mutex.Unlock()
 	f.applyRules()
 }
@@ -53,14 +74,16 @@
 	}
 	for name, relay := range f.zoneRelays {
 		f.mutex.Lock()
-		rule := relayer.Rule{Cut: f.cut[name] || f.apart[[2]string{name, f.Spec.Zones[0].Name}], Freeze: f.frozen[name]}
-		f.mutex.Unlock()
+		var rule relayer.Rule
 		for _, zone := range f.Spec.Zones {
 			if zone.Name == name {
 				// The store is in the first zone's region.
-				rule.Delay = f.Spec.delay(zone, f.Spec.Zones[0])
+				rule = f.link(zone, f.Spec.Zones[0])
 			}
 		}
+		rule.Cut = f.cut[name] || f.apart[[2]string{name, f.Spec.Zones[0].Name}]
+		rule.Freeze, rule.Silence = f.frozen[name], f.silent[name]
+		f.mutex.Unlock()
 		relay.Apply(func(netip.Addr) relayer.Rule { return rule })
 	}
 }
@@ -71,10 +94,11 @@
 	defer f.mutex.Unlock()
 	rules := map[string]relayer.Rule{}
 	for _, from := range f.Spec.Zones {
-		rule := relayer.Rule{Delay: f.Spec.delay(from, to)}
+		rule := f.link(from, to)
 		if from.Name != to.Name {
 			rule.Cut = f.cut[from.Name] || f.cut[to.Name] || f.apart[[2]string{from.Name, to.Name}]
 			rule.Freeze = f.frozen[from.Name] || f.frozen[to.Name]
+			rule.Silence = f.silent[from.Name] || f.silent[to.Name]
 		}
 		rules[from.Name] = rule
 	}
@@ -83,3 +107,16 @@
 		return rules[from.Name]
 	}
 }
+
+// link returns the delay, jitter and loss between two zones. The caller holds
+// the mutex.
+func (f *Fleet) link(from, to Zone) relayer.Rule {
+	rule := relayer.Rule{Delay: f.Spec.delay(from, to)}
+	if from.Name == to.Name {
+		return rule
+	}
+	a, b := f.degraded[from.Name], f.degraded[to.Name]
+	rule.Jitter = max(f.Spec.Jitter, a.Jitter, b.Jitter)
+	rule.Loss = max(f.Spec.Loss, a.Loss, b.Loss)
+	return rule
+}
--- a/bench/deployer/spec.go
+++ b/bench/deployer/spec.go
@@ -34,6 +34,9 @@
 	// of a region and between regions; they need Relays.
 	ZoneDelay   time.Duration
 	RegionDelay time.Duration
+	// Jitter and Loss are those of relayer.Rule between availability zones.
+	Jitter time.Duration
+	Loss   float64
 }
 
 // Zone is an availability zone with its nodes.
--- a/bench/relayer/relayer.go
+++ b/bench/relayer/relayer.go
@@ -3,9 +3,13 @@
 package relayer
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,8 +21,28 @@
 	Cut bool
 	// Freeze keeps connections open and forwards nothing.
 	Freeze bool
-	// Delay is added in each direction.
-	Delay time.Duration
+	// Delay is added in each direction, and a random part of Jitter.
+	Delay  time.Duration
+	Jitter time.Duration
+	// Loss is the fraction of segments that are lost once. They arrive after
+	// Retransmission, or 200 ms if that is zero, and so do those behind them.
+	Loss           float64
+	Retransmission time.Duration
+	// Silence makes the connections that are open when the rule is applied
+	// swallow all traffic for good; new ones work.
+	Silence bool
+}
+
+// delay returns the time that a segment is on its way.
+func (r Rule) delay() time.Duration {
+	delay := r.Delay
+	if r.Jitter > 0 {
+		delay += rand.N(r.Jitter)
+	}
+	if r.Loss > 0 && rand.Float64() < r.Loss {
+		delay += cmp.Or(r.Retransmission, retransmission)
+	}
+	return delay
 }
 
 const (
@@ -27,6 +51,10 @@
 	// pendingChunks bounds what is delayed in one direction of a connection.
 	pendingChunks = 1024
 	dialTimeout   = time.Second
+	// retransmission is the least timeout of Linux for a segment.
+	retransmission = 200 * time.Millisecond
+	// segmentBytes is the size of a segment where some are lost.
+	segmentBytes = 1448
 )
 
 // Relayer forwards the connections to one listener.
@@ -46,6 +74,8 @@
 	source netip.Addr
 	near   net.Conn
 	far    net.Conn
+	// silent says that the connection swallows all traffic.
+	silent atomic.Bool
 }
 
 func (p *pair) close() {
@@ -79,9 +109,13 @@
 	defer r.mutex.Unlock()
 	r.rule = rule
 	for p := range r.pairs {
-		if rule(p.source).Cut {
+		in := rule(p.source)
+		if in.Cut {
 			p.close()
 		}
+		if in.Silence {
+			p.silent.Store(true)
+		}
 	}
 	r.changed.Broadcast()
 }
@@ -164,8 +198,13 @@
 		for {
 			buffer := make([]byte, chunkBytes)
 			n, err := from.Read(buffer)
-			if n > 0 {
-				chunks <- chunk{buffer[:n], time.Now().Add(r.ruleFor(p.source).Delay)}
+			rule := r.ruleFor(p.source)
+			size := chunkBytes
+			if rule.Loss > 0 {
+				size = segmentBytes
+			}
+			for part := range slices.Chunk(buffer[:n], size) {
+				chunks <- chunk{part, time.Now().Add(rule.delay())}
 			}
 			if err != nil {
 				return
@@ -175,11 +214,14 @@
 	for c := range chunks {
 		time.Sleep(time.Until(c.due))
 		r.waitThawed(p)
+		if p.silent.Load() {
+			continue
+		}
 		if _, err := to.Write(c.data); err != nil {
 			_ = from.Close()
 		}
 	}
-	if half, ok := to.(*net.TCPConn); ok {
+	if half, ok := to.(*net.TCPConn); ok && !p.silent.Load() {
 		_ = half.CloseWrite()
 	}
 }
--- a/bench/relayer/relayer_test.go
+++ b/bench/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/netip"
@@ -71,3 +72,40 @@
 		is.True(exchange(again, 5*time.Second) != nil)
 	}
 }
+
+// Guards against a silence that also hits new connections or ends with the
+// rule, and against losses and jitter that reorder data or delay nothing.
+func TestLinks(t *testing.T) {
+	is := is.New(t)
+	r, err := relayer.New(netip.MustParseAddrPort("127.0.0.1:0"), echo(t))
+	is.NoErr(err)
+	defer r.Close()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", r.Address().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	old := dial()
+	is.NoErr(exchange(old, 5*time.Second))
+	r.Apply(func(netip.Addr) relayer.Rule { return relayer.Rule{Silence: true} })
+	is.NoErr(exchange(dial(), 5*time.Second))
+	r.Apply(func(netip.Addr) relayer.Rule { return relayer.Rule{} })
+	is.True(exchange(old, 100*time.Millisecond) != nil)
+
+	r.Apply(func(netip.Addr) relayer.Rule {
+		return relayer.Rule{Jitter: 5 * time.Millisecond, Loss: 0.2, Retransmission: 20 * time.Millisecond}
+	})
+	conn, start := dial(), time.Now()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	sent := make([]byte, 100<<10)
+	for i := range sent {
+		sent[i] = byte(i / 251)
+	}
+	go func() { _, _ = conn.Write(sent) }()
+	got := make([]byte, len(sent))
+	_, err = io.ReadFull(conn, got)
+	is.NoErr(err)
+	is.True(bytes.Equal(got, sent))
+	is.True(time.Since(start) >= 20*time.Millisecond)
+}
