--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -41,6 +41,7 @@
 	client  *http.Client
 	mutex   sync.Mutex
 	records []Record
+	stalls  []Stall
 }
 
 // Run sends requests for a duration or until ctx ends, and waits for the last
@@ -51,6 +52,11 @@
 	}
 	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	defer c.client.CloseIdleConnections()
+	watching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var watch sync.WaitGroup
+	watch.Go(func() { c.watch(watching) })
+	defer watch.Wait()
+	defer stop()
 	var group sync.WaitGroup
 	defer group.Wait()
 	start := time.Now()
--- a/bench/judge/attempt.go
+++ b/bench/judge/attempt.go
@@ -77,13 +77,15 @@
 			continue
 		}
 		instance := stop.Node
-		interrupted := attempt.Node == stop.Node && attempt.Start.Before(stop.From)
+		interrupted := attempt.Node == stop.Node && attempt.Start.Before(stop.From) && !stop.Upstream
 		for _, run := range j.evidence.runs[attempt.ID] {
-			if (run.instance == stop.Node || attempt.Node == stop.Node) && stop.overlaps(run.start, run.end) {
+			// Another attempt with the same id can have run.
+			own := !run.start.Before(attempt.Start) && run.start.Before(attempt.End)
+			if own && (run.instance == stop.Node || attempt.Node == stop.Node && !stop.Upstream) && stop.overlaps(run.start, run.end) {
 				interrupted, instance = true, run.instance
 			}
 		}
-		if interrupted && !j.excused(attempt.Start, attempt.End, attempt.Node, instance) {
+		if interrupted && !j.excused(attempt.Start, attempt.End, attempt.Node) && !j.interrupted(attempt.Start, attempt.End, instance) {
 			j.add(Finding{Stop, attempt.ID, instance, attempt.Start, attempt.End, fmt.Sprintf("entered at %s, told unknown (%d %s) during the stop of %s", attempt.Node, attempt.Status, attempt.Reason, stop.Node)})
 		}
 	}
@@ -104,7 +106,7 @@
 	}
 	due := over.Add(j.bounds.Release)
 	for _, run := range j.evidence.runs[attempt.ID] {
-		if !run.end.After(due) || j.excused(attempt.Start, run.end, attempt.Node, run.instance) {
+		if !run.end.After(due) || j.excused(attempt.Start, run.end, attempt.Node) || j.interrupted(attempt.Start, run.end, run.instance) {
 			continue
 		}
 		detail := "ended"
--- a/bench/judge/judge.go
+++ b/bench/judge/judge.go
@@ -54,11 +54,13 @@
 	Accepted time.Time
 }
 
-// Span is a time in which something happened to a node, or to the upstream
-// beside it, which has the same name. An empty name stands for all nodes.
+// Span is a time in which something happened to a node and the upstream beside
+// it, which has the same name. An empty name stands for all of them.
 type Span struct {
 	Node     string
 	From, To time.Time
+	// Upstream says that only the upstream is concerned.
+	Upstream bool
 }
 
 // Operator is what the operator did.
@@ -68,8 +70,9 @@
 	// end of the process.
 	Stops []Span
 	// Faults are times in which a node, its upstream or its network was killed,
-	// paused or cut off. They excuse what could not be in time and what was
-	// interrupted, but no wrong response, no false "not run" and no second run.
+	// paused, cut off or faulty. They excuse what could not be in time and what
+	// was interrupted, but no wrong response, no false "not run", no second run
+	// and no older version.
 	Faults []Span
 }
 
@@ -119,8 +122,17 @@
 
 // excused reports whether a fault of one of the nodes overlaps a time.
 func (j *judgement) excused(from, to time.Time, nodes ...string) bool {
+	return j.faulty(from, to, func(fault Span) bool { return !fault.Upstream && slices.Contains(nodes, fault.Node) })
+}
+
+// interrupted reports whether a fault of an upstream overlaps a time.
+func (j *judgement) interrupted(from, to time.Time, upstream string) bool {
+	return j.faulty(from, to, func(fault Span) bool { return fault.Node == upstream })
+}
+
+func (j *judgement) faulty(from, to time.Time, concerns func(Span) bool) bool {
 	return slices.ContainsFunc(j.operator.Faults, func(fault Span) bool {
-		return (fault.Node == "" || slices.Contains(nodes, fault.Node)) && fault.overlaps(from, to)
+		return (fault.Node == "" || concerns(fault)) && fault.overlaps(from, to)
 	})
 }
 
--- a/bench/judge/judge_test.go
+++ b/bench/judge/judge_test.go
@@ -16,7 +16,7 @@
 // at returns a time by its milliseconds.
 func at(ms int) time.Time { return time.UnixMilli(int64(1_000_000 + ms)) }
 
-func span(node string, from, to int) Span { return Span{node, at(from), at(to)} }
+func span(node string, from, to int) Span { return Span{Node: node, From: at(from), To: at(to)} }
 
 // try returns an attempt at node n from 0 to 100 ms.
 func try(result sycamorerun.Result, changes ...func(*caller.Attempt)) caller.Attempt {
@@ -100,6 +100,8 @@
 		"version shown":              {[]caller.Attempt{try(answered, showing(1), during(9000, 9001))}, "start:v@9000", Operator{Versions: one}, ""},
 		"interrupted at its node":    {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", 50, 500)}}, Stop},
 		"interrupted at an upstream": {[]caller.Attempt{try(unknown)}, "start:r.0@60 break:r.0@70", Operator{Stops: []Span{span("u", 50, 500)}}, Stop},
+		"another attempt ran":        {[]caller.Attempt{try(unknown, during(60, 61)), try(answered, during(70, 90))}, "start:r.0@75 end:r.0@80", Operator{Stops: []Span{span("n", 50, 500)}}, ""},
+		"faulty upstream":            {[]caller.Attempt{try(unknown)}, "start:r.0@60 break:r.0@70", Operator{Stops: []Span{span("n", 50, 500)}, Faults: []Span{{Node: "u", From: at(0), To: at(99), Upstream: true}}}, ""},
 		"came during a stop":         {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", -50, 500)}}, ""},
 		"refused by a stop":          {[]caller.Attempt{try(notRun)}, "", Operator{Stops: []Span{span("n", 50, 500)}}, ""},
 		"interrupted by a fault":     {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", 50, 500)}, Faults: []Span{span("n", 90, 95)}}, ""},
--- a/bench/judge/version.go
+++ b/bench/judge/version.go
@@ -60,7 +60,7 @@
 	due := version.Accepted.Add(j.bounds.Force)
 	for _, fault := range sorted(j.operator.Faults, func(s Span) time.Time { return s.From }) {
 		renewed := fault.To.Add(j.bounds.Force)
-		if (fault.Node == "" || fault.Node == node) && fault.From.Before(due) && fault.To.After(version.Accepted) && renewed.After(due) {
+		if (fault.Node == "" || fault.Node == node && !fault.Upstream) && fault.From.Before(due) && fault.To.After(version.Accepted) && renewed.After(due) {
 			due = renewed
 		}
 	}
