--- a/bench/judge/judge.go
+++ b/bench/judge/judge.go
@@ -74,6 +74,9 @@
 	// was interrupted, but no wrong response, no false "not run", no second run
 	// and no older version.
 	Faults []Span
+	// Stalls are times in which the callers did not run. What they saw late is
+	// taken to have been in time by as much.
+	Stalls []Span
 }
 
 // Finding is one broken promise.
@@ -136,6 +139,17 @@
 	})
 }
 
+// stalled returns for how long the callers did not run within a time.
+func (j *judgement) stalled(from, to time.Time) time.Duration {
+	var sum time.Duration
+	for _, stall := range j.operator.Stalls {
+		if stall.overlaps(from, to) {
+			sum += min(stall.To.Sub(stall.From), to.Sub(stall.From), stall.To.Sub(from), to.Sub(from))
+		}
+	}
+	return sum
+}
+
 func (s Span) overlaps(from, to time.Time) bool { return s.From.Before(to) && s.To.After(from) }
 
 // judgeDepartures finds arrivals at upstreams that left.
--- a/bench/judge/judge_test.go
+++ b/bench/judge/judge_test.go
@@ -106,6 +106,8 @@
 		"refused by a stop":          {[]caller.Attempt{try(notRun)}, "", Operator{Stops: []Span{span("n", 50, 500)}}, ""},
 		"interrupted by a fault":     {[]caller.Attempt{try(unknown)}, "", Operator{Stops: []Span{span("n", 50, 500)}, Faults: []Span{span("n", 90, 95)}}, ""},
 		"told late":                  {[]caller.Attempt{try(unknown, during(0, 1501))}, "", Operator{}, Answer},
+		"callers stalled":            {[]caller.Attempt{try(unknown, during(0, 1599))}, "", Operator{Stalls: []Span{span("", 900, 1000)}}, ""},
+		"callers stalled too little": {[]caller.Attempt{try(unknown, during(0, 1601))}, "", Operator{Stalls: []Span{span("", 900, 1000), span("", 1700, 1800)}}, Answer},
 		"told in time":               {[]caller.Attempt{try(unknown, during(0, 1499))}, "", Operator{}, ""},
 		"told late by a paused node": {[]caller.Attempt{try(unknown, during(0, 1501))}, "", Operator{Faults: []Span{span("n", 500, 900)}}, ""},
 		"ran on without its caller":  {[]caller.Attempt{try(unknown, left)}, "start:r.0@5 break:r.0@601", Operator{}, Release},
