--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -231,7 +231,7 @@
 		"--name", node.Name, "--service", node.Service, "--listen", node.Upstream.String(),
 		"--control", node.Control.String(), "--node", node.Operators.String(),
 		"--callers", node.Callers.String(), "--journal", f.journal(node),
-	}, f.Spec.UpstreamArgs...)...)
+	}, slices.Concat(f.Spec.UpstreamArgs, f.Spec.ServiceArgs[node.Service])...)...)
 	return err
 }
 
--- a/bench/deployer/spec.go
+++ b/bench/deployer/spec.go
@@ -30,6 +30,8 @@
 	NodeArgs []string
 	// UpstreamArgs are further arguments of every upstream.
 	UpstreamArgs []string
+	// ServiceArgs are further arguments of the upstreams of a service.
+	ServiceArgs map[string][]string
 	// ZoneDelay and RegionDelay are added one way between availability zones
 	// of a region and between regions; they need Relays.
 	ZoneDelay   time.Duration
--- a/bench/launcher/launcher.go
+++ b/bench/launcher/launcher.go
@@ -95,6 +95,12 @@
 	p.wait()
 }
 
+// Stop asks the process to end and waits for it.
+func (p *Process) Stop() {
+	_ = p.Signal(syscall.SIGTERM) // Fails when the process has ended.
+	p.wait()
+}
+
 // wait waits for the end of the process and kills it after stopLimit.
 func (p *Process) wait() {
 	_ = p.Signal(syscall.SIGCONT) // A paused process does not see SIGTERM.
--- a/bench/observer/observer.go
+++ b/bench/observer/observer.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -68,7 +69,10 @@
 		if o.applied[passed] == nil {
 			o.applied[passed] = map[string]time.Time{}
 		}
-		o.applied[passed][process] = at
+		// A process that starts again applies what it had before.
+		if _, known := o.applied[passed][process]; !known {
+			o.applied[passed][process] = at
+		}
 	}
 	o.highest[process] = max(o.highest[process], version)
 }
@@ -94,6 +98,13 @@
 	return append([]string{}, o.backward...)
 }
 
+// Times returns when each process applied a version for the first time.
+func (o *Observer) Times(version uint64) map[string]time.Time {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return maps.Clone(o.applied[version])
+}
+
 // Delays returns, for a version, how long after its first application each
 // other process applied it.
 func (o *Observer) Delays(version uint64) []time.Duration {
