Add plots, tables and srbench play

srbench exits with 1 when the judge found a broken promise and with 2 when it could not do its work.

--- a/bench/cmd/srbench/main.go
+++ b/bench/cmd/srbench/main.go
@@ -17,14 +17,24 @@
 	"sycamorerun/bench/stresser"
 )
 
+// Exit codes: a promise was broken, and a command that could not do its work.
+// All other commands have only one kind of failure.
+const (
+	codeBroken = 1
+	codeFailed = 2
+)
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "srbench", Short: "Measure a fleet of real processes on loopback", SilenceUsage: true}
-	root.AddCommand(converge(), calls(), costs(), balance())
+	root.AddCommand(converge(), calls(), costs(), balance(), play())
 	if err := root.ExecuteContext(ctx); err != nil {
 		stop()
-		os.Exit(1)
+		if errors.Is(err, errBroken) {
+			os.Exit(codeBroken)
+		}
+		os.Exit(codeFailed)
 	}
 }
 
--- /dev/null
+++ b/bench/plotter/table.go
@@ -0,0 +1,161 @@
+package plotter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/bench/player"
+)
+
+// Table returns a result as Markdown tables with units in the heads.
+func Table(result player.Result) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "## %s\n\n", result.Name)
+	if result.About != "" {
+		fmt.Fprintf(&text, "%s\n\n", result.About)
+	}
+	fmt.Fprintf(&text, "Seed %d, %s for each variant.\n\n", result.Seed, time.Duration(result.Duration))
+	requests(&text, result)
+	phases(&text, result)
+	fleet(&text, result)
+	findings(&text, result)
+	return text.String()
+}
+
+// row writes a row of a table.
+func row(text *strings.Builder, cells ...string) {
+	text.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
+
+// head writes the head of a table.
+func head(text *strings.Builder, cells ...string) {
+	row(text, cells...)
+	row(text, slices.Repeat([]string{"---"}, len(cells))...)
+}
+
+func milli(d sycamorerun.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/milliseconds)
+}
+
+func percent(part, of int) string {
+	if of == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%.2f", 100*float64(part)/float64(of))
+}
+
+// summary returns the cells of a kind of requests.
+func summary(s player.Summary) []string {
+	if s.Served == 0 {
+		return []string{fmt.Sprint(s.Requests), percent(0, s.Requests), "", fmt.Sprint(s.Refused), fmt.Sprint(s.Requests - s.Refused), "", "", ""}
+	}
+	return []string{
+		fmt.Sprint(s.Requests), percent(s.Served, s.Requests), percent(s.InTime, s.Requests), fmt.Sprint(s.Refused),
+		fmt.Sprint(s.Requests - s.Served - s.Refused), milli(s.Median), milli(s.P99), milli(s.Worst),
+	}
+}
+
+var summaryHeads = []string{
+	"requests", "served %", "in time %", "not run", "unknown", "median ms", "p99 ms", "worst ms",
+}
+
+func requests(text *strings.Builder, result player.Result) {
+	head(text, append([]string{"variant", "kind"}, summaryHeads...)...)
+	for _, variant := range result.Variants {
+		for i, kind := range result.Kinds {
+			row(text, append([]string{variant.Name, kind}, summary(variant.Kinds[i])...)...)
+		}
+	}
+	text.WriteString("\n")
+}
+
+// phases writes the spans between changes of the load, if it changes.
+func phases(text *strings.Builder, result player.Result) {
+	if !slices.ContainsFunc(result.Variants, func(v player.Variant) bool { return len(v.Phases) > 1 }) {
+		return
+	}
+	head(text, append([]string{"variant", "from s", "to s", "load", "kind"}, summaryHeads...)...)
+	for _, variant := range result.Variants {
+		for _, phase := range variant.Phases {
+			for i, kind := range result.Kinds {
+				cells := []string{variant.Name, fmt.Sprint(phase.From), fmt.Sprint(phase.To), phase.Name, kind}
+				row(text, append(cells, summary(phase.Kinds[i])...)...)
+			}
+		}
+	}
+	text.WriteString("\n")
+}
+
+// fleet writes convergence, control bytes and the store's calls.
+func fleet(text *strings.Builder, result player.Result) {
+	head(text, "variant", "changes", "accepted", "acceptance median ms", "worst ms", "last node median ms", "worst ms", "last node with a fault, worst ms", "versions not everywhere",
+		"between regions KB", "store to other regions KB", "between zones KB", "within zones KB", "store calls", "load average before", "after", "callers stalled s")
+	for _, variant := range result.Variants {
+		var accepted, last []sycamorerun.Duration
+		missing, faulty := 0, sycamorerun.Duration(0)
+		for _, change := range variant.Changes {
+			switch {
+			case change.Version == 0:
+				continue
+			case len(change.Missing) > 0:
+				missing++
+			default:
+				last = append(last, change.Last)
+			}
+			accepted = append(accepted, change.Accepted)
+			faulty = max(faulty, change.LastFaulty)
+		}
+		var cross, store, region, zone, calls float64
+		for _, sample := range variant.Samples {
+			cross += sample.Cross
+			store += sample.Store
+			region += sample.Region
+			zone += sample.Zone
+			calls += sample.Calls
+		}
+		cells := []string{variant.Name, fmt.Sprint(len(variant.Changes)), fmt.Sprint(len(accepted))}
+		cells = append(cells, middle(accepted)...)
+		cells = append(cells, middle(last)...)
+		cells = append(cells, milli(faulty), fmt.Sprint(missing))
+		for _, bytes := range []float64{cross, store, region, zone} {
+			cells = append(cells, fmt.Sprintf("%.1f", bytes/kilobytes))
+		}
+		row(text, append(cells, fmt.Sprintf("%.0f", calls), fmt.Sprintf("%.1f", variant.Before), fmt.Sprintf("%.1f", variant.After), fmt.Sprintf("%.1f", time.Duration(variant.Stalled).Seconds()))...)
+	}
+	text.WriteString("\n")
+}
+
+// middle returns the median and the largest of times.
+func middle(times []sycamorerun.Duration) []string {
+	if len(times) == 0 {
+		return []string{"", ""}
+	}
+	slices.Sort(times)
+	return []string{milli(times[(len(times)-1)/2]), milli(times[len(times)-1])}
+}
+
+// findings writes what the judge found.
+func findings(text *strings.Builder, result player.Result) {
+	for _, variant := range result.Variants {
+		if len(variant.Broken) == 0 {
+			fmt.Fprintf(text, "Variant %s: no broken promise in %d attempts.\n", variant.Name, variant.Attempts)
+			continue
+		}
+		fmt.Fprintf(text, "Variant %s: broken promises in %d attempts:", variant.Name, variant.Attempts)
+		for _, promise := range slices.Sorted(maps.Keys(variant.Broken)) {
+			fmt.Fprintf(text, " %s %d", promise, variant.Broken[promise])
+		}
+		text.WriteString("\n\n")
+		listed := map[string]int{}
+		for _, finding := range variant.Findings {
+			if listed[string(finding.Promise)]++; listed[string(finding.Promise)] <= 3 {
+				fmt.Fprintf(text, "- %s: %s at %s, %s: %s\n", finding.Promise, finding.ID, finding.Instance, finding.Start.UTC().Format("15:04:05.000"), finding.Detail)
+			}
+		}
+		text.WriteString("\n")
+	}
+}
