--- a/bench/caller/caller.go
+++ b/bench/caller/caller.go
@@ -32,6 +32,9 @@
 
 // Caller is the callers. Set the fields before Run.
 type Caller struct {
+	// Name precedes the ids of the requests. Callers of one experiment need
+	// different ones if their kinds have the same names.
+	Name    string
 	Entries []Entry
 	Kinds   []Kind
 	Bursts  []Burst
@@ -45,7 +48,7 @@
 }
 
 // Run sends requests for a duration or until ctx ends, and waits for the last
-// one to end. The ids of two runs are the same.
+// one to end. A second run of the same callers would have the same ids.
 func (c *Caller) Run(ctx context.Context, duration time.Duration) error {
 	if err := c.verify(); err != nil {
 		return err
--- a/bench/caller/kind.go
+++ b/bench/caller/kind.go
@@ -89,6 +89,9 @@
 
 // verify reports the first fault of the callers' description.
 func (c *Caller) verify() error {
+	if strings.ContainsAny(c.Name, " \n") {
+		return errors.Errorf("name %q of the callers has spaces", c.Name)
+	}
 	if len(c.Entries) == 0 {
 		return errors.New("callers have no entry")
 	}
--- a/bench/caller/schedule.go
+++ b/bench/caller/schedule.go
@@ -76,7 +76,7 @@
 				continue
 			}
 			at += max(1, time.Duration(share/rate*float64(time.Second)))
-			next := request{id: fmt.Sprintf("%s-%d", kind.Name, count), due: at, entry: random.IntN(entries)}
+			next := request{id: fmt.Sprintf("%s%s-%d", c.Name, kind.Name, count), due: at, entry: random.IntN(entries)}
 			if kind.Marker {
 				next.entry = count % entries // Each node is asked equally often.
 			}
--- a/bench/caller/stall.go
+++ b/bench/caller/stall.go
@@ -18,7 +18,7 @@
 	From, To time.Time
 }
 
-// Stalls returns the stalls of the last run.
+// Stalls returns the stalls of the run.
 func (c *Caller) Stalls() []Stall {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
