--- a/bench/judge/attempt.go
+++ b/bench/judge/attempt.go
@@ -25,6 +25,7 @@
 		}
 	}
 	if record.Once && len(runs) > 1 {
+		runs = sorted(runs, func(r *run) time.Time { return r.start })
 		j.add(Finding{Once, record.ID, runs[1].instance, runs[0].start, runs[1].start, fmt.Sprintf("ran %d times, first at %s", len(runs), runs[0].instance)})
 	}
 }
