--- a/bench/player/change.go
+++ b/bench/player/change.go
@@ -16,6 +16,9 @@
 	"sycamorerun/ctl/requester"
 )
 
+// submitPause is the time until a change is sent again.
+const submitPause = 200 * time.Millisecond
+
 // write lets the operator write versions, one after the other: the next one
 // follows when the outcome of the last one is known.
 func (r *run) write(run context.Context, event experimenter.Event) {
@@ -61,16 +64,13 @@
 	r.mutex.Unlock()
 	text := markerSettings(r.x, change.Number)
 	began := time.Now()
-	outcome, err := r.fleet.Change(ctx, teamMarker, &settings.SubmitPayload{
-		ID: uuid.NewString(), Kind: "apply", Team: teamMarker, Settings: &text,
-	}, nodes...)
+	outcome, err := r.submit(ctx, &settings.SubmitPayload{ID: uuid.NewString(), Kind: "apply", Team: teamMarker, Settings: &text}, nodes)
 	ended := time.Now()
 	change.At, change.Accepted = r.since(began), sycamorerun.Duration(ended.Sub(began))
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var failure *requester.Failure
 	switch {
-	case errors.As(err, &failure) && !failure.Sent:
+	case unsent(err):
 		change.Status, err = "not sent", nil // No node could be reached.
 	case err != nil:
 		change.Status = "unknown: " + err.Error()
@@ -84,3 +84,22 @@
 	r.accepted = append(r.accepted, ended)
 	return err == nil
 }
+
+// submit sends a change until its outcome is known or ctx ends. The id stays
+// the same, so that it is accepted once at most. A node that has just started
+// knows no operator yet, which ends a single try.
+func (r *run) submit(ctx context.Context, payload *settings.SubmitPayload, nodes []*deployer.Node) (*settings.Outcome, error) {
+	for {
+		outcome, err := r.fleet.Change(ctx, teamMarker, payload, nodes...)
+		if err == nil || unsent(err) || ctx.Err() != nil {
+			return outcome, err
+		}
+		pause(ctx, submitPause)
+	}
+}
+
+// unsent reports whether a change failed because no node could be reached.
+func unsent(err error) bool {
+	var failure *requester.Failure
+	return errors.As(err, &failure) && !failure.Sent
+}
--- a/bench/plotter/plotter.go
+++ b/bench/plotter/plotter.go
@@ -137,7 +137,7 @@
 	mark  player.Mark
 	color color.Color
 	style draw.TextStyle
-	// row is the line of the label from the top, 0 for no label.
+	// row is the line of the label from the bottom, 0 for no label.
 	row int
 }
 
@@ -146,9 +146,10 @@
 	x, _ := p.Transforms(&c)
 	from, to := max(x(s.mark.From), c.Min.X), min(x(s.mark.To), c.Max.X)
 	c.FillPolygon(s.color, []vg.Point{{X: from, Y: c.Min.Y}, {X: to, Y: c.Min.Y}, {X: to, Y: c.Max.Y}, {X: from, Y: c.Max.Y}})
+	c.StrokeLine2(draw.LineStyle{Color: color.Gray{Y: 160}, Width: vg.Points(0.5)}, from, c.Min.Y, from, c.Max.Y)
 	if s.row > 0 {
-		s.style.XAlign, s.style.YAlign = draw.XLeft, draw.YTop
-		c.FillText(s.style, vg.Point{X: from + 2, Y: c.Max.Y - 1 - vg.Length(s.row-1)*(fontSize+1)}, s.mark.Label)
+		s.style.XAlign, s.style.YAlign = draw.XLeft, draw.YBottom
+		c.FillText(s.style, vg.Point{X: from + 2, Y: c.Min.Y + 1 + vg.Length(s.row-1)*(fontSize+1)}, s.mark.Label)
 	}
 }
 
