--- a/bench/deployer/spec.go
+++ b/bench/deployer/spec.go
@@ -30,10 +30,15 @@
 	NodeArgs []string
 	// UpstreamArgs are further arguments of every upstream.
 	UpstreamArgs []string
+	// ServiceArgs are further arguments of the upstreams of a service.
+	ServiceArgs map[string][]string
 	// ZoneDelay and RegionDelay are added one way between availability zones
 	// of a region and between regions; they need Relays.
 	ZoneDelay   time.Duration
 	RegionDelay time.Duration
+	// Jitter and Loss are those of relayer.Rule between availability zones.
+	Jitter time.Duration
+	Loss   float64
 }
 
 // Zone is an availability zone with its nodes.
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +25,15 @@
 const (
 	HeaderUpstream = "X-Upstream"
 	HeaderLoad     = "X-Load"
+	// HeaderCall carries the id of a caller's attempt, which the response repeats.
+	HeaderCall = "X-Call"
+	// HeaderLeft is the deadline with which the request arrived, in the response.
+	HeaderLeft = "X-Left"
 )
 
+// pathHealth is the path of the health endpoint.
+const pathHealth = "/healthz"
+
 // maxSlow bounds the time that a request can ask the upstream to take.
 const maxSlow = time.Minute
 
@@ -34,7 +42,14 @@
 	Name    string
 	Service string
 	Slots   int
-	Work    time.Duration
+	// Queue is the number of requests that wait for a slot; more are shed.
+	Queue int
+	Work  time.Duration
+	// Work takes Slowdown times as long at Started, which falls to the normal time
+	// within Cold.
+	Slowdown float64
+	Started  time.Time
+	Cold     time.Duration
 	// Probe is the time that a health probe takes.
 	Probe    time.Duration
 	Recorder *recorder.Recorder
@@ -44,6 +59,12 @@
 
 	behaviors behaviors
 	running   atomic.Int64
+	once      sync.Once
+	slots     chan struct{}
+	queued    atomic.Int64
+	// confirmed guards left, whether the node confirmed that the upstream leaves.
+	confirmed sync.Mutex
+	left      bool
 }
 
 // Behavior returns the current behavior.
@@ -61,9 +82,10 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.answer)
-	mux.HandleFunc("GET /healthz", s.health)
+	mux.HandleFunc("GET "+pathHealth, s.health)
 	mux.HandleFunc("/upload", s.upload)
 	mux.HandleFunc("/book", s.book)
+	mux.HandleFunc("/run", s.run)
 	mux.HandleFunc("/slow", s.slow)
 	mux.HandleFunc("GET /bytes", s.bytes)
 	mux.HandleFunc("GET /chain/{rest...}", s.chain)
@@ -105,19 +127,27 @@
 		}
 		w.Header().Set(HeaderUpstream, s.Name)
 		w.Header().Set(HeaderLoad, strconv.FormatFloat(load, 'f', 3, 64))
-		if behavior.Shed || running > int64(s.Slots) {
+		left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline))
+		limited := err == nil
+		if limited {
+			ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
+			defer cancel()
+			r = r.WithContext(ctx)
+		}
+		id := r.Header.Get(HeaderCall)
+		if behavior.Shed || !s.take(r.Context()) {
 			s.Recorder.Shed()
+			s.note(recorder.StepShed, id)
+			if behavior.Reset && !behavior.Shed {
+				reset(r)
+			}
 			http.Error(w, "overloaded", http.StatusServiceUnavailable)
 			return
 		}
+		defer s.release()
 		s.Recorder.Start(s.Now())
-		if left, err := strconv.Atoi(r.Header.Get(sycamorerun.HeaderDeadline)); err == nil {
-			if left <= 0 {
-				s.Recorder.Expire()
-			}
-			ctx, cancel := context.WithTimeout(r.Context(), time.Duration(left)*time.Millisecond)
-			defer cancel()
-			r = r.WithContext(ctx)
+		if limited && left <= 0 {
+			s.Recorder.Expire()
 		}
 		switch {
 		case behavior.Silent:
@@ -126,8 +156,11 @@
 			return
 		case behavior.Cut:
 			panic(http.ErrAbortHandler)
+		case r.URL.Path != pathHealth && hits(behavior.Fail, "fail", id):
+			http.Error(w, "failing", http.StatusInternalServerError)
+			return
 		}
-		work := s.Work + time.Duration(behavior.Delay)*time.Millisecond
+		work := s.slowed(s.Work + time.Duration(behavior.Delay)*time.Millisecond)
 		if !s.wait(r.Context(), work) {
 			expired(w)
 			return
