--- a/bench/system/judged_test.go
+++ b/bench/system/judged_test.go
@@ -23,8 +23,9 @@
 	judgedTimeout = 400 * time.Millisecond
 )
 
-// judgedKinds are requests of all sorts, 95 in a second.
-func judgedKinds() []caller.Kind {
+// judgedKinds are requests of all sorts, 99 in a second. Some that take a
+// second enter in one zone, so that a stop there meets requests in flight.
+func judgedKinds(zone string) []caller.Kind {
 	ms := time.Millisecond
 	return []caller.Kind{
 		{Name: "read", Rate: 30, Method: "GET", Host: "read.example", Work: 5 * ms, Response: 2000, Objective: 100 * ms, Deadline: time.Second, Timeout: 5 * time.Second, Retries: 2, Leaving: 0.05},
@@ -32,6 +33,7 @@
 		{Name: "order", Rate: 10, Host: "book.example", Work: 30 * ms, Timeout: 2 * time.Second, Retries: 2, Once: true, Key: true, Roam: true},
 		{Name: "upload", Rate: 5, Host: "book.example", Work: 20 * ms, Body: 200 << 10, Chunked: true, Timeout: 2 * time.Second, Retries: 1, Once: true},
 		{Name: "history", Rate: 5, Host: "read.example", Work: time.Second, Response: 300 << 10, Timeout: 5 * time.Second, Retries: 1},
+		{Name: "pull", Rate: 4, Zones: []string{zone}, Host: "read.example", Work: time.Second, Response: 300 << 10, Timeout: 5 * time.Second},
 		{Name: "late", Rate: 3, Host: "late.example", Work: 3 * time.Second, Timeout: judgedTimeout},
 		{Name: "gone", Rate: 4, Host: "read.example", Work: 2500 * ms, Timeout: 5 * time.Second, Leaving: 0.8},
 		{Name: "version", Rate: 18, Host: "version.example", Marker: true},
@@ -85,7 +87,7 @@
 
 	faulty, drained, stopped, killed := fleet.Nodes[1], fleet.Nodes[2], fleet.Nodes[3], fleet.Nodes[4]
 	is.NoErr(deployer.Put(ctx, faulty.Control, "/behavior", map[string]any{"truncate": 0.1, "surplus": 0.1, "lose": 0.1, "fail": 0.05}))
-	callers := &caller.Caller{Kinds: judgedKinds(), Seed: judgedSeed}
+	callers := &caller.Caller{Kinds: judgedKinds(stopped.Zone.Name), Seed: judgedSeed}
 	for _, node := range fleet.Nodes {
 		callers.Entries = append(callers.Entries, caller.Entry{Name: node.Name, Zone: node.Zone.Name, Address: node.Callers})
 	}
