Stop the node of TestJudged only after its drain

Truncated responses above 32 KiB are chunked: with a stated length net/http itself ends the caller's connection, and a node that ends a broken response like a complete one was not found.

--- a/bench/system/judged_test.go
+++ b/bench/system/judged_test.go
@@ -18,7 +18,7 @@
 const (
 	judgedSeed = 11
 	// judgedTime is how long the callers send requests.
-	judgedTime = 22 * time.Second
+	judgedTime = 25 * time.Second
 	// judgedTimeout is the timeout of the route that is slower than it.
 	judgedTimeout = 400 * time.Millisecond
 )
@@ -72,7 +72,7 @@
 	fleet := startEmpty(t, deployer.Spec{
 		Zones: deployer.Today(1), Upstreams: true, Services: []string{"quote-desk"}, Relays: true,
 		UpstreamArgs: []string{"--slots", "6", "--queue", "2"},
-		NodeArgs:     []string{"--drain-delay", "1s", "--drain-timeout", "6s"},
+		NodeArgs:     []string{"--drain-delay", "1s", "--drain-timeout", "8s"},
 	})
 	waitKnown(t, fleet, "admin")
 	is.NoErr(fleet.Teams(ctx, map[string]string{"quoting": "flow"}))
@@ -104,14 +104,14 @@
 	until(7 * time.Second)
 	from := time.Now()
 	is.NoErr(stopped.Process.Signal(syscall.SIGTERM))
-	until(13500 * time.Millisecond)
+	until(17 * time.Second) // 1 s after the end of the drain.
 	operator.Stops = append(operator.Stops, judge.Span{Node: stopped.Name, From: from, To: time.Now()})
 	stopped.Process.Kill()
 	is.NoErr(fleet.StartNode(ctx, stopped))
-	until(14 * time.Second)
+	until(18 * time.Second)
 	from = time.Now()
 	killed.Process.Kill()
-	until(17 * time.Second)
+	until(20 * time.Second)
 	is.NoErr(fleet.StartNode(ctx, killed))
 	is.NoErr(fleet.WaitReady(ctx, killed, stopped))
 	operator.Faults = append(operator.Faults, judge.Span{Node: killed.Name, From: from, To: time.Now()})
--- a/upstream/server/fault.go
+++ b/upstream/server/fault.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -15,6 +15,10 @@
 // connection may carry the next request.
 const extraDelay = 5 * time.Millisecond
 
+// chunkedFrom is the size above which truncated responses are chunked, so that
+// both ways to see the end of a response are tested.
+const chunkedFrom = 32 << 10
+
 // faults are what can happen to the response of a request that ran, in the
 // order in which they apply; the first one that hits replaces the response.
 var faults = []struct {
@@ -26,22 +30,33 @@
 		panic(http.ErrAbortHandler)
 	}},
 	{"truncate", func(b Behavior) float64 { return b.Truncate }, func(_ *Server, w http.ResponseWriter, _ *http.Request, answer []byte) {
+		if len(answer) <= chunkedFrom {
+			state(w, answer)
+		}
 		_, _ = w.Write(answer[:len(answer)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}},
 	{"surplus", func(b Behavior) float64 { return b.Surplus }, func(_ *Server, w http.ResponseWriter, r *http.Request, answer []byte) {
+		state(w, answer)
 		_, _ = w.Write(answer)
 		_ = http.NewResponseController(w).Flush()
 		raw(r, []byte("surplus bytes"))
 	}},
 	{"extra", func(b Behavior) float64 { return b.Extra }, func(_ *Server, w http.ResponseWriter, r *http.Request, answer []byte) {
+		state(w, answer)
 		_, _ = w.Write(answer)
 		extra := render(w.Header(), answer)
 		time.AfterFunc(extraDelay, func() { raw(r, extra) })
 	}},
 }
 
+// state sets the length of a response. What follows a chunked response would be
+// sent before its last chunk.
+func state(w http.ResponseWriter, answer []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+}
+
 // fault returns the fault that a request meets, by its id: the same request
 // meets the same one each time. It returns nil for none.
 func (s *Server) fault(id string) func(w http.ResponseWriter, r *http.Request, answer []byte) {
@@ -98,9 +113,6 @@
 	var text bytes.Buffer
 	text.WriteString("HTTP/1.1 200 OK\r\n")
 	_ = header.Write(&text) // Never fails.
-	if header.Get("Content-Length") == "" {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(answer))
-	}
 	text.WriteString("\r\n")
 	text.Write(answer)
 	return text.Bytes()
--- a/upstream/server/run.go
+++ b/upstream/server/run.go
@@ -100,7 +100,6 @@
 	w.Header().Set(HeaderLeft, r.Header.Get(sycamorerun.HeaderDeadline))
 	end = recorder.StepEnd
 	if fault := s.fault(id); fault != nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 		fault(w, r, answer)
 		return
 	}
