Count a call that comes back from its first arrival

Under lasting overload, callers come back after a refusal and were served as new calls: they were late already, and took slots from calls that would have met their objective. The node that refuses a call remembers it by method, host and target until its caller gives up; a call for the same that waits no longer than the first one had left counts from the first arrival. Calls that can't meet their objective any more go after the others of their rank.

Ruled out as a way to know them: the deadlines that callers state differ by 15% between first attempts.

--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -47,6 +47,8 @@
 	// fleet.
 	began   time.Time
 	arrived time.Time
+	// until is when the caller has said that it gives up; zero means not said.
+	until time.Time
 	// reply is the time that is left to tell a peer that the call got no slot.
 	reply time.Duration
 }
@@ -107,6 +109,12 @@
 		c.level = level
 	}
 	c.target = r.URL.RequestURI()
+	if waits, err := remaining(r.Header.Get(f.Contract.Deadline), 0); err == nil && waits > 0 {
+		c.until = now.Add(waits)
+		if arrived, ok := f.returns.first(now, c); ok {
+			c.arrived = arrived
+		}
+	}
 	c.header = f.clean(r.Header)
 	set(c.header, f.Contract.Origin, f.Service)
 	c.trailers = announced(r.Trailer)
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -113,6 +113,8 @@
 	limits atomic.Pointer[limits]
 	drain  drain
 	pool   pool
+	// returns are the calls that were refused here.
+	returns *returns
 	// waiting counts the streams of peers that wait for their next call.
 	waiting atomic.Int64
 	metrics metrics
@@ -126,6 +128,7 @@
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
 	f.SetLimits(DefaultLimits)
+	f.returns = newReturns()
 	return f
 }
 
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -121,6 +121,7 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if failed.status() == http.StatusServiceUnavailable {
 		header.Set("Retry-After", failed.retryAfter(rand.Float64()))
+		f.returns.add(f.Now(), c)
 	}
 	f.persist(header, c)
 	control := http.NewResponseController(w)
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -34,9 +34,8 @@
 	Deadline  time.Time
 	Objective time.Duration
 	// Arrived is when the call entered the fleet.
-	Arrived  time.Time
-	Returned bool
-	Nested   bool
+	Arrived time.Time
+	Nested  bool
 }
 
 // Rejection is why a call got no slot; it is zero when the call got one.
--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -49,9 +49,6 @@
 	// Arrived is when the call entered the fleet; zero means now. Calls of a rank
 	// start in the order in which their objectives end.
 	Arrived time.Time
-	// Returned says that the caller comes back after a refusal. Such a call is
-	// treated as one that arrives for the first time.
-	Returned bool
 	// Nested says that an upstream makes the call while it runs another one. It
 	// goes before the others of its rank, since a slot is held while it waits.
 	Nested bool
@@ -163,6 +160,7 @@
 func (l *Limiter) enter(now time.Time, w *waiter) Refusal {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	w.late = l.misses(now, w)
 	if l.late(now, w) {
 		l.fairness.count(now, w.rank, false)
 		return Refusal{Reason: Expired}
@@ -223,7 +221,7 @@
 	if objective <= 0 {
 		return bound, bounded
 	}
-	wait := objective - objectiveRuns*l.estimate.work(w.work)
+	wait := w.due().Sub(now) - objectiveRuns*l.estimate.work(w.work)
 	wait = min(max(wait, scale(objective, objectiveLeast)), scale(objective, objectiveMost))
 	if !bounded || wait < bound {
 		bound, bounded = wait, true
@@ -269,6 +267,11 @@
 	return max(0, least)
 }
 
+// misses reports whether w is expected to miss its objective even without a wait.
+func (l *Limiter) misses(now time.Time, w *waiter) bool {
+	return w.want.Objective > 0 && now.Add(l.estimate.work(w.work)).After(w.due())
+}
+
 // late reports whether w can't meet its deadline any more.
 func (l *Limiter) late(now time.Time, w *waiter) bool {
 	return !w.want.Deadline.IsZero() && w.want.Deadline.Sub(now) <= scale(l.estimate.work(w.work), runLeast)
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -13,6 +13,10 @@
 	want Want
 	rank int
 	work work
+	// late says that the call can't meet its objective any more. It goes after
+	// the calls of its rank that can: under overload each slot for it would make
+	// one of those late as well.
+	late bool
 	// until is when the wait has become too long; zero means never.
 	until time.Time
 	// settled receives exactly one value, and has room for it.
@@ -67,6 +71,9 @@
 	if a.want.Nested != b.want.Nested {
 		return a.want.Nested
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	return a.due().Before(b.due())
 }
 
--- a/node/limiter/wait_test.go
+++ b/node/limiter/wait_test.go
@@ -42,6 +42,8 @@
 		"before others as nested":        {slots: 1, queued: 3, want: Want{Rank: interactive, Nested: true, Deadline: start.Add(201 * ms)}},
 		"before others by arrival":       {slots: 1, queued: 3, want: Want{Rank: interactive, Arrived: start.Add(-ms), Deadline: start.Add(201 * ms)}},
 		"before others by objective":     {slots: 1, queued: 3, want: Want{Rank: interactive, Objective: 301 * ms}},
+		"late already, goes last":        {slots: 1, queued: 1, want: Want{Rank: interactive, Objective: time.Second, Arrived: start.Add(-950 * ms)}, reason: Busy, after: 200 * ms},
+		"not late yet, goes first":       {slots: 1, queued: 1, want: Want{Rank: interactive, Objective: time.Second, Arrived: start.Add(-850 * ms)}},
 		"two runs before the objective":  {slots: 1, want: Want{Rank: interactive, Objective: 301 * ms}},
 		"less than two runs before it":   {slots: 1, want: Want{Rank: interactive, Objective: 299 * ms}, reason: Busy, after: 100 * ms},
 		"part of the objective":          {slots: 1, queued: 1, nested: true, want: Want{Rank: interactive, Objective: 501 * ms}},
