--- a/node/requester/conn.go
+++ b/node/requester/conn.go
@@ -39,7 +39,7 @@
 	wrote, failed atomic.Bool
 	// writing is held during a write.
 	writing sync.Mutex
-	dropped       sync.Once
+	dropped sync.Once
 }
 
 func newConn(inner net.Conn) *conn {
