--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -152,6 +152,9 @@
 // so that nothing of p was sent. Other errors of yamux leave that open: a frame
 // that waits in its queue may still be written.
 func (s *stream) Write(p []byte) (int, error) {
+	if s.session.mux.IsClosed() {
+		return 0, errors.Wrap(net.ErrClosed, "session ended")
+	}
 	n, err := s.Conn.Write(p)
 	s.out.Inc(int64(n))
 	if n == 0 && (errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset)) {
