--- a/bench/cmd/srbench/play.go
+++ b/bench/cmd/srbench/play.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -77,7 +78,7 @@
 		}
 		x, faults := experimenter.Parse(content)
 		for _, fault := range faults {
-			fmt.Fprintf(os.Stderr, "%s:%d: %s: %s: %s\n", file, fault.Line, fault.Path, fault.Code, fault.Reason)
+			fmt.Fprintf(os.Stderr, "%s:%d: %s: %s: %s\n", file, fault.Line, cmp.Or(fault.Path, "file"), fault.Code, fault.Reason)
 		}
 		faulty += len(faults)
 		experiments = append(experiments, x)
--- a/bench/experimenter/action.go
+++ b/bench/experimenter/action.go
@@ -31,8 +31,8 @@
 	Degrade Action = "degrade"
 
 	// Pause suspends the processes of nodes, Kill ends them at once and starts
-	// them again after For, and Watchers pauses the nodes that are the regions'
-	// primary watchers at the start of the event.
+	// them again after For, and Watchers pauses a node that is the
+	// primary watcher of its region at the start of the event, in each region.
 	Pause    Action = "pause"
 	Kill     Action = "kill"
 	Watchers Action = "watchers"
--- a/bench/experimenter/parse_test.go
+++ b/bench/experimenter/parse_test.go
@@ -65,6 +65,8 @@
 		wanted []string
 	}{
 		"not yaml":           {"duration: 60s", "duration: [", []string{"1 syntax "}},
+		"empty":              {good, "# nothing\n", []string{"1 syntax "}},
+		"list":               {good, "- name: a\n", []string{"1 wrong-type "}},
 		"alias":              {"services:\n", "services: &s\n", []string{"7 syntax "}},
 		"two documents":      {"bounds:", "---\nbounds:", []string{"21 syntax "}},
 		"unknown field":      {"duration:", "length:", []string{"1 missing-field duration", "2 unknown-field length"}},
