--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -43,6 +43,11 @@
 // that is draining or has left.
 func (n *node) take(now time.Time, announcement manager.Announcement) announcer.Outcome {
 	outcome := n.calls.upstream.announcer.Announce(now, announcer.Announcement(announcement))
+	if outcome == announcer.Accepted {
+		if own, ok := n.fleet.member(n.settings.Name); ok && !own.Serving() {
+			n.publisher.lapse(now)
+		}
+	}
 	n.present(now)
 	n.taken(announcement.ID, announcement.State, outcome)
 	return outcome
@@ -85,8 +90,9 @@
 func (n *node) present(now time.Time) {
 	n.presenting.Lock()
 	defer n.presenting.Unlock()
-	if !n.presented.IsZero() { // this process may have been paused
-		n.publisher.lapse(now, now.Sub(n.presented))
+	if !n.presented.IsZero() && now.Sub(n.presented) >= lapseDelay {
+		// This process was paused, and others may have executed its keys.
+		n.publisher.lapse(now)
 	}
 	n.presented = now
 	upstream, ok := n.calls.upstream.announcer.Current()
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -16,14 +16,7 @@
 
 func (p presence) serving() bool { return sycamorerun.Instance{State: p.state}.Serving() }
 
-const (
-	// lapseDelay is the silence after which others may have executed the keys.
-	lapseDelay = 2 * time.Second
-	// goneDelay is the silence after which the members may count this node as
-	// failed, which takes 6 s at least. If it came back to them as serving, they
-	// would take it for a stranger and doubt all keys until it has answered.
-	goneDelay = 5 * time.Second
-)
+const lapseDelay = 2 * time.Second
 
 // publisher publishes the presence of the upstream. Before the upstream starts
 // or stops serving, its keys change hands, which takes a moment.
@@ -33,10 +26,9 @@
 	// keyless says that there are no keys to hand over.
 	keyless bool
 
-	mutex     sync.Mutex
-	wanted    presence
-	published presence
-	serving   bool
+	mutex   sync.Mutex
+	wanted  presence
+	serving bool
 	// since is when serving last changed.
 	since time.Time
 	// changing is closed when the change in progress has ended.
@@ -50,40 +42,24 @@
 	p.wanted = wanted
 	switch {
 	case p.keyless:
-		p.show(wanted)
+		p.publish(wanted)
 	case p.changing != nil: // published when the change has ended
 	case wanted.serving() == p.serving:
-		p.show(wanted)
+		p.publish(wanted)
 	default:
 		p.changing = make(chan struct{})
 		go p.change()
 	}
 }
 
-// show publishes a presence that differs from the last one. The caller holds
-// mutex.
-func (p *publisher) show(wanted presence) {
-	if wanted != p.published {
-		p.published = wanted
-		p.publish(wanted)
-	}
-}
-
-// lapse records that the members may no longer count the upstream as serving,
-// since this process was silent for some time: others may have executed its
-// keys. A record that was published less than lapseDelay ago may not be in view
-// yet.
-func (p *publisher) lapse(now time.Time, silent time.Duration) {
+// lapse records that the members no longer count the upstream as serving, since
+// it was silent for too long: others may have executed its keys. A record that
+// was published less than lapseDelay ago may not be in view yet.
+func (p *publisher) lapse(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.changing != nil || !p.serving || silent < lapseDelay || now.Sub(p.since) < lapseDelay {
-		return
-	}
-	p.serving = false
-	if silent >= goneDelay {
-		gone := p.published
-		gone.state = sycamorerun.StateDraining
-		p.show(gone)
+	if p.changing == nil && now.Sub(p.since) >= lapseDelay {
+		p.serving = false
 	}
 }
 
@@ -101,7 +77,7 @@
 	for {
 		p.mutex.Lock()
 		if p.wanted.serving() == p.serving {
-			p.show(p.wanted)
+			p.publish(p.wanted)
 			p.since = time.Now()
 			close(p.changing)
 			p.changing = nil
--- a/node/runner/publisher_test.go
+++ b/node/runner/publisher_test.go
@@ -13,9 +13,7 @@
 )
 
 // Guards against an upstream that is announced before its keys are taken over,
-// or that still executes keys after it is announced as draining, and against
-// announcements that repeat the last one; against a return after a long pause
-// that makes the members doubt all keys.
+// or that still executes keys after it is announced as draining.
 func TestPublisher(t *testing.T) {
 	none, ready, draining := sycamorerun.StateNone, sycamorerun.StateReady, sycamorerun.StateDraining
 	cases := map[string]struct {
@@ -27,12 +25,11 @@
 		want   []string
 	}{
 		"none":                   {wanted: []sycamorerun.State{none}, want: []string{"none"}},
-		"serves":                 {wanted: []sycamorerun.State{none, ready, ready}, want: []string{"none", "join", "ready"}},
-		"drains":                 {wanted: []sycamorerun.State{ready, draining, draining}, want: []string{"join", "ready", "leave", "draining"}},
+		"serves":                 {wanted: []sycamorerun.State{none, ready, ready}, want: []string{"none", "join", "ready", "ready"}},
+		"drains":                 {wanted: []sycamorerun.State{ready, draining, draining}, want: []string{"join", "ready", "leave", "draining", "draining"}},
 		"returns":                {wanted: []sycamorerun.State{ready, draining, ready}, want: []string{"join", "ready", "leave", "draining", "join", "ready"}},
-		"lapses":                 {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay, want: []string{"join", "ready", "join"}},
-		"lapses for long":        {wanted: []sycamorerun.State{ready, ready}, lapsed: goneDelay, want: []string{"join", "ready", "draining", "join", "ready"}},
-		"is not in view yet":     {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay / 2, want: []string{"join", "ready"}},
+		"lapses":                 {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay, want: []string{"join", "ready", "join", "ready"}},
+		"is not in view yet":     {wanted: []sycamorerun.State{ready, ready}, lapsed: lapseDelay / 2, want: []string{"join", "ready", "ready"}},
 		"drains while it joins":  {wanted: []sycamorerun.State{ready}, during: []sycamorerun.State{draining}, want: []string{"join", "leave", "draining"}},
 		"repeats while it joins": {wanted: []sycamorerun.State{ready}, during: []sycamorerun.State{ready, ready}, want: []string{"join", "ready"}},
 	}
@@ -57,7 +54,7 @@
 			}
 			for i, state := range c.wanted {
 				if i == len(c.wanted)-1 && c.lapsed > 0 {
-					p.lapse(p.since.Add(c.lapsed), c.lapsed)
+					p.lapse(p.since.Add(c.lapsed))
 				}
 				p.want(presence{state: state})
 				p.settle()
--- a/node/tracker/own.go
+++ b/node/tracker/own.go
@@ -6,9 +6,16 @@
 	"sycamorerun"
 )
 
+// lapse is how long an announcement of the local upstream is valid. An
+// upstream that stopped announcing drains, and after the same time again it
+// counts as absent.
+const lapse = 5 * time.Second
+
 // own is what the node knows of itself beside its record.
 type own struct {
 	name string
+	// announced is the time of the upstream's last announcement.
+	announced time.Time
 	// overtaken is the newest record of this node that came from elsewhere
 	// and that the node has to supersede.
 	overtaken *record
@@ -35,6 +42,7 @@
 	if old.State == sycamorerun.StateLeft {
 		return false
 	}
+	t.own.announced = now
 	if old.Service == service && old.State == state && old.Slots == slots {
 		return false
 	}
@@ -77,9 +85,12 @@
 	return in.Newer(old.Instance) || same && in.suspected() && !old.suspected()
 }
 
-// refute supersedes the newest record of this node that came from elsewhere.
-// Doing so in the tick and not on each received record bounds the rate if two
-// processes use the same name.
+// tickOwn refutes and lets announcements lapse. Refuting here and not on each
+// received record bounds the rate if two processes use the same name.
+func (t *table) tickOwn(now time.Time) bool {
+	return t.refute(now) || t.lapse(now)
+}
+
 func (t *table) refute(now time.Time) bool {
 	in := t.own.overtaken
 	t.own.overtaken = nil
@@ -97,6 +108,31 @@
 	return true
 }
 
+func (t *table) lapse(now time.Time) bool {
+	silent := now.Sub(t.own.announced)
+	next := lapsed(t.records[t.own.name].State, silent)
+	if next == t.records[t.own.name].State {
+		return false
+	}
+	t.update(now, func(r *record) { r.State = next })
+	return true
+}
+
+// lapsed returns the state of an upstream that has been silent for some time.
+func lapsed(state sycamorerun.State, silent time.Duration) sycamorerun.State {
+	switch state {
+	case sycamorerun.StateCold, sycamorerun.StateReady:
+		if silent >= lapse {
+			return sycamorerun.StateDraining
+		}
+	case sycamorerun.StateDraining:
+		if silent >= 2*lapse {
+			return sycamorerun.StateNone
+		}
+	}
+	return state
+}
+
 // overtakes reports whether a record that its own node sent is older here than
 // one of another run.
 func (t *table) overtakes(in *record) bool {
--- a/node/tracker/table.go
+++ b/node/tracker/table.go
@@ -161,7 +161,7 @@
 
 // tick applies the passing of time and reports whether any record changed.
 func (t *table) tick(now time.Time) bool {
-	changed := t.refute(now)
+	changed := t.tickOwn(now)
 	for _, r := range t.timed {
 		changed = t.expire(now, r) || changed
 	}
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -158,20 +158,24 @@
 	is.Equal(len(table.live()), 1)
 }
 
-// Guards against an announcement that changes the record without a change, and
-// against one that brings back a node that has left.
-func TestAnnounce(t *testing.T) {
+// Guards against an upstream that stays in use after its last announcement.
+func TestLapse(t *testing.T) {
 	is := is.New(t)
 	table := newTable(start, instance(0, "a1"), standard.suspicion)
-	ready := func(seconds float64) bool {
-		return table.announce(at(seconds), "quote-desk", sycamorerun.StateReady, 6)
+	state := func(seconds float64) sycamorerun.State {
+		table.tick(at(seconds))
+		return table.records["node-0000"].State
 	}
-	is.True(ready(0))
-	is.True(!ready(4))
+	is.True(table.announce(start, "quote-desk", sycamorerun.StateReady, 6))
+	is.True(!table.announce(at(4), "quote-desk", sycamorerun.StateReady, 6))
+	is.Equal(state(8.9), sycamorerun.StateReady)
+	is.Equal(state(9), sycamorerun.StateDraining)
+	is.Equal(state(13.9), sycamorerun.StateDraining)
+	is.Equal(state(14), sycamorerun.StateNone)
+	is.True(table.announce(at(20), "quote-desk", sycamorerun.StateReady, 6))
 	table.leave(at(21))
-	is.True(!ready(22))
-	table.tick(at(60))
-	is.Equal(table.records["node-0000"].State, sycamorerun.StateLeft)
+	is.True(!table.announce(at(22), "quote-desk", sycamorerun.StateReady, 6))
+	is.Equal(state(60), sycamorerun.StateLeft)
 }
 
 // fill returns a table with n records in zones availability zones.
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// Announce takes the local upstream's service, state and slots.
+// Announce takes the local upstream's service, state and slots. It has to be
+// repeated within 5 s.
 func (t *Tracker) Announce(now time.Time, service string, state sycamorerun.State, slots int) {
 	t.setup()
 	t.mu.Lock()
