Keep the sender of an earlier attempt from a streamed body

When an upstream rejected a request after its head, the goroutine that sends the body may not have asked for it yet. The call was repeated, since nothing of the body had been read, and two senders shared it: each upstream got a part in place of the whole. An attempt now borrows the body, and the loan ends with it.

TestSenderOutlivesAttempt fails without the change: the first attempt's sender takes all 1,048,576 bytes.

--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -224,11 +224,12 @@
 // been sent, or when the stream is closed.
 func (i *inflow) upload(c *call) {
 	i.sending = true
+	body := c.stream.lend()
 	go func() {
 		buffer := make([]byte, chunkBytes)
 		next := func() ([]byte, error) {
 			for {
-				n, err := c.stream.Read(buffer)
+				n, err := body.Read(buffer)
 				if n > 0 {
 					return buffer[:n], nil
 				}
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -17,9 +17,15 @@
 // response, so that the caller is not cut off before it has the response.
 const linger = 200 * time.Millisecond
 
-// upload is a caller's body that streams. It is read by one goroutine, which
-// may outlive the attempt, and shut by the handler.
+// upload is a caller's body that streams. It is read through loans, each for one
+// attempt, and shut by the handler.
 type upload struct {
+	// lending guards the loan that may read, and taken.
+	lending sync.Mutex
+	loan    *loan
+	// taken says that some of the body was read: it can't be sent again.
+	taken bool
+	// mutex is held during a read.
 	mutex sync.Mutex
 	body  io.ReadCloser
 	// finished is called at the end of the body.
@@ -32,15 +38,56 @@
 	// release stops the function that unblocks a read when the call ends.
 	release func() bool
 	shut    bool
-	// taken is set before the first read: the body can't be sent again.
-	taken atomic.Bool
-	ended atomic.Bool
-	large atomic.Bool
+	ended   atomic.Bool
+	large   atomic.Bool
+}
+
+// loan is the body for one attempt. The goroutine that sends it may outlive the
+// attempt: when an upstream rejects a request whose head it has read, the
+// sender may not have asked for the body yet. It must not take bytes from the
+// next attempt then.
+type loan struct{ upload *upload }
+
+// lend gives the body to the next attempt.
+func (u *upload) lend() *loan {
+	u.lending.Lock()
+	defer u.lending.Unlock()
+	u.loan = &loan{u}
+	return u.loan
+}
+
+// recall ends the loan of an attempt that is over, and reports whether some of the
+// body was read.
+func (u *upload) recall() bool {
+	u.lending.Lock()
+	defer u.lending.Unlock()
+	u.loan = nil
+	return u.taken
 }
 
 // Read implements io.Reader.
-func (u *upload) Read(p []byte) (int, error) {
-	u.taken.Store(true)
+func (l *loan) Read(p []byte) (int, error) {
+	if !l.upload.take(l) {
+		return 0, errDone
+	}
+	return l.upload.read(p)
+}
+
+// Close implements io.Closer. The body itself belongs to the server.
+func (l *loan) Close() error { return nil }
+
+// take reports whether l may read.
+func (u *upload) take(l *loan) bool {
+	u.lending.Lock()
+	defer u.lending.Unlock()
+	if u.loan != l {
+		return false
+	}
+	u.taken = true
+	return true
+}
+
+func (u *upload) read(p []byte) (int, error) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	if u.shut {
@@ -63,9 +110,6 @@
 	return n, err
 }
 
-// Close implements io.Closer. The body itself belongs to the server.
-func (u *upload) Close() error { return nil }
-
 // finish ends all reading. After it returns the body is no longer in use.
 func (u *upload) finish(control *http.ResponseController, now time.Time) {
 	u.release()
