--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -161,7 +161,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	w.late = l.misses(now, w)
-	if l.late(now, w) {
+	if l.expires(now, w) {
 		l.fairness.count(now, w.rank, false)
 		return Refusal{Reason: Expired}
 	}
@@ -272,8 +272,8 @@
 	return w.want.Objective > 0 && now.Add(l.estimate.work(w.work)).After(w.due())
 }
 
-// late reports whether w can't meet its deadline any more.
-func (l *Limiter) late(now time.Time, w *waiter) bool {
+// expires reports whether w can't meet its deadline any more.
+func (l *Limiter) expires(now time.Time, w *waiter) bool {
 	return !w.want.Deadline.IsZero() && w.want.Deadline.Sub(now) <= scale(l.estimate.work(w.work), runLeast)
 }
 
@@ -317,7 +317,7 @@
 	l.due = time.Time{}
 	for _, w := range l.queue.overdue(now) {
 		reason := Busy
-		if l.late(now, w) || expired(now, w.want.Deadline) {
+		if l.expires(now, w) || expired(now, w.want.Deadline) {
 			reason = Expired
 		}
 		l.refuse(now, w, reason)
@@ -379,7 +379,7 @@
 func (l *Limiter) grant(now time.Time) {
 	for len(l.running) < l.limits.running() && l.queue.length > 0 {
 		next := l.queue.oldest(l.fairness.turn(now, &l.queue))
-		if l.late(now, next) {
+		if l.expires(now, next) {
 			l.refuse(now, next, Expired)
 			continue
 		}
