--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -111,6 +111,7 @@
 	n.fleet.options = planner.Options{Watchers: settings.Watchers}
 	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configured, Logger: logger, Scope: scope}
 	n.calls = newCalls(now, n.inForce.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
+	n.setLevel = r.events.SetLevel
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
 		if !settings.Keys {
--- a/node/runner/program_test.go
+++ b/node/runner/program_test.go
@@ -179,7 +179,10 @@
 	args := []string{"--name=n", "--availability-zone=z", "--region=r", "--insecure-peers", "--print"}
 	(&Program{Name: "srnode"}).Run(args, func(string) (string, bool) { return "", false }, loader.Streams{Out: &out, Err: &out})
 	is.Equal(out.count(" running"), len(changes))
-	read := Settings{StandbyDelay: 1, MaxBody: 1, AnnouncePeriod: 1, LogLevel: "warn", DrainDelay: 1, DrainTimeout: 1}
+	read := Settings{
+		StandbyDelay: 1, MaxHeader: 1, MaxBody: 1, HeaderTimeout: 1, IdleTimeout: 1,
+		AnnouncePeriod: 1, LogLevel: "warn", DrainDelay: 1, DrainTimeout: 1,
+	}
 	var inForce Settings
 	for name, change := range changes {
 		is.Equal(out.count(name+" ", " running"), 1)
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	r.events.SetLevel(s.LogLevel)
-	n.updates, n.setLevel = r.updates, r.events.SetLevel
+	n.updates = r.updates
 	return n.run(ctx)
 }
 
