Answer operators "starting" while a node has no configuration

A node that had just started knew no team's token and answered 401. The answer is 503 with the code "starting" now; a request without a token is answered 401 as before.

--- a/node/manager/manager_test.go
+++ b/node/manager/manager_test.go
@@ -1,6 +1,7 @@
 package manager_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -96,27 +97,32 @@
 		status int
 		code   string
 		passed bool
+		// phase is that of the node, ready if empty.
+		phase manager.Phase
 	}{
-		"own team":       {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 200, "", true},
-		"other team":     {"token-of-b", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 403, "wrong-team", false},
-		"administrators": {"token-of-admin", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 403, "wrong-team", false},
-		"no token":       {"", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 401, "unknown-token", false},
-		"unknown token":  {"guess", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 401, "unknown-token", false},
-		"file of other":  {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"a","settings":"b"}`, 200, "", false},
-		"no id":          {"token-of-a", `{"kind":"apply","team":"a","settings":"a"}`, 400, "", false},
-		"bad id":         {"token-of-a", `{"id":"1","kind":"apply","team":"a","settings":"a"}`, 400, "", false},
-		"bad kind":       {"token-of-a", `{"id":"` + id + `","kind":"drop","team":"a"}`, 400, "", false},
-		"bad team":       {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"../a","settings":"a"}`, 400, "", false},
-		"not JSON":       {"token-of-a", `{`, 400, "", false},
-		"hold":           {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a","reason":"audit"}`, 200, "", true},
-		"hold in past":   {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a","reason":"audit","until":"1970-01-01T00:00:00Z"}`, 200, "", false},
-		"hold no reason": {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a"}`, 200, "", false},
-		"bad content":    {"token-of-a", `{"id":"` + id + `","kind":"approve","team":"a","content":"12"}`, 200, "", false},
+		"own team":       {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 200, "", true, ""},
+		"other team":     {"token-of-b", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 403, "wrong-team", false, ""},
+		"administrators": {"token-of-admin", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 403, "wrong-team", false, ""},
+		"no token":       {"", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 401, "unknown-token", false, ""},
+		"unknown token":  {"guess", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 401, "unknown-token", false, ""},
+		"starting":       {"guess", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 503, "starting", false, manager.PhaseStarting},
+		"no token yet":   {"", `{"id":"` + id + `","kind":"apply","team":"a","settings":"a"}`, 401, "unknown-token", false, manager.PhaseStarting},
+		"file of other":  {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"a","settings":"b"}`, 200, "", false, ""},
+		"no id":          {"token-of-a", `{"kind":"apply","team":"a","settings":"a"}`, 400, "", false, ""},
+		"bad id":         {"token-of-a", `{"id":"1","kind":"apply","team":"a","settings":"a"}`, 400, "", false, ""},
+		"bad kind":       {"token-of-a", `{"id":"` + id + `","kind":"drop","team":"a"}`, 400, "", false, ""},
+		"bad team":       {"token-of-a", `{"id":"` + id + `","kind":"apply","team":"../a","settings":"a"}`, 400, "", false, ""},
+		"not JSON":       {"token-of-a", `{`, 400, "", false, ""},
+		"hold":           {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a","reason":"audit"}`, 200, "", true, ""},
+		"hold in past":   {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a","reason":"audit","until":"1970-01-01T00:00:00Z"}`, 200, "", false, ""},
+		"hold no reason": {"token-of-a", `{"id":"` + id + `","kind":"hold","team":"a"}`, 200, "", false, ""},
+		"bad content":    {"token-of-a", `{"id":"` + id + `","kind":"approve","team":"a","content":"12"}`, 200, "", false, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness()
+			h.phase = cmp.Or(c.phase, h.phase)
 			status, fields := h.send(http.MethodPost, "/v1/changes", c.token, c.body, remote)
 			is.Equal(status, c.status)
 			if c.code != "" {
