--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -79,7 +79,7 @@
 	if failed.fault() || failed.reason == reasonCanceled {
 		return 0, false
 	}
-	consumed := c.stream != nil && c.stream.recall()
+	consumed := c.stream != nil && c.stream.revoke()
 	// A key of a node whose upstream leaves is about to change hands.
 	moved := failed.reason == reasonMoved || c.key != "" && failed.reason == reasonDraining
 	if moved && !consumed && n <= len(moveDelays) {
@@ -122,7 +122,7 @@
 // source returns the body for the upstream beside this node.
 func (c *call) source() io.ReadCloser {
 	if !c.complete {
-		return c.stream.lend()
+		return c.stream.forAttempt()
 	}
 	return c.reader()
 }
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -224,7 +224,7 @@
 // been sent, or when the stream is closed.
 func (i *inflow) upload(c *call) {
 	i.sending = true
-	body := c.stream.lend()
+	body := c.stream.forAttempt()
 	go func() {
 		buffer := make([]byte, chunkBytes)
 		next := func() ([]byte, error) {
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -17,12 +17,12 @@
 // response, so that the caller is not cut off before it has the response.
 const linger = 200 * time.Millisecond
 
-// upload is a caller's body that streams. It is read through loans, each for one
-// attempt, and shut by the handler.
+// upload is a caller's body that streams. Each attempt reads it through an
+// attemptBody of its own, and the handler shuts it.
 type upload struct {
-	// lending guards the loan that may read, and taken.
-	lending sync.Mutex
-	loan    *loan
+	// assigning guards current, which alone may read, and taken.
+	assigning sync.Mutex
+	current   *attemptBody
 	// taken says that some of the body was read: it can't be sent again.
 	taken bool
 	// mutex is held during a read.
@@ -42,45 +42,45 @@
 	large   atomic.Bool
 }
 
-// loan is the body for one attempt. The goroutine that sends it may outlive the
+// attemptBody is the body for one attempt. The goroutine that sends it may outlive the
 // attempt: when an upstream rejects a request whose head it has read, the
 // sender may not have asked for the body yet. It must not take bytes from the
 // next attempt then.
-type loan struct{ upload *upload }
+type attemptBody struct{ upload *upload }
 
-// lend gives the body to the next attempt.
-func (u *upload) lend() *loan {
-	u.lending.Lock()
-	defer u.lending.Unlock()
-	u.loan = &loan{u}
-	return u.loan
+// forAttempt returns the body for the next attempt.
+func (u *upload) forAttempt() *attemptBody {
+	u.assigning.Lock()
+	defer u.assigning.Unlock()
+	u.current = &attemptBody{u}
+	return u.current
 }
 
-// recall ends the loan of an attempt that is over, and reports whether some of the
-// body was read.
-func (u *upload) recall() bool {
-	u.lending.Lock()
-	defer u.lending.Unlock()
-	u.loan = nil
+// revoke keeps the attempt that is over from reading, and reports whether some of
+// the body was read.
+func (u *upload) revoke() bool {
+	u.assigning.Lock()
+	defer u.assigning.Unlock()
+	u.current = nil
 	return u.taken
 }
 
 // Read implements io.Reader.
-func (l *loan) Read(p []byte) (int, error) {
-	if !l.upload.take(l) {
+func (a *attemptBody) Read(p []byte) (int, error) {
+	if !a.upload.take(a) {
 		return 0, errDone
 	}
-	return l.upload.read(p)
+	return a.upload.read(p)
 }
 
 // Close implements io.Closer. The body itself belongs to the server.
-func (l *loan) Close() error { return nil }
+func (a *attemptBody) Close() error { return nil }
 
-// take reports whether l may read.
-func (u *upload) take(l *loan) bool {
-	u.lending.Lock()
-	defer u.lending.Unlock()
-	if u.loan != l {
+// take reports whether a may read.
+func (u *upload) take(a *attemptBody) bool {
+	u.assigning.Lock()
+	defer u.assigning.Unlock()
+	if u.current != a {
 		return false
 	}
 	u.taken = true
