--- a/node/manager/manager_test.go
+++ b/node/manager/manager_test.go
@@ -178,6 +178,7 @@
 		status, _ = h.send(http.MethodGet, "/healthz", "", "", remote)
 		is.Equal(status, 200)
 	}
+	h.phase = manager.PhaseReady // the map ended with any phase
 	status, fields := h.send(http.MethodGet, "/v1/changes/"+id, "token-of-a", "", remote)
 	is.Equal(status, 404)
 	is.Equal(fields["code"], "unknown-change")
