Wait for a member of the service before keys are taken over

A node that was killed and started again had its configuration before the members' records: it took over its keys 0.1 ms after it was ready, with nobody to ask, and every key was unknown for the key window ("keys taken over members=0 complete=false"). The node now waits until it has heard of another member of its service, 0.5 s at most. A fleet without a version has no such calls and waits for nothing.

--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -16,6 +16,13 @@
 	// joinTimeout bounds the time for which an upstream that is ready gets no
 	// calls since members have not handed over its keys.
 	joinTimeout = 3 * time.Second
+	// meetTimeout bounds the wait of a node for the first other member of its
+	// service, before it takes over keys. It covers the exchange of records with
+	// a peer in another region. A node that hears of none is taken to be the only
+	// one.
+	meetTimeout = 500 * time.Millisecond
+	// meetStep is the time between two looks at the members.
+	meetStep = 20 * time.Millisecond
 	// handOverTimeout bounds the time by which the announcement of a drain is
 	// late for the hand-over of the keys.
 	handOverTimeout = time.Second
@@ -61,12 +68,29 @@
 func (n *node) takeKeys() {
 	limited, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
+	if n.applier.Current().Tree.Version > 0 {
+		n.awaitMember(limited)
+	}
 	n.keys.Join(limited)
 	if n.applier.Current().Tree.Version == 0 {
 		n.calls.deduplicator.StartClean()
 	}
 }
 
+// awaitMember waits until this node has heard of another member of its service.
+// The configuration can arrive before the members' records; a join with nobody
+// to ask leaves every key unknown for the key window.
+func (n *node) awaitMember(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
+	defer cancel()
+	for len(n.keys.Members()) == 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(meetStep):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // executors names the processes that execute the keys of a service.
 func executors(instances []sycamorerun.Instance) []deduplicator.Member {
 	members := make([]deduplicator.Member, len(instances))
