Read the store's statistics in one place of the bench

The player had its own copy of the converger's types for the store's counters and of its pause; both are the deployer's now. The experiment format names the fault codes that it shares with the settings format by the parser's constants instead of repeating their text. Nothing else changes.

--- a/bench/converger/converger.go
+++ b/bench/converger/converger.go
@@ -116,8 +116,8 @@
 	if err := fleet.WaitVersion(ctx, version, len(fleet.Nodes), limit); err != nil {
 		return result, err
 	}
-	pause(ctx, c.Settle)
-	if result.Idle, err = measure(ctx, fleet, func() error { pause(ctx, c.Idle); return nil }); err != nil {
+	deployer.Pause(ctx, c.Settle)
+	if result.Idle, err = measure(ctx, fleet, func() error { deployer.Pause(ctx, c.Idle); return nil }); err != nil {
 		return result, err
 	}
 	result.Changes, err = measure(ctx, fleet, func() error { return changes(ctx, fleet, c, &result) })
@@ -134,13 +134,6 @@
 	return hdrhistogram.New(1, limit.Microseconds(), 3)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // fill applies the teams and their services.
 func fill(ctx context.Context, fleet *deployer.Fleet, c Case, result *Result) (uint64, error) {
 	modes := map[string]string{}
@@ -209,7 +202,7 @@
 				return errors.Wrap(err, "record delay")
 			}
 		}
-		pause(ctx, c.Interval-time.Since(began))
+		deployer.Pause(ctx, c.Interval-time.Since(began))
 	}
 	return nil
 }
@@ -233,7 +226,7 @@
 	if err := do(); err != nil {
 		return Cost{}, err
 	}
-	pause(ctx, 1500*time.Millisecond) // Counters are reported once a second.
+	deployer.Pause(ctx, 1500*time.Millisecond) // Counters are reported once a second.
 	after, err := read(ctx, fleet)
 	if err != nil {
 		return Cost{}, err
@@ -254,27 +247,14 @@
 	return cost, nil
 }
 
-// storeStats is the part of the store's statistics that is used.
-type storeStats struct {
-	Total   usage            `json:"total"`
-	Callers map[string]usage `json:"callers"`
-}
-
-type usage struct {
-	Reads    float64 `json:"reads"`
-	Writes   float64 `json:"writes"`
-	Received float64 `json:"received"`
-	Sent     float64 `json:"sent"`
-}
-
 func read(ctx context.Context, fleet *deployer.Fleet) (counters, error) {
 	c := counters{bytes: map[string]float64{}, content: map[string]float64{}, at: time.Now()}
 	home := fleet.Spec.Zones[0].Region
-	var stats storeStats
-	if err := fleet.StoreStats(ctx, &stats); err != nil {
+	stats, err := fleet.StoreStats(ctx)
+	if err != nil {
 		return c, err
 	}
-	c.store = stats.Total.Reads + stats.Total.Writes
+	c.store = stats.Calls()
 	for _, node := range fleet.Nodes {
 		samples, err := scraper.Scrape(ctx, node.Operators)
 		if err != nil {
@@ -296,7 +276,7 @@
 		}
 		c.cpu += spent.CPU
 		if node.Zone.Region != home {
-			c.cross += stats.Callers[node.Name].Sent + stats.Callers[node.Name].Received
+			c.cross += stats.Bytes(node.Name)
 		}
 	}
 	return c, nil
--- a/bench/converger/paused.go
+++ b/bench/converger/paused.go
@@ -29,7 +29,7 @@
 		if err := pausedChange(ctx, fleet, c, i, result); err != nil {
 			return err
 		}
-		pause(ctx, rejoin)
+		deployer.Pause(ctx, rejoin)
 	}
 	return nil
 }
--- a/bench/deployer/deployer.go
+++ b/bench/deployer/deployer.go
@@ -378,15 +378,6 @@
 	return Put(ctx, f.storeAt, "/faults", plan)
 }
 
-// StoreStats reads the store's counters.
-func (f *Fleet) StoreStats(ctx context.Context, stats any) error {
-	_, body, err := Get(ctx, f.storeAt, "/stats")
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(json.Unmarshal(body, stats), "store statistics")
-}
-
 // Teams declares teams with one operator each, and review with two. It is the
 // first change of a fleet.
 func (f *Fleet) Teams(ctx context.Context, modes map[string]string) error {
--- a/bench/experimenter/reader.go
+++ b/bench/experimenter/reader.go
@@ -12,22 +12,23 @@
 	"go.yaml.in/yaml/v3"
 
 	"sycamorerun"
+	"sycamorerun/parser"
 )
 
 // Codes of faults. They are those of the settings files where both have the
 // fault.
 const (
-	CodeSyntax       = "syntax"
-	CodeUnknownField = "unknown-field"
-	CodeMissingField = "missing-field"
-	CodeDuplicate    = "duplicate"
-	CodeWrongType    = "wrong-type"
-	CodeMissingUnit  = "missing-unit"
-	CodeOutOfBounds  = "out-of-bounds"
-	CodeBadName      = "bad-name"
-	CodeBadValue     = "bad-value"
+	CodeSyntax       = parser.CodeSyntax
+	CodeUnknownField = parser.CodeUnknownField
+	CodeMissingField = parser.CodeMissingField
+	CodeDuplicate    = parser.CodeDuplicate
+	CodeWrongType    = parser.CodeWrongType
+	CodeMissingUnit  = parser.CodeMissingUnit
+	CodeOutOfBounds  = parser.CodeOutOfBounds
+	CodeBadName      = parser.CodeBadName
+	CodeBadValue     = parser.CodeBadValue
 	CodeNoTarget     = "no-target"
-	CodeTooMany      = "too-many"
+	CodeTooMany      = parser.CodeTooMany
 )
 
 var (
--- a/bench/player/change.go
+++ b/bench/player/change.go
@@ -29,7 +29,7 @@
 		nodes = append(nodes, r.fleet.Node(place.Node))
 	}
 	for i, due := 0, r.start.Add(event.At); ctx.Err() == nil; i++ {
-		pause(ctx, time.Until(due))
+		deployer.Pause(ctx, time.Until(due))
 		if ctx.Err() != nil {
 			return
 		}
@@ -94,7 +94,7 @@
 		if err == nil || unsent(err) || ctx.Err() != nil {
 			return outcome, err
 		}
-		pause(ctx, submitPause)
+		deployer.Pause(ctx, submitPause)
 	}
 }
 
--- a/bench/player/event.go
+++ b/bench/player/event.go
@@ -29,7 +29,7 @@
 // event plays one event. Run ends with the run, ctx when everything is given
 // up: what was stopped is started again also after the run.
 func (r *run) event(ctx, run context.Context, number int, event experimenter.Event) {
-	pause(run, time.Until(r.start.Add(event.At)))
+	deployer.Pause(run, time.Until(r.start.Add(event.At)))
 	if run.Err() != nil {
 		return
 	}
@@ -37,13 +37,13 @@
 	over := time.Until(r.start.Add(event.At + span(r.x, event)))
 	switch {
 	case event.Kind == experimenter.Load:
-		pause(run, over) // The callers know it.
+		deployer.Pause(run, over) // The callers know it.
 	case event.Kind == experimenter.Change:
 		r.write(run, event)
 		return
 	case event.Kind.Store():
 		r.fail(r.storeFault(ctx, number, event, true))
-		pause(run, over)
+		deployer.Pause(run, over)
 		r.fail(r.storeFault(ctx, number, event, false))
 	case event.Kind == experimenter.Silence:
 		inside, _ := r.sides(event)
@@ -51,12 +51,12 @@
 		r.fault(from, r.selected(number, event)...)
 	case event.Kind.Link():
 		r.link(number, event, true)
-		pause(run, over)
+		deployer.Pause(run, over)
 		r.link(number, event, false)
 		r.fault(from, r.selected(number, event)...)
 	case event.Kind.Upstream():
 		r.behave(ctx, number, event, true)
-		pause(run, over)
+		deployer.Pause(run, over)
 		r.behave(ctx, number, event, false)
 		if event.Kind.Requests() || event.Kind == experimenter.Silent {
 			r.faultUpstreams(from, r.selected(number, event)...)
@@ -81,7 +81,7 @@
 	case experimenter.Kill:
 		defer r.stopped(nodes...)()
 		each(nodes, func(node *deployer.Node) { node.Process.Kill() })
-		pause(run, over)
+		deployer.Pause(run, over)
 		each(nodes, func(node *deployer.Node) { r.fail(r.fleet.StartNode(ctx, node)) })
 		r.fail(r.fleet.WaitReady(ctx, nodes...))
 		r.fault(from, nodes...)
@@ -97,7 +97,7 @@
 	for _, node := range nodes {
 		r.fail(node.Process.Signal(syscall.SIGSTOP))
 	}
-	pause(run, over)
+	deployer.Pause(run, over)
 	for _, node := range nodes {
 		r.fail(node.Process.Signal(syscall.SIGCONT))
 	}
--- a/bench/player/player.go
+++ b/bench/player/player.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return errors.Wrap(err, "a node does not reach a service")
 	}
-	pause(ctx, settle)
+	deployer.Pause(ctx, settle)
 	return ctx.Err()
 }
 
@@ -206,7 +206,7 @@
 
 // finish collects the records and judges them.
 func (r *run) finish(ctx context.Context, result *Variant) error {
-	pause(ctx, release)
+	deployer.Pause(ctx, release)
 	r.converged(ctx)
 	var journals [][]recorder.Event
 	for _, node := range r.fleet.Nodes {
@@ -291,17 +291,6 @@
 	return all
 }
 
-// pause waits for a time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // loadAverage returns the machine's load average over a minute, 0 if there is
 // none.
 func loadAverage() float64 {
--- a/bench/player/sampler.go
+++ b/bench/player/sampler.go
@@ -34,23 +34,10 @@
 	// last has each node's counters at the last reading. Those of a process
 	// that started again begin at zero.
 	last  []counts
-	usage storeStats
+	usage deployer.StoreStats
 	total counts
 }
 
-// storeStats is the part of the store's statistics that is used.
-type storeStats struct {
-	Total   usage            `json:"total"`
-	Callers map[string]usage `json:"callers"`
-}
-
-type usage struct {
-	Reads    float64 `json:"reads"`
-	Writes   float64 `json:"writes"`
-	Received float64 `json:"received"`
-	Sent     float64 `json:"sent"`
-}
-
 func newSampler(fleet *deployer.Fleet) *sampler {
 	return &sampler{fleet: fleet, last: make([]counts, len(fleet.Nodes))}
 }
@@ -62,7 +49,7 @@
 	s.read(ctx)
 	before := s.total
 	for at := time.Second; at <= duration; at += time.Second {
-		pause(ctx, time.Until(start.Add(at)))
+		deployer.Pause(ctx, time.Until(start.Add(at)))
 		s.read(ctx)
 		samples = append(samples, Sample{
 			At: at.Seconds(), Zone: s.total.control[0] - before.control[0], Region: s.total.control[1] - before.control[1],
@@ -92,8 +79,7 @@
 		})
 	}
 	group.Go(func() {
-		var fresh storeStats
-		if err := s.fleet.StoreStats(ctx, &fresh); err == nil {
+		if fresh, err := s.fleet.StoreStats(ctx); err == nil {
 			stats = fresh
 		}
 	})
@@ -103,11 +89,11 @@
 			s.total.control[scope] += advance(s.last[i].control[scope], now[i].control[scope])
 		}
 	}
-	s.total.calls += advance(s.usage.calls(), stats.calls())
+	s.total.calls += advance(s.usage.Calls(), stats.Calls())
 	home := s.fleet.Spec.Zones[0].Region
 	for _, node := range s.fleet.Nodes {
 		if node.Zone.Region != home {
-			s.total.store += advance(s.usage.bytes(node.Name), stats.bytes(node.Name))
+			s.total.store += advance(s.usage.Bytes(node.Name), stats.Bytes(node.Name))
 		}
 	}
 	s.last, s.usage = now, stats
@@ -132,9 +118,3 @@
 	}
 	return now - before
 }
-
-func (s storeStats) calls() float64 { return s.Total.Reads + s.Total.Writes }
-
-func (s storeStats) bytes(caller string) float64 {
-	return s.Callers[caller].Sent + s.Callers[caller].Received
-}
