Read a caller's deadline once, and compare failures only when it matters

The deadline header was parsed twice for each request, the second time for the time at which the caller gives up. The balancer sorted the failure rates of a service at each pick although no instance was ejected; it does so only for ejected ones now, through the shared check of ejections. A waiting call kept its rank twice; it embeds its kind of work. The key of a call is hashed before the lock of the refused calls is taken, and not at all without a stated deadline.

Found by reading the change again; decisions are the same and no test changed.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -29,8 +29,7 @@
 	Queued  int
 	Slots   int
 	// Run is the mean time for which recent calls of the same rank and objective
-	// held a slot; zero
-	// means unknown.
+	// held a slot; zero means unknown.
 	Run time.Duration
 }
 
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -70,13 +70,17 @@
 // fault is probably not in the instances, and the rest would be overloaded.
 func eject(now time.Time, all []candidate) {
 	var out []*candidate
-	common := medianFailure(now, all) >= commonFailure
 	for at := range all {
-		s := all[at].stats
-		if now.Before(s.unreachable) || !common && now.Before(s.ejected) {
+		if now.Before(all[at].stats.out()) {
 			out = append(out, &all[at])
 		}
 	}
+	if len(out) == 0 {
+		return
+	}
+	if medianFailure(now, all) >= commonFailure {
+		out = slices.DeleteFunc(out, func(c *candidate) bool { return !now.Before(c.stats.unreachable) })
+	}
 	// The longest ejections belong to the instances that failed most often.
 	slices.SortStableFunc(out, func(a, b *candidate) int {
 		return cmp.Or(b.stats.out().Compare(a.stats.out()), cmp.Compare(a.instance.Name, b.instance.Name))
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -98,22 +98,23 @@
 		return c, notRun(reasonRoute)
 	}
 	c.match = match
-	left, err := remaining(r.Header.Get(f.Contract.Deadline), match.Timeout)
+	waits, err := stated(r.Header.Get(f.Contract.Deadline))
 	if err != nil {
 		return c, notRun(reasonDeadline)
 	}
-	if left > 0 {
-		c.deadline = now.Add(left)
+	if waits > 0 {
+		c.until = now.Add(waits)
+		c.deadline = c.until
+	}
+	if match.Timeout > 0 && (waits == 0 || match.Timeout < waits) {
+		c.deadline = now.Add(match.Timeout)
 	}
 	if level, err := strconv.Atoi(r.Header.Get(f.Contract.Attempt)); err == nil && level > 1 {
 		c.level = level
 	}
 	c.target = r.URL.RequestURI()
-	if waits, err := remaining(r.Header.Get(f.Contract.Deadline), 0); err == nil && waits > 0 {
-		c.until = now.Add(waits)
-		if arrived, ok := f.returns.first(now, c); ok {
-			c.arrived = arrived
-		}
+	if arrived, ok := f.returns.first(now, c); ok {
+		c.arrived = arrived
 	}
 	c.header = f.clean(r.Header)
 	set(c.header, f.Contract.Origin, f.Service)
@@ -136,22 +137,18 @@
 	return false
 }
 
-// remaining returns the shorter of timeout and the caller's deadline; zero
-// means no limit.
-func remaining(text string, timeout time.Duration) (time.Duration, error) {
+// stated returns how long the caller has said that it waits; zero means that it
+// has not said.
+func stated(text string) (time.Duration, error) {
 	if text == "" {
-		return timeout, nil
+		return 0, nil
 	}
 	ms, err := strconv.ParseUint(text, 10, 63)
 	if err != nil || ms == 0 {
 		return 0, errors.Errorf("deadline %q is not a positive number of milliseconds", text)
 	}
 	// A week is beyond every timeout and keeps the product in range.
-	left := time.Duration(min(ms, 7*24*3600*1000)) * time.Millisecond
-	if timeout > 0 {
-		left = min(left, timeout)
-	}
-	return left, nil
+	return time.Duration(min(ms, 7*24*3600*1000)) * time.Millisecond, nil
 }
 
 // fingerprint identifies what a key stands for, including who asks, so that a
--- a/node/forwarder/returns.go
+++ b/node/forwarder/returns.go
@@ -61,11 +61,14 @@
 // first returns when c arrived first, if it is a call that comes back: the caller
 // gives up no later than that of the refused one.
 func (r *returns) first(now time.Time, c *call) (time.Time, bool) {
+	if c.until.IsZero() {
+		return time.Time{}, false
+	}
+	key := r.key(c)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	key := r.key(c)
 	old, ok := r.refused[key]
-	if !ok || !now.Before(old.until) || c.until.IsZero() || c.until.After(old.until.Add(returnSlack)) {
+	if !ok || !now.Before(old.until) || c.until.After(old.until.Add(returnSlack)) {
 		return time.Time{}, false
 	}
 	delete(r.refused, key)
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -42,10 +42,10 @@
 	large   atomic.Bool
 }
 
-// attemptBody is the body for one attempt. The goroutine that sends it may outlive the
-// attempt: when an upstream rejects a request whose head it has read, the
-// sender may not have asked for the body yet. It must not take bytes from the
-// next attempt then.
+// attemptBody is the body for one attempt. The goroutine that sends it may
+// outlive the attempt: when an upstream rejects a request whose head it has read,
+// the sender may not have asked for the body yet. It must not take bytes from
+// the next attempt then.
 type attemptBody struct{ upload *upload }
 
 // forAttempt returns the body for the next attempt.
--- a/node/limiter/estimate.go
+++ b/node/limiter/estimate.go
@@ -18,7 +18,7 @@
 	objective time.Duration
 }
 
-func workOf(want Want) work { return work{rank: clamp(want.Rank), objective: want.Objective} }
+func newWork(rank int, objective time.Duration) work { return work{clamp(rank), objective} }
 
 // estimate holds the mean time for which calls hold a slot: all calls, those of
 // each rank, and those of each kind of work.
--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -140,7 +140,7 @@
 func (l *Limiter) Run(rank int, objective time.Duration) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.estimate.ran(work{rank: clamp(rank), objective: objective})
+	return l.estimate.ran(newWork(rank, objective))
 }
 
 // Resize sets new limits. Running calls continue; waiting calls beyond a
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -10,9 +10,8 @@
 const RankMax = 16
 
 type waiter struct {
+	work
 	want Want
-	rank int
-	work work
 	// late says that the call can't meet its objective any more. It goes after
 	// the calls of its rank that can: under overload each slot for it would make
 	// one of those late as well.
@@ -29,7 +28,7 @@
 	if want.Arrived.IsZero() {
 		want.Arrived = now
 	}
-	return &waiter{want: want, rank: clamp(want.Rank), work: workOf(want), settled: make(chan Refusal, 1)}
+	return &waiter{want: want, work: newWork(want.Rank, want.Objective), settled: make(chan Refusal, 1)}
 }
 
 // clamp returns the rank as which rank counts.
