validator: do not apply the limits of the whole tree to accepted versions

Cause: a node checked each version that it was to put in force against the limits for changes that this product accepts (4,096 routes, 1,024 services, 4 MiB, 900 KiB compressed). The operators' document had been accepted by the store, which knows no such limits. All 69 running nodes refused version 16 (5,332 routes) and version 18 and went on routing by version 14. The same would have followed from a rolling upgrade that raises a limit: nodes of the older build refuse what an acceptor of the newer one has accepted.

Ruled out: a limit of size or time on the way (all nodes had the version and logged the refusal), and a wrong translation of its routes (the version was never in force).

Change: the limits of the whole tree bind acceptance, where the acceptor and srctl check them as before. The applier checks the other rules alone.

--- a/validator/validator.go
+++ b/validator/validator.go
@@ -50,7 +50,10 @@
 
 // treeCheck is the state of one check of a tree.
 type treeCheck struct {
-	faults []sycamorerun.Fault
+	// accepted is set for a tree that has already been accepted, to which the
+	// limits of the whole tree do not apply.
+	accepted bool
+	faults   []sycamorerun.Fault
 	// services, hashes and matches map service names, token hashes and match
 	// keys to the path of the first item that uses them.
 	services, hashes, matches map[string]sycamorerun.Path
@@ -66,8 +69,8 @@
 	*sycamorerun.Route
 }
 
-// Check returns at most parser.MaxFaults faults of the tree, sorted by path. The
-// items may come from an untrusted source.
+// Check returns at most parser.MaxFaults faults of a tree that is to be accepted,
+// sorted by path. The items may come from an untrusted source.
 func Check(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
 	return newTreeCheck(0, nil).run(tree)
 }
@@ -114,6 +117,9 @@
 // checkSize checks the number of items and their total size, both uncompressed
 // and compressed.
 func (c *treeCheck) checkSize(tree map[sycamorerun.Path]sycamorerun.Item) {
+	if c.accepted {
+		return
+	}
 	if len(tree) > maxItems {
 		c.addFault(CodeTooMany, "", "%d items are more than %d", len(tree), maxItems)
 		return
@@ -216,6 +222,9 @@
 
 // checkCounts checks the number of items of each kind.
 func (c *treeCheck) checkCounts() {
+	if c.accepted {
+		return
+	}
 	for _, limit := range []struct {
 		kind     string
 		maxCount int
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -222,3 +222,21 @@
 		}
 	}
 }
+
+// TestCheckAccepted guards against a node that refuses an accepted version for a
+// limit of the whole tree, and against one that applies a tree which breaks
+// another rule.
+func TestCheckAccepted(t *testing.T) {
+	is := is.New(t)
+	tree := largeTree()
+	for i := range parser.MaxRoutes {
+		tree[sycamorerun.NewPath("a", "route", fmt.Sprintf("more-%d", i))] = route(sycamorerun.Route{
+			Prefix: fmt.Sprintf("/more/%d", i), Split: []sycamorerun.Target{{Service: "s0", Weight: 100}},
+		})
+	}
+	var checker validator.Checker
+	is.True(len(checker.Check(tree)) > 0)
+	is.Equal(checker.CheckAccepted(tree), nil)
+	delete(tree, sycamorerun.NewPath("a", "service", "s0"))
+	is.True(len(checker.CheckAccepted(tree)) > 0)
+}
