--- a/node/acceptor/decide.go
+++ b/node/acceptor/decide.go
@@ -9,6 +9,7 @@
 
 	"sycamorerun"
 	"sycamorerun/differ"
+	"sycamorerun/validator"
 )
 
 // Request is a change with the data from the store that its decision needs.
@@ -108,7 +109,7 @@
 	if change.Kind == sycamorerun.Reject {
 		return nil
 	}
-	if faults := exceededLimits(items); len(faults) > 0 {
+	if faults := validator.CheckLimits(items); len(faults) > 0 {
 		return faults
 	}
 	// A hold refers to no other items, and releasing one must always be possible.
--- a/node/acceptor/decide_test.go
+++ b/node/acceptor/decide_test.go
@@ -10,6 +10,7 @@
 
 	"sycamorerun"
 	"sycamorerun/differ"
+	"sycamorerun/parser"
 )
 
 // TestDecide guards against a change that takes effect although a rule forbids it,
@@ -60,7 +61,7 @@
 			Items: map[sycamorerun.Path]sycamorerun.Item{sycamorerun.LimitsPath: sycamorerun.Item(`{}`)},
 		}, status: sycamorerun.StatusAccepted},
 		"invalid":    {change: withItem("flow/service/invalid", item(1)), status: sycamorerun.StatusRefused, code: "invalid"},
-		"large item": {change: withItem("flow/service/x", item(strings.Repeat("x", MaxItemBytes))), status: sycamorerun.StatusRefused, code: "too-large"},
+		"large item": {change: withItem("flow/service/x", item(strings.Repeat("x", parser.MaxItemBytes))), status: sycamorerun.StatusRefused, code: "too-large"},
 		"review":     {change: apply("", "review", 6), status: sycamorerun.StatusPending},
 
 		"same base":     {change: withBase(20), status: sycamorerun.StatusAccepted},
--- a/validator/checker.go
+++ b/validator/checker.go
@@ -24,23 +24,12 @@
 	matchKey string
 }
 
-// Check returns the same faults as the function Check.
+// Check returns the same faults as the function Check, except for those of
+// CheckLimits.
 func (k *Checker) Check(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
-	return k.check(tree, false)
-}
-
-// CheckAccepted returns the faults of a tree that has already been accepted. It
-// does not apply the limits of the whole tree: they bound what this product
-// accepts, and a node that refuses an accepted version routes by an older one.
-func (k *Checker) CheckAccepted(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
-	return k.check(tree, true)
-}
-
-func (k *Checker) check(tree map[sycamorerun.Path]sycamorerun.Item, accepted bool) []sycamorerun.Fault {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	c := newTreeCheck(len(tree), k.previous)
-	c.accepted = accepted
 	faults := c.run(tree)
 	if len(faults) == 0 {
 		k.previous = c.verified
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -8,25 +8,10 @@
 	"slices"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"sycamorerun"
-	"sycamorerun/encoder"
 	"sycamorerun/parser"
 )
 
-// Limits of the whole tree.
-const (
-	// MaxTreeBytes is the maximum total size of the tree's paths and items.
-	MaxTreeBytes = 4 << 20
-	// MaxPackedBytes is the maximum size of the compressed snapshot, which must
-	// fit into one value of the store.
-	MaxPackedBytes = 900 << 10
-	// maxItems is the maximum number of items of all kinds together. It includes
-	// a hold for each team and for the administrators, and the limits.
-	maxItems = 2*parser.MaxTeams + 2 + parser.MaxServices + parser.MaxRoutes
-)
-
 // Fault codes of the rules across items. Faults of single items have the codes
 // of package parser.
 const (
@@ -50,14 +35,10 @@
 
 // treeCheck is the state of one check of a tree.
 type treeCheck struct {
-	// accepted is set for a tree that has already been accepted, to which the
-	// limits of the whole tree do not apply.
-	accepted bool
-	faults   []sycamorerun.Fault
+	faults []sycamorerun.Fault
 	// services, hashes and matches map service names, token hashes and match
 	// keys to the path of the first item that uses them.
 	services, hashes, matches map[string]sycamorerun.Path
-	counts                    map[string]int
 	routes                    []route
 	// previous and verified are the decoded items of the last valid tree and of
 	// this tree.
@@ -72,6 +53,10 @@
 // Check returns at most parser.MaxFaults faults of a tree that is to be accepted,
 // sorted by path. The items may come from an untrusted source.
 func Check(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
+	// The limits are checked first to bound the work of the other rules.
+	if faults := CheckLimits(tree); len(faults) > 0 {
+		return faults
+	}
 	return newTreeCheck(0, nil).run(tree)
 }
 
@@ -82,24 +67,18 @@
 		services: map[string]sycamorerun.Path{},
 		hashes:   map[string]sycamorerun.Path{},
 		matches:  map[string]sycamorerun.Path{},
-		counts:   map[string]int{},
 		previous: previous,
 		verified: make(map[sycamorerun.Path]verifiedItem, size),
 	}
 }
 
 func (c *treeCheck) run(tree map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault {
-	// The size is checked first to bound the work of the other rules.
-	if c.checkSize(tree); len(c.faults) > 0 {
-		return c.faults
-	}
 	for _, path := range slices.Sorted(maps.Keys(tree)) {
 		c.checkItem(tree, path)
 	}
 	for _, route := range c.routes {
 		c.checkTargets(route)
 	}
-	c.checkCounts()
 	slices.SortStableFunc(c.faults, func(a, b sycamorerun.Fault) int { return strings.Compare(a.Path, b.Path) })
 	return c.faults
 }
@@ -114,37 +93,6 @@
 	}
 }
 
-// checkSize checks the number of items and their total size, both uncompressed
-// and compressed.
-func (c *treeCheck) checkSize(tree map[sycamorerun.Path]sycamorerun.Item) {
-	if c.accepted {
-		return
-	}
-	if len(tree) > maxItems {
-		c.addFault(CodeTooMany, "", "%d items are more than %d", len(tree), maxItems)
-		return
-	}
-	total := 0
-	for path, item := range tree {
-		total += len(path) + len(item)
-	}
-	if total > MaxTreeBytes {
-		c.addFault(CodeTooLarge, "", "the tree's %d bytes are more than %d", total, MaxTreeBytes)
-		return
-	}
-	// Pack never makes a snapshot larger, so a small one need not be packed.
-	snapshot := encoder.FromTree(sycamorerun.Tree{Items: tree}, sycamorerun.Hash{})
-	if proto.Size(snapshot) <= MaxPackedBytes {
-		return
-	}
-	packed, err := encoder.Pack(snapshot)
-	if err != nil {
-		c.addFault(parser.CodeMalformed, "", "the tree can't be encoded: %s", err)
-	} else if len(packed) > MaxPackedBytes {
-		c.addFault(CodeTooLarge, "", "the tree's %d bytes after compression are more than %d", len(packed), MaxPackedBytes)
-	}
-}
-
 // checkItem checks one item and records its values for the rules across items.
 func (c *treeCheck) checkItem(tree map[sycamorerun.Path]sycamorerun.Item, path sycamorerun.Path) {
 	found, faults := c.decode(path, tree[path])
@@ -155,8 +103,7 @@
 		return
 	}
 	c.verified[path] = found
-	owner, kind, name := path.Split()
-	c.counts[kind]++
+	owner, _, name := path.Split()
 	if owner != sycamorerun.AdminTeam {
 		if _, ok := tree[sycamorerun.NewPath(sycamorerun.AdminTeam, sycamorerun.KindTeam, owner)]; !ok {
 			c.addFault(CodeNoTeam, path, "team %s is not declared by the administrators", owner)
@@ -219,22 +166,3 @@
 		}
 	}
 }
-
-// checkCounts checks the number of items of each kind.
-func (c *treeCheck) checkCounts() {
-	if c.accepted {
-		return
-	}
-	for _, limit := range []struct {
-		kind     string
-		maxCount int
-	}{
-		{sycamorerun.KindTeam, parser.MaxTeams},
-		{sycamorerun.KindService, parser.MaxServices},
-		{sycamorerun.KindRoute, parser.MaxRoutes},
-	} {
-		if count := c.counts[limit.kind]; count > limit.maxCount {
-			c.addFault(CodeTooMany, "", "%d items of kind %s are more than %d", count, limit.kind, limit.maxCount)
-		}
-	}
-}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -223,10 +223,10 @@
 	}
 }
 
-// TestCheckAccepted guards against a node that refuses an accepted version for a
+// TestCheckerIgnoresLimits guards against a node that refuses an accepted version for a
 // limit of the whole tree, and against one that applies a tree which breaks
 // another rule.
-func TestCheckAccepted(t *testing.T) {
+func TestCheckerIgnoresLimits(t *testing.T) {
 	is := is.New(t)
 	tree := largeTree()
 	for i := range parser.MaxRoutes {
@@ -235,8 +235,8 @@
 		})
 	}
 	var checker validator.Checker
-	is.True(len(checker.Check(tree)) > 0)
-	is.Equal(checker.CheckAccepted(tree), nil)
+	is.True(len(validator.Check(tree)) > 0)
+	is.Equal(checker.Check(tree), nil)
 	delete(tree, sycamorerun.NewPath("a", "service", "s0"))
-	is.True(len(checker.CheckAccepted(tree)) > 0)
+	is.True(len(checker.Check(tree)) > 0)
 }
