--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -110,7 +110,12 @@
 	n.phase.Store(manager.PhaseStarting)
 	n.fleet = newFleet(n.self)
 	n.fleet.options = planner.Options{Watchers: settings.Watchers}
-	n.applier = &applier.Applier{Validate: new(validator.Checker).Check, Changed: n.configurationChanged, Logger: logger, Scope: scope}
+	n.applier = &applier.Applier{Changed: n.configurationChanged, Logger: logger, Scope: scope}
+	if n.document == nil {
+		// The rules bind changes that this product accepts. A document that was
+		// accepted elsewhere only has to compile.
+		n.applier.Validate = new(validator.Checker).Check
+	}
 	n.calls = newCalls(now, n.activeSettings.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
 	n.setLevel = r.logger.SetLevel
 	if r.Contract != nil {
