distributor: read the document again after the store was restored

A watch of the document continues from a revision. A store that returns from a copy gives out its revisions again, so that the revision can exist once more with other content. A watcher then gets no event for a version whose revision is not above its own, and does not read the document either. All watchers keep the same revision, so no node gets the version before the next write, unless another member starts to watch meanwhile.

The store's era is now part of the position from which a watch continues (persister.Position). A watch that is answered in another era returns ErrCompacted, after which the document is read again. An older document is ignored as before. In the fake fleet, "store restored, revisions given out again" fails without the check of the era (14 of 14 members below version 40 after 2.5 s) and passes with it; "store restored" checks that an older document moves no member back.

--- a/node/distributor/document.go
+++ b/node/distributor/document.go
@@ -18,12 +18,13 @@
 // return when ctx is done and return persister.ErrMissing while there is no
 // document.
 type Document struct {
-	// Read returns the document and the revision from which to watch.
-	Read func(ctx context.Context) (sycamorerun.Tree, persister.Revision, error)
-	// Watch waits for up to 3 s for a write of the document after a revision and
-	// returns the revision for the next call. After persister.ErrCompacted the
-	// document must be read again.
-	Watch func(ctx context.Context, after persister.Revision) (tree sycamorerun.Tree, next persister.Revision, changed bool, err error)
+	// Read returns the document and the position from which to watch.
+	Read func(ctx context.Context) (sycamorerun.Tree, persister.Position, error)
+	// Watch waits for up to 3 s for a write of the document after a position and
+	// returns the position for the next call. After persister.ErrCompacted, which
+	// also means that the store's era is not that of the position, the document
+	// must be read again.
+	Watch func(ctx context.Context, after persister.Position) (tree sycamorerun.Tree, next persister.Position, changed bool, err error)
 }
 
 const (
@@ -172,7 +173,7 @@
 
 // waitForRole waits until the role may have changed. A node that is cut off from
 // the store meanwhile probes it, so that it becomes eligible as a watcher again.
-// It probes with a watch if it knows a revision, since the response then contains
+// It probes with a watch if it knows a position, since the response then contains
 // the document only if that has changed.
 func (d *Distributor) waitForRole(ctx context.Context) {
 	wait := maxIdleWait
@@ -186,7 +187,7 @@
 	case <-d.wakeWatch:
 	case <-timer.C:
 		callStore := d.readDocument
-		if d.storeHealth.revision() > 0 {
+		if d.storeHealth.position().Revision > 0 {
 			callStore = func(ctx context.Context) error { _, err := d.watchDocumentOnce(ctx); return err }
 		}
 		if err := callStore(ctx); err != nil {
@@ -198,7 +199,7 @@
 // followDocument watches the document until an error occurs.
 func (d *Distributor) followDocument(ctx context.Context) error {
 	for compacted := false; ctx.Err() == nil; {
-		if d.storeHealth.revision() == 0 {
+		if d.storeHealth.position().Revision == 0 {
 			if err := d.readDocument(ctx); err != nil {
 				return err
 			}
@@ -225,7 +226,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, documentWatchWait+documentWatchMargin)
 	defer cancel()
 	d.count("distributor_store_calls", 1)
-	after := d.storeHealth.revision()
+	after := d.storeHealth.position()
 	started := time.Now()
 	tree, next, changed, err := d.Document.Watch(callCtx, after)
 	switch {
@@ -233,7 +234,7 @@
 		return false, ctx.Err()
 	case errors.Is(err, persister.ErrCompacted):
 		d.recordStoreSuccess(time.Now(), 0)
-		d.storeHealth.setRevision(0)
+		d.storeHealth.setPosition(persister.Position{})
 		return false, err
 	case errors.Is(err, persister.ErrMissing):
 		d.recordStoreSuccess(time.Now(), 0)
@@ -247,7 +248,8 @@
 		return false, err
 	}
 	d.recordStoreSuccess(time.Now(), 0)
-	d.storeHealth.setRevision(max(after, next))
+	next.Revision = max(after.Revision, next.Revision)
+	d.storeHealth.setPosition(next)
 	if !changed {
 		return false, nil
 	}
@@ -261,7 +263,7 @@
 	defer cancel()
 	d.count("distributor_store_calls", 1)
 	started := time.Now()
-	tree, revision, err := d.Document.Read(callCtx)
+	tree, position, err := d.Document.Read(callCtx)
 	now := time.Now()
 	switch {
 	case ctx.Err() != nil:
@@ -274,6 +276,6 @@
 		return err
 	}
 	d.recordStoreSuccess(now, max(1, now.Sub(started)))
-	d.storeHealth.setRevision(revision)
+	d.storeHealth.setPosition(position)
 	return d.acceptDocument(now, tree)
 }
--- a/node/distributor/document_fleet_test.go
+++ b/node/distributor/document_fleet_test.go
@@ -27,29 +27,32 @@
 // store.
 func (f *fleet) newDocument(m *member, delay time.Duration) *Document {
 	// wait polls for a revision above after until limit.
-	wait := func(ctx context.Context, after persister.Revision, limit time.Duration) (sycamorerun.Tree, persister.Revision, error) {
+	wait := func(ctx context.Context, after persister.Revision, limit time.Duration) (sycamorerun.Tree, persister.Position, error) {
 		f.store.update(func() { f.store.cost.calls++ })
 		for begin := time.Now(); sleep(ctx, delay); {
 			switch f.fault(m) {
 			case rejects:
-				return sycamorerun.Tree{}, 0, persister.ErrUnavailable
+				return sycamorerun.Tree{}, persister.Position{}, persister.ErrUnavailable
 			case silent, paused:
 				continue
 			}
 			f.store.mutex.Lock()
-			tree, revision := f.store.tree, f.store.revision
+			tree, position := f.store.tree, persister.Position{Era: f.store.era, Revision: f.store.revision}
 			f.store.mutex.Unlock()
-			if revision > after || time.Since(begin) >= limit {
-				return tree, revision, nil
+			if position.Revision > after || time.Since(begin) >= limit {
+				return tree, position, nil
 			}
 		}
-		return sycamorerun.Tree{}, 0, ctx.Err()
+		return sycamorerun.Tree{}, persister.Position{}, ctx.Err()
 	}
 	return &Document{
-		Read: func(ctx context.Context) (sycamorerun.Tree, persister.Revision, error) { return wait(ctx, 0, 0) },
-		Watch: func(ctx context.Context, after persister.Revision) (sycamorerun.Tree, persister.Revision, bool, error) {
-			tree, revision, err := wait(ctx, after, 2500*time.Millisecond)
-			return tree, revision, revision > after, err
+		Read: func(ctx context.Context) (sycamorerun.Tree, persister.Position, error) { return wait(ctx, 0, 0) },
+		Watch: func(ctx context.Context, after persister.Position) (sycamorerun.Tree, persister.Position, bool, error) {
+			tree, next, err := wait(ctx, after.Revision, 2500*time.Millisecond)
+			if err == nil && next.Era != after.Era {
+				err = persister.ErrCompacted
+			}
+			return tree, next, next.Revision > after.Revision, err
 		},
 	}
 }
@@ -168,7 +171,8 @@
 }
 
 // TestDocumentFleet guards against a start that takes too long or completes without
-// a version, and against unnecessary traffic and store calls.
+// a version, against unnecessary traffic and store calls, and against a version that
+// is missed or moved back after the store fails.
 func TestDocumentFleet(t *testing.T) {
 	cases := map[string]func(t *testing.T, f *fleet){
 		"cold start": func(t *testing.T, f *fleet) {
@@ -242,6 +246,36 @@
 			f.store.writeDocument(20)
 			t.Log("in force", mustConverge(t, f, 20, convergeBound))
 		},
+		"store restored": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			time.Sleep(10 * time.Second)
+			restore := f.store.copyDocument()
+			f.store.writeDocument(20)
+			f.store.writeDocument(30)
+			mustConverge(t, f, 30, convergeBound)
+			f.fail(rejects, f.names()...)
+			time.Sleep(2 * time.Second)
+			restore()
+			f.fail(healthy, f.names()...)
+			time.Sleep(5 * time.Second)
+			mustConverge(t, f, 30, 0) // no member moved back
+			f.store.writeDocument(30)
+			f.store.writeDocument(40)
+			t.Log("in force", mustConverge(t, f, 40, convergeBound))
+		},
+		"store restored, revisions given out again": func(t *testing.T, f *fleet) {
+			f.start(f.names()...)
+			time.Sleep(10 * time.Second)
+			restore := f.store.copyDocument()
+			f.store.writeDocument(20)
+			f.store.writeDocument(30)
+			mustConverge(t, f, 30, convergeBound)
+			// No call fails, so that no member without a role reads the document.
+			restore()
+			f.store.writeDocument(30)
+			f.store.writeDocument(40)
+			t.Log("in force", mustConverge(t, f, 40, convergeBound))
+		},
 	}
 	for name, scenario := range cases {
 		t.Run(name, func(t *testing.T) { runDocumentFleet(t, scenario) })
--- a/node/distributor/document_test.go
+++ b/node/distributor/document_test.go
@@ -32,6 +32,17 @@
 	return tree
 }
 
+// copyDocument returns a function that restores the store to the current document
+// and revision.
+func (s *fakeStore) copyDocument() (restore func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	tree, revision := s.tree, s.revision
+	return func() {
+		s.update(func() { s.tree, s.revision, s.era = tree, revision, s.era+1 })
+	}
+}
+
 // TestEntryChain guards against a node that returns to an older version, applies a
 // version partially, or makes the nodes below it pull a snapshot, when entries of
 // several watchers are based on different versions.
@@ -142,19 +153,19 @@
 					return found, true
 				}
 				d.Document = &Document{
-					Read: func(ctx context.Context) (sycamorerun.Tree, persister.Revision, error) {
+					Read: func(ctx context.Context) (sycamorerun.Tree, persister.Position, error) {
 						found, ok := next(ctx, &c.reads)
 						if !ok {
 							found = two
 						}
-						return sycamorerun.Tree{Version: found.version}, 1, found.err
+						return sycamorerun.Tree{Version: found.version}, persister.Position{Revision: 1}, found.err
 					},
-					Watch: func(ctx context.Context, after persister.Revision) (sycamorerun.Tree, persister.Revision, bool, error) {
+					Watch: func(ctx context.Context, after persister.Position) (sycamorerun.Tree, persister.Position, bool, error) {
 						found, ok := next(ctx, &c.watches)
 						if !ok {
 							sleep(ctx, 2500*time.Millisecond)
 						}
-						return sycamorerun.Tree{Version: found.version}, after + 1, ok, found.err
+						return sycamorerun.Tree{Version: found.version}, persister.Position{Revision: after.Revision + 1}, ok, found.err
 					},
 				}
 				d.PublishDistance = func(_ time.Time, measured int) { distance = measured }
--- a/node/distributor/fleet_test.go
+++ b/node/distributor/fleet_test.go
@@ -39,10 +39,12 @@
 	mutex    sync.Mutex
 	history  []persister.Object
 	revision persister.Revision
-	changed  chan struct{}
-	tree     sycamorerun.Tree
-	hashes   map[sycamorerun.Version]sycamorerun.Hash
-	cost     cost
+	// era counts the restores from a copy.
+	era     persister.Era
+	changed chan struct{}
+	tree    sycamorerun.Tree
+	hashes  map[sycamorerun.Version]sycamorerun.Hash
+	cost    cost
 
 	down      bool
 	compacted persister.Revision
--- a/node/distributor/store_health.go
+++ b/node/distributor/store_health.go
@@ -41,21 +41,21 @@
 	// nextProbe is when a node without a role probes the store again.
 	nextProbe         time.Time
 	publishedDistance int
-	// watchRevision is the revision to watch from, or zero if the document must
-	// be read first.
-	watchRevision persister.Revision
+	// watchPosition is the position to watch from. Its revision is zero if the
+	// document must be read first.
+	watchPosition persister.Position
 }
 
-func (h *storeHealth) revision() persister.Revision {
+func (h *storeHealth) position() persister.Position {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.watchRevision
+	return h.watchPosition
 }
 
-func (h *storeHealth) setRevision(revision persister.Revision) {
+func (h *storeHealth) setPosition(position persister.Position) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.watchRevision = revision
+	h.watchPosition = position
 }
 
 // recordSilence records that the store was silent for so long that the next
--- a/persister/client.go
+++ b/persister/client.go
@@ -151,7 +151,8 @@
 // do sends a call that the store may delay by up to wait.
 func (c *client) do(ctx context.Context, call Call, wait time.Duration, result any) error {
 	call.Timeout = c.Timeout + wait
-	return c.httpClient.Do(ctx, call, result)
+	_, err := c.httpClient.Do(ctx, call, result)
+	return err
 }
 
 func formatRevision(revision Revision) string { return strconv.FormatUint(uint64(revision), 10) }
--- a/persister/http_client.go
+++ b/persister/http_client.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,9 @@
 	HTTP    *http.Client
 	// Header is sent with each call.
 	Header http.Header
+	// EraHeader is the name of the response header with the store's era, or empty
+	// if the store has none.
+	EraHeader string
 	// ContentType is sent with each body unless it is empty.
 	ContentType string
 	// MaxResponseBytes is the maximum size of a response body.
@@ -56,8 +60,9 @@
 	http.StatusRequestEntityTooLarge: ErrInvalid,
 }
 
-// Do sends a call and decodes the response into result unless result is nil.
-func (c *HTTPClient) Do(ctx context.Context, call Call, result any) error {
+// Do sends a call and decodes the response into result unless result is nil. It
+// returns the store's era if the call succeeds.
+func (c *HTTPClient) Do(ctx context.Context, call Call, result any) (Era, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	// Nothing can have been sent before the transport has a connection. After
@@ -68,16 +73,16 @@
 	})
 	request, err := c.newRequest(ctx, call)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return classifyFailure(call.isWrite() && connected.Load(), err)
+		return 0, classifyFailure(call.isWrite() && connected.Load(), err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(c.MaxResponseBytes)+1))
 	if !c.succeeded(response.StatusCode) {
-		return statusError(call, response.StatusCode, body)
+		return 0, statusError(call, response.StatusCode, body)
 	}
 	if err == nil && len(body) > c.MaxResponseBytes {
 		err = errors.Errorf("response exceeds %d bytes", c.MaxResponseBytes)
@@ -86,9 +91,21 @@
 		err = json.Unmarshal(body, result)
 	}
 	if err != nil {
-		return classifyFailure(call.isWrite(), err)
+		return 0, classifyFailure(call.isWrite(), err)
 	}
-	return nil
+	return c.era(response.Header), nil
+}
+
+// era returns the era in the header of a response, or zero if there is none.
+func (c *HTTPClient) era(header http.Header) Era {
+	if c.EraHeader == "" {
+		return 0
+	}
+	era, err := strconv.ParseUint(header.Get(c.EraHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return Era(era)
 }
 
 func (c *HTTPClient) succeeded(status int) bool {
--- a/persister/store.go
+++ b/persister/store.go
@@ -15,7 +15,8 @@
 	// ErrMissing means that the object does not exist.
 	ErrMissing = errors.New("no such object")
 	// ErrCompacted means that the store no longer has the history that a watch
-	// asks for. The caller has to list the objects again.
+	// asks for, or that the store was restored from a copy since. The caller has to
+	// list the objects again.
 	ErrCompacted = errors.New("watch history compacted")
 	// ErrUnknown means that a write may or may not have taken effect.
 	ErrUnknown = errors.New("write outcome unknown")
@@ -30,6 +31,17 @@
 // Revision is the store's logical clock. Each write gets a higher revision.
 type Revision uint64
 
+// Era counts how often a store was restored from a copy. A restored store gives out
+// revisions again, so revisions of different eras can't be compared. Zero means that
+// the store reports no era.
+type Era uint64
+
+// Position is a revision and the era in which the store gave it out.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
 // Object is a stored value. Revision is the revision of its last write.
 type Object struct {
 	Key      string   `json:"key"`
