seeder: show that a record of a restored store is replaced at once

The maintainer of a zone's seed record keeps a record without live members for 5 s, counted from when it first read the record's revision. A store that returns from a copy gives out its revisions again. A record written by unknown nodes after the restore can then have the revision of an earlier one; it counts as that old and is replaced at the first check, before anybody may have found its members.

TestMaintainAfterRestore fails: one write where none is expected.

--- a/node/seeder/seeder_test.go
+++ b/node/seeder/seeder_test.go
@@ -85,6 +85,42 @@
 	}
 }
 
+// TestMaintainAfterRestore guards against replacing at once a record that a restored
+// store holds under the revision of an earlier one. Its members had no time to be
+// found through it.
+func TestMaintainAfterRestore(t *testing.T) {
+	is := is.New(t)
+	now, puts, addresses := start, 0, []netip.AddrPort{two}
+	s := Seeder{
+		Self: sycamorerun.Instance{Name: one.String(), Address: one}, Logger: log.NewNopLogger(),
+		Now: func() time.Time { return now },
+		Live: func(time.Time) []sycamorerun.Instance {
+			return []sycamorerun.Instance{{Name: one.String(), Address: one}}
+		},
+		Store: persister.Store{
+			Get: func(context.Context, string) (persister.Object, error) {
+				value, err := json.Marshal(record{Addresses: addresses})
+				return persister.Object{Value: value, Revision: 7}, err
+			},
+			Put: func(context.Context, string, []byte, persister.Revision) (persister.Revision, error) {
+				puts++
+				return 8, nil
+			},
+		},
+	}
+	check := func(delay time.Duration) int {
+		now = now.Add(delay)
+		is.NoErr(s.maintain(t.Context()))
+		return puts
+	}
+	is.Equal(check(0), 0)
+	is.Equal(check(replaceDelay-time.Second), 0)
+	addresses = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:3")}
+	is.Equal(check(time.Second), 0) // the new record is kept
+	is.Equal(check(replaceDelay-time.Second), 0)
+	is.Equal(check(time.Second), 1)
+}
+
 // TestSeeds guards against seeds from corrupt or oversized records, and against
 // reading the store although the settings contain peers.
 func TestSeeds(t *testing.T) {
