seeder: measure the age of a record by its content too

A record without live members is kept for 5 s after it was first read, and a record counted as the same one while its revision was the same. A store that returns from a copy gives out its revisions again, so that another record can have the revision and took over the age. The maintainer now also compares the content.

--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -4,6 +4,7 @@
 package seeder
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -62,10 +63,10 @@
 	Now    func() time.Time
 	Logger log.Logger
 
-	// lastRevision is the revision of the record that was read last, firstSeen the
-	// time when that revision was first read.
-	lastRevision persister.Revision
-	firstSeen    time.Time
+	// last is the record that was read last, firstSeen the time when it was first
+	// read.
+	last      persister.Object
+	firstSeen time.Time
 }
 
 // Seeds returns the addresses of seed peers. It makes at most one list request to
@@ -111,8 +112,9 @@
 		return err
 	}
 	now := s.Now()
-	if s.firstSeen.IsZero() || object.Revision != s.lastRevision {
-		s.lastRevision, s.firstSeen = object.Revision, now
+	// A store that was restored from a copy gives out revisions again.
+	if s.firstSeen.IsZero() || object.Revision != s.last.Revision || !bytes.Equal(object.Value, s.last.Value) {
+		s.last, s.firstSeen = object, now
 	}
 	live := s.Live(now)
 	wanted := chooseAddresses(s.Self, live)
@@ -145,8 +147,8 @@
 	return chosen
 }
 
-// needsReplacement reports whether the stored record, whose revision has the given
-// age, contains too few live members. A record without live members may be from
+// needsReplacement reports whether the stored record, which has the given age,
+// contains too few live members. A record without live members may be from
 // nodes that this node does not know yet. It is kept for replaceDelay, so that
 // nodes that start separately find each other through it.
 func needsReplacement(stored, wanted []netip.AddrPort, live []sycamorerun.Instance, age time.Duration) bool {
