distributor: share unchanged items between the versions of a document

What operators would see: a node of 184 MB that runs out of memory after a few small changes of a large document.

Cause: each version read from the store is translated as a whole, so that the tree in force and up to four recent ones each kept their own copy of every item. Versions that arrive as entries from peers share them already.

A complete tree is now installed as the previous one with the difference applied, which is computed for the entry anyway.

--- a/node/distributor/document.go
+++ b/node/distributor/document.go
@@ -91,6 +91,9 @@
 // holds d.acceptMutex and has checked that the tree is newer.
 func (d *Distributor) installWithEntry(now time.Time, tree sycamorerun.Tree, hash sycamorerun.Hash, acceptedAt time.Time, source string) error {
 	previous := d.heldTree()
+	difference := differ.Compare(previous.Items, tree.Items)
+	// Versions share their unchanged items. A document can have 25,000 of them.
+	tree = differ.Apply(previous, tree.Version, difference)
 	if err := d.recordHeld(tree, hash, d.Install(now, tree, hash)); err != nil {
 		return err
 	}
@@ -99,8 +102,7 @@
 	if previous.Version > 0 {
 		var err error
 		data, err = persister.EncodeEntry(sycamorerun.Entry{
-			Version: tree.Version, Base: previous.Version, Hash: hash, Time: acceptedAt,
-			Difference: differ.Compare(previous.Items, tree.Items),
+			Version: tree.Version, Base: previous.Version, Hash: hash, Time: acceptedAt, Difference: difference,
 		})
 		if err != nil {
 			level.Warn(d.Logger).Log("msg", "encoding the difference failed; peers will pull a snapshot", "version", tree.Version, "err", err)
