distributor: let every document that the store holds pass between nodes

What callers would see: 404 on the routes of a confirmed document on all nodes but the few that read the store.

Messages between nodes were bounded by the limits of the product's own log, 900 KiB as stored and 8 MiB plain. A document below 1 MB can exceed both: its routes repeat the host, and random prefixes hardly compress.

What is written to the log keeps the store's bound.

--- a/encoder/pack.go
+++ b/encoder/pack.go
@@ -12,8 +12,9 @@
 	"sycamorerun"
 )
 
-// MaxPlainBytes is the maximum size of a decompressed message.
-const MaxPlainBytes = 8 << 20
+// MaxPlainBytes is the maximum size of a decompressed message. A tree translated
+// from a document of 1 MB can exceed 8 MB, since each route repeats its host.
+const MaxPlainBytes = 32 << 20
 
 var (
 	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
--- a/node/distributor/document.go
+++ b/node/distributor/document.go
@@ -101,7 +101,7 @@
 	var data []byte
 	if previous.Version > 0 {
 		var err error
-		data, err = persister.EncodeEntry(sycamorerun.Entry{
+		data, err = encodeEntry(sycamorerun.Entry{
 			Version: tree.Version, Base: previous.Version, Hash: hash, Time: acceptedAt, Difference: difference,
 		})
 		if err != nil {
--- a/node/distributor/serve.go
+++ b/node/distributor/serve.go
@@ -12,7 +12,6 @@
 	"sycamorerun"
 	"sycamorerun/encoder"
 	"sycamorerun/node/planner"
-	"sycamorerun/persister"
 )
 
 const (
@@ -163,7 +162,7 @@
 	}
 	total := 0
 	for _, data := range entries {
-		if total += len(data); total > persister.ValueBytes {
+		if total += len(data); total > maxContentBytes {
 			break
 		}
 		reply.Entries = append(reply.Entries, pack(data))
@@ -184,7 +183,7 @@
 	if c.data != nil && c.version == tree.Version {
 		return c.data, nil
 	}
-	data, err := persister.EncodeSnapshot(tree, hash)
+	data, err := encodeSnapshot(tree, hash)
 	if err == nil {
 		c.version, c.data = tree.Version, data
 	}
--- a/node/distributor/wire.go
+++ b/node/distributor/wire.go
@@ -13,8 +13,14 @@
 	"sycamorerun/persister"
 )
 
-// maxFrameBytes bounds a frame: the largest stored value and its envelope.
-const maxFrameBytes = persister.ValueBytes + 64<<10
+const (
+	// maxContentBytes bounds an entry or a snapshot between nodes. It exceeds
+	// persister.ValueBytes, since a document of the operators may have up to 1 MB
+	// and hardly compress.
+	maxContentBytes = 2 << 20
+	// maxFrameBytes bounds a frame: the largest content and its envelope.
+	maxFrameBytes = maxContentBytes + 64<<10
+)
 
 var errChecksum = errors.New("content does not match its checksum")
 
@@ -22,6 +28,24 @@
 	return &Packed{Data: data, Sum: xxhash.Sum64(data)}
 }
 
+func encodeEntry(entry sycamorerun.Entry) ([]byte, error) {
+	return encodeContent(encoder.FromEntry(entry))
+}
+
+func encodeSnapshot(tree sycamorerun.Tree, hash sycamorerun.Hash) ([]byte, error) {
+	return encodeContent(encoder.FromTree(tree, hash))
+}
+
+// encodeContent returns the encoding of an entry or a snapshot, which is the stored
+// form of one that fits into the store.
+func encodeContent(message proto.Message) ([]byte, error) {
+	data, err := encoder.Pack(message)
+	if err == nil && len(data) > maxContentBytes {
+		err = errors.Wrapf(persister.ErrTooLarge, "%d bytes, limit %d", len(data), maxContentBytes)
+	}
+	return data, err
+}
+
 func unpackEntry(packed *Packed) (sycamorerun.Entry, error) {
 	if xxhash.Sum64(packed.GetData()) != packed.GetSum() {
 		return sycamorerun.Entry{}, errChecksum
