Decode responses of the store that are nested too deep

One object nested more than 10,000 levels deep made encoding/json reject the page or the watch response that contained it ("exceeded max depth"). The watch kept its revision and failed for ever; lists and the replacement of the object failed as well.

A response with a syntax error is now decoded once more, with null in place of the arrays and objects nested more than 1,000 levels deep. They are found in one pass over the bytes without recursion and with a result of at most about twice the response, which is bounded already. The object keeps its name and revision, so that lists continue after it, a writer can replace it, and an odd status does not make a spec unreadable. Responses that are cut or aren't JSON are still errors.

--- a/persister/http_client.go
+++ b/persister/http_client.go
@@ -83,7 +83,7 @@
 		err = errors.Errorf("response exceeds %d bytes", c.MaxResponseBytes)
 	}
 	if err == nil && result != nil {
-		err = json.Unmarshal(body, result)
+		err = decode(body, result)
 	}
 	if err != nil {
 		return classifyFailure(call.isWrite(), err)
