Show that too many announced slots cut a node off from the fleet

A node publishes the slots that its upstream announces; the limit of the configured service applies only if the configuration names the service. Peers reject a record with more than 1,048,576 slots and close the link, and each new link starts with the same record.

--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// TestUnusableSlots guards against an upstream in use whose number of slots can't
+// be published.
+func TestUnusableSlots(t *testing.T) {
+	for slots, want := range map[int]Outcome{-1: Invalid, 0: Invalid, 1: Accepted, 1 << 20: Accepted, 1<<20 + 1: Invalid, 1 << 53: Invalid} {
+		is := is.New(t)
+		a := New(func() time.Duration { return period })
+		is.Equal(a.Announce(start, step{id: "a", boot: 5, seq: 1, set: func(a *Announcement) { a.Slots = slots }}.announcement()), want)
+		_, used := a.Current()
+		is.Equal(used, want == Accepted)
+	}
+}
+
 // TestHistoryIsBounded guards against a history that grows with each restart,
 // or that loses the last boots.
 func TestHistoryIsBounded(t *testing.T) {
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -342,6 +342,19 @@
 	}
 }
 
+// TestAnnouncedSlots guards against a node that all peers reject because its
+// upstream announced more slots than a record may have.
+func TestAnnouncedSlots(t *testing.T) {
+	is := is.New(t)
+	for _, slots := range []int{1, maxSlots, maxSlots + 1, 1 << 32, 1<<32 + 1, 1 << 53} {
+		table := newTable(start, instance(0, "a1"), defaultTiming.suspicionTimeout)
+		table.announce(start, "s", sycamorerun.StateReady, slots)
+		sent, err := decode(start, encode(start, table.records["node-0000"]))
+		is.NoErr(err)
+		is.Equal(sent.Slots, min(slots, maxSlots))
+	}
+}
+
 // FuzzFrame guards against frames that crash the tracker or corrupt the digest.
 func FuzzFrame(f *testing.F) {
 	source := filledTable(3, 1)
