Reject announcements with more slots than a record may have

The limit of 1,048,576 slots existed only where a record is received, so a node could publish one that all peers reject. It is a constant of the record now. The announcer treats an announcement with more slots as one that names no usable upstream, as it does with zero slots, and the tracker never publishes more.

--- a/instance.go
+++ b/instance.go
@@ -40,6 +40,9 @@
 // Unreachable is the Distance of a node whose calls to the store fail.
 const Unreachable = -1
 
+// MaxSlots is the maximum of Instance.Slots.
+const MaxSlots = 1 << 20
+
 // Newer reports whether i supersedes other, which must be a record of the same
 // node.
 func (i Instance) Newer(other Instance) bool {
--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -65,7 +65,7 @@
 
 // valid reports whether a names a usable upstream.
 func (a Announcement) valid() bool {
-	return a.ID != "" && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 &&
+	return a.ID != "" && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 && a.Slots <= sycamorerun.MaxSlots &&
 		(serving(a.State) || leaving(a.State))
 }
 
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -193,7 +193,7 @@
 // TestUnusableSlots guards against an upstream in use whose number of slots can't
 // be published.
 func TestUnusableSlots(t *testing.T) {
-	for slots, want := range map[int]Outcome{-1: Invalid, 0: Invalid, 1: Accepted, 1 << 20: Accepted, 1<<20 + 1: Invalid, 1 << 53: Invalid} {
+	for slots, want := range map[int]Outcome{-1: Invalid, 0: Invalid, 1: Accepted, sycamorerun.MaxSlots: Accepted, sycamorerun.MaxSlots + 1: Invalid, 1 << 53: Invalid} {
 		is := is.New(t)
 		a := New(func() time.Duration { return period })
 		is.Equal(a.Announce(start, step{id: "a", boot: 5, seq: 1, set: func(a *Announcement) { a.Slots = slots }}.announcement()), want)
--- a/node/tracker/codec.go
+++ b/node/tracker/codec.go
@@ -15,7 +15,6 @@
 const (
 	maxNameBytes        = 253
 	maxUnreachableZones = 64
-	maxSlots            = 1 << 20
 	// maxDistance is above the bucket of any latency that a store call can
 	// have.
 	maxDistance = 64
@@ -119,7 +118,7 @@
 		return errors.Errorf("record of %q lists %d unreachable zones, which exceeds the limit", message.GetName(), len(message.GetUnreachable()))
 	case message.GetDistance() < sycamorerun.Unreachable || message.GetDistance() > maxDistance:
 		return errors.Errorf("record of %q has distance %d, which is out of range", message.GetName(), message.GetDistance())
-	case message.GetSlots() > maxSlots:
+	case message.GetSlots() > sycamorerun.MaxSlots:
 		return errors.Errorf("record of %q has %d slots, which exceeds the limit", message.GetName(), message.GetSlots())
 	}
 	return nil
--- a/node/tracker/self.go
+++ b/node/tracker/self.go
@@ -43,6 +43,8 @@
 		return false
 	}
 	t.self.announced = now
+	// Peers reject a record with more slots.
+	slots = min(slots, sycamorerun.MaxSlots)
 	if old.Service == service && old.State == state && old.Slots == slots {
 		return false
 	}
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -326,7 +326,7 @@
 		"largest sequence": func(r *Record) { r.Sequence = maxSequence + 1 },
 		"many zones":       func(r *Record) { r.Unreachable = slices.Repeat([]string{"z"}, maxUnreachableZones+1) },
 		"unnamed zone":     func(r *Record) { r.Unreachable = []string{""} },
-		"many slots":       func(r *Record) { r.Slots = maxSlots + 1 },
+		"many slots":       func(r *Record) { r.Slots = sycamorerun.MaxSlots + 1 },
 	}
 	_, err := decode(start, encode(start, peerRecord(1, 1, nil)))
 	is.New(t).NoErr(err)
@@ -346,12 +346,12 @@
 // upstream announced more slots than a record may have.
 func TestAnnouncedSlots(t *testing.T) {
 	is := is.New(t)
-	for _, slots := range []int{1, maxSlots, maxSlots + 1, 1 << 32, 1<<32 + 1, 1 << 53} {
+	for _, slots := range []int{1, sycamorerun.MaxSlots, sycamorerun.MaxSlots + 1, 1 << 32, 1<<32 + 1, 1 << 53} {
 		table := newTable(start, instance(0, "a1"), defaultTiming.suspicionTimeout)
 		table.announce(start, "s", sycamorerun.StateReady, slots)
 		sent, err := decode(start, encode(start, table.records["node-0000"]))
 		is.NoErr(err)
-		is.Equal(sent.Slots, min(slots, maxSlots))
+		is.Equal(sent.Slots, min(slots, sycamorerun.MaxSlots))
 	}
 }
 
