Show that one unusable address hides the others of a seed record

A seed record is decoded as a list of addresses as a whole, so one with a port out of range, without a port or of another type makes the record count as empty, and the usable addresses in it are lost to nodes that start. An address with port 0 and an unspecified or multicast address decode and are dialled; 0.0.0.0 leads to the node's own machine.

--- a/node/seeder/seeder_test.go
+++ b/node/seeder/seeder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +112,57 @@
 	is.Equal(seeds, s.Fixed)
 	is.Equal(lists, 1)
 }
+
+// TestUnusableAddresses guards against an address that no node can have and that
+// hides the others of its record or is dialled.
+func TestUnusableAddresses(t *testing.T) {
+	list := func(addresses string) string { return `{"addresses":[` + addresses + `]}` }
+	const valid = `"127.0.0.1:2"`
+	cases := map[string]struct {
+		value string
+		want  int
+	}{
+		"usable":             {list(valid), 1},
+		"port too large":     {list(`"127.0.0.1:65536",` + valid), 1},
+		"port zero":          {list(`"127.0.0.1:0",` + valid), 1},
+		"negative port":      {list(`"127.0.0.1:-1",` + valid), 1},
+		"no port":            {list(`"127.0.0.1",` + valid), 1},
+		"host name":          {list(`"localhost:7",` + valid), 1},
+		"unspecified":        {list(`"0.0.0.0:7","[::]:7",` + valid), 1},
+		"multicast":          {list(`"224.0.0.1:7","[ff02::1]:7",` + valid), 1},
+		"empty":              {list(`"",` + valid), 1},
+		"null":               {list(`null,` + valid), 1},
+		"number":             {list(`1e400,` + valid), 1},
+		"nested":             {list(`[[[]]],{"a":{}},` + valid), 1},
+		"invalid UTF-8":      {list("\"\xff\"," + valid), 1},
+		"after":              {list(valid + `,"127.0.0.1:65536"`), 1},
+		"none usable":        {list(`"127.0.0.1:0"`), 0},
+		"many unusable":      {list(strings.Repeat(`"10.0.0.1:0",`, 200) + valid), 1},
+		"addresses of a map": {`{"addresses":{"a":` + valid + `}}`, 0},
+		"field twice":        {`{"addresses":["127.0.0.1:0"],"addresses":[` + valid + `]}`, 1},
+		"cut":                {`{"addresses":[` + valid, 0},
+		"null record":        {`null`, 0},
+		"no record":          {``, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := Seeder{
+				Self: sycamorerun.Instance{Name: "a", Address: one}, Logger: log.NewNopLogger(),
+				Store: persister.Store{List: func(context.Context, string, persister.Revision) (persister.Listing, error) {
+					return persister.Listing{Objects: []persister.Object{
+						{Key: "node/odd", Value: []byte(c.value)},
+						{Key: "node/z", Value: []byte(`{"addresses":["127.0.0.1:3"]}`)},
+					}}, nil
+				}},
+			}
+			seeds, err := s.Seeds(t.Context())
+			is.NoErr(err)
+			is.Equal(len(seeds), c.want+1)
+			is.Equal(seeds[c.want], netip.MustParseAddrPort("127.0.0.1:3"))
+			for _, seed := range seeds {
+				is.True(seed.Port() != 0)
+			}
+		})
+	}
+}
