Decode the addresses of a seed record one by one

An address that can't be decoded, has port 0, or is unspecified or a multicast address is left out, and the others of the record remain. The settings already refuse an unspecified address of a node.

--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -165,11 +165,26 @@
 	return listed < min(minLiveMembers, len(wanted))
 }
 
-// decodeRecord decodes a record. An invalid record counts as empty.
+// decodeRecord decodes a record and leaves out the addresses that no node can
+// have. An invalid record counts as empty.
 func decodeRecord(object persister.Object) record {
-	var r record
-	if len(object.Value) > maxRecordBytes || json.Unmarshal(object.Value, &r) != nil {
+	var stored struct {
+		Addresses []json.RawMessage `json:"addresses"`
+	}
+	if len(object.Value) > maxRecordBytes || json.Unmarshal(object.Value, &stored) != nil {
 		return record{}
 	}
+	var r record
+	for _, encoded := range stored.Addresses {
+		var address netip.AddrPort
+		if json.Unmarshal(encoded, &address) == nil && usable(address) {
+			r.Addresses = append(r.Addresses, address)
+		}
+	}
 	return r
 }
+
+// usable reports whether a node can have the address.
+func usable(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
+}
