Show that a seed record with many addresses crowds out the others

Nodes write up to 4 addresses into the record of their zone. A record of another writer, which no node replaces unless it has the name of a zone, may have about 200 in the 4 KiB that are read. A node that starts tries 3 random seeds at a time, so with one such record of addresses that don't answer it hardly reaches a member.

--- a/node/seeder/seeder_test.go
+++ b/node/seeder/seeder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -166,3 +167,26 @@
 		})
 	}
 }
+
+// TestManyAddresses guards against a record of another writer with so many
+// addresses that a starting node hardly tries those of the other records.
+func TestManyAddresses(t *testing.T) {
+	is := is.New(t)
+	var others []string
+	for port := 100; port < 300; port++ {
+		others = append(others, fmt.Sprintf(`"10.0.0.1:%d"`, port))
+	}
+	s := Seeder{
+		Self: sycamorerun.Instance{Name: "a", Address: one}, Logger: log.NewNopLogger(),
+		Store: persister.Store{List: func(context.Context, string, persister.Revision) (persister.Listing, error) {
+			return persister.Listing{Objects: []persister.Object{
+				{Key: "node/odd", Value: []byte(`{"addresses":["127.0.0.1:0",` + strings.Join(others, ",") + `]}`)},
+				{Key: "node/z", Value: []byte(`{"addresses":["127.0.0.1:2","127.0.0.1:3"]}`)},
+			}}, nil
+		}},
+	}
+	seeds, err := s.Seeds(t.Context())
+	is.NoErr(err)
+	is.Equal(len(seeds), maxAddresses+2)
+	is.Equal(seeds[maxAddresses], two)
+}
