Read at most four addresses of a seed record

Nodes write no more, so a record with more is from another writer. Only its first four usable addresses become seeds, and one such record no longer outweighs the others.

--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -34,8 +34,8 @@
 	// minLiveMembers is the minimum number of live members in a record, if the zone
 	// has as many.
 	minLiveMembers = 2
-	// maxAddresses is the maximum number of members in a record. A record with
-	// several members stays useful if a few of them fail.
+	// maxAddresses is the maximum number of members in a record that is written or
+	// read. A record with several members stays useful if a few of them fail.
 	maxAddresses = 4
 	// maxRecordBytes is the maximum size of a record that is read.
 	maxRecordBytes = 4 << 10
@@ -166,7 +166,7 @@
 }
 
 // decodeRecord decodes a record and leaves out the addresses that no node can
-// have. An invalid record counts as empty.
+// have, and those beyond maxAddresses. An invalid record counts as empty.
 func decodeRecord(object persister.Object) record {
 	var stored struct {
 		Addresses []json.RawMessage `json:"addresses"`
@@ -176,6 +176,9 @@
 	}
 	var r record
 	for _, encoded := range stored.Addresses {
+		if len(r.Addresses) == maxAddresses {
+			break
+		}
 		var address netip.AddrPort
 		if json.Unmarshal(encoded, &address) == nil && usable(address) {
 			r.Addresses = append(r.Addresses, address)
