Log an odd seed record once for each of its revisions

What another writer left among the seed records was dropped without a trace. A warning now has the key, the revision and the first reason: a record that can't be decoded, is too large, or has unusable or too many addresses. Seeds are read every few seconds, so each revision is logged once; records that are gone are forgotten, which bounds the memory to the records of one list.

TestOddRecordsAreLogged checks the lines of six reads; without the change there is none.

--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -66,6 +67,11 @@
 	// time when that revision was first read.
 	lastRevision persister.Revision
 	firstSeen    time.Time
+
+	mutex sync.Mutex
+	// logged holds the revisions of the odd records in the last list, which have
+	// been logged. The mutex guards it.
+	logged map[string]persister.Revision
 }
 
 // Seeds returns the addresses of seed peers. It makes at most one list request to
@@ -79,12 +85,34 @@
 		return nil, errors.Wrap(err, "list seed records")
 	}
 	var seeds []netip.AddrPort
+	odd := map[string]persister.Revision{}
 	for _, object := range listing.Objects {
-		seeds = append(seeds, decodeRecord(object).Addresses...)
+		r, err := decodeRecord(object)
+		seeds = append(seeds, r.Addresses...)
+		if err != nil {
+			odd[object.Key] = object.Revision
+			s.logOnce(object, err)
+		}
 	}
+	s.setLogged(odd)
 	return slices.DeleteFunc(seeds, func(a netip.AddrPort) bool { return a == s.Self.Address }), nil
 }
 
+// logOnce logs that a record is odd, unless this revision of it has been logged.
+func (s *Seeder) logOnce(object persister.Object, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision, found := s.logged[object.Key]; !found || revision != object.Revision {
+		level.Warn(s.Logger).Log("msg", "ignoring what is unusable in a seed record", "key", object.Key, "revision", object.Revision, "err", err)
+	}
+}
+
+func (s *Seeder) setLogged(odd map[string]persister.Revision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.logged = odd
+}
+
 // Run maintains the zone's record while this node is its maintainer.
 func (s *Seeder) Run(ctx context.Context) error {
 	for {
@@ -116,7 +144,8 @@
 	}
 	live := s.Live(now)
 	wanted := chooseAddresses(s.Self, live)
-	if !needsReplacement(decodeRecord(object).Addresses, wanted, live, now.Sub(s.firstSeen)) {
+	stored, _ := decodeRecord(object)
+	if !needsReplacement(stored.Addresses, wanted, live, now.Sub(s.firstSeen)) {
 		return nil
 	}
 	value, err := json.Marshal(record{Addresses: wanted})
@@ -166,25 +195,32 @@
 }
 
 // decodeRecord decodes a record and leaves out the addresses that no node can
-// have, and those beyond maxAddresses. An invalid record counts as empty.
-func decodeRecord(object persister.Object) record {
+// have, and those beyond maxAddresses. The error describes what is left out. An
+// invalid record counts as empty.
+func decodeRecord(object persister.Object) (record, error) {
 	var stored struct {
 		Addresses []json.RawMessage `json:"addresses"`
 	}
-	if len(object.Value) > maxRecordBytes || json.Unmarshal(object.Value, &stored) != nil {
-		return record{}
+	if len(object.Value) > maxRecordBytes {
+		return record{}, errors.Errorf("record has %d bytes, limit %d", len(object.Value), maxRecordBytes)
+	}
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
+		return record{}, errors.Wrap(err, "decode record")
 	}
 	var r record
+	var unusable error
 	for _, encoded := range stored.Addresses {
-		if len(r.Addresses) == maxAddresses {
-			break
-		}
 		var address netip.AddrPort
-		if json.Unmarshal(encoded, &address) == nil && usable(address) {
+		switch err := json.Unmarshal(encoded, &address); {
+		case len(r.Addresses) == maxAddresses:
+			return r, errors.Errorf("record has %d addresses, limit %d", len(stored.Addresses), maxAddresses)
+		case err != nil || !usable(address):
+			unusable = errors.Errorf("unusable address %.64s", encoded)
+		default:
 			r.Addresses = append(r.Addresses, address)
 		}
 	}
-	return r
+	return r, unusable
 }
 
 // usable reports whether a node can have the address.
--- a/node/seeder/seeder_test.go
+++ b/node/seeder/seeder_test.go
@@ -190,3 +190,43 @@
 	is.Equal(len(seeds), maxAddresses+2)
 	is.Equal(seeds[maxAddresses], two)
 }
+
+// TestOddRecordsAreLogged guards against records of other writers that operators
+// can't notice, and against a log line for each read of them.
+func TestOddRecordsAreLogged(t *testing.T) {
+	is := is.New(t)
+	var logs strings.Builder
+	var objects []persister.Object
+	s := Seeder{
+		Self: sycamorerun.Instance{Name: "a", Address: one}, Logger: log.NewLogfmtLogger(&logs),
+		Store: persister.Store{List: func(context.Context, string, persister.Revision) (persister.Listing, error) {
+			return persister.Listing{Objects: objects}, nil
+		}},
+	}
+	read := func(want ...string) {
+		t.Helper()
+		logs.Reset()
+		_, err := s.Seeds(t.Context())
+		is.NoErr(err)
+		lines := strings.Count(logs.String(), "\n")
+		is.Equal(lines, len(want)) // one line for each changed record
+		for _, text := range want {
+			is.True(strings.Contains(logs.String(), text) && strings.Contains(logs.String(), "level=warn"))
+		}
+	}
+	valid := persister.Object{Key: "node/z", Value: []byte(`{"addresses":["127.0.0.1:2"]}`), Revision: 1}
+	odd := persister.Object{Key: "node/odd", Value: []byte(`{"addresses":["127.0.0.1:65536"]}`), Revision: 2}
+	empty := persister.Object{Key: "node/empty", Revision: 3}
+	objects = []persister.Object{valid, odd}
+	read("key=node/odd revision=2")
+	read()
+	objects = []persister.Object{valid, odd, empty}
+	read("key=node/empty revision=3")
+	read()
+	odd.Revision = 4
+	objects = []persister.Object{valid, odd, empty}
+	read("key=node/odd revision=4")
+	objects = []persister.Object{valid}
+	read()
+	is.Equal(len(s.logged), 0) // removed records are forgotten
+}
