--- a/persister/http_client.go
+++ b/persister/http_client.go
@@ -24,6 +24,9 @@
 	Body any
 	// Timeout limits the whole call, including the response body.
 	Timeout time.Duration
+	// TooLarge is the error for a response that exceeds the limit. Nil means the
+	// error of a call without a usable response.
+	TooLarge error
 }
 
 // isWrite reports whether the call can have an effect.
@@ -80,6 +83,9 @@
 		return statusError(call, response.StatusCode, body)
 	}
 	if err == nil && len(body) > c.MaxResponseBytes {
+		if call.TooLarge != nil {
+			return errors.Wrapf(call.TooLarge, "response exceeds %d bytes", c.MaxResponseBytes)
+		}
 		err = errors.Errorf("response exceeds %d bytes", c.MaxResponseBytes)
 	}
 	if err == nil && result != nil {
