Watch on after a version of the document that can't be used

Document.Read and Document.Watch return distributor.ErrUnusable for such a version, together with a valid revision. The distributor continues after it and counts the call as answered by the store, so the watcher neither repeats the call nor publishes that it is cut off.

--- a/node/distributor/document.go
+++ b/node/distributor/document.go
@@ -13,16 +13,22 @@
 	"sycamorerun/persister"
 )
 
+// ErrUnusable means that the store responded with a version of the document that
+// can't be used.
+var ErrUnusable = errors.New("version of the document is unusable")
+
 // Document gives access to a configuration that operators write into the store
 // as a single document. Its versions increase, possibly with gaps. Both functions
 // return when ctx is done and return persister.ErrMissing while there is no
 // document.
 type Document struct {
-	// Read returns the document and the revision from which to watch.
+	// Read returns the document and the revision from which to watch, which is also
+	// valid with ErrUnusable.
 	Read func(ctx context.Context) (sycamorerun.Tree, persister.Revision, error)
 	// Watch waits for up to 3 s for a write of the document after a revision and
-	// returns the revision for the next call. After persister.ErrCompacted the
-	// document must be read again.
+	// returns the revision for the next call, which is also valid with ErrUnusable.
+	// With that error, changed says that an earlier version can be used. After
+	// persister.ErrCompacted the document must be read again.
 	Watch func(ctx context.Context, after persister.Revision) (tree sycamorerun.Tree, next persister.Revision, changed bool, err error)
 }
 
@@ -238,7 +244,7 @@
 	case errors.Is(err, persister.ErrMissing):
 		d.recordStoreSuccess(time.Now(), 0)
 		return false, err
-	case err != nil:
+	case err != nil && !errors.Is(err, ErrUnusable):
 		now := time.Now()
 		if now.Sub(started) >= silentWatchThreshold {
 			d.storeHealth.recordSilence()
@@ -249,9 +255,12 @@
 	d.recordStoreSuccess(time.Now(), 0)
 	d.storeHealth.setRevision(max(after, next))
 	if !changed {
-		return false, nil
+		return false, err
+	}
+	if acceptErr := d.acceptDocument(time.Now(), tree); acceptErr != nil {
+		return true, acceptErr
 	}
-	return true, d.acceptDocument(time.Now(), tree)
+	return true, err
 }
 
 // readDocument makes a single read call to the store, whose latency determines
@@ -269,11 +278,14 @@
 	case errors.Is(err, persister.ErrMissing):
 		d.recordStoreSuccess(now, max(1, now.Sub(started)))
 		return err
-	case err != nil:
+	case err != nil && !errors.Is(err, ErrUnusable):
 		d.recordStoreFailure(now)
 		return err
 	}
 	d.recordStoreSuccess(now, max(1, now.Sub(started)))
 	d.storeHealth.setRevision(revision)
+	if err != nil {
+		return err
+	}
 	return d.acceptDocument(now, tree)
 }
--- a/node/distributor/document_test.go
+++ b/node/distributor/document_test.go
@@ -102,6 +102,7 @@
 	}
 	errSilent := context.DeadlineExceeded
 	two, nine, compacted := answer{version: 2}, answer{version: 9}, answer{err: persister.ErrCompacted}
+	unusable := answer{err: ErrUnusable}
 	missing, unavailable, silent := answer{err: persister.ErrMissing}, answer{err: persister.ErrUnavailable}, answer{err: errSilent}
 	type answers = []answer
 	cases := map[string]struct {
@@ -117,9 +118,14 @@
 		// Each round has two reads and two watches and is followed by a delay of 1 s.
 		"compacted forever": {answers{two}, slices.Repeat(answers{compacted}, 100), 2, 10 * time.Second, 48, 1},
 		"stale read":        {answers{two, {version: 1}}, answers{compacted, nine}, 9, time.Second, 6, 1},
-		"unavailable":       {answers{two}, answers{unavailable, nine}, 9, time.Second, 5, 1},
-		"down":              {answers{two}, slices.Repeat(answers{unavailable}, 100), 2, 10 * time.Second, 60, sycamorerun.Unreachable},
-		"silent connection": {answers{two}, answers{silent, nine}, 9, 5 * time.Second, 5, 1},
+		// A delay of 1 s follows each unusable version.
+		"unusable":               {answers{two}, answers{unusable, unusable, nine}, 9, 2 * time.Second, 6, 1},
+		"unusable forever":       {answers{two}, slices.Repeat(answers{unusable}, 100), 2, 10 * time.Second, 15, 1},
+		"unusable read":          {answers{unusable, two}, answers{nine}, 9, 3 * time.Second, 7, 1},
+		"unusable after another": {answers{two}, answers{{9, ErrUnusable}}, 9, time.Second, 4, 1},
+		"unavailable":            {answers{two}, answers{unavailable, nine}, 9, time.Second, 5, 1},
+		"down":                   {answers{two}, slices.Repeat(answers{unavailable}, 100), 2, 10 * time.Second, 60, sycamorerun.Unreachable},
+		"silent connection":      {answers{two}, answers{silent, nine}, 9, 5 * time.Second, 5, 1},
 		// The second watch has not ended yet.
 		"silent store":    {answers{two}, answers{silent, silent}, 2, 5 * time.Second, 5, sycamorerun.Unreachable},
 		"never answering": {answers{silent, silent, nine}, nil, 9, 10 * time.Second, 7, 1},
