Show that an upstream with an unusable id is taken into use

The id of an announcement is a part of the path and may have escaped control characters, spaces at its ends or invalid UTF-8, and may be as long as a request header. It is sent to the upstream in a header of each request. The requester rejects control characters there, so with such an id in use every request fails; spaces at the ends are lost on the way, and the upstream answers that it is another instance.

--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -202,6 +203,22 @@
 	}
 }
 
+// TestUnusableID guards against an upstream in use whose id can't be sent to it in
+// a header, so that every request to it fails.
+func TestUnusableID(t *testing.T) {
+	for id, want := range map[string]Outcome{
+		"i-1": Accepted, "ä/1 2": Accepted, strings.Repeat("i", 1024): Accepted,
+		"": Invalid, "i\n1": Invalid, "i\r\nX: 1": Invalid, "i\x00": Invalid, "i\x7f": Invalid, "i\t1": Invalid,
+		" i": Invalid, "i ": Invalid, "i\xff": Invalid, strings.Repeat("i", 1025): Invalid,
+	} {
+		is := is.New(t)
+		a := New(func() time.Duration { return period })
+		is.Equal(a.Announce(start, step{id: id, boot: 5, seq: 1}.announcement()), want)
+		_, used := a.Current()
+		is.Equal(used, want == Accepted)
+	}
+}
+
 // TestHistoryIsBounded guards against a history that grows with each restart,
 // or that loses the last boots.
 func TestHistoryIsBounded(t *testing.T) {
