Reject announcements whose id can't be sent in a header

An id with control characters, white space at its ends, invalid UTF-8 or more than 1,024 bytes names no usable upstream: the announcement is invalid and the upstream in use stays.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -6,8 +6,11 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"sycamorerun"
 )
@@ -45,6 +48,8 @@
 	// departureRetention is how long an id that left before it was announced is
 	// not taken into use, since its announcements may still be in flight.
 	departureRetention = 10 * time.Second
+	// maxIDBytes is the maximum length of an id, which each request contains.
+	maxIDBytes = 1024
 )
 
 // Announcement describes an upstream. The upstream sends it.
@@ -65,10 +70,15 @@
 
 // valid reports whether a names a usable upstream.
 func (a Announcement) valid() bool {
-	return a.ID != "" && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 && a.Slots <= sycamorerun.MaxSlots &&
+	return validID(a.ID) && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 && a.Slots <= sycamorerun.MaxSlots &&
 		(serving(a.State) || leaving(a.State))
 }
 
+// validID reports whether an id can be the value of a header.
+func validID(id string) bool {
+	return id != "" && len(id) <= maxIDBytes && id == strings.TrimSpace(id) && utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
 // numbered reports whether a can be ordered relative to other announcements of
 // its upstream.
 func (a Announcement) numbered() bool { return a.Boot != 0 || a.Sequence != 0 }
@@ -217,7 +227,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	switch {
-	case id == "":
+	case !validID(id):
 		return Invalid
 	case id != a.current.ID:
 		a.history.addDeparture(now, id)
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -204,18 +204,20 @@
 }
 
 // TestUnusableID guards against an upstream in use whose id can't be sent to it in
-// a header, so that every request to it fails.
+// a header, so that every request to it fails, and against departures of such ids
+// that fill the memory.
 func TestUnusableID(t *testing.T) {
 	for id, want := range map[string]Outcome{
-		"i-1": Accepted, "ä/1 2": Accepted, strings.Repeat("i", 1024): Accepted,
+		"i-1": Accepted, "ä/1 2": Accepted, strings.Repeat("i", maxIDBytes): Accepted,
 		"": Invalid, "i\n1": Invalid, "i\r\nX: 1": Invalid, "i\x00": Invalid, "i\x7f": Invalid, "i\t1": Invalid,
-		" i": Invalid, "i ": Invalid, "i\xff": Invalid, strings.Repeat("i", 1025): Invalid,
+		" i": Invalid, "i ": Invalid, "i\xff": Invalid, strings.Repeat("i", maxIDBytes+1): Invalid,
 	} {
 		is := is.New(t)
 		a := New(func() time.Duration { return period })
 		is.Equal(a.Announce(start, step{id: id, boot: 5, seq: 1}.announcement()), want)
 		_, used := a.Current()
 		is.Equal(used, want == Accepted)
+		is.Equal(a.Leave(start, id), want)
 	}
 }
 
