Show that an announcement without a boot changes an upstream with one

An announcement that lacks the boot updates the upstream in use if the id is the same. From another writer it can drain the upstream, move it to another address, or set a sequence that its own announcements do not reach: they are stale, the upstream expires after three periods and is not used again until its next start.

--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -221,6 +221,47 @@
 	}
 }
 
+// TestAnnouncementWithoutBoot guards against another writer that knows the id of an
+// upstream but not its boot, and drains it, moves it to another address or makes
+// all its later announcements stale.
+func TestAnnouncementWithoutBoot(t *testing.T) {
+	cases := map[string]func(a *Announcement){
+		"largest sequence": func(a *Announcement) { a.Sequence = 1 << 53 },
+		"draining":         func(a *Announcement) { a.Sequence, a.State = 9, sycamorerun.StateDraining },
+		"left":             func(a *Announcement) { a.Sequence, a.State = 9, sycamorerun.StateLeft },
+		"address":          func(a *Announcement) { a.Sequence, a.Address = 9, netip.MustParseAddrPort("127.0.0.1:2") },
+		"service":          func(a *Announcement) { a.Sequence, a.Service = 9, "t" },
+		"no numbers":       func(a *Announcement) { a.Sequence, a.State = 0, sycamorerun.StateDraining },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, silence := range []time.Duration{0, 2 * period, 4 * period} {
+				is := is.New(t)
+				a := New(func() time.Duration { return period })
+				own := step{id: "a", boot: 5, seq: 1}.announcement()
+				is.Equal(a.Announce(start, own), Accepted)
+				odd := own
+				odd.Boot = 0
+				change(&odd)
+				now := start.Add(silence)
+				is.Equal(a.Announce(now, odd), Stale)
+				own.Sequence = 2
+				is.Equal(a.Announce(now.Add(time.Millisecond), own), Accepted)
+				current, used := a.Current()
+				is.True(used)
+				is.Equal(current, own)
+			}
+		})
+	}
+	// An upstream that no longer states its boot is used after a long silence.
+	is := is.New(t)
+	a := New(func() time.Duration { return period })
+	is.Equal(a.Announce(start, step{id: "a", boot: 5, seq: 9}.announcement()), Accepted)
+	is.Equal(a.Announce(start.Add(lateAnnouncementWindow), step{id: "a", seq: 1}.announcement()), Accepted)
+	_, used := a.Current()
+	is.True(used)
+}
+
 // TestHistoryIsBounded guards against a history that grows with each restart,
 // or that loses the last boots.
 func TestHistoryIsBounded(t *testing.T) {
