Ignore announcements without the boot of an upstream that states it

An upstream that states its boot states it in each announcement, so one with its id and without a boot is from another writer, or from a process that has replaced it. It is stale until the upstream has been silent or gone for 30 s, the time after which an announcement without a boot counts as new already, and then replaces it.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -124,8 +124,11 @@
 	switch {
 	case !in.valid():
 		return Invalid
-	case in.ID == a.current.ID && (in.Boot == a.current.Boot || in.Boot == 0):
+	case in.ID == a.current.ID && in.Boot == a.current.Boot:
 		return a.update(now, in)
+	case in.ID == a.current.ID && in.Boot == 0 && !a.silentForLateWindow(now):
+		// An upstream that states its boot states it in each announcement.
+		return Stale
 	case !a.supersedes(now, in):
 		return Ignored
 	}
@@ -156,7 +159,8 @@
 	}
 }
 
-// update processes an announcement of the current boot.
+// update processes an announcement of the current boot, or of an unknown one if the
+// current one is unknown.
 func (a *Announcer) update(now time.Time, in Announcement) Outcome {
 	if a.ordered(in) && in.Sequence <= a.current.Sequence && !a.pastLateWindow(now, in) {
 		return Stale
@@ -164,7 +168,6 @@
 	if leaving(a.current.State) && !a.acceptedWhileLeaving(now, in) {
 		return Stale
 	}
-	in.Boot = a.current.Boot
 	a.apply(now, in)
 	return Accepted
 }
@@ -185,9 +188,12 @@
 // pastLateWindow reports whether an upstream without a boot has been silent or
 // gone for so long that its announcement can't be a late one.
 func (a *Announcer) pastLateWindow(now time.Time, in Announcement) bool {
-	if in.Boot != 0 || a.current.Boot != 0 {
-		return false
-	}
+	return in.Boot == 0 && a.silentForLateWindow(now)
+}
+
+// silentForLateWindow reports whether the current upstream has been silent or gone
+// for lateAnnouncementWindow.
+func (a *Announcer) silentForLateWindow(now time.Time) bool {
 	since := a.lastAnnounced
 	if a.leftAt.After(since) {
 		since = a.leftAt
