Show that a sequence too large makes an upstream stale for good

An announcement whose sequence is not above the last one is stale. After one with the id and the boot of the upstream and a sequence such as 2^53, all announcements of the upstream itself are stale: it expires after three periods and is not used again until its next start.

--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -262,6 +262,37 @@
 	is.True(used)
 }
 
+// TestSequenceTooLarge guards against an upstream that is not used again because
+// another writer announced its boot with a sequence that it never reaches, and
+// against late announcements that are taken for such an upstream.
+func TestSequenceTooLarge(t *testing.T) {
+	is := is.New(t)
+	a := New(func() time.Duration { return period })
+	announce := func(periods, sequence int, state sycamorerun.State) Outcome {
+		return a.Announce(start.Add(time.Duration(periods)*period), step{id: "a", boot: 5, seq: uint64(sequence), state: state}.announcement())
+	}
+	used := func() bool { _, used := a.Current(); return used }
+	is.Equal(announce(0, 1, ""), Accepted)
+	is.Equal(announce(0, 1<<53, ""), Accepted)
+	is.Equal(announce(1, 2, ""), Stale) // the announcement before may be valid
+	is.Equal(announce(2, 3, ""), Stale)
+	is.Equal(announce(3, 4, ""), Stale)
+	is.True(!used())
+	is.Equal(announce(4, 5, ""), Accepted) // announced for replacePeriods
+	is.True(used())
+	is.Equal(announce(5, 6, ""), Accepted)
+
+	is.Equal(announce(10, 3, ""), Stale) // late announcements of a crashed upstream
+	is.Equal(announce(11, 3, ""), Stale)
+	is.Equal(announce(12, 2, ""), Stale)
+	is.True(!used())
+
+	is.Equal(announce(13, 9, sycamorerun.StateDraining), Accepted)
+	for sequence := range 8 {
+		is.Equal(announce(14+sequence, sequence, ""), Stale) // a departure is final
+	}
+}
+
 // TestHistoryIsBounded guards against a history that grows with each restart,
 // or that loses the last boots.
 func TestHistoryIsBounded(t *testing.T) {
