Use an upstream again whose sequences are below the last one

While the upstream in use has been silent for two periods or is unavailable, announcements of its boot with lower sequences that rise for two periods are accepted, by the rule that already applies to a lower boot. Late announcements are repeated or out of order, or end before that, and a departure remains final.

The upstream is in use again four periods after the odd announcement.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -162,7 +162,7 @@
 // update processes an announcement of the current boot, or of an unknown one if the
 // current one is unknown.
 func (a *Announcer) update(now time.Time, in Announcement) Outcome {
-	if a.ordered(in) && in.Sequence <= a.current.Sequence && !a.pastLateWindow(now, in) {
+	if a.ordered(in) && in.Sequence <= a.current.Sequence && !a.pastLateWindow(now, in) && !a.confirmSequence(now, in) {
 		return Stale
 	}
 	if leaving(a.current.State) && !a.acceptedWhileLeaving(now, in) {
@@ -299,6 +299,13 @@
 	return a.current, a.current.ID != "" && !a.unavailable && a.current.State != sycamorerun.StateLeft
 }
 
+// confirmSequence reports whether the current sequence may be from another writer:
+// the upstream has been silent since, but for announcements with lower, rising
+// sequences for replacePeriods. The departure of an upstream is final.
+func (a *Announcer) confirmSequence(now time.Time, in Announcement) bool {
+	return serving(a.current.State) && a.replaceable(now) && a.confirmCandidate(now, in)
+}
+
 // confirmCandidate reports whether a boot that may be older than the current
 // one has announced itself with rising sequences for replacePeriods.
 func (a *Announcer) confirmCandidate(now time.Time, in Announcement) bool {
@@ -312,8 +319,8 @@
 	return serving(in.State) && now.Sub(c.since) >= replacePeriods*a.period()
 }
 
-// candidate is a boot with a lower number than the current one that may
-// nevertheless be newer.
+// candidate is a boot or a sequence with a lower number than the current one that
+// may nevertheless be newer.
 type candidate struct {
 	id          string
 	boot        int64
