Count and log rejected announcements

An announcement of another writer was answered with 400 and left no trace beyond a debug line, and none at all if it could not be decoded. The node now counts these in announcements_rejected and logs a warning with the id, the reason and the number since the last such line, at most one a minute. The id and the reason are cut to 128 bytes each in the line, since an address of another writer may fill the 64 KiB of an announcement.

--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -23,8 +24,22 @@
 	// minPause is the minimum time between two checks after which the process
 	// counts as paused. A busy machine delays a check by about 100 ms.
 	minPause = time.Second
+	// rejectionLogInterval is the minimum time between two log lines about rejected
+	// announcements, whose sender may repeat them every second.
+	rejectionLogInterval = time.Minute
+	// maxLoggedBytes bounds the texts from a rejected announcement in a log line.
+	maxLoggedBytes = 128
 )
 
+// rejections counts the rejected announcements since the last log line about them.
+type rejections struct {
+	mutex  sync.Mutex
+	logged time.Time
+	count  int
+}
+
+var errUnusableUpstream = errors.New("the announcement names no upstream that can be used")
+
 // announce processes an announcement from the operators' API. Since these have no
 // ids, a new upstream of another service can't be distinguished from a misconfigured
 // one and is refused.
@@ -36,7 +51,7 @@
 		announcement.ID = defaultUpstreamID
 	}
 	if n.processAnnouncement(time.Now(), announcement) == announcer.Invalid {
-		return errors.New("the announcement names no upstream that can be used")
+		return errUnusableUpstream
 	}
 	return nil
 }
@@ -51,10 +66,30 @@
 		}
 	}
 	n.refreshUpstream(now)
+	if outcome == announcer.Invalid {
+		n.rejectAnnouncement(now, announcement.ID, errUnusableUpstream)
+		return outcome
+	}
 	n.logAnnouncement(announcement.ID, announcement.State, outcome)
 	return outcome
 }
 
+// rejectAnnouncement counts a rejected announcement and logs it, unless one was
+// logged within rejectionLogInterval.
+func (n *node) rejectAnnouncement(now time.Time, id string, reason error) {
+	n.scope.Counter("announcements_rejected").Inc(1)
+	n.rejections.mutex.Lock()
+	defer n.rejections.mutex.Unlock()
+	n.rejections.count++
+	if !n.rejections.logged.IsZero() && now.Sub(n.rejections.logged) < rejectionLogInterval {
+		return
+	}
+	text := reason.Error()
+	level.Warn(n.logger).Log("msg", "announcement rejected", "upstream", id[:min(len(id), maxLoggedBytes)],
+		"err", text[:min(len(text), maxLoggedBytes)], "rejected", n.rejections.count)
+	n.rejections.logged, n.rejections.count = now, 0
+}
+
 // processDeparture applies the departure of the local upstream. After it returns, no
 // call starts there.
 func (n *node) processDeparture(now time.Time, id string) announcer.Outcome {
--- a/node/runner/announce_test.go
+++ b/node/runner/announce_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -168,3 +169,26 @@
 		})
 	}
 }
+
+// Guards against rejected announcements that operators can't notice, and against a
+// log line for each of them.
+func TestRejectedAnnouncementsAreLogged(t *testing.T) {
+	is := is.New(t)
+	n := readyNode(t)
+	var logs strings.Builder
+	n.logger = log.NewLogfmtLogger(&logs)
+	lines := func() int { return strings.Count(logs.String(), "level=warn") }
+	now := time.Now()
+	api := n.api()
+	api.Reject(now, strings.Repeat("i", 1000), errors.New(strings.Repeat("e", 1000)))
+	is.Equal(lines(), 1)
+	is.True(len(logs.String()) < 2*maxLoggedBytes+200)
+	for i := range 50 {
+		is.Equal(api.Announce(now.Add(time.Duration(i)*time.Second), manager.Announcement{ID: "a", Service: "s"}), announcer.Invalid)
+	}
+	is.Equal(lines(), 1)
+	api.Announce(now.Add(rejectionLogInterval), manager.Announcement{ID: "a", Service: "s"})
+	is.Equal(lines(), 2)
+	is.True(strings.Contains(logs.String(), "upstream=a"))
+	is.True(strings.Contains(logs.String(), "rejected=51"))
+}
--- a/node/runner/api.go
+++ b/node/runner/api.go
@@ -14,6 +14,8 @@
 	// draining or has left.
 	Announce func(now time.Time, announcement manager.Announcement) announcer.Outcome
 	Leave    func(now time.Time, id string) announcer.Outcome
+	// Reject records an announcement that a handler can't decode.
+	Reject func(now time.Time, id string, reason error)
 	// Ready reports whether the node accepts calls.
 	Ready func() bool
 }
@@ -22,6 +24,7 @@
 	return API{
 		Announce: n.processAnnouncement,
 		Leave:    n.processDeparture,
+		Reject:   n.rejectAnnouncement,
 		Ready:    func() bool { return n.phase.Load() == manager.PhaseReady },
 	}
 }
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -64,6 +64,7 @@
 	refreshMutex sync.Mutex
 	advertised   advertisement
 	lastRefresh  time.Time
+	rejections   rejections
 	// reportingEnabled is set reportDelay after the node has become ready.
 	reportingEnabled atomic.Bool
 
