--- a/node/seeder/seeder_test.go
+++ b/node/seeder/seeder_test.go
@@ -87,6 +87,36 @@
 	}
 }
 
+// TestMaintainOddRecord guards against a record of the zone that another writer
+// has overwritten and that is kept, or replaced without its revision.
+func TestMaintainOddRecord(t *testing.T) {
+	for name, value := range map[string]string{
+		"no value": "", "null": "null", "array": "[]", "text": "\xff\x00", "nested": strings.Repeat("[", 4000), "large": strings.Repeat(" ", maxRecordBytes+1),
+		"number": `{"addresses":1e400}`, "port zero": `{"addresses":["127.0.0.1:0"]}`, "port too large": `{"addresses":["127.0.0.1:65536"]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written []byte
+			s := Seeder{
+				Self: sycamorerun.Instance{Name: "a", Address: one}, Logger: log.NewNopLogger(), Now: func() time.Time { return start },
+				Live: func(time.Time) []sycamorerun.Instance { return []sycamorerun.Instance{{Name: "a", Address: one}} },
+				Store: persister.Store{
+					Get: func(context.Context, string) (persister.Object, error) {
+						return persister.Object{Value: []byte(value), Revision: 7}, nil
+					},
+					Put: func(_ context.Context, _ string, data []byte, expected persister.Revision) (persister.Revision, error) {
+						is.Equal(expected, persister.Revision(7))
+						written = data
+						return 8, nil
+					},
+				},
+			}
+			is.NoErr(s.maintain(t.Context()))
+			is.Equal(string(written), `{"addresses":["127.0.0.1:1"]}`)
+		})
+	}
+}
+
 // TestSeeds guards against seeds from corrupt or oversized records, and against
 // reading the store although the settings contain peers.
 func TestSeeds(t *testing.T) {
