Show that odd objects under log/ stop the log

The watch of the product's own log treats each object under log/ as a version that it needs. One of another writer that is in no slot of the ring, or an undecodable one that overwrote the slot of a version that the node holds already, fails, the whole log is read, fails at the same object, and the watch is retried for ever; versions after the object reach no node. An acceptor that lags by more than eight versions lists the ring, which fails at any undecodable object.

Nodes with a document do not read the log.

--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -300,6 +300,31 @@
 	is.Equal(f.calls["list"], 1)
 }
 
+// TestOddRingObjects guards against objects of another writer among those of the log
+// that keep the acceptors from every change.
+func TestOddRingObjects(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := startAcceptor(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	for i := range 400 {
+		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i+1)).Status, sycamorerun.StatusAccepted)
+	}
+	f.mu.Lock()
+	second := f.objects[persister.LogKey(2)].Value
+	for key, value := range map[string][]byte{
+		"log/odd": []byte("\xff"), "log/empty": nil, "log/5000": []byte("\xff"), "log/2": []byte("{"), "log/entry": second,
+	} {
+		f.revision++
+		f.objects[key] = persister.Object{Key: key, Value: value, Revision: f.revision}
+	}
+	f.mu.Unlock()
+	b := startAcceptor(t, f.store())
+	is.Equal(b.Submit(t.Context(), apply("next", "flow", 500)).Version, sycamorerun.Version(402))
+	is.Equal(b.Lookup(t.Context(), "5").Version, sycamorerun.Version(7))
+	verifyLog(t, f, 402)
+}
+
 // TestStop guards against submitters that block forever when the acceptor stops, and
 // against committing a queued change whose submitter's context has ended.
 func TestStop(t *testing.T) {
--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -435,6 +435,63 @@
 	}
 }
 
+// TestOddLogObjects guards against objects of another writer among those of the log
+// that keep the nodes from the versions after them, and against skipping one that
+// is in the slot of a version that the node lacks.
+func TestOddLogObjects(t *testing.T) {
+	store := newStore()
+	store.commit(4)
+	fourth := store.history[3]
+	renamed := fourth
+	renamed.Key = "log/odd"
+	cases := map[string]struct {
+		odd persister.Object
+		// stops is set if the node must not continue after the object.
+		stops bool
+	}{
+		"no slot":            {persister.Object{Key: "log/odd", Value: []byte("\xff")}, false},
+		"no value":           {persister.Object{Key: "log/odd"}, false},
+		"beyond the ring":    {persister.Object{Key: "log/1024", Value: []byte("\xff")}, false},
+		"other spelling":     {persister.Object{Key: "log/4", Value: []byte("\xff")}, false},
+		"number too large":   {persister.Object{Key: "log/18446744073709551616", Value: []byte("\xff")}, false},
+		"entry in no slot":   {renamed, false},
+		"slot of held":       {persister.Object{Key: persister.LogKey(2), Value: []byte("\xff")}, false},
+		"slot of an old one": {persister.Object{Key: persister.LogKey(1020), Value: nil}, false},
+		"entry in old slot":  {persister.Object{Key: persister.LogKey(2), Value: fourth.Value}, false},
+		"slot of the next":   {persister.Object{Key: persister.LogKey(4), Value: []byte("\xff")}, true},
+		"slot of later":      {persister.Object{Key: persister.LogKey(9), Value: []byte("\xff")}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			odd, next := c.odd, fourth
+			odd.Revision, next.Revision = 4, 5
+			listing := persister.Listing{Revision: 5, Objects: []persister.Object{odd, next}}
+			node := func() *Distributor {
+				d, _ := newIsolatedNode()
+				for _, object := range store.history[:3] {
+					is.NoErr(d.acceptLogObject(start, object))
+				}
+				d.Store.List = func(context.Context, string, persister.Revision) (persister.Listing, error) { return listing, nil }
+				return d
+			}
+			watching, reading := node(), node()
+			revision, complete := watching.acceptListing(t.Context(), listing, false)
+			is.Equal(complete, !c.stops)
+			read, readComplete, err := reading.readLog(t.Context(), 3)
+			is.Equal(err == nil && readComplete, !c.stops)
+			if c.stops {
+				return
+			}
+			is.Equal(revision, persister.Revision(5))
+			is.Equal(read, persister.Revision(5))
+			is.Equal(watching.HeldVersion(), sycamorerun.Version(4))
+			is.Equal(reading.HeldVersion(), sycamorerun.Version(4))
+			is.True(slotVersion(odd.Key, 4) <= 4) // a standby does not expect a new version
+		})
+	}
+}
+
 // TestDamaged guards against content that was corrupted in transit and still comes
 // into force, including a changed version number, which the tree's hash does not
 // cover.
