Read the log past objects that hold no version

An object under log/ without an entry of its slot is skipped with a warning unless it is in the slot of the next version. That one still stops the log, since its value may have been damaged in transit and the version must not be missed; a version skipped anywhere else leaves a gap that the next entry shows. A standby no longer takes a key such as log/9 for a slot.

--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -163,7 +163,12 @@
 		case keysOnly:
 			newest = max(newest, slotVersion(object.Key, d.HeldVersion()))
 		default:
-			if err := d.acceptLogObject(time.Now(), object); err != nil {
+			err := d.acceptLogObject(time.Now(), object)
+			if errors.Is(err, errNoEntry) && !d.isNext(object) {
+				level.Warn(d.Logger).Log("msg", "log object ignored", "key", object.Key, "revision", object.Revision, "err", err)
+				continue
+			}
+			if err != nil {
 				level.Warn(d.Logger).Log("msg", "log object not applied", "key", object.Key, "err", err)
 				return after, false
 			}
@@ -175,12 +180,19 @@
 	return after, newest <= d.HeldVersion()
 }
 
-// slotVersion returns the version that a write to a log slot implies. The log wraps
-// around, so a slot has many possible versions; the nearest one to held is
-// returned.
+// isNext reports whether an object is in the slot of the version after the held one.
+// Without a usable entry, that one stops the log, since it may have been damaged in
+// transit. Any other is from another writer or leaves a gap, which is noticed.
+func (d *Distributor) isNext(object persister.Object) bool {
+	return object.Key == persister.LogKey(d.HeldVersion()+1)
+}
+
+// slotVersion returns the version that a write to a log slot implies, or zero for a
+// key that is not a slot's. The log wraps around, so a slot has many possible
+// versions; the nearest one to held is returned.
 func slotVersion(key string, held sycamorerun.Version) sycamorerun.Version {
 	slot, err := strconv.ParseUint(strings.TrimPrefix(key, persister.LogPrefix), 10, 64)
-	if err != nil || slot >= persister.RingSlots {
+	if err != nil || persister.LogKey(sycamorerun.Version(slot)) != key {
 		return 0
 	}
 	version := held - held%persister.RingSlots + sycamorerun.Version(slot)
@@ -272,6 +284,8 @@
 		switch {
 		case errors.Is(err, errGap):
 			return revision, false, nil
+		case errors.Is(err, errNoEntry) && !d.isNext(object):
+			level.Debug(d.Logger).Log("msg", "log object ignored", "key", object.Key, "revision", object.Revision, "err", err)
 		case err != nil:
 			return 0, false, err
 		}
