Leave odd objects out of the listed ring

Listing the ring failed at any object under log/ that could not be decoded. Such objects, and entries under a key that isn't their slot's, are left out with a warning now. A version that is needed and not listed is read from its slot, where an undecodable value is still an error.

--- a/node/acceptor/head.go
+++ b/node/acceptor/head.go
@@ -210,7 +210,8 @@
 }
 
 // listRing returns the entries of the ring by version. It returns none if they
-// exceed the size limit of a list; callers then read single entries.
+// exceed the size limit of a list, and leaves out objects that hold no entry of
+// their slot; callers then read single entries.
 func (a *Acceptor) listRing(ctx context.Context) (map[sycamorerun.Version]sycamorerun.Entry, error) {
 	listing, err := a.Store.List(ctx, persister.LogPrefix, 0)
 	if errors.Is(err, persister.ErrTooLarge) {
@@ -222,8 +223,12 @@
 	listed := make(map[sycamorerun.Version]sycamorerun.Entry, len(listing.Objects))
 	for _, object := range listing.Objects {
 		entry, err := persister.DecodeEntry(object.Value)
+		if err == nil && persister.LogKey(entry.Version) != object.Key {
+			err = errors.Errorf("object holds version %s", entry.Version)
+		}
 		if err != nil {
-			return nil, errors.Wrapf(err, "decode %s", object.Key)
+			a.warn("ignoring an object in the log that holds no entry of its slot", errors.Wrap(err, object.Key))
+			continue
 		}
 		listed[entry.Version] = entry
 	}
