--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -264,6 +264,25 @@
 	is.Equal(tree.Version, sycamorerun.Version(persister.RingSlots))
 }
 
+// TestOddSnapshotIsReplaced guards against a snapshot of another writer that can't be decoded and
+// is never replaced, so that no further change is accepted once the ring is full.
+func TestOddSnapshotIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := startAcceptor(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	f.mu.Lock()
+	f.revision++
+	f.objects[persister.SnapshotKey] = persister.Object{Key: persister.SnapshotKey, Value: []byte("\xff"), Revision: f.revision}
+	f.mu.Unlock()
+	for i := 2; i <= snapshotInterval; i++ {
+		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i)).Status, sycamorerun.StatusAccepted)
+	}
+	tree, _, _, err := persister.ReadSnapshot(t.Context(), f.store())
+	is.NoErr(err)
+	is.Equal(tree.Version, sycamorerun.Version(snapshotInterval))
+}
+
 // TestLostStore guards against starting a second history in a store that lost its
 // objects.
 func TestLostStore(t *testing.T) {
--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -491,6 +491,30 @@
 	}
 }
 
+// TestOddSnapshot guards against a snapshot that can't be decoded and keeps a starting
+// node from the versions in the log.
+func TestOddSnapshot(t *testing.T) {
+	for name, value := range map[string][]byte{"empty": nil, "no message": []byte("\xff"), "text": []byte(`{"version":1e400}`)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := newStore()
+			store.commit(4)
+			d, a := newIsolatedNode()
+			d.Store.Get = func(_ context.Context, key string) (persister.Object, error) {
+				is.Equal(key, persister.SnapshotKey)
+				return persister.Object{Key: key, Value: value, Revision: 9}, nil
+			}
+			d.Store.List = func(context.Context, string, persister.Revision) (persister.Listing, error) {
+				return persister.Listing{Objects: slices.Clone(store.history), Revision: 9}, nil
+			}
+			revision, err := d.syncLog(t.Context())
+			is.NoErr(err)
+			is.Equal(revision, persister.Revision(9))
+			is.Equal(a.Current().Tree.Version, sycamorerun.Version(4))
+		})
+	}
+}
+
 // TestSlotOfOddKey guards against a standby that expects a new version because of an
 // object in no slot.
 func TestSlotOfOddKey(t *testing.T) {
