--- a/node/acceptor/snapshot.go
+++ b/node/acceptor/snapshot.go
@@ -48,7 +48,10 @@
 // acceptor has already stored a version of the same interval.
 func (a *Acceptor) writeSnapshot(ctx context.Context) error {
 	stored, _, revision, err := persister.ReadSnapshot(ctx, a.Store)
-	if err != nil && !errors.Is(err, persister.ErrMissing) {
+	switch {
+	case errors.Is(err, persister.ErrUndecodable):
+		a.warn("replacing the snapshot", err)
+	case err != nil && !errors.Is(err, persister.ErrMissing):
 		return err
 	}
 	if a.snapshotVersion = max(a.snapshotVersion, stored.Version); a.head.Version/snapshotInterval <= a.snapshotVersion/snapshotInterval {
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -294,7 +294,7 @@
 }
 
 // readSnapshot installs the stored snapshot if it is newer than the held version,
-// and reports whether it is.
+// and reports whether it is. One that can't be decoded counts as missing.
 func (d *Distributor) readSnapshot(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -303,6 +303,10 @@
 	if errors.Is(err, persister.ErrMissing) {
 		return false, nil
 	}
+	if errors.Is(err, persister.ErrUndecodable) {
+		level.Warn(d.Logger).Log("msg", "snapshot ignored", "key", persister.SnapshotKey, "err", err)
+		return false, nil
+	}
 	if err != nil || tree.Version <= d.HeldVersion() {
 		return false, err
 	}
--- a/persister/log.go
+++ b/persister/log.go
@@ -92,15 +92,22 @@
 	return store.Put(ctx, LogKey(entry.Version), data, expected)
 }
 
+// ErrUndecodable means that an object exists, but can't be decoded.
+var ErrUndecodable = errors.New("object can't be decoded")
+
 // ReadSnapshot returns the stored snapshot, the unverified hash that is stored with
-// it, and the object's revision, or ErrMissing if there is no snapshot.
+// it, and the object's revision, or ErrMissing if there is no snapshot. With
+// ErrUndecodable, only the revision is valid.
 func ReadSnapshot(ctx context.Context, store Store) (sycamorerun.Tree, sycamorerun.Hash, Revision, error) {
 	object, err := store.Get(ctx, SnapshotKey)
 	if err != nil {
 		return sycamorerun.Tree{}, sycamorerun.Hash{}, 0, err
 	}
 	tree, hash, err := DecodeSnapshot(object.Value)
-	return tree, hash, object.Revision, errors.Wrap(err, "decode snapshot")
+	if err != nil {
+		return sycamorerun.Tree{}, sycamorerun.Hash{}, object.Revision, errors.Wrapf(ErrUndecodable, "snapshot: %s", err)
+	}
+	return tree, hash, object.Revision, nil
 }
 
 // encode returns the stored form of message, or ErrTooLarge if it exceeds ValueBytes.
