--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -264,6 +264,25 @@
 	is.Equal(tree.Version, sycamorerun.Version(persister.RingSlots))
 }
 
+// TestOddSnapshotIsReplaced guards against a snapshot of another writer that can't be decoded and
+// is never replaced, so that no further change is accepted once the ring is full.
+func TestOddSnapshotIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := startAcceptor(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	f.mu.Lock()
+	f.revision++
+	f.objects[persister.SnapshotKey] = persister.Object{Key: persister.SnapshotKey, Value: []byte("\xff"), Revision: f.revision}
+	f.mu.Unlock()
+	for i := 2; i <= snapshotInterval; i++ {
+		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i)).Status, sycamorerun.StatusAccepted)
+	}
+	tree, _, _, err := persister.ReadSnapshot(t.Context(), f.store())
+	is.NoErr(err)
+	is.Equal(tree.Version, sycamorerun.Version(snapshotInterval))
+}
+
 // TestLostStore guards against starting a second history in a store that lost its
 // objects.
 func TestLostStore(t *testing.T) {
@@ -300,6 +319,31 @@
 	is.Equal(f.calls["list"], 1)
 }
 
+// TestOddRingObjects guards against objects of another writer among those of the log
+// that keep the acceptors from every change.
+func TestOddRingObjects(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	a := startAcceptor(t, f.store())
+	a.Submit(t.Context(), bootstrap())
+	for i := range 400 {
+		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i+1)).Status, sycamorerun.StatusAccepted)
+	}
+	f.mu.Lock()
+	second := f.objects[persister.LogKey(2)].Value
+	for key, value := range map[string][]byte{
+		"log/odd": []byte("\xff"), "log/empty": nil, "log/5000": []byte("\xff"), "log/2": []byte("{"), "log/entry": second,
+	} {
+		f.revision++
+		f.objects[key] = persister.Object{Key: key, Value: value, Revision: f.revision}
+	}
+	f.mu.Unlock()
+	b := startAcceptor(t, f.store())
+	is.Equal(b.Submit(t.Context(), apply("next", "flow", 500)).Version, sycamorerun.Version(402))
+	is.Equal(b.Lookup(t.Context(), "5").Version, sycamorerun.Version(7))
+	verifyLog(t, f, 402)
+}
+
 // TestStop guards against submitters that block forever when the acceptor stops, and
 // against committing a queued change whose submitter's context has ended.
 func TestStop(t *testing.T) {
--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -6,8 +6,11 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"sycamorerun"
 )
@@ -45,6 +48,8 @@
 	// departureRetention is how long an id that left before it was announced is
 	// not taken into use, since its announcements may still be in flight.
 	departureRetention = 10 * time.Second
+	// maxIDBytes is the maximum length of an id, which each request contains.
+	maxIDBytes = 1024
 )
 
 // Announcement describes an upstream. The upstream sends it.
@@ -65,10 +70,15 @@
 
 // valid reports whether a names a usable upstream.
 func (a Announcement) valid() bool {
-	return a.ID != "" && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 &&
+	return validID(a.ID) && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 && a.Slots <= sycamorerun.MaxSlots &&
 		(serving(a.State) || leaving(a.State))
 }
 
+// validID reports whether an id can be the value of a header.
+func validID(id string) bool {
+	return id != "" && len(id) <= maxIDBytes && id == strings.TrimSpace(id) && utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
 // numbered reports whether a can be ordered relative to other announcements of
 // its upstream.
 func (a Announcement) numbered() bool { return a.Boot != 0 || a.Sequence != 0 }
@@ -114,8 +124,11 @@
 	switch {
 	case !in.valid():
 		return Invalid
-	case in.ID == a.current.ID && (in.Boot == a.current.Boot || in.Boot == 0):
+	case in.ID == a.current.ID && in.Boot == a.current.Boot:
 		return a.update(now, in)
+	case in.ID == a.current.ID && in.Boot == 0 && !a.silentForLateWindow(now):
+		// An upstream that states its boot states it in each announcement.
+		return Stale
 	case !a.supersedes(now, in):
 		return Ignored
 	}
@@ -146,15 +159,15 @@
 	}
 }
 
-// update processes an announcement of the current boot.
+// update processes an announcement of the current boot, or of an unknown one if the
+// current one is unknown.
 func (a *Announcer) update(now time.Time, in Announcement) Outcome {
-	if a.ordered(in) && in.Sequence <= a.current.Sequence && !a.pastLateWindow(now, in) {
+	if a.ordered(in) && in.Sequence <= a.current.Sequence && !a.pastLateWindow(now, in) && !a.confirmSequence(now, in) {
 		return Stale
 	}
 	if leaving(a.current.State) && !a.acceptedWhileLeaving(now, in) {
 		return Stale
 	}
-	in.Boot = a.current.Boot
 	a.apply(now, in)
 	return Accepted
 }
@@ -175,9 +188,12 @@
 // pastLateWindow reports whether an upstream without a boot has been silent or
 // gone for so long that its announcement can't be a late one.
 func (a *Announcer) pastLateWindow(now time.Time, in Announcement) bool {
-	if in.Boot != 0 || a.current.Boot != 0 {
-		return false
-	}
+	return in.Boot == 0 && a.silentForLateWindow(now)
+}
+
+// silentForLateWindow reports whether the current upstream has been silent or gone
+// for lateAnnouncementWindow.
+func (a *Announcer) silentForLateWindow(now time.Time) bool {
 	since := a.lastAnnounced
 	if a.leftAt.After(since) {
 		since = a.leftAt
@@ -217,7 +233,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	switch {
-	case id == "":
+	case !validID(id):
 		return Invalid
 	case id != a.current.ID:
 		a.history.addDeparture(now, id)
@@ -283,6 +299,13 @@
 	return a.current, a.current.ID != "" && !a.unavailable && a.current.State != sycamorerun.StateLeft
 }
 
+// confirmSequence reports whether the current sequence may be from another writer:
+// the upstream has been silent since, but for announcements with lower, rising
+// sequences for replacePeriods. The departure of an upstream is final.
+func (a *Announcer) confirmSequence(now time.Time, in Announcement) bool {
+	return serving(a.current.State) && a.replaceable(now) && a.confirmCandidate(now, in)
+}
+
 // confirmCandidate reports whether a boot that may be older than the current
 // one has announced itself with rising sequences for replacePeriods.
 func (a *Announcer) confirmCandidate(now time.Time, in Announcement) bool {
@@ -296,8 +319,8 @@
 	return serving(in.State) && now.Sub(c.since) >= replacePeriods*a.period()
 }
 
-// candidate is a boot with a lower number than the current one that may
-// nevertheless be newer.
+// candidate is a boot or a sequence with a lower number than the current one that
+// may nevertheless be newer.
 type candidate struct {
 	id          string
 	boot        int64
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,6 +191,108 @@
 	}
 }
 
+// TestUnusableSlots guards against an upstream in use whose number of slots can't
+// be published.
+func TestUnusableSlots(t *testing.T) {
+	for slots, want := range map[int]Outcome{-1: Invalid, 0: Invalid, 1: Accepted, sycamorerun.MaxSlots: Accepted, sycamorerun.MaxSlots + 1: Invalid, 1 << 53: Invalid} {
+		is := is.New(t)
+		a := New(func() time.Duration { return period })
+		is.Equal(a.Announce(start, step{id: "a", boot: 5, seq: 1, set: func(a *Announcement) { a.Slots = slots }}.announcement()), want)
+		_, used := a.Current()
+		is.Equal(used, want == Accepted)
+	}
+}
+
+// TestUnusableID guards against an upstream in use whose id can't be sent to it in
+// a header, so that every request to it fails, and against departures of such ids
+// that fill the memory.
+func TestUnusableID(t *testing.T) {
+	for id, want := range map[string]Outcome{
+		"i-1": Accepted, "ä/1 2": Accepted, strings.Repeat("i", maxIDBytes): Accepted,
+		"": Invalid, "i\n1": Invalid, "i\r\nX: 1": Invalid, "i\x00": Invalid, "i\x7f": Invalid, "i\t1": Invalid,
+		" i": Invalid, "i ": Invalid, "i\xff": Invalid, strings.Repeat("i", maxIDBytes+1): Invalid,
+	} {
+		is := is.New(t)
+		a := New(func() time.Duration { return period })
+		is.Equal(a.Announce(start, step{id: id, boot: 5, seq: 1}.announcement()), want)
+		_, used := a.Current()
+		is.Equal(used, want == Accepted)
+		is.Equal(a.Leave(start, id), want)
+	}
+}
+
+// TestAnnouncementWithoutBoot guards against another writer that knows the id of an
+// upstream but not its boot, and drains it, moves it to another address or makes
+// all its later announcements stale.
+func TestAnnouncementWithoutBoot(t *testing.T) {
+	cases := map[string]func(a *Announcement){
+		"largest sequence": func(a *Announcement) { a.Sequence = 1 << 53 },
+		"draining":         func(a *Announcement) { a.Sequence, a.State = 9, sycamorerun.StateDraining },
+		"left":             func(a *Announcement) { a.Sequence, a.State = 9, sycamorerun.StateLeft },
+		"address":          func(a *Announcement) { a.Sequence, a.Address = 9, netip.MustParseAddrPort("127.0.0.1:2") },
+		"service":          func(a *Announcement) { a.Sequence, a.Service = 9, "t" },
+		"no numbers":       func(a *Announcement) { a.Sequence, a.State = 0, sycamorerun.StateDraining },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, silence := range []time.Duration{0, 2 * period, 4 * period} {
+				is := is.New(t)
+				a := New(func() time.Duration { return period })
+				own := step{id: "a", boot: 5, seq: 1}.announcement()
+				is.Equal(a.Announce(start, own), Accepted)
+				odd := own
+				odd.Boot = 0
+				change(&odd)
+				now := start.Add(silence)
+				is.Equal(a.Announce(now, odd), Stale)
+				own.Sequence = 2
+				is.Equal(a.Announce(now.Add(time.Millisecond), own), Accepted)
+				current, used := a.Current()
+				is.True(used)
+				is.Equal(current, own)
+			}
+		})
+	}
+	// An upstream that no longer states its boot is used after a long silence.
+	is := is.New(t)
+	a := New(func() time.Duration { return period })
+	is.Equal(a.Announce(start, step{id: "a", boot: 5, seq: 9}.announcement()), Accepted)
+	is.Equal(a.Announce(start.Add(lateAnnouncementWindow), step{id: "a", seq: 1}.announcement()), Accepted)
+	_, used := a.Current()
+	is.True(used)
+}
+
+// TestSequenceTooLarge guards against an upstream that is not used again because
+// another writer announced its boot with a sequence that it never reaches, and
+// against late announcements that are taken for such an upstream.
+func TestSequenceTooLarge(t *testing.T) {
+	is := is.New(t)
+	a := New(func() time.Duration { return period })
+	announce := func(periods, sequence int, state sycamorerun.State) Outcome {
+		return a.Announce(start.Add(time.Duration(periods)*period), step{id: "a", boot: 5, seq: uint64(sequence), state: state}.announcement())
+	}
+	used := func() bool { _, used := a.Current(); return used }
+	is.Equal(announce(0, 1, ""), Accepted)
+	is.Equal(announce(0, 1<<53, ""), Accepted)
+	is.Equal(announce(1, 2, ""), Stale) // the announcement before may be valid
+	is.Equal(announce(2, 3, ""), Stale)
+	is.Equal(announce(3, 4, ""), Stale)
+	is.True(!used())
+	is.Equal(announce(4, 5, ""), Accepted) // announced for replacePeriods
+	is.True(used())
+	is.Equal(announce(5, 6, ""), Accepted)
+
+	is.Equal(announce(10, 3, ""), Stale) // late announcements of a crashed upstream
+	is.Equal(announce(11, 3, ""), Stale)
+	is.Equal(announce(12, 2, ""), Stale)
+	is.True(!used())
+
+	is.Equal(announce(13, 9, sycamorerun.StateDraining), Accepted)
+	for sequence := range 8 {
+		is.Equal(announce(14+sequence, sequence, ""), Stale) // a departure is final
+	}
+}
+
 // TestHistoryIsBounded guards against a history that grows with each restart,
 // or that loses the last boots.
 func TestHistoryIsBounded(t *testing.T) {
--- a/node/distributor/distributor_test.go
+++ b/node/distributor/distributor_test.go
@@ -435,6 +435,96 @@
 	}
 }
 
+// TestOddLogObjects guards against objects of another writer among those of the log
+// that keep the nodes from the versions after them, and against skipping one that
+// is in the slot of the next version.
+func TestOddLogObjects(t *testing.T) {
+	store := newStore()
+	store.commit(4)
+	fourth := store.history[3]
+	renamed := fourth
+	renamed.Key = "log/odd"
+	cases := map[string]struct {
+		odd persister.Object
+		// stops is set if the node must not continue after the object.
+		stops bool
+	}{
+		"no slot":            {persister.Object{Key: "log/odd", Value: []byte("\xff")}, false},
+		"no value":           {persister.Object{Key: "log/odd"}, false},
+		"beyond the ring":    {persister.Object{Key: "log/1024", Value: []byte("\xff")}, false},
+		"other spelling":     {persister.Object{Key: "log/4", Value: []byte("\xff")}, false},
+		"number too large":   {persister.Object{Key: "log/18446744073709551616", Value: []byte("\xff")}, false},
+		"entry in no slot":   {renamed, false},
+		"slot of held":       {persister.Object{Key: persister.LogKey(2), Value: []byte("\xff")}, false},
+		"slot of an old one": {persister.Object{Key: persister.LogKey(1020), Value: nil}, false},
+		"entry in old slot":  {persister.Object{Key: persister.LogKey(2), Value: fourth.Value}, false},
+		"slot of the next":   {persister.Object{Key: persister.LogKey(4), Value: []byte("\xff")}, true},
+		"slot of later":      {persister.Object{Key: persister.LogKey(9), Value: []byte("\xff")}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			odd, next := c.odd, fourth
+			odd.Revision, next.Revision = 4, 5
+			listing := persister.Listing{Revision: 5, Objects: []persister.Object{odd, next}}
+			node := func() *Distributor {
+				d, _ := newIsolatedNode()
+				for _, object := range store.history[:3] {
+					is.NoErr(d.acceptLogObject(start, object))
+				}
+				d.Store.List = func(context.Context, string, persister.Revision) (persister.Listing, error) { return listing, nil }
+				return d
+			}
+			watching, reading := node(), node()
+			revision, complete := watching.acceptListing(t.Context(), listing, false)
+			is.Equal(complete, !c.stops)
+			read, readComplete, err := reading.readLog(t.Context(), 3)
+			is.Equal(err == nil && readComplete, !c.stops)
+			if c.stops {
+				return
+			}
+			is.Equal(revision, persister.Revision(5))
+			is.Equal(read, persister.Revision(5))
+			is.Equal(watching.HeldVersion(), sycamorerun.Version(4))
+			is.Equal(reading.HeldVersion(), sycamorerun.Version(4))
+		})
+	}
+}
+
+// TestOddSnapshot guards against a snapshot that can't be decoded and keeps a starting
+// node from the versions in the log.
+func TestOddSnapshot(t *testing.T) {
+	for name, value := range map[string][]byte{"empty": nil, "no message": []byte("\xff"), "text": []byte(`{"version":1e400}`)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := newStore()
+			store.commit(4)
+			d, a := newIsolatedNode()
+			d.Store.Get = func(_ context.Context, key string) (persister.Object, error) {
+				is.Equal(key, persister.SnapshotKey)
+				return persister.Object{Key: key, Value: value, Revision: 9}, nil
+			}
+			d.Store.List = func(context.Context, string, persister.Revision) (persister.Listing, error) {
+				return persister.Listing{Objects: slices.Clone(store.history), Revision: 9}, nil
+			}
+			revision, err := d.syncLog(t.Context())
+			is.NoErr(err)
+			is.Equal(revision, persister.Revision(9))
+			is.Equal(a.Current().Tree.Version, sycamorerun.Version(4))
+		})
+	}
+}
+
+// TestSlotOfOddKey guards against a standby that expects a new version because of an
+// object in no slot.
+func TestSlotOfOddKey(t *testing.T) {
+	for _, key := range []string{"log/odd", "log/", "log/9", "log/00009", "log/1024", "log/+009", "log/-009", "log/18446744073709551616", "other/0009"} {
+		is := is.New(t)
+		is.Equal(slotVersion(key, 4), sycamorerun.Version(0))
+	}
+	is.New(t).Equal(slotVersion("log/0009", 4), sycamorerun.Version(9))
+}
+
 // TestDamaged guards against content that was corrupted in transit and still comes
 // into force, including a changed version number, which the tree's hash does not
 // cover.
--- a/node/seeder/seeder.go
+++ b/node/seeder/seeder.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,8 +36,8 @@
 	// minLiveMembers is the minimum number of live members in a record, if the zone
 	// has as many.
 	minLiveMembers = 2
-	// maxAddresses is the maximum number of members in a record. A record with
-	// several members stays useful if a few of them fail.
+	// maxAddresses is the maximum number of members in a record that is written or
+	// read. A record with several members stays useful if a few of them fail.
 	maxAddresses = 4
 	// maxRecordBytes is the maximum size of a record that is read.
 	maxRecordBytes = 4 << 10
@@ -67,6 +68,11 @@
 	// read.
 	last      persister.Object
 	firstSeen time.Time
+
+	mutex sync.Mutex
+	// logged holds the revisions of the odd records in the last list, which have
+	// been logged. The mutex guards it.
+	logged map[string]persister.Revision
 }
 
 // Seeds returns the addresses of seed peers. It makes at most one list request to
@@ -80,12 +86,34 @@
 		return nil, errors.Wrap(err, "list seed records")
 	}
 	var seeds []netip.AddrPort
+	odd := map[string]persister.Revision{}
 	for _, object := range listing.Objects {
-		seeds = append(seeds, decodeRecord(object).Addresses...)
+		r, err := decodeRecord(object)
+		seeds = append(seeds, r.Addresses...)
+		if err != nil {
+			odd[object.Key] = object.Revision
+			s.logOnce(object, err)
+		}
 	}
+	s.setLogged(odd)
 	return slices.DeleteFunc(seeds, func(a netip.AddrPort) bool { return a == s.Self.Address }), nil
 }
 
+// logOnce logs that a record is odd, unless this revision of it has been logged.
+func (s *Seeder) logOnce(object persister.Object, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision, found := s.logged[object.Key]; !found || revision != object.Revision {
+		level.Warn(s.Logger).Log("msg", "ignoring what is unusable in a seed record", "key", object.Key, "revision", object.Revision, "err", err)
+	}
+}
+
+func (s *Seeder) setLogged(odd map[string]persister.Revision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.logged = odd
+}
+
 // Run maintains the zone's record while this node is its maintainer.
 func (s *Seeder) Run(ctx context.Context) error {
 	for {
@@ -118,7 +146,8 @@
 	}
 	live := s.Live(now)
 	wanted := chooseAddresses(s.Self, live)
-	if !needsReplacement(decodeRecord(object).Addresses, wanted, live, now.Sub(s.firstSeen)) {
+	stored, _ := decodeRecord(object)
+	if !needsReplacement(stored.Addresses, wanted, live, now.Sub(s.firstSeen)) {
 		return nil
 	}
 	value, err := json.Marshal(record{Addresses: wanted})
@@ -167,11 +196,36 @@
 	return listed < min(minLiveMembers, len(wanted))
 }
 
-// decodeRecord decodes a record. An invalid record counts as empty.
-func decodeRecord(object persister.Object) record {
+// decodeRecord decodes a record and leaves out the addresses that no node can
+// have, and those beyond maxAddresses. The error describes what is left out. An
+// invalid record counts as empty.
+func decodeRecord(object persister.Object) (record, error) {
+	var stored struct {
+		Addresses []json.RawMessage `json:"addresses"`
+	}
+	if len(object.Value) > maxRecordBytes {
+		return record{}, errors.Errorf("record has %d bytes, limit %d", len(object.Value), maxRecordBytes)
+	}
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
+		return record{}, errors.Wrap(err, "decode record")
+	}
 	var r record
-	if len(object.Value) > maxRecordBytes || json.Unmarshal(object.Value, &r) != nil {
-		return record{}
+	var unusable error
+	for _, encoded := range stored.Addresses {
+		var address netip.AddrPort
+		switch err := json.Unmarshal(encoded, &address); {
+		case len(r.Addresses) == maxAddresses:
+			return r, errors.Errorf("record has %d addresses, limit %d", len(stored.Addresses), maxAddresses)
+		case err != nil || !usable(address):
+			unusable = errors.Errorf("unusable address %.64s", encoded)
+		default:
+			r.Addresses = append(r.Addresses, address)
+		}
 	}
-	return r
+	return r, unusable
+}
+
+// usable reports whether a node can have the address.
+func usable(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified() && !address.Addr().IsMulticast()
 }
--- a/persister/http_client.go
+++ b/persister/http_client.go
@@ -25,6 +25,9 @@
 	Body any
 	// Timeout limits the whole call, including the response body.
 	Timeout time.Duration
+	// TooLarge is the error for a response that exceeds the limit. Nil means the
+	// error of a call without a usable response.
+	TooLarge error
 }
 
 // isWrite reports whether the call can have an effect.
@@ -85,10 +88,13 @@
 		return 0, statusError(call, response.StatusCode, body)
 	}
 	if err == nil && len(body) > c.MaxResponseBytes {
+		if call.TooLarge != nil {
+			return 0, errors.Wrapf(call.TooLarge, "response exceeds %d bytes", c.MaxResponseBytes)
+		}
 		err = errors.Errorf("response exceeds %d bytes", c.MaxResponseBytes)
 	}
 	if err == nil && result != nil {
-		err = json.Unmarshal(body, result)
+		err = decode(body, result)
 	}
 	if err != nil {
 		return 0, classifyFailure(call.isWrite(), err)
