node/requester: add a red test for refusals without an ID

A worker that writes an earlier refusal once more on a kept connection can make a caller believe that its request did not run. Requester skips a refusal with the ID of another request, but takes one without an ID for the response to the pending request, whatever the connection carried before: a 400 to a request without an ID, or a 421 or 503 that was sent before the header was read.

--- /dev/null
+++ b/node/requester/refusal_test.go
@@ -0,0 +1,124 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	refused         = outcome{execution: NotExecuted, reason: ReasonRejected}
+	unidentifiable  = outcome{execution: PossiblyExecuted, reason: ReasonUnidentified}
+	refusalWithout  = "HTTP/1.1 503 Service Unavailable\r\nX-Unexecuted: 1\r\nContent-Length: 0\r\n\r\n"
+	badRequest      = strings.Replace(refusalWithout, "503 Service Unavailable", "400 Bad Request", 1)
+	misdirectedOnly = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\nno"
+)
+
+// signedResponse returns a response to the request with an ID.
+func signedResponse(id string) string {
+	return withHeader(withHeader(okResponse("ab"), "X-Id: "+id), "X-Signature: s")
+}
+
+// exchangeStep is a request and what the upstream does with it.
+type exchangeStep struct {
+	// id is the ID of the request, or empty if it has none.
+	id string
+	// repeat sends the previous response of the connection once more, before the
+	// answer.
+	repeat bool
+	answer string
+	want   outcome
+}
+
+// runSteps sends the requests one after the other and checks the number of
+// connections.
+func runSteps(t *testing.T, contract Contract, connections int64, steps []exchangeStep) {
+	t.Helper()
+	is := is.New(t)
+	var received atomic.Int64
+	upstream := newFakeUpstream(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		for previous := ""; ; {
+			if _, err := readRequest(reader); err != nil {
+				return
+			}
+			step := steps[received.Add(1)-1]
+			if step.repeat {
+				_, _ = io.WriteString(conn, previous)
+				time.Sleep(20 * time.Millisecond) // the upstream is at work on the request
+			}
+			_, _ = io.WriteString(conn, step.answer)
+			previous = step.answer
+		}
+	})
+	r := New(upstream.address, 4)
+	r.Contract = contract
+	defer r.Close()
+	for _, step := range steps {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		is.Equal(do(r, getRequest(ctx, step.id)), step.want)
+		cancel()
+	}
+	is.Equal(upstream.accepted.Load(), connections)
+}
+
+// Guards against taking a refusal without an ID, which may be the repetition of
+// an earlier one, for the response to a request that the upstream executes.
+func TestRefusalWithoutID(t *testing.T) {
+	ok := outcome{status: http.StatusOK, body: "ab"}
+	cases := map[string]struct {
+		contract    Contract
+		steps       []exchangeStep
+		connections int64
+	}{
+		"refused before the id was read, repeated": {fullContract, []exchangeStep{
+			{id: "1", answer: refusalWithout, want: refused},
+			{id: "2", repeat: true, answer: signedResponse("2"), want: ok},
+		}, 2},
+		"request without id refused, repeated": {fullContract, []exchangeStep{
+			{answer: badRequest, want: refused},
+			{id: "2", repeat: true, answer: signedResponse("2"), want: ok},
+		}, 2},
+		"request without id refused, repeated for another": {fullContract, []exchangeStep{
+			{answer: badRequest, want: refused},
+			{repeat: true, answer: badRequest, want: refused},
+		}, 2},
+		"misdirected, repeated": {fullContract, []exchangeStep{
+			{id: "1", answer: misdirectedOnly, want: outcome{execution: NotExecuted, reason: ReasonMisdirected}},
+			{id: "2", repeat: true, answer: signedResponse("2"), want: ok},
+		}, 2},
+		"contract without ids, repeated": {Contract{Unexecuted: "X-Unexecuted"}, []exchangeStep{
+			{answer: refusalWithout, want: refused},
+			{repeat: true, answer: okResponse("ab"), want: ok},
+		}, 2},
+		"kept connection": {fullContract, []exchangeStep{
+			{id: "1", answer: signedResponse("1"), want: ok},
+			{id: "2", answer: refusalWithout + signedResponse("2"), want: unidentifiable},
+			{id: "3", answer: signedResponse("3"), want: ok},
+		}, 2},
+		"kept connection, misdirected": {fullContract, []exchangeStep{
+			{id: "1", answer: signedResponse("1"), want: ok},
+			{id: "2", answer: misdirectedOnly + signedResponse("2"), want: unidentifiable},
+		}, 1},
+		"kept connection, request without id": {fullContract, []exchangeStep{
+			{id: "1", answer: signedResponse("1"), want: ok},
+			{answer: badRequest, want: refused},
+		}, 1},
+		"behind the response to another request": {fullContract, []exchangeStep{
+			{id: "2", answer: signedResponse("1") + refusalWithout + signedResponse("2"), want: unidentifiable},
+		}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runSteps(t, c.contract, c.connections, c.steps)
+		})
+	}
+}
