node/requester: trust no refusal that may be a repetition

When a worker writes an earlier refusal once more on a kept connection, callers are told "not run, try again" for a request that runs.

Requester checks the ID in a response first, but a refusal without an ID passed as the response to the pending request on any connection. A missing ID now makes a refusal unidentified, as it does with other responses, unless it is the first response on its connection: there it can't repeat anything, and an upstream that rejects the connection itself can't repeat the ID. After a refusal without any ID the connection is closed, which covers requests and contracts without IDs.

A refusal by another instance at the same address comes on a new connection and is trusted with or without an ID.

--- a/node/requester/contract.go
+++ b/node/requester/contract.go
@@ -13,7 +13,9 @@
 	// different ID belongs to another request.
 	Request string
 	// Unexecuted marks a response to a request that the upstream did not execute.
-	// If the name is set, status 421 means the same.
+	// If the name is set, status 421 means the same. Such a response may lack the
+	// ID in Identity only if it is the first one on its connection, since an
+	// upstream may write an earlier one once more.
 	Unexecuted string
 	// Signature must be present on each response with a 2xx status.
 	Signature string
@@ -38,20 +40,24 @@
 	unsigned
 )
 
-// classify checks a response against the pending request.
-func (c *Contract) classify(request, response http.Header, status int) responseClass {
+// classify checks a response against the pending request. The first response on
+// a connection can't be the response to an earlier request.
+func (c *Contract) classify(request, response http.Header, status int, first bool) responseClass {
 	identity, echoedIdentity := echoedIDs(request, response, c.Identity)
 	requestID, echoedRequestID := echoedIDs(request, response, c.Request)
-	// A missing ID is checked after rejections: an upstream that rejects a request
-	// before it reads the headers can't repeat the ID.
+	missing := identity != "" && len(echoedIdentity) == 0
+	// An upstream that rejects a new connection does not read the headers and
+	// can't repeat the ID.
 	switch {
 	case mismatches(echoedIdentity, identity) || mismatches(echoedRequestID, requestID):
 		return mismatched
+	case missing && !first:
+		return unidentified
 	case c.Unexecuted != "" && status == http.StatusMisdirectedRequest:
 		return misdirected
 	case c.Unexecuted != "" && lookup(response, c.Unexecuted) != "":
 		return rejected
-	case identity != "" && len(echoedIdentity) == 0:
+	case missing:
 		return unidentified
 	case c.Signature != "" && status >= 200 && status < 300 && lookup(response, c.Signature) == "":
 		return unsigned
@@ -60,6 +66,13 @@
 	}
 }
 
+// identifies reports whether the response repeats any ID of the request.
+func (c *Contract) identifies(request, response http.Header) bool {
+	_, echoedIdentity := echoedIDs(request, response, c.Identity)
+	_, echoedRequestID := echoedIDs(request, response, c.Request)
+	return len(echoedIdentity)+len(echoedRequestID) > 0
+}
+
 // echoedIDs returns the request ID in the named header and the values of that
 // header in the response. It ignores the response if the request has no ID.
 func echoedIDs(request, response http.Header, name string) (id string, echoed []string) {
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -118,6 +118,7 @@
 
 // receive reads responses until the one to this request.
 func (x *exchange) receive() (*http.Response, *Failure) {
+	first := !x.conn.reused
 	for informational := 0; ; {
 		x.conn.headerRemaining = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, x.out.Request)
@@ -133,8 +134,9 @@
 			}
 			continue
 		}
-		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode) {
+		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode, first) {
 		case mismatched:
+			first = false
 			if err := x.skipResponse(response); err != nil {
 				return nil, x.fail(ReasonBroken, err)
 			}
@@ -154,10 +156,16 @@
 	}
 }
 
-// reject ends a request that the upstream reported as not executed.
+// reject ends a request that the upstream reported as not executed. A response
+// without an ID closes the connection: if the upstream wrote it once more, it
+// could not be told from the response to the next request.
 func (x *exchange) reject(response *http.Response, reason string) *Failure {
 	x.responded.Store(true)
-	x.drain(x.newResponseBody(response))
+	if x.contract.identifies(x.out.Header, response.Header) {
+		x.drain(x.newResponseBody(response))
+	} else {
+		x.abandon()
+	}
 	return &Failure{Execution: NotExecuted, Reason: reason}
 }
 
