node/requester: add a red test for requests without an ID

Requester compares the ID in a response only if the request has one. A request without an ID therefore gets a late response that bears the ID of an earlier request on the connection, with its signature and body, or is reported as not executed by a repeated refusal of that request.

The clients of the platform send an ID with each request, so that only other callers are affected.

--- a/node/requester/refusal_test.go
+++ b/node/requester/refusal_test.go
@@ -122,3 +122,43 @@
 		})
 	}
 }
+
+// Guards against passing the response to another request on to a request that
+// has no ID.
+func TestRequestWithoutID(t *testing.T) {
+	const failed = "HTTP/1.1 500 Failed\r\nContent-Length: 1\r\n\r\nx"
+	ok := outcome{status: http.StatusOK, body: "ab"}
+	cases := map[string]struct {
+		steps       []exchangeStep
+		connections int64
+	}{
+		"late response": {[]exchangeStep{
+			{id: "1", answer: signedResponse("1"), want: ok},
+			{repeat: true, answer: badRequest, want: unidentifiable},
+			{id: "3", answer: signedResponse("3"), want: ok},
+		}, 2},
+		"late failure": {[]exchangeStep{
+			{id: "1", answer: withHeader(failed, "X-Id: 1"), want: outcome{status: http.StatusInternalServerError, body: "x"}},
+			{repeat: true, answer: badRequest, want: unidentifiable},
+		}, 1},
+		"late refusal": {[]exchangeStep{
+			{id: "1", answer: withHeader(refusalWithout, "X-Id: 1"), want: refused},
+			{repeat: true, answer: failed, want: unidentifiable},
+		}, 1},
+		"empty id": {[]exchangeStep{
+			{id: "1", answer: signedResponse("1"), want: ok},
+			{answer: withHeader(badRequest, "X-Id: "), want: refused},
+			{id: "2", answer: signedResponse("2"), want: ok},
+		}, 2},
+		"id given by the upstream": {[]exchangeStep{
+			{answer: signedResponse("u"), want: ok},
+			{id: "2", answer: signedResponse("2"), want: ok},
+		}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runSteps(t, fullContract, c.connections, c.steps)
+		})
+	}
+}
