node/requester: reject responses with an ID to requests without one

A request without an ID got whatever response arrived, also a late one that bears the ID of an earlier request on the connection, since the ID was compared only if the request had one.

A response with an ID to a request without one is now unidentified on a connection that carried a request before, so that the call ends as "unknown" at once and the connection is closed. On a new connection there is no other request that the response could belong to, and it is passed on as before.

--- a/node/requester/contract.go
+++ b/node/requester/contract.go
@@ -7,7 +7,8 @@
 // Contract names the headers by which an upstream describes its responses. An
 // empty name disables the check.
 type Contract struct {
-	// Identity carries a request ID that the response must repeat.
+	// Identity carries a request ID that the response must repeat. A response with
+	// an ID to a request without one is accepted only on a new connection.
 	Identity string
 	// Request carries a request ID that the response may repeat. A response with a
 	// different ID belongs to another request.
@@ -30,7 +31,8 @@
 	matching responseClass = iota
 	// mismatched is the response to an earlier request.
 	mismatched
-	// unidentified lacks the request ID that it must repeat.
+	// unidentified lacks the request ID that it must repeat, or has an ID although
+	// the request has none.
 	unidentified
 	// rejected is marked as the response to a request that was not executed.
 	rejected
@@ -46,12 +48,13 @@
 	identity, echoedIdentity := echoedIDs(request, response, c.Identity)
 	requestID, echoedRequestID := echoedIDs(request, response, c.Request)
 	missing := identity != "" && len(echoedIdentity) == 0
+	unexpected := identity == "" && lookup(response, c.Identity) != ""
 	// An upstream that rejects a new connection does not read the headers and
 	// can't repeat the ID.
 	switch {
 	case mismatches(echoedIdentity, identity) || mismatches(echoedRequestID, requestID):
 		return mismatched
-	case missing && !first:
+	case (missing || unexpected) && !first:
 		return unidentified
 	case c.Unexecuted != "" && status == http.StatusMisdirectedRequest:
 		return misdirected
