node/requester: add a red test for a repeated refusal of the same ID

A call that was refused may reach the same upstream again with the same ID: as a further attempt of a call with an idempotency key, which always goes to the owner of the key, or when a caller reuses its ID. If it goes over the same connection, the upstream's refusal, written once more, can't be told from the response to the second request.

TestRefusedIDOnSameConnection fails in 6 of 7 cases, for example with

{0 false no rejected} != {200 ab false }

On the platform neither happens with correct clients: each attempt of a client has its own ID, there are no keys, and the balancer never picks an instance that a call has tried.

--- a/node/requester/refusal_test.go
+++ b/node/requester/refusal_test.go
@@ -34,8 +34,11 @@
 	// repeat sends the previous response of the connection once more, before the
 	// answer.
 	repeat bool
-	answer string
-	want   outcome
+	// repeatOwn sends the last response to the ID on the connection once more,
+	// before the answer.
+	repeatOwn bool
+	answer    string
+	want      outcome
 }
 
 // runSteps sends the requests one after the other and checks the number of
@@ -45,17 +48,21 @@
 	is := is.New(t)
 	var received atomic.Int64
 	upstream := newFakeUpstream(t, func(conn *net.TCPConn, reader *bufio.Reader) {
-		for previous := ""; ; {
+		responses, previous := map[string]string{}, ""
+		for {
 			if _, err := readRequest(reader); err != nil {
 				return
 			}
 			step := steps[received.Add(1)-1]
-			if step.repeat {
+			if step.repeatOwn {
+				previous = responses[step.id]
+			}
+			if step.repeat || step.repeatOwn {
 				_, _ = io.WriteString(conn, previous)
 				time.Sleep(20 * time.Millisecond) // the upstream is at work on the request
 			}
 			_, _ = io.WriteString(conn, step.answer)
-			previous = step.answer
+			responses[step.id], previous = step.answer, step.answer
 		}
 	})
 	r := New(upstream.address, 4)
@@ -162,3 +169,58 @@
 		})
 	}
 }
+
+// Guards against taking a repeated refusal for the response to a later request
+// with the same ID, such as a further attempt of a call, that the upstream
+// executes.
+func TestRefusedIDOnSameConnection(t *testing.T) {
+	ok := outcome{status: http.StatusOK, body: "ab"}
+	refusal := func(id string) string { return withHeader(refusalWithout, "X-Id: "+id) }
+	manyRefusals := []exchangeStep{{id: "a", answer: refusal("a"), want: refused}}
+	for n := range 600 {
+		id := itoa(n)
+		manyRefusals = append(manyRefusals, exchangeStep{id: id, answer: refusal(id), want: refused})
+	}
+	cases := map[string]struct {
+		contract    Contract
+		steps       []exchangeStep
+		connections int64
+	}{
+		"at once": {fullContract, []exchangeStep{
+			{id: "a", answer: refusal("a"), want: refused},
+			{id: "a", repeatOwn: true, answer: signedResponse("a"), want: ok},
+		}, 2},
+		"misdirected": {fullContract, []exchangeStep{
+			{id: "a", answer: withHeader(misdirectedOnly, "X-Id: a"), want: outcome{execution: NotExecuted, reason: ReasonMisdirected}},
+			{id: "a", repeatOwn: true, answer: signedResponse("a"), want: ok},
+		}, 2},
+		"optional id": {Contract{Request: "X-Id", Unexecuted: "X-Unexecuted"}, []exchangeStep{
+			{id: "a", answer: refusal("a"), want: refused},
+			{id: "a", repeatOwn: true, answer: signedResponse("a"), want: ok},
+		}, 2},
+		"after other requests": {fullContract, []exchangeStep{
+			{id: "a", answer: refusal("a"), want: refused},
+			{id: "b", answer: signedResponse("b"), want: ok},
+			{id: "c", answer: refusal("c"), want: refused},
+			{id: "a", repeatOwn: true, answer: signedResponse("a"), want: ok},
+		}, 2},
+		"refused again": {fullContract, []exchangeStep{
+			{id: "a", answer: refusal("a"), want: refused},
+			{id: "a", answer: refusal("a"), want: refused},
+		}, 2},
+		"other ids keep the connection": {fullContract, []exchangeStep{
+			{id: "a", answer: refusal("a"), want: refused},
+			{id: "b", answer: refusal("b"), want: refused},
+			{id: "c", answer: signedResponse("c"), want: ok},
+		}, 1},
+		"after many refusals": {fullContract, append(manyRefusals,
+			exchangeStep{id: "a", repeatOwn: true, answer: signedResponse("a"), want: ok},
+		), 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runSteps(t, c.contract, c.connections, c.steps)
+		})
+	}
+}
