node/requester: send a refused ID over another connection

A request whose ID the upstream had refused on the same connection before, such as a further attempt of a call with an idempotency key, could be reported as not executed by the old refusal, written once more, while the upstream executed it.

A connection now remembers the hashes of the IDs that were refused on it, and a request with one of them takes another connection. The number is limited to 256, 2 KiB for each connection, after which it is closed. Making the second refusal "unknown" instead would change what a correct upstream's refusal leads to.

TestRefusedIDOnSameConnection had 6 of 7 cases red and passes; the tests of requester, forwarder, runner and platform pass.

--- a/node/requester/conn.go
+++ b/node/requester/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,7 +33,11 @@
 	// reused is set once the connection has carried a request, sentHEAD once it
 	// has carried a HEAD request.
 	reused, sentHEAD bool
-	expires          time.Time
+	// refused holds the hashes of the request IDs that the upstream refused. None
+	// of them is sent on the connection again, since the upstream may write a
+	// refusal once more.
+	refused []uint64
+	expires time.Time
 	// headerRemaining is the number of bytes that may still be read of a response
 	// header. It is negative while no header is read.
 	headerRemaining int
@@ -52,6 +58,24 @@
 	return c
 }
 
+// maxRefused is the number of refused requests after which a connection is
+// closed.
+const maxRefused = 256
+
+var hashSeed = maphash.MakeSeed()
+
+// addRefused records that the upstream refused the request with an ID, and
+// reports whether the connection has room for another one.
+func (c *conn) addRefused(id string) bool {
+	c.refused = append(c.refused, maphash.String(hashSeed, id))
+	return len(c.refused) < maxRefused
+}
+
+// hasRefused reports whether the upstream may have refused a request with an ID.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(hashSeed, id))
+}
+
 // Read implements net.Conn and limits the size of response headers.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headerRemaining == 0 {
--- a/node/requester/contract.go
+++ b/node/requester/contract.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// requestID returns the ID that a response to the request repeats, or "" if there
+// is none.
+func (c *Contract) requestID(request http.Header) string {
+	if id := lookup(request, c.Identity); id != "" {
+		return id
+	}
+	return lookup(request, c.Request)
+}
+
 // identifies reports whether the response repeats any ID of the request.
 func (c *Contract) identifies(request, response http.Header) bool {
 	_, echoedIdentity := echoedIDs(request, response, c.Identity)
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -162,6 +162,9 @@
 func (x *exchange) reject(response *http.Response, reason string) *Failure {
 	x.responded.Store(true)
 	if x.contract.identifies(x.out.Header, response.Header) {
+		if !x.conn.addRefused(x.contract.requestID(x.out.Header)) {
+			x.mustClose.Store(true)
+		}
 		x.drain(x.newResponseBody(response))
 	} else {
 		x.abandon()
--- a/node/requester/requester.go
+++ b/node/requester/requester.go
@@ -63,7 +63,7 @@
 	out, failure := prepare(request)
 	for failure == nil {
 		var conn *conn
-		if conn, failure = r.connect(request.Context()); failure != nil {
+		if conn, failure = r.connect(request.Context(), r.Contract.requestID(request.Header)); failure != nil {
 			break
 		}
 		x := &exchange{pool: &r.pool, contract: &r.Contract, conn: conn, out: out}
@@ -85,8 +85,8 @@
 }
 
 // connect returns the most recently used idle connection that is still open, or
-// a new one.
-func (r *Requester) connect(ctx context.Context) (*conn, *Failure) {
+// a new one. One on which the upstream refused the request ID is closed.
+func (r *Requester) connect(ctx context.Context, id string) (*conn, *Failure) {
 	for {
 		idle, reason := r.pool.get()
 		switch {
@@ -99,7 +99,7 @@
 				return nil, &Failure{Execution: NotExecuted, Reason: ReasonUnreachable, Cause: err}
 			}
 			return newConn(netConn), nil
-		case time.Now().Before(idle.expires) && reusable(idle.raw):
+		case time.Now().Before(idle.expires) && !idle.hasRefused(id) && reusable(idle.raw):
 			return idle, nil
 		}
 		r.pool.drop(idle)
