node/requester: test refusals of uploads

TestRefusedUpload covers refusals that arrive while the body is still being sent, before the upstream has read the request, and refusals of another request at those points.

--- a/node/requester/refusal_test.go
+++ b/node/requester/refusal_test.go
@@ -224,3 +224,55 @@
 		})
 	}
 }
+
+// Guards against losing the verdict of an upstream that refuses an upload
+// before it has read it, against sending such an upload on, and against taking
+// the refusal of another request for the one of an upload.
+func TestRefusedUpload(t *testing.T) {
+	refusal := func(id string) string { return withHeader(refusalWithout, "X-Id: "+id) }
+	cases := map[string]struct {
+		// atAccept is sent before the request is read, answer once its header was
+		// read.
+		atAccept, answer string
+		want             outcome
+		closed           bool
+	}{
+		"refused at accept":     {atAccept: refusalWithout, want: refused, closed: true},
+		"refused":               {answer: refusal("u"), want: refused},
+		"refused without id":    {answer: refusalWithout, want: refused, closed: true},
+		"another's refusal":     {answer: refusal("0") + signedResponse("u"), want: outcome{status: http.StatusOK, body: "ab"}},
+		"another's, at accept":  {atAccept: refusal("0"), answer: signedResponse("u"), want: outcome{status: http.StatusOK, body: "ab"}},
+		"another's, without id": {answer: refusal("0") + refusalWithout, want: unidentifiable, closed: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			received := make(chan error, 1)
+			upstream := newFakeUpstream(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				_, _ = io.WriteString(conn, c.atAccept)
+				request, err := http.ReadRequest(reader)
+				if err == nil {
+					_, _ = io.WriteString(conn, c.answer)
+					_, err = io.Copy(io.Discard, request.Body)
+				}
+				received <- err
+			})
+			r := New(upstream.address, 1)
+			r.Contract = fullContract
+			defer r.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			body := newPausedBody(large, nil)
+			request := postRequest(ctx, body, int64(len(large)))
+			request.Header.Set("X-Id", "u")
+			is.Equal(do(r, request), c.want)
+			if c.closed {
+				waitClosed(t, r)
+			}
+			close(body.resume)
+			err := <-received
+			is.Equal(err != nil, c.closed) // otherwise the upload is sent on
+		})
+	}
+}
