node/requester: add a red test for endless responses of other requests

A worker in trouble that sends complete responses with another ID without end keeps the node reading until the deadline of the request, which it answers only then, at the full speed of a processor.

--- /dev/null
+++ b/node/requester/endless_test.go
@@ -0,0 +1,92 @@
+package requester
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	// promptly is the time within which a request ends once it is clear that there
+	// will be no response. The test's requests have a much later deadline.
+	promptly = 2 * time.Second
+	// maxEndlessBytes is how much an upstream can write before its connection is
+	// closed. Most of it stays in the buffers of the sockets.
+	maxEndlessBytes = 16 << 20
+)
+
+// endlessUpstream answers a request with start and then repeats block until the
+// connection is closed. It is silent if block is empty.
+type endlessUpstream struct {
+	*fakeUpstream
+	// written receives the number of bytes that were written to a connection, once
+	// it is closed.
+	written chan int64
+}
+
+func newEndlessUpstream(t *testing.T, start, block string) *endlessUpstream {
+	t.Helper()
+	e := &endlessUpstream{written: make(chan int64, 16)}
+	e.fakeUpstream = newFakeUpstream(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		if _, err := readRequest(reader); err != nil {
+			return
+		}
+		data := strings.Repeat(block, max(1, 4096/max(1, len(block))))
+		n, err := io.WriteString(conn, start)
+		total := int64(n)
+		if block == "" {
+			_, err = io.Copy(io.Discard, reader)
+		}
+		for ; err == nil && block != "" && total < 1<<30; total += int64(n) {
+			n, err = io.WriteString(conn, data)
+		}
+		e.written <- total
+	})
+	return e
+}
+
+// check sends a request and checks that it ends promptly and that the
+// connection is closed.
+func (e *endlessUpstream) check(t *testing.T, method string, want outcome) {
+	t.Helper()
+	is := is.New(t)
+	r := New(e.address, 1)
+	r.Contract = fullContract
+	defer r.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	request := getRequest(ctx, "1")
+	request.Method = method
+	start := time.Now()
+	is.Equal(do(r, request), want)
+	is.True(time.Since(start) < promptly)
+	is.True(<-e.written < maxEndlessBytes)
+	waitClosed(t, r)
+	is.Equal(e.accepted.Load(), int64(1)) // not sent again
+}
+
+var broken = outcome{execution: PossiblyExecuted, reason: ReasonBroken}
+
+// Guards against reading the responses to other requests without end, which
+// occupies a processor until the deadline of the request.
+func TestEndlessResponsesOfOthers(t *testing.T) {
+	other := withHeader(okResponse("old"), "X-Id: 0")
+	for name, block := range map[string]string{
+		"complete":     other,
+		"empty":        withHeader(okResponse(""), "X-Id: 0"),
+		"refusals":     withHeader(refusalWithout, "X-Id: 0"),
+		"chunked":      "HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"with interim": "HTTP/1.1 103 Early\r\n\r\n" + other,
+	} {
+		t.Run(name, func(t *testing.T) {
+			newEndlessUpstream(t, "", block).check(t, http.MethodGet, broken)
+		})
+	}
+}
