node/requester: limit the skipped responses of a request

Responses with the ID of another request are skipped until the response to the pending request arrives, without a limit. A worker that sends them without end occupied a processor until the deadline of the request, which was answered only then.

At most 16 are skipped now, as many as interim responses; after that the request ends as possibly executed, and the connection is closed. An upstream that repeats an earlier response is still tolerated, since the connection is closed after the first request that meets one.

--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -15,6 +15,9 @@
 	// maxInformational is the maximum number of 1xx responses before the final
 	// one.
 	maxInformational = 16
+	// maxSkipped is the maximum number of responses to earlier requests before the
+	// response to the pending one. An upstream in trouble may send them without end.
+	maxSkipped = 16
 	// flushTimeout limits the time to write the last bytes of a request whose
 	// response is complete.
 	flushTimeout = 5 * time.Second
@@ -27,6 +30,7 @@
 // Errors that occur as the cause of a Failure.
 var (
 	errInformational = errors.New("too many informational (1xx) responses")
+	errSkipped       = errors.New("too many responses to earlier requests")
 	errProtocol      = errors.New("response is not valid HTTP/1 or switches protocols")
 	errUnknownLength = errors.New("response to an earlier request has an unknown length, since the connection carried a HEAD request")
 )
@@ -118,8 +122,8 @@
 
 // receive reads responses until the one to this request.
 func (x *exchange) receive() (*http.Response, *Failure) {
-	first := !x.conn.reused
-	for informational := 0; ; {
+	informational, skipped := 0, 0
+	for {
 		x.conn.headerRemaining = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, x.out.Request)
 		x.conn.headerRemaining = -1
@@ -134,9 +138,11 @@
 			}
 			continue
 		}
-		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode, first) {
+		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode, !x.conn.reused && skipped == 0) {
 		case mismatched:
-			first = false
+			if skipped++; skipped > maxSkipped {
+				return nil, x.fail(ReasonBroken, errSkipped)
+			}
 			if err := x.skipResponse(response); err != nil {
 				return nil, x.fail(ReasonBroken, err)
 			}
