node/requester: add a red test for endless bodies of other responses

A response with another ID is skipped with its body, whatever its size. If the body never ends, the node reads it until the deadline of the request, and answers only then. A body without a length ends with the connection, so that it is clear from its header that the response to the pending request can't follow; the node waits all the same.

--- a/node/requester/endless_test.go
+++ b/node/requester/endless_test.go
@@ -90,3 +90,34 @@
 		})
 	}
 }
+
+// Guards against reading the body of the response to another request without
+// end, and against waiting for a response behind a body that ends with the
+// connection.
+func TestEndlessBodyOfAnother(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ start, block string }{
+		"chunked":         {chunked, "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+		"tiny chunks":     {chunked, "1\r\nx\r\n"},
+		"without length":  {"HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n", "x"},
+		"excessive":       {"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 9000000000000\r\n\r\n", "x"},
+		"silent":          {"HTTP/1.1 200 OK\r\nX-Id: 0\r\n\r\n", ""},
+		"silent and long": {"HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 9000000000000\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			newEndlessUpstream(t, c.start, c.block).check(t, http.MethodGet, broken)
+		})
+	}
+}
+
+// Guards against losing a response behind a large but complete response to
+// another request.
+func TestLargeResponseOfAnother(t *testing.T) {
+	body := strings.Repeat("x", 500<<10)
+	chunked := "HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n7d000\r\n" + body + "\r\n0\r\nT: 1\r\n\r\n"
+	for name, other := range map[string]string{"sized": withHeader(okResponse(body), "X-Id: 0"), "chunked": chunked} {
+		t.Run(name, func(t *testing.T) {
+			runSteps(t, fullContract, 1, []exchangeStep{{id: "1", answer: other + signedResponse("1"), want: outcome{status: http.StatusOK, body: "ab"}}})
+		})
+	}
+}
