node/requester: limit the bodies of skipped responses

The body of a response with another ID was read to its end, which may never come: the node read until the deadline of the request. A body without a length ends with the connection, so that the node waited for a response that could not follow.

A skipped body may now take 1 MiB on the wire, counted where response headers are. A longer one, and one that can only end with the connection, end the request as possibly executed at once, as the end of the connection did before, and the connection is closed.

TestEndlessBodyOfAnother had all 6 cases red, with more than 16 MiB written or an end after 5 s, at the deadline; it passes in 0.03 s, the tiny chunks in 0.02 s. TestLargeResponseOfAnother still passes.

--- a/node/requester/conn.go
+++ b/node/requester/conn.go
@@ -21,7 +21,7 @@
 // upstream's operating system.
 const userTimeout = 3 * time.Second
 
-var errHeaderTooLarge = errors.New("response header exceeds the size limit")
+var errTooLarge = errors.New("response header, or response to an earlier request, exceeds the size limit")
 
 // conn is a connection to the upstream. It carries one request at a time.
 type conn struct {
@@ -38,9 +38,9 @@
 	// refusal once more.
 	refused []uint64
 	expires time.Time
-	// headerRemaining is the number of bytes that may still be read of a response
-	// header. It is negative while no header is read.
-	headerRemaining int
+	// readRemaining is the number of bytes that may still be read of a response
+	// header or a skipped response. It is negative if there is no limit.
+	readRemaining int
 	// wrote is set if a part of the current request may have been written,
 	// writeFailed if a write failed.
 	wrote, writeFailed atomic.Bool
@@ -76,17 +76,18 @@
 	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(hashSeed, id))
 }
 
-// Read implements net.Conn and limits the size of response headers.
+// Read implements net.Conn and limits the size of response headers and
+// skipped responses.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headerRemaining == 0 {
-		return 0, errHeaderTooLarge
+	if c.readRemaining == 0 {
+		return 0, errTooLarge
 	}
-	if c.headerRemaining > 0 {
-		p = p[:min(len(p), c.headerRemaining)]
+	if c.readRemaining > 0 {
+		p = p[:min(len(p), c.readRemaining)]
 	}
 	n, err := c.Conn.Read(p)
-	if c.headerRemaining > 0 {
-		c.headerRemaining -= n
+	if c.readRemaining > 0 {
+		c.readRemaining -= n
 	}
 	return n, err
 }
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -18,6 +18,9 @@
 	// maxSkipped is the maximum number of responses to earlier requests before the
 	// response to the pending one. An upstream in trouble may send them without end.
 	maxSkipped = 16
+	// maxSkippedBytes is the maximum size on the wire of the body of a response to
+	// an earlier request. A longer one may never end.
+	maxSkippedBytes = 1 << 20
 	// flushTimeout limits the time to write the last bytes of a request whose
 	// response is complete.
 	flushTimeout = 5 * time.Second
@@ -33,6 +36,7 @@
 	errSkipped       = errors.New("too many responses to earlier requests")
 	errProtocol      = errors.New("response is not valid HTTP/1 or switches protocols")
 	errUnknownLength = errors.New("response to an earlier request has an unknown length, since the connection carried a HEAD request")
+	errNoFurther     = errors.New("response to an earlier request ends with the connection")
 )
 
 // exchange is a request and its response on a connection.
@@ -124,9 +128,9 @@
 func (x *exchange) receive() (*http.Response, *Failure) {
 	informational, skipped := 0, 0
 	for {
-		x.conn.headerRemaining = maxHeaderBytes
+		x.conn.readRemaining = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, x.out.Request)
-		x.conn.headerRemaining = -1
+		x.conn.readRemaining = -1
 		switch {
 		case err != nil:
 			return nil, x.fail(ReasonBroken, err)
@@ -182,13 +186,25 @@
 // depends on the method of that request.
 func (x *exchange) skipResponse(response *http.Response) error {
 	x.mustClose.Store(true)
-	if x.conn.sentHEAD {
+	switch {
+	case x.conn.sentHEAD:
 		return errUnknownLength
+	case endsWithConnection(response):
+		return errNoFurther
+	case response.ContentLength > maxSkippedBytes:
+		return errTooLarge
 	}
+	x.conn.readRemaining = maxSkippedBytes
 	_, err := io.Copy(io.Discard, response.Body)
 	return err
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the
+// body.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // newResponseBody returns the body of the response, and decides whether and for
 // how long the connection can be kept. The connection is released at the end of
 // the body.
@@ -198,7 +214,7 @@
 	}
 	b := &responseBody{
 		Reader: response.Body, exchange: x, idleTimeout: idleTimeout(response.Header),
-		closeDelimited: response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked"),
+		closeDelimited: endsWithConnection(response),
 	}
 	if response.Body == http.NoBody {
 		b.end(true)
