node/requester: add a red test for endless bytes on idle connections

Bytes after a complete response are noticed when they are read with it, or when the connection is used again. If they come a moment later and no further request does, the connection stays open until it expires: the upstream fills the buffers of the socket and blocks, with one of its connections taken.

--- a/node/requester/endless_test.go
+++ b/node/requester/endless_test.go
@@ -26,6 +26,8 @@
 // connection is closed. It is silent if block is empty.
 type endlessUpstream struct {
 	*fakeUpstream
+	// pause is the time between start and the first block.
+	pause time.Duration
 	// written receives the number of bytes that were written to a connection, once
 	// it is closed.
 	written chan int64
@@ -40,6 +42,7 @@
 		}
 		data := strings.Repeat(block, max(1, 4096/max(1, len(block))))
 		n, err := io.WriteString(conn, start)
+		time.Sleep(e.pause)
 		total := int64(n)
 		if block == "" {
 			_, err = io.Copy(io.Discard, reader)
@@ -67,7 +70,12 @@
 	start := time.Now()
 	is.Equal(do(r, request), want)
 	is.True(time.Since(start) < promptly)
-	is.True(<-e.written < maxEndlessBytes)
+	select {
+	case written := <-e.written:
+		is.True(written < maxEndlessBytes)
+	case <-ctx.Done():
+		t.Fatal("connection still open after the response")
+	}
 	waitClosed(t, r)
 	is.Equal(e.accepted.Load(), int64(1)) // not sent again
 }
@@ -121,3 +129,29 @@
 		})
 	}
 }
+
+// Guards against keeping an idle connection on which the upstream writes without
+// end after a complete response.
+func TestEndlessBytesWhileIdle(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\n"
+	const refusal = "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Unexecuted: 1\r\nContent-Length: 0\r\n\r\n"
+	ok := outcome{status: http.StatusOK}
+	for name, c := range map[string]struct {
+		method, response, block string
+		want                    outcome
+	}{
+		"after a response":             {http.MethodGet, head + "Content-Length: 0\r\n\r\n", "x", ok},
+		"after a chunked response":     {http.MethodGet, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "x", ok},
+		"after the response to a head": {http.MethodHead, head + "Content-Length: 9\r\n\r\n", "x", ok},
+		"after a refusal":              {http.MethodGet, refusal, "x", refused},
+		"the refusal again and again":  {http.MethodGet, refusal, refusal, refused},
+		"the response again and again": {http.MethodGet, head + "Content-Length: 0\r\n\r\n", head + "Content-Length: 0\r\n\r\n", ok},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			upstream := newEndlessUpstream(t, c.response, c.block)
+			upstream.pause = 10 * time.Millisecond
+			upstream.check(t, c.method, c.want)
+		})
+	}
+}
