node/requester: test endless responses

TestEndlessResponse has a response that never ends in its status line, header, interim responses, chunks, chunk extensions or trailer, bytes that are no response, and endless bodies of refusals and of responses that are not passed on.

--- a/node/requester/endless_test.go
+++ b/node/requester/endless_test.go
@@ -155,3 +155,43 @@
 		})
 	}
 }
+
+// Guards against an endless response that occupies a processor or memory, or
+// delays the end of its request until the deadline, although it is clear that
+// the response is not valid or not needed.
+func TestEndlessResponse(t *testing.T) {
+	const head, chunked = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	refusal := "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Unexecuted: 1\r\n"
+	cases := map[string]struct {
+		start, block string
+		want         outcome
+	}{
+		"no answer, one line":     {block: "x", want: broken},
+		"no answer, lines":        {block: "not an answer\r\n", want: broken},
+		"no answer, empty lines":  {block: "\r\n", want: broken},
+		"no answer, zero bytes":   {block: "\x00", want: broken},
+		"status line":             {start: "HTTP/1.1 200 ", block: "x", want: broken},
+		"header, one line":        {start: head + "X: ", block: "x", want: broken},
+		"header, one name":        {start: head, block: "X: y\r\n", want: broken},
+		"header, short lines":     {start: head, block: "a:\n", want: broken},
+		"header, folded line":     {start: head + "X: y\r\n", block: " y\r\n", want: broken},
+		"interim responses":       {block: "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n", want: broken},
+		"interim, endless header": {start: "HTTP/1.1 103 Early\r\n", block: "Link: x\r\n", want: broken},
+
+		"chunk extension":  {start: head + chunked + "1;", block: "x", want: outcome{status: http.StatusOK, bodyFailed: true}},
+		"chunk extensions": {start: head + chunked, block: "0" + strings.Repeat("0", 10) + "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n", want: outcome{status: http.StatusOK, body: "xxxxxxxx", bodyFailed: true}},
+		"no chunk":         {start: head + chunked, block: "x", want: outcome{status: http.StatusOK, bodyFailed: true}},
+		"trailer":          {start: head + chunked + "0\r\n", block: "T: x\r\n", want: outcome{status: http.StatusOK, bodyFailed: true}},
+
+		"unsigned":             {start: "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", block: "x", want: outcome{execution: PossiblyExecuted, reason: ReasonUnsigned}},
+		"unidentified":         {start: "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n", block: "x", want: unidentifiable},
+		"refusal":              {start: refusal + "\r\n", block: "x", want: refused},
+		"refusal, tiny chunks": {start: refusal + chunked, block: "1\r\nx\r\n", want: refused},
+		"refusal, silent":      {start: refusal + chunked, want: refused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			newEndlessUpstream(t, c.start, c.block).check(t, http.MethodGet, c.want)
+		})
+	}
+}
