node/requester: add a red test for the total size of skipped responses

The limit of 1 MiB applies to each of up to 16 skipped responses of a request.

TestSkippedBytesInTotal fails with "4920024 bytes read".

--- a/node/requester/endless_test.go
+++ b/node/requester/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,3 +196,40 @@
 		})
 	}
 }
+
+// countingReads counts the bytes that are read from a connection.
+type countingReads struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (c countingReads) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// Guards against reading the maximum size of a skipped response several times
+// for one request.
+func TestSkippedBytesInTotal(t *testing.T) {
+	is := is.New(t)
+	block := withHeader(okResponse(strings.Repeat("x", 300<<10)), "X-Id: 0")
+	upstream := newEndlessUpstream(t, "", block)
+	r := New(upstream.address, 1)
+	r.Contract = fullContract
+	var read atomic.Int64
+	dial := r.Dial
+	r.Dial = func(ctx context.Context) (net.Conn, error) {
+		conn, err := dial(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return countingReads{conn.(*net.TCPConn), &read}, nil
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.Equal(do(r, getRequest(ctx, "1")), broken)
+	if read.Load() > 5<<18 {
+		t.Errorf("%d bytes read", read.Load())
+	}
+}
