node/requester: limit the total size of skipped responses

The limit of 1 MiB applied to each of up to 16 skipped responses of a request. It now applies to the bodies of all of them together.

--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -18,8 +18,8 @@
 	// maxSkipped is the maximum number of responses to earlier requests before the
 	// response to the pending one. An upstream in trouble may send them without end.
 	maxSkipped = 16
-	// maxSkippedBytes is the maximum size on the wire of the body of a response to
-	// an earlier request. A longer one may never end.
+	// maxSkippedBytes is the maximum size on the wire of the bodies of all responses
+	// to earlier requests. A longer body may never end.
 	maxSkippedBytes = 1 << 20
 	// flushTimeout limits the time to write the last bytes of a request whose
 	// response is complete.
@@ -127,6 +127,7 @@
 // receive reads responses until the one to this request.
 func (x *exchange) receive() (*http.Response, *Failure) {
 	informational, skipped := 0, 0
+	remaining := maxSkippedBytes
 	for {
 		x.conn.readRemaining = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, x.out.Request)
@@ -147,7 +148,7 @@
 			if skipped++; skipped > maxSkipped {
 				return nil, x.fail(ReasonBroken, errSkipped)
 			}
-			if err := x.skipResponse(response); err != nil {
+			if err := x.skipResponse(response, &remaining); err != nil {
 				return nil, x.fail(ReasonBroken, err)
 			}
 			continue
@@ -182,20 +183,22 @@
 	return &Failure{Execution: NotExecuted, Reason: reason}
 }
 
-// skipResponse reads the response to an earlier request. Whether it has a body
-// depends on the method of that request.
-func (x *exchange) skipResponse(response *http.Response) error {
+// skipResponse reads the response to an earlier request, whose body may have the
+// remaining number of bytes. Whether it has a body depends on the method of that
+// request.
+func (x *exchange) skipResponse(response *http.Response, remaining *int) error {
 	x.mustClose.Store(true)
 	switch {
 	case x.conn.sentHEAD:
 		return errUnknownLength
 	case endsWithConnection(response):
 		return errNoFurther
-	case response.ContentLength > maxSkippedBytes:
+	case response.ContentLength > int64(*remaining):
 		return errTooLarge
 	}
-	x.conn.readRemaining = maxSkippedBytes
+	x.conn.readRemaining = *remaining
 	_, err := io.Copy(io.Discard, response.Body)
+	*remaining = x.conn.readRemaining
 	return err
 }
 
