node/forwarder: test slow bytes that never become a response

A header, an interim response or a skipped response that arrives one byte or line at a time stays within the limits for long, and may still be followed by the response. TestSlowEndlessHeader checks that the caller gets status 504 at its deadline, locally and through a peer, that the upstream's connection is closed then, and that nothing is sent again.

--- a/node/forwarder/endless_test.go
+++ b/node/forwarder/endless_test.go
@@ -83,3 +83,47 @@
 		})
 	}
 }
+
+// Guards against bytes that arrive slowly, and never become a response, that
+// keep a call beyond its deadline or its upstream's connection open after it.
+func TestSlowEndlessHeader(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	for name, c := range map[string]struct{ start, block string }{
+		"no answer":            {block: "x"},
+		"header":               {start: "HTTP/1.1 200 OK\r\n", block: "X: y\r\n"},
+		"interim response":     {start: "HTTP/1.1 103 Early\r\n", block: "X: y\r\n"},
+		"response of another":  {start: "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 100000\r\n\r\n", block: "x"},
+		"another's tiny chunk": {start: "HTTP/1.1 200 OK\r\nX-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n", block: "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forBothPaths(t, func(t *testing.T, local bool) {
+				t.Parallel()
+				is := is.New(t)
+				ended := make(chan time.Time, 1)
+				fx := newFixture(t, local, func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						return
+					}
+					defer func() { _ = conn.Close() }()
+					_, err = io.WriteString(conn, c.start)
+					for n := 0; err == nil && n < 5000; n++ {
+						time.Sleep(time.Millisecond)
+						_, err = io.WriteString(conn, c.block)
+					}
+					ended <- time.Now()
+				})
+				checkResponses(fx)
+				fx.entry.Contract.Identity = "X-Id"
+				fx.match.Timeout = timeout
+				start := time.Now()
+				got := fx.send(http.MethodGet, "/x", nil, "X-Id", "1")
+				is.Equal(got.status, http.StatusGatewayTimeout)
+				is.Equal(got.reason, "deadline")
+				is.True(time.Since(start) < timeout+time.Second)
+				is.True((<-ended).Sub(start) < timeout+time.Second)
+				is.Equal(fx.executed.Load(), int64(1))
+			})
+		})
+	}
+}
