--- a/node/requester/conn.go
+++ b/node/requester/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,7 +21,7 @@
 // upstream's operating system.
 const userTimeout = 3 * time.Second
 
-var errHeaderTooLarge = errors.New("response header exceeds the size limit")
+var errTooLarge = errors.New("response header, or response to an earlier request, exceeds the size limit")
 
 // conn is a connection to the upstream. It carries one request at a time.
 type conn struct {
@@ -31,10 +33,14 @@
 	// reused is set once the connection has carried a request, sentHEAD once it
 	// has carried a HEAD request.
 	reused, sentHEAD bool
-	expires          time.Time
-	// headerRemaining is the number of bytes that may still be read of a response
-	// header. It is negative while no header is read.
-	headerRemaining int
+	// refused holds the hashes of the request IDs that the upstream refused. None
+	// of them is sent on the connection again, since the upstream may write a
+	// refusal once more.
+	refused []uint64
+	expires time.Time
+	// readRemaining is the number of bytes that may still be read of a response
+	// header or a skipped response. It is negative if there is no limit.
+	readRemaining int
 	// wrote is set if a part of the current request may have been written,
 	// writeFailed if a write failed.
 	wrote, writeFailed atomic.Bool
@@ -52,17 +58,36 @@
 	return c
 }
 
-// Read implements net.Conn and limits the size of response headers.
+// maxRefused is the number of refused requests after which a connection is
+// closed.
+const maxRefused = 256
+
+var hashSeed = maphash.MakeSeed()
+
+// addRefused records that the upstream refused the request with an ID, and
+// reports whether the connection has room for another one.
+func (c *conn) addRefused(id string) bool {
+	c.refused = append(c.refused, maphash.String(hashSeed, id))
+	return len(c.refused) < maxRefused
+}
+
+// hasRefused reports whether the upstream may have refused a request with an ID.
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, maphash.String(hashSeed, id))
+}
+
+// Read implements net.Conn and limits the size of response headers and
+// skipped responses.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headerRemaining == 0 {
-		return 0, errHeaderTooLarge
+	if c.readRemaining == 0 {
+		return 0, errTooLarge
 	}
-	if c.headerRemaining > 0 {
-		p = p[:min(len(p), c.headerRemaining)]
+	if c.readRemaining > 0 {
+		p = p[:min(len(p), c.readRemaining)]
 	}
 	n, err := c.Conn.Read(p)
-	if c.headerRemaining > 0 {
-		c.headerRemaining -= n
+	if c.readRemaining > 0 {
+		c.readRemaining -= n
 	}
 	return n, err
 }
--- a/node/requester/contract.go
+++ b/node/requester/contract.go
@@ -7,13 +7,16 @@
 // Contract names the headers by which an upstream describes its responses. An
 // empty name disables the check.
 type Contract struct {
-	// Identity carries a request ID that the response must repeat.
+	// Identity carries a request ID that the response must repeat. A response with
+	// an ID to a request without one is accepted only on a new connection.
 	Identity string
 	// Request carries a request ID that the response may repeat. A response with a
 	// different ID belongs to another request.
 	Request string
 	// Unexecuted marks a response to a request that the upstream did not execute.
-	// If the name is set, status 421 means the same.
+	// If the name is set, status 421 means the same. Such a response may lack the
+	// ID in Identity only if it is the first one on its connection, since an
+	// upstream may write an earlier one once more.
 	Unexecuted string
 	// Signature must be present on each response with a 2xx status.
 	Signature string
@@ -28,7 +31,8 @@
 	matching responseClass = iota
 	// mismatched is the response to an earlier request.
 	mismatched
-	// unidentified lacks the request ID that it must repeat.
+	// unidentified lacks the request ID that it must repeat, or has an ID although
+	// the request has none.
 	unidentified
 	// rejected is marked as the response to a request that was not executed.
 	rejected
@@ -38,20 +42,25 @@
 	unsigned
 )
 
-// classify checks a response against the pending request.
-func (c *Contract) classify(request, response http.Header, status int) responseClass {
+// classify checks a response against the pending request. The first response on
+// a connection can't be the response to an earlier request.
+func (c *Contract) classify(request, response http.Header, status int, first bool) responseClass {
 	identity, echoedIdentity := echoedIDs(request, response, c.Identity)
 	requestID, echoedRequestID := echoedIDs(request, response, c.Request)
-	// A missing ID is checked after rejections: an upstream that rejects a request
-	// before it reads the headers can't repeat the ID.
+	missing := identity != "" && len(echoedIdentity) == 0
+	unexpected := identity == "" && lookup(response, c.Identity) != ""
+	// An upstream that rejects a new connection does not read the headers and
+	// can't repeat the ID.
 	switch {
 	case mismatches(echoedIdentity, identity) || mismatches(echoedRequestID, requestID):
 		return mismatched
+	case (missing || unexpected) && !first:
+		return unidentified
 	case c.Unexecuted != "" && status == http.StatusMisdirectedRequest:
 		return misdirected
 	case c.Unexecuted != "" && lookup(response, c.Unexecuted) != "":
 		return rejected
-	case identity != "" && len(echoedIdentity) == 0:
+	case missing:
 		return unidentified
 	case c.Signature != "" && status >= 200 && status < 300 && lookup(response, c.Signature) == "":
 		return unsigned
@@ -60,6 +69,22 @@
 	}
 }
 
+// requestID returns the ID that a response to the request repeats, or "" if there
+// is none.
+func (c *Contract) requestID(request http.Header) string {
+	if id := lookup(request, c.Identity); id != "" {
+		return id
+	}
+	return lookup(request, c.Request)
+}
+
+// identifies reports whether the response repeats any ID of the request.
+func (c *Contract) identifies(request, response http.Header) bool {
+	_, echoedIdentity := echoedIDs(request, response, c.Identity)
+	_, echoedRequestID := echoedIDs(request, response, c.Request)
+	return len(echoedIdentity)+len(echoedRequestID) > 0
+}
+
 // echoedIDs returns the request ID in the named header and the values of that
 // header in the response. It ignores the response if the request has no ID.
 func echoedIDs(request, response http.Header, name string) (id string, echoed []string) {
--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -15,6 +15,12 @@
 	// maxInformational is the maximum number of 1xx responses before the final
 	// one.
 	maxInformational = 16
+	// maxSkipped is the maximum number of responses to earlier requests before the
+	// response to the pending one. An upstream in trouble may send them without end.
+	maxSkipped = 16
+	// maxSkippedBytes is the maximum size on the wire of the bodies of all responses
+	// to earlier requests. A longer body may never end.
+	maxSkippedBytes = 1 << 20
 	// flushTimeout limits the time to write the last bytes of a request whose
 	// response is complete.
 	flushTimeout = 5 * time.Second
@@ -27,8 +33,10 @@
 // Errors that occur as the cause of a Failure.
 var (
 	errInformational = errors.New("too many informational (1xx) responses")
+	errSkipped       = errors.New("too many responses to earlier requests")
 	errProtocol      = errors.New("response is not valid HTTP/1 or switches protocols")
 	errUnknownLength = errors.New("response to an earlier request has an unknown length, since the connection carried a HEAD request")
+	errNoFurther     = errors.New("response to an earlier request ends with the connection")
 )
 
 // exchange is a request and its response on a connection.
@@ -118,10 +126,12 @@
 
 // receive reads responses until the one to this request.
 func (x *exchange) receive() (*http.Response, *Failure) {
-	for informational := 0; ; {
-		x.conn.headerRemaining = maxHeaderBytes
+	informational, skipped := 0, 0
+	remaining := maxSkippedBytes
+	for {
+		x.conn.readRemaining = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, x.out.Request)
-		x.conn.headerRemaining = -1
+		x.conn.readRemaining = -1
 		switch {
 		case err != nil:
 			return nil, x.fail(ReasonBroken, err)
@@ -133,9 +143,12 @@
 			}
 			continue
 		}
-		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode) {
+		switch x.contract.classify(x.out.Header, response.Header, response.StatusCode, !x.conn.reused && skipped == 0) {
 		case mismatched:
-			if err := x.skipResponse(response); err != nil {
+			if skipped++; skipped > maxSkipped {
+				return nil, x.fail(ReasonBroken, errSkipped)
+			}
+			if err := x.skipResponse(response, &remaining); err != nil {
 				return nil, x.fail(ReasonBroken, err)
 			}
 			continue
@@ -154,24 +167,47 @@
 	}
 }
 
-// reject ends a request that the upstream reported as not executed.
+// reject ends a request that the upstream reported as not executed. A response
+// without an ID closes the connection: if the upstream wrote it once more, it
+// could not be told from the response to the next request.
 func (x *exchange) reject(response *http.Response, reason string) *Failure {
 	x.responded.Store(true)
-	x.drain(x.newResponseBody(response))
+	if x.contract.identifies(x.out.Header, response.Header) {
+		if !x.conn.addRefused(x.contract.requestID(x.out.Header)) {
+			x.mustClose.Store(true)
+		}
+		x.drain(x.newResponseBody(response))
+	} else {
+		x.abandon()
+	}
 	return &Failure{Execution: NotExecuted, Reason: reason}
 }
 
-// skipResponse reads the response to an earlier request. Whether it has a body
-// depends on the method of that request.
-func (x *exchange) skipResponse(response *http.Response) error {
+// skipResponse reads the response to an earlier request, whose body may have the
+// remaining number of bytes. Whether it has a body depends on the method of that
+// request.
+func (x *exchange) skipResponse(response *http.Response, remaining *int) error {
 	x.mustClose.Store(true)
-	if x.conn.sentHEAD {
+	switch {
+	case x.conn.sentHEAD:
 		return errUnknownLength
+	case endsWithConnection(response):
+		return errNoFurther
+	case response.ContentLength > int64(*remaining):
+		return errTooLarge
 	}
+	x.conn.readRemaining = *remaining
 	_, err := io.Copy(io.Discard, response.Body)
+	*remaining = x.conn.readRemaining
 	return err
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the
+// body.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // newResponseBody returns the body of the response, and decides whether and for
 // how long the connection can be kept. The connection is released at the end of
 // the body.
@@ -181,7 +217,7 @@
 	}
 	b := &responseBody{
 		Reader: response.Body, exchange: x, idleTimeout: idleTimeout(response.Header),
-		closeDelimited: response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked"),
+		closeDelimited: endsWithConnection(response),
 	}
 	if response.Body == http.NoBody {
 		b.end(true)
