persister: limit the wait for a response instead of its transfer

What callers would see: nodes that don't start, or 404 on the routes of a confirmed document, when all nodes that read the store have slow links.

A call to the store had a time limit for the whole response, sized for small documents: 1.5 s for a read, 0.7 s beyond the wait of a watch. A document of 1 MB takes 1.2 s at 7 Mbit/s alone.

The limit now applies until the response begins to arrive; after that, each wait for more of it may take 1 s, and the whole body 8 s. A store that is silent is noticed as fast as before. The distributor's own limits (2.5 s for a read, 4.5 s for a watch) still apply.

TestClientFaults has a new case, a response that stalls in its body.

--- a/persister/client.go
+++ b/persister/client.go
@@ -17,7 +17,8 @@
 
 // Defaults and limits of the store client.
 const (
-	// DefaultTimeout limits one call, not counting the time that a watch waits.
+	// DefaultTimeout limits the wait for the response to one call, not counting the
+	// time that a watch waits.
 	DefaultTimeout = 3 * time.Second
 	// DefaultWait limits how long a watch waits for writes. It is short because
 	// a connection without traffic is only detected as dead when both the wait
--- a/persister/client_test.go
+++ b/persister/client_test.go
@@ -49,6 +49,11 @@
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, valid)
 		}, ErrUnavailable, ErrUnknown, ErrUnknown, ErrUnavailable},
+		"stalled in the answer": {func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, valid[:len(valid)/2])
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}, ErrUnavailable, ErrUnknown, ErrUnknown, ErrUnavailable},
 		"cut before the answer": {func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
 		}, ErrUnavailable, ErrUnknown, ErrUnknown, ErrUnavailable},
--- a/persister/http_client.go
+++ b/persister/http_client.go
@@ -23,7 +23,8 @@
 	Query        url.Values
 	// Body is encoded as JSON unless it is nil.
 	Body any
-	// Timeout limits the whole call, including the response body.
+	// Timeout limits the time until the response begins to arrive. The rest of its
+	// body may take longer.
 	Timeout time.Duration
 	// TooLarge is the error for a response that exceeds the limit. Nil means the
 	// error of a call without a usable response.
@@ -63,11 +64,25 @@
 	http.StatusRequestEntityTooLarge: ErrInvalid,
 }
 
+const (
+	// maxBodyGap limits each wait for more of a response body, and maxBodyTime the
+	// whole body: 4 MiB at 7 Mbit/s take 5 s.
+	maxBodyGap  = time.Second
+	maxBodyTime = 8 * time.Second
+)
+
+// errTimeout is the cause of a call that is canceled since nothing arrives.
+var errTimeout = errors.New("store does not respond in time")
+
 // Do sends a call and decodes the response into result unless result is nil. It
 // returns the store's era if the call succeeds.
 func (c *HTTPClient) Do(ctx context.Context, call Call, result any) (Era, error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, call.Timeout+maxBodyTime)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(call.Timeout, func() { cancel(errTimeout) })
+	defer timer.Stop()
 	// Nothing can have been sent before the transport has a connection. After
 	// that, a write without a response may have taken effect.
 	var connected atomic.Bool
@@ -83,7 +98,7 @@
 		return 0, classifyFailure(call.isWrite() && connected.Load(), err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(c.MaxResponseBytes)+1))
+	body, err := io.ReadAll(io.LimitReader(progressReader{response.Body, timer}, int64(c.MaxResponseBytes)+1))
 	if !c.succeeded(response.StatusCode) {
 		return 0, statusError(call, response.StatusCode, body)
 	}
@@ -102,6 +117,20 @@
 	return c.era(response.Header), nil
 }
 
+// progressReader sets a timer to maxBodyGap with each read that returns data.
+type progressReader struct {
+	io.Reader
+	timer *time.Timer
+}
+
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.timer.Reset(maxBodyGap)
+	}
+	return n, err
+}
+
 // era returns the era in the header of a response, or zero if there is none.
 func (c *HTTPClient) era(header http.Header) Era {
 	if c.EraHeader == "" {
