--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -275,7 +275,9 @@
 	f.revision++
 	f.objects[persister.SnapshotKey] = persister.Object{Key: persister.SnapshotKey, Value: []byte("\xff"), Revision: f.revision}
 	f.mu.Unlock()
-	for i := 2; i <= snapshotInterval; i++ {
+	// The snapshot is written after the outcome of the commit is known and before the
+	// next commit.
+	for i := 2; i <= snapshotInterval+1; i++ {
 		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i)).Status, sycamorerun.StatusAccepted)
 	}
 	tree, _, _, err := persister.ReadSnapshot(t.Context(), f.store())
