deduplicator: send results again that could not be sent

Callers that repeated a request after a rolling restart could get "unknown" (key-uncertain) although the first request was answered. A member grants a joining process its keys before the membership names that process. The result of a request that ended in that gap was sent once, the stream could not be opened ("peer ... is not a member"), and the result was dropped.

A result that can't be sent now stays queued by its key and is sent again after 50 ms, doubling to 1 s. The result itself is in the record of the key, so that the limits of the records bound number, size and age of what is queued (KeyTTL, Keys, Bytes). At each attempt the recipient is the process that got the key, or the current owner if that process is no longer a member. If this process owns the key itself, or nobody does, the result waits. It is safe to send a result to any member: it is certain, and never replaces a record that is certain or running.

Retries and new results have a goroutine of their own, so that they don't wait for a reconciliation. A new result does not trigger retries, an attempt takes 1 s at most, and the drain makes one attempt within leaveTimeout, as before.

TestResultOutlivesFailedSend failed before and passes; TestResultRetriesAreBounded and TestResultOfReturnedKey check the bounds.

--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -100,12 +100,13 @@
 	keys         keys
 	membership   membership
 	// resultRecipients maps each key that was transferred while its request was
-	// running to its new owner. results are the records of such requests that have
-	// ended since, to be sent to the new owners.
-	resultRecipients map[string]Member
-	results          map[Member][]Record
-	// wake signals that there are unreconciled members or results to send.
-	wake chan struct{}
+	// running to its new owner. Once the request has ended, the entry moves to
+	// results, and to unsentResults if its result can't be sent. The results
+	// themselves are in the records of the keys, whose limits thus bound them.
+	resultRecipients, results, unsentResults map[string]Member
+	// wake signals that there are unreconciled members, resultsReady that there are
+	// results to send.
+	wake, resultsReady chan struct{}
 }
 
 // New returns an empty deduplicator for a process that started at now.
@@ -113,8 +114,8 @@
 	return &Deduplicator{
 		limits: limits, recordsSince: now,
 		calls: newCalls(now), keys: newKeys(), membership: newMembership(),
-		resultRecipients: map[string]Member{}, results: map[Member][]Record{},
-		wake: make(chan struct{}, 1),
+		resultRecipients: map[string]Member{}, results: map[string]Member{}, unsentResults: map[string]Member{},
+		wake: make(chan struct{}, 1), resultsReady: make(chan struct{}, 1),
 	}
 }
 
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -573,7 +573,7 @@
 			a.SendResults(ctx)
 			cancel()
 			is.Equal(s.call(key), sycamorerun.Decision{Verdict: sycamorerun.VerdictRecorded, Reason: ReasonRecorded, Response: []byte("four")})
-			is.Equal(len(a.Records.DrainResults())+len(a.Records.resultRecipients), 0)
+			is.Equal(len(a.Records.DrainResults(s.now, true))+len(a.Records.resultRecipients), 0)
 		})
 	}
 }
--- a/node/deduplicator/moves.go
+++ b/node/deduplicator/moves.go
@@ -206,13 +206,13 @@
 		return
 	}
 	m.unreconciled[member] = struct{}{}
-	d.signal()
+	signal(d.wake)
 }
 
-// signal wakes up the Exchanger.
-func (d *Deduplicator) signal() {
+// signal wakes up the goroutine of the Exchanger that waits on wake.
+func signal(wake chan struct{}) {
 	select {
-	case d.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
--- a/node/deduplicator/results_test.go
+++ b/node/deduplicator/results_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +72,100 @@
 		})
 	}
 }
+
+// TestResultRetriesAreBounded guards against retries without a delay, against results
+// that are kept for longer than the record of their key, and against a member that
+// can't be reached and thereby delays the results for another one or the end of the
+// process.
+func TestResultRetriesAreBounded(t *testing.T) {
+	refuse := func(context.Context) (net.Conn, error) { return nil, net.ErrClosed }
+	suspend := func(context.Context) (net.Conn, error) {
+		client, _ := net.Pipe() // nobody reads what is written to it
+		return client, nil
+	}
+	cases := map[string]struct {
+		open func(context.Context) (net.Conn, error)
+		// maxOpens bounds the attempts within 10 s: 5 within the first 1.55 s, then
+		// one a second.
+		maxOpens int64
+	}{
+		"refuses":   {refuse, 14},
+		"suspended": {suspend, 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newService("a", "b", "c")
+				a := s.processes["a"]
+				keys, finish := map[string]string{}, map[string]func(){}
+				for n := 0; len(keys) < 2; n++ {
+					key := fmt.Sprint("key", n)
+					owner := Owner(key, []string{"b", "c"})
+					if keys[owner] != "" || Owner(key, []string{"a", "b", "c"}) != "a" {
+						continue
+					}
+					keys[owner] = key
+					is.Equal(a.Records.Begin(s.now, owner, Key{Name: key}).Verdict, sycamorerun.VerdictRun)
+					finish[owner] = func() { a.Records.Finish(s.now, owner, Key{Name: key}, answered) }
+				}
+				is.True(s.leave("a"))
+				s.announce()
+				var opens atomic.Int64
+				reachable := a.Open
+				a.Open = func(ctx context.Context, to string) (net.Conn, error) {
+					if to == "b" {
+						opens.Add(1)
+						return c.open(ctx)
+					}
+					return reachable(ctx, to)
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan error)
+				go func() { ended <- a.Run(ctx) }()
+
+				finish["b"]()
+				time.Sleep(5 * time.Second)
+				finish["c"]()
+				time.Sleep(maxResultRetryInterval + resultTimeout)
+				is.Equal(s.call(keys["c"]).Verdict, sycamorerun.VerdictRecorded)
+				time.Sleep(10*time.Second - 5*time.Second - maxResultRetryInterval - resultTimeout)
+				is.True(opens.Load() > 3)
+				is.True(opens.Load() <= c.maxOpens)
+
+				const drainLimit = 250 * time.Millisecond
+				drainCtx, cancel := context.WithTimeout(t.Context(), drainLimit)
+				started := time.Now()
+				a.SendResults(drainCtx)
+				cancel()
+				is.True(time.Since(started) <= drainLimit)
+
+				stop()
+				is.NoErr(<-ended)
+				is.True(a.Records.hasUnsentResults())
+				is.Equal(len(a.Records.DrainResults(s.now.Add(a.Records.limits.KeyTTL), true)), 0)
+				is.True(!a.Records.hasUnsentResults())
+			})
+		})
+	}
+}
+
+// TestResultOfReturnedKey guards against a result that is sent to an owner that has
+// left although this process owns the key again, and against its loss if that owner
+// returns.
+func TestResultOfReturnedKey(t *testing.T) {
+	is := is.New(t)
+	s := newService("a", "b")
+	key := ownedBy(s, "a")
+	a, b := s.processes["a"], s.processes["b"]
+	is.Equal(a.Records.Begin(s.now, "1", Key{Name: key}).Verdict, sycamorerun.VerdictRun)
+	is.True(s.leave("a"))
+	s.announce()
+	a.Records.Finish(s.now, "1", Key{Name: key}, answered)
+	is.True(s.join("a"))
+	a.Records.SetMembers(s.now, []Member{a.member}, []Member{a.member})
+	is.Equal(len(a.Records.DrainResults(s.now, true)), 0)
+	a.Records.SetMembers(s.now, []Member{a.member, b.member}, []Member{a.member, b.member})
+	is.Equal(len(a.Records.DrainResults(s.now, true)[b.member]), 1)
+	is.True(!a.Records.hasUnsentResults())
+}
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -35,6 +35,13 @@
 	// reconcileInterval is the delay before the next request to unreconciled members.
 	// It is longer, since their view of the members takes longer to agree.
 	reconcileInterval = 250 * time.Millisecond
+	// resultTimeout bounds the sending of results, so that a suspended member does not
+	// delay the results for the others.
+	resultTimeout = time.Second
+	// minResultRetryInterval is the delay before results that could not be sent are
+	// sent again. It doubles with each failure up to maxResultRetryInterval.
+	minResultRetryInterval = 50 * time.Millisecond
+	maxResultRetryInterval = time.Second
 )
 
 var errProtocol = errors.New("invalid key exchange frame")
@@ -108,6 +115,9 @@
 // Run reconciles with unreconciled members and sends the results of requests that
 // ended after their keys were handed over, until ctx ends.
 func (e *Exchanger) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { e.runResults(ctx) })
+	defer group.Wait()
 	ticker := time.NewTicker(gaugeInterval)
 	defer ticker.Stop()
 	for {
@@ -117,12 +127,36 @@
 			return nil
 		case <-ticker.C:
 		case <-e.Records.wake:
-			e.SendResults(ctx)
 			e.Reconcile(ctx)
 		}
 	}
 }
 
+// runResults sends results until ctx ends. Those that could not be sent are retried
+// with exponential backoff while their records are kept: a process that has just
+// joined can be unknown to the membership, and another one suspended. New results do
+// not trigger a retry, so that the rate of retries is bounded.
+func (e *Exchanger) runResults(ctx context.Context) {
+	interval := minResultRetryInterval
+	var retry <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Records.resultsReady:
+			e.sendResults(ctx, false)
+		case <-retry:
+			retry, interval = nil, min(2*interval, maxResultRetryInterval)
+			e.sendResults(ctx, true)
+		}
+		if !e.Records.hasUnsentResults() {
+			retry, interval = nil, minResultRetryInterval
+		} else if retry == nil {
+			retry = time.After(interval)
+		}
+	}
+}
+
 // Reconcile requests the keys of this process from unreconciled members until all of
 // them have granted them or are gone, or ctx ends.
 func (e *Exchanger) Reconcile(ctx context.Context) {
@@ -242,13 +276,13 @@
 	e.mutex.Lock()
 	term := e.term
 	e.mutex.Unlock()
-	if !e.handOver(ctx, records) || !certain || len(set) == 0 {
+	if len(e.handOver(ctx, records)) > 0 || !certain || len(set) == 0 {
 		e.metrics().countTransfer("leaves", false)
 		_ = level.Info(e.Logger).Log("msg", "key handoff incomplete", "members", len(set), "certain", certain)
 		return false
 	}
 	notice := &Sealed{Member: toProcess(e.Records.member()), Term: term, Set: toProcesses(set)}
-	complete := e.forEach(set, func(member Member) error {
+	failed := e.forEach(set, func(member Member) error {
 		return e.exchange(ctx, member, func(stream net.Conn) error {
 			if err := write(stream, &Frame{Kind: &Frame_Sealed{Sealed: notice}}); err != nil {
 				return err
@@ -256,19 +290,29 @@
 			return readDone(stream)
 		})
 	})
+	complete := len(failed) == 0
 	e.metrics().countTransfer("leaves", complete)
 	_ = level.Info(e.Logger).Log("msg", "key handoff finished", "members", len(set), "complete", complete)
 	return complete
 }
 
 // SendResults sends the results of requests that ended after their keys were handed
-// over to the new owners.
-func (e *Exchanger) SendResults(ctx context.Context) {
-	e.handOver(ctx, e.Records.DrainResults())
+// over to the new owners, including those that could not be sent before. It makes one
+// attempt.
+func (e *Exchanger) SendResults(ctx context.Context) { e.sendResults(ctx, true) }
+
+func (e *Exchanger) sendResults(ctx context.Context, retry bool) {
+	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
+	defer cancel()
+	results := e.Records.DrainResults(e.Now(), retry)
+	for _, member := range e.handOver(ctx, results) {
+		e.Records.KeepResults(member, results[member])
+	}
 }
 
-// handOver sends each member its records and reports whether all have received them.
-func (e *Exchanger) handOver(ctx context.Context, records map[Member][]Record) bool {
+// handOver sends each member its records and returns the members that have not
+// confirmed them.
+func (e *Exchanger) handOver(ctx context.Context, records map[Member][]Record) []Member {
 	var targets []Member
 	for member := range records {
 		targets = append(targets, member)
@@ -284,21 +328,23 @@
 	})
 }
 
-// forEach calls send for all members concurrently and reports whether all calls
-// succeeded.
-func (e *Exchanger) forEach(members []Member, send func(member Member) error) bool {
+// forEach calls send for all members concurrently and returns those for which it
+// failed.
+func (e *Exchanger) forEach(members []Member, send func(member Member) error) []Member {
 	errs := make([]error, len(members))
 	var group sync.WaitGroup
 	for i, member := range members {
 		group.Go(func() { errs[i] = send(member) })
 	}
 	group.Wait()
+	var failed []Member
 	for i, err := range errs {
 		if err != nil {
+			failed = append(failed, members[i])
 			_ = level.Warn(e.Logger).Log("msg", "failed to hand keys over to peer", "peer", members[i].Name, "err", err)
 		}
 	}
-	return !slices.ContainsFunc(errs, func(err error) bool { return err != nil })
+	return failed
 }
 
 // exchange runs one exchange over a new stream, which is closed when ctx ends.
--- a/node/deduplicator/transfer.go
+++ b/node/deduplicator/transfer.go
@@ -56,16 +56,6 @@
 	return records, slices.Clone(d.membership.current), !d.historyIncomplete(now) && len(d.membership.unreconciled) == 0 && !evictedEarly
 }
 
-// DrainResults removes and returns the records of requests that were running when
-// their keys were handed over and have ended since, for each new owner.
-func (d *Deduplicator) DrainResults() map[Member][]Record {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	results := d.results
-	d.results = map[Member][]Record{}
-	return results
-}
-
 // transferRecord returns the record of a key for its new owner. If the request is
 // still running, its result is sent to the new owner later.
 func (d *Deduplicator) transferRecord(name string, member Member) Record {
@@ -75,20 +65,6 @@
 	return d.keys.record(name)
 }
 
-// queueResult queues the result of a request for the new owner if its key has been
-// handed over meanwhile. A request that did not run stays uncertain there.
-func (d *Deduplicator) queueResult(name string) {
-	member, ok := d.resultRecipients[name]
-	if !ok {
-		return
-	}
-	delete(d.resultRecipients, name)
-	if known, ok := d.keys.records[name]; ok && known.certain {
-		d.results[member] = append(d.results[member], d.keys.record(name))
-		d.signal()
-	}
-}
-
 // Import adds the records of another process. A record that is certain here is not
 // replaced.
 func (d *Deduplicator) Import(now time.Time, records []Record) {
