forwarder: abort no response before a part of it was sent

A caller whose deadline passed when its response had just arrived lost the connection without a byte. Go's http.Transport then sent a GET again with the full deadline, so that the caller waited for up to twice the deadline and its request ran twice.

writeResponse aborted a response that was complete in memory although it was meant to be exempt: in a call without a key the body is wrapped to be observed, and was not recognized. isInMemory looks at the wrapped body. For a response that streams, the context is now checked before the head, where the end of the call is reported with status 504. The first bytes are then written without another check and flushed, or the head alone if the length is unknown, since net/http would buffer up to 6 KiB and drop them on an abort. A later abort therefore always finds a part of the response on the wire, and the response still does not look complete, since a body of known length that streams is longer than the first chunk.

--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -149,33 +149,41 @@
 
 // writeResponse sends the response to the caller. It aborts the caller's
 // connection if the response is incomplete, so that the caller can't take a part
-// for the whole response.
+// for the whole response. A connection is never aborted before a part of the
+// response was sent, since some callers then send the request again.
 func (f *Forwarder) writeResponse(ctx context.Context, watchdog *watchdog, w http.ResponseWriter, control *http.ResponseController, c *call, out *attemptResponse) {
 	defer out.body.Close()
 	var data []byte
 	var err error
+	inMemory := isInMemory(out.body)
 	if out.length >= 0 {
 		// The head is sent after the first bytes of a body of known length,
 		// since a failure can be reported only before the head.
-		if data, err = out.body.Next(); err != nil && err != io.EOF {
-			f.writeFailure(w, c, unknown(endReason(ctx, reasonResponseIncomplete)))
-			return
-		}
+		data, err = out.body.Next()
+	}
+	if err == nil && !inMemory {
+		err = context.Cause(ctx)
+	}
+	if err != nil && err != io.EOF {
+		f.writeFailure(w, c, unknown(endReason(ctx, reasonResponseIncomplete)))
+		return
 	}
 	f.writeHead(w, c, out)
 	// Unblocks a write to a caller that stopped reading.
 	defer limitWrites(ctx, control)()
-	_, inMemory := out.body.(*bufferedBody)
-	for ; err != io.EOF; data, err = out.body.Next() {
-		if err == nil && !inMemory {
+	for first := true; err != io.EOF; data, err = out.body.Next() {
+		if err == nil && !inMemory && !first {
 			err = context.Cause(ctx)
 		}
 		if err == nil && len(data) > 0 {
 			_, err = w.Write(data)
 		}
-		if err == nil && out.length < 0 {
+		// The server buffers the head and the first bytes of a response until
+		// they are flushed.
+		if err == nil && (out.length < 0 || first && !inMemory) {
 			err = control.Flush()
 		}
+		first = false
 		if err != nil {
 			reason := endReason(ctx, reasonResponseIncomplete)
 			f.recordCall(c, sycamorerun.Unknown, reason)
--- a/node/forwarder/watchdog.go
+++ b/node/forwarder/watchdog.go
@@ -119,6 +119,15 @@
 // bufferedBody is the bodySource of a body that is in memory.
 type bufferedBody []byte
 
+// isInMemory reports whether all of a body is in memory, also if it is observed.
+func isInMemory(body bodySource) bool {
+	if observed, ok := body.(*observedBody); ok {
+		body = observed.bodySource
+	}
+	_, ok := body.(*bufferedBody)
+	return ok
+}
+
 func (b *bufferedBody) Next() ([]byte, error) {
 	if len(*b) == 0 {
 		return nil, io.EOF
