--- a/node/deduplicator/results.go
+++ b/node/deduplicator/results.go
@@ -1,11 +1,22 @@
 package deduplicator
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 )
 
+const (
+	// resultTimeout bounds the sending of results, so that a suspended member does not
+	// delay the results for the others.
+	resultTimeout = time.Second
+	// minResultRetryInterval is the delay before results that could not be sent are
+	// sent again. It doubles with each failure up to maxResultRetryInterval.
+	minResultRetryInterval = 50 * time.Millisecond
+	maxResultRetryInterval = time.Second
+)
+
 // queueResult queues the result of a request for the new owner if its key has been
 // handed over meanwhile. A request that did not run stays uncertain there.
 func (d *Deduplicator) queueResult(name string) {
@@ -84,3 +95,42 @@
 	defer d.mutex.Unlock()
 	return len(d.unsentResults) > 0
 }
+
+// runResults sends results until ctx ends. Those that could not be sent are retried
+// with exponential backoff while their records are kept: a process that has just
+// joined can be unknown to the membership, and another one suspended. New results do
+// not trigger a retry, so that the rate of retries is bounded.
+func (e *Exchanger) runResults(ctx context.Context) {
+	interval := minResultRetryInterval
+	var retry <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.Records.resultsReady:
+			e.sendResults(ctx, false)
+		case <-retry:
+			retry, interval = nil, min(2*interval, maxResultRetryInterval)
+			e.sendResults(ctx, true)
+		}
+		if !e.Records.hasUnsentResults() {
+			retry, interval = nil, minResultRetryInterval
+		} else if retry == nil {
+			retry = time.After(interval)
+		}
+	}
+}
+
+// SendResults sends the results of requests that ended after their keys were handed
+// over to the new owners, including those that could not be sent before. It makes one
+// attempt.
+func (e *Exchanger) SendResults(ctx context.Context) { e.sendResults(ctx, true) }
+
+func (e *Exchanger) sendResults(ctx context.Context, retry bool) {
+	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
+	defer cancel()
+	results := e.Records.DrainResults(e.Now(), retry)
+	for _, member := range e.handOver(ctx, results) {
+		e.Records.KeepResults(member, results[member])
+	}
+}
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -35,13 +35,6 @@
 	// reconcileInterval is the delay before the next request to unreconciled members.
 	// It is longer, since their view of the members takes longer to agree.
 	reconcileInterval = 250 * time.Millisecond
-	// resultTimeout bounds the sending of results, so that a suspended member does not
-	// delay the results for the others.
-	resultTimeout = time.Second
-	// minResultRetryInterval is the delay before results that could not be sent are
-	// sent again. It doubles with each failure up to maxResultRetryInterval.
-	minResultRetryInterval = 50 * time.Millisecond
-	maxResultRetryInterval = time.Second
 )
 
 var errProtocol = errors.New("invalid key exchange frame")
@@ -132,31 +125,6 @@
 	}
 }
 
-// runResults sends results until ctx ends. Those that could not be sent are retried
-// with exponential backoff while their records are kept: a process that has just
-// joined can be unknown to the membership, and another one suspended. New results do
-// not trigger a retry, so that the rate of retries is bounded.
-func (e *Exchanger) runResults(ctx context.Context) {
-	interval := minResultRetryInterval
-	var retry <-chan time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.Records.resultsReady:
-			e.sendResults(ctx, false)
-		case <-retry:
-			retry, interval = nil, min(2*interval, maxResultRetryInterval)
-			e.sendResults(ctx, true)
-		}
-		if !e.Records.hasUnsentResults() {
-			retry, interval = nil, minResultRetryInterval
-		} else if retry == nil {
-			retry = time.After(interval)
-		}
-	}
-}
-
 // Reconcile requests the keys of this process from unreconciled members until all of
 // them have granted them or are gone, or ctx ends.
 func (e *Exchanger) Reconcile(ctx context.Context) {
@@ -296,20 +264,6 @@
 	return complete
 }
 
-// SendResults sends the results of requests that ended after their keys were handed
-// over to the new owners, including those that could not be sent before. It makes one
-// attempt.
-func (e *Exchanger) SendResults(ctx context.Context) { e.sendResults(ctx, true) }
-
-func (e *Exchanger) sendResults(ctx context.Context, retry bool) {
-	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
-	defer cancel()
-	results := e.Records.DrainResults(e.Now(), retry)
-	for _, member := range e.handOver(ctx, results) {
-		e.Records.KeepResults(member, results[member])
-	}
-}
-
 // handOver sends each member its records and returns the members that have not
 // confirmed them.
 func (e *Exchanger) handOver(ctx context.Context, records map[Member][]Record) []Member {
