--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -32,11 +32,11 @@
 
 // Errors that occur as the cause of a Failure.
 var (
-	errInformational = errors.New("too many informational (1xx) responses")
-	errSkipped       = errors.New("too many responses to earlier requests")
-	errProtocol      = errors.New("response is not valid HTTP/1 or switches protocols")
-	errUnknownLength = errors.New("response to an earlier request has an unknown length, since the connection carried a HEAD request")
-	errNoFurther     = errors.New("response to an earlier request ends with the connection")
+	errInformational      = errors.New("too many informational (1xx) responses")
+	errSkipped            = errors.New("too many responses to earlier requests")
+	errProtocol           = errors.New("response is not valid HTTP/1 or switches protocols")
+	errUnknownLength      = errors.New("response to an earlier request has an unknown length, since the connection carried a HEAD request")
+	errEndsWithConnection = errors.New("response to an earlier request ends with the connection")
 )
 
 // exchange is a request and its response on a connection.
@@ -192,7 +192,7 @@
 	case x.conn.sentHEAD:
 		return errUnknownLength
 	case endsWithConnection(response):
-		return errNoFurther
+		return errEndsWithConnection
 	case response.ContentLength > int64(*remaining):
 		return errTooLarge
 	}
