--- a/node/acceptor/commit_test.go
+++ b/node/acceptor/commit_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"sycamorerun"
+	"sycamorerun/differ"
 	"sycamorerun/persister"
 )
 
@@ -264,12 +265,16 @@
 	is.Equal(tree.Version, sycamorerun.Version(persister.RingSlots))
 }
 
+// loadedCommitTimeout suffices for hundreds of commits on a busy machine.
+const loadedCommitTimeout = 10 * time.Second
+
 // TestOddSnapshotIsReplaced guards against a snapshot of another writer that can't be decoded and
 // is never replaced, so that no further change is accepted once the ring is full.
 func TestOddSnapshotIsReplaced(t *testing.T) {
 	is := is.New(t)
 	f := newFake()
 	a := startAcceptor(t, f.store())
+	a.CommitTimeout = loadedCommitTimeout
 	a.Submit(t.Context(), bootstrap())
 	f.mu.Lock()
 	f.revision++
@@ -327,6 +332,7 @@
 	is := is.New(t)
 	f := newFake()
 	a := startAcceptor(t, f.store())
+	a.CommitTimeout = loadedCommitTimeout
 	a.Submit(t.Context(), bootstrap())
 	for i := range 400 {
 		is.Equal(a.Submit(t.Context(), apply(fmt.Sprint(i), "flow", i+1)).Status, sycamorerun.StatusAccepted)
@@ -340,7 +346,14 @@
 		f.objects[key] = persister.Object{Key: key, Value: value, Revision: f.revision}
 	}
 	f.mu.Unlock()
+	var current sycamorerun.Tree
+	for version := sycamorerun.Version(1); version <= 401; version++ {
+		current = differ.Apply(current, version, f.entry(t, version).Difference)
+	}
 	b := startAcceptor(t, f.store())
+	b.CommitTimeout = loadedCommitTimeout
+	// The entries up to the tree in force are read in any case.
+	b.Current = func() sycamorerun.Tree { return current }
 	is.Equal(b.Submit(t.Context(), apply("next", "flow", 500)).Version, sycamorerun.Version(402))
 	is.Equal(b.Lookup(t.Context(), "5").Version, sycamorerun.Version(7))
 	verifyLog(t, f, 402)
