--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -57,9 +57,6 @@
 	cachedMetrics *metrics
 	// term is the number of joins of this process.
 	term uint64
-	// unfinished holds the records of the last Leave whose requests were still
-	// running.
-	unfinished map[Member][]Record
 }
 
 // metrics returns the metrics, which it creates on first use.
