persister: decode the objects of the log in one place

The acceptor and the distributor both decoded a log object and compared its version with its key, each with an error of its own. DecodeLogObject does it for both and wraps ErrUndecodable, which replaces errNoEntry. No change of behavior but the text of the errors; go test of persister, acceptor and distributor: ok.

--- a/node/acceptor/head.go
+++ b/node/acceptor/head.go
@@ -222,12 +222,9 @@
 	}
 	listed := make(map[sycamorerun.Version]sycamorerun.Entry, len(listing.Objects))
 	for _, object := range listing.Objects {
-		entry, err := persister.DecodeEntry(object.Value)
-		if err == nil && persister.LogKey(entry.Version) != object.Key {
-			err = errors.Errorf("object holds version %s", entry.Version)
-		}
+		entry, err := persister.DecodeLogObject(object)
 		if err != nil {
-			a.warn("ignoring an object in the log that holds no entry of its slot", errors.Wrap(err, object.Key))
+			a.warn("ignoring an object in the log that holds no entry of its slot", err)
 			continue
 		}
 		listed[entry.Version] = entry
--- a/node/distributor/pull.go
+++ b/node/distributor/pull.go
@@ -131,19 +131,12 @@
 	return d.installSnapshot(now, tree, hash, peer)
 }
 
-// errNoEntry means that a log object holds no entry of its slot.
-var errNoEntry = errors.New("no entry of its slot")
-
-// acceptLogObject applies a log object from the store. It fails if the entry
-// belongs to another slot than the key, since the value was then written under a
-// wrong key.
+// acceptLogObject applies a log object from the store. The error wraps
+// persister.ErrUndecodable if the object holds no entry of its slot.
 func (d *Distributor) acceptLogObject(now time.Time, object persister.Object) error {
-	entry, err := persister.DecodeEntry(object.Value)
+	entry, err := persister.DecodeLogObject(object)
 	if err != nil {
-		return errors.Wrapf(errNoEntry, "decode log object %s: %s", object.Key, err)
-	}
-	if persister.LogKey(entry.Version) != object.Key {
-		return errors.Wrapf(errNoEntry, "log object %s holds version %s", object.Key, entry.Version)
+		return err
 	}
 	return d.accept(now, entry, object.Value, "")
 }
--- a/node/distributor/watch.go
+++ b/node/distributor/watch.go
@@ -164,7 +164,7 @@
 			newest = max(newest, slotVersion(object.Key, d.HeldVersion()))
 		default:
 			err := d.acceptLogObject(time.Now(), object)
-			if errors.Is(err, errNoEntry) && !d.isNext(object) {
+			if errors.Is(err, persister.ErrUndecodable) && !d.isNext(object) {
 				level.Warn(d.Logger).Log("msg", "log object ignored", "key", object.Key, "revision", object.Revision, "err", err)
 				continue
 			}
@@ -284,7 +284,7 @@
 		switch {
 		case errors.Is(err, errGap):
 			return revision, false, nil
-		case errors.Is(err, errNoEntry) && !d.isNext(object):
+		case errors.Is(err, persister.ErrUndecodable) && !d.isNext(object):
 			level.Debug(d.Logger).Log("msg", "log object ignored", "key", object.Key, "revision", object.Revision, "err", err)
 		case err != nil:
 			return 0, false, err
--- a/persister/log.go
+++ b/persister/log.go
@@ -30,6 +30,10 @@
 // list exceeds the limit of the client.
 var ErrTooLarge = errors.New("value too large")
 
+// ErrUndecodable means that an object exists, but can't be decoded, or holds what
+// belongs under another key.
+var ErrUndecodable = errors.New("object can't be decoded")
+
 // LogKey returns the key of the ring slot for version.
 func LogKey(version sycamorerun.Version) string {
 	return fmt.Sprintf("%s%04d", LogPrefix, version%RingSlots)
@@ -70,6 +74,19 @@
 	return encoder.ToTree(message)
 }
 
+// DecodeLogObject decodes the entry in an object of the log. The error wraps
+// ErrUndecodable if the object holds no entry of its slot.
+func DecodeLogObject(object Object) (sycamorerun.Entry, error) {
+	entry, err := DecodeEntry(object.Value)
+	if err == nil && LogKey(entry.Version) != object.Key {
+		err = errors.Errorf("it holds version %s", entry.Version)
+	}
+	if err != nil {
+		return sycamorerun.Entry{}, errors.Wrapf(ErrUndecodable, "log object %s: %s", object.Key, err)
+	}
+	return entry, nil
+}
+
 // ReadEntry returns the entry in the ring slot of version and the slot's revision.
 // The slot may hold an older or a newer version, so callers must check
 // Entry.Version. For an empty slot the error is ErrMissing.
@@ -92,9 +109,6 @@
 	return store.Put(ctx, LogKey(entry.Version), data, expected)
 }
 
-// ErrUndecodable means that an object exists, but can't be decoded.
-var ErrUndecodable = errors.New("object can't be decoded")
-
 // ReadSnapshot returns the stored snapshot, the unverified hash that is stored with
 // it, and the object's revision, or ErrMissing if there is no snapshot. With
 // ErrUndecodable, only the revision is valid.
