persister: check the size of an encoding in one place

The distributor had a copy of the encoding with a size limit, for its own limit of messages between nodes. Encode takes the limit as an argument and serves both. No change of behavior; go test of persister and distributor: ok.

--- a/node/distributor/wire.go
+++ b/node/distributor/wire.go
@@ -28,22 +28,15 @@
 	return &Packed{Data: data, Sum: xxhash.Sum64(data)}
 }
 
+// encodeEntry returns the encoding of an entry, which is its stored form if it fits
+// into the store.
 func encodeEntry(entry sycamorerun.Entry) ([]byte, error) {
-	return encodeContent(encoder.FromEntry(entry))
+	return persister.Encode(encoder.FromEntry(entry), maxContentBytes)
 }
 
+// encodeSnapshot does the same for a tree.
 func encodeSnapshot(tree sycamorerun.Tree, hash sycamorerun.Hash) ([]byte, error) {
-	return encodeContent(encoder.FromTree(tree, hash))
-}
-
-// encodeContent returns the encoding of an entry or a snapshot, which is the stored
-// form of one that fits into the store.
-func encodeContent(message proto.Message) ([]byte, error) {
-	data, err := encoder.Pack(message)
-	if err == nil && len(data) > maxContentBytes {
-		err = errors.Wrapf(persister.ErrTooLarge, "%d bytes, limit %d", len(data), maxContentBytes)
-	}
-	return data, err
+	return persister.Encode(encoder.FromTree(tree, hash), maxContentBytes)
 }
 
 func unpackEntry(packed *Packed) (sycamorerun.Entry, error) {
--- a/persister/log.go
+++ b/persister/log.go
@@ -26,8 +26,8 @@
 // store's limit of 1,000,000 bytes per value.
 const ValueBytes = 900 << 10
 
-// ErrTooLarge means that the stored form of a value exceeds ValueBytes, or that a
-// list exceeds the limit of the client.
+// ErrTooLarge means that an encoding exceeds its limit, or that a list exceeds the
+// limit of the client.
 var ErrTooLarge = errors.New("value too large")
 
 // ErrUndecodable means that an object exists, but can't be decoded, or holds what
@@ -47,7 +47,7 @@
 // EncodeEntry returns the stored form of entry, or ErrTooLarge if it exceeds
 // ValueBytes.
 func EncodeEntry(entry sycamorerun.Entry) ([]byte, error) {
-	return encode(encoder.FromEntry(entry))
+	return Encode(encoder.FromEntry(entry), ValueBytes)
 }
 
 // DecodeEntry decodes the stored form of an entry.
@@ -62,7 +62,7 @@
 // EncodeSnapshot returns the stored form of tree, or ErrTooLarge if it exceeds
 // ValueBytes.
 func EncodeSnapshot(tree sycamorerun.Tree, hash sycamorerun.Hash) ([]byte, error) {
-	return encode(encoder.FromTree(tree, hash))
+	return Encode(encoder.FromTree(tree, hash), ValueBytes)
 }
 
 // DecodeSnapshot decodes the stored form of a snapshot. It does not verify the hash.
@@ -124,14 +124,14 @@
 	return tree, hash, object.Revision, nil
 }
 
-// encode returns the stored form of message, or ErrTooLarge if it exceeds ValueBytes.
-func encode(message proto.Message) ([]byte, error) {
+// Encode returns the encoding of message, or ErrTooLarge if it exceeds limit.
+func Encode(message proto.Message, limit int) ([]byte, error) {
 	data, err := encoder.Pack(message)
 	if err != nil {
 		return nil, err
 	}
-	if len(data) > ValueBytes {
-		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", len(data), ValueBytes)
+	if len(data) > limit {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", len(data), limit)
 	}
 	return data, nil
 }
