--- a/parser/field.go
+++ b/parser/field.go
@@ -83,7 +83,8 @@
 
 // Maximum lengths of texts whose pattern does not limit the length.
 const (
-	maxHostBytes   = 253
+	// MaxHostBytes is the maximum length of a name in the DNS.
+	MaxHostBytes   = 253
 	maxPrefixBytes = 1024
 )
 
@@ -266,7 +267,7 @@
 	case f.Type == "text":
 		return f.Format.Rule
 	case f.Name == "hosts":
-		return fmt.Sprintf("%s; each %s, at most %d", f.rangeText(), f.Format.Rule, maxHostBytes)
+		return fmt.Sprintf("%s; each %s, at most %d", f.rangeText(), f.Format.Rule, MaxHostBytes)
 	case f.Format.Rule != "":
 		return fmt.Sprintf("%s; each %s", f.rangeText(), f.Format.Rule)
 	}
--- a/parser/rule.go
+++ b/parser/rule.go
@@ -77,7 +77,7 @@
 			return newFaults(f.Format.Code, path, "%s is not %s", quote(value), f.Format.Rule)
 		}
 	case "hosts":
-		limit = maxHostBytes
+		limit = MaxHostBytes
 	}
 	if len(value) > limit {
 		return newFaults(CodeOutOfBounds, path, "%d characters are more than %d", len(value), limit)
