--- a/node/requester/pool.go
+++ b/node/requester/pool.go
@@ -66,11 +66,11 @@
 // most maxSweepInterval from now.
 func (p *pool) scheduleSweep(now, expires time.Time) {
 	wait := min(max(minSweepInterval, expires.Sub(now)), maxSweepInterval)
-	if at := now.Add(wait); p.nextSweep.IsZero() || at.Before(p.nextSweep) {
-		p.nextSweep = at
-	} else {
+	next := now.Add(wait)
+	if !p.nextSweep.IsZero() && !next.Before(p.nextSweep) {
 		return
 	}
+	p.nextSweep = next
 	if p.timer == nil {
 		p.timer = time.AfterFunc(wait, func() { p.sweep(time.Now()) })
 		return
