node: derive a stop from the time after which the process has to be gone

Cause: drain-delay and drain-timeout were fixed in deploy/node.settings and added up to 5 s, whatever time the supervisor grants (6 s or 10 s on the platform). A call that was taken up to 2.7 s after SIGTERM and ran for longer than the rest was cut without an answer, also one that must not be repeated; another operator reported the same.

Change: one setting, stop-timeout, says when the process has to be gone; delay, linger and drain follow from it. A call is taken only if the drain lasts until its deadline or, while peers and callers still learn of the drain, until nearly all calls of its kind are answered (mean and four mean deviations of recent times, package estimator). What still runs at the end of the drain is answered with 'stopping' in place of a closed connection. Ruled out: refusing from SIGTERM on by the deadline alone, since callers come back to the same node for some seconds.

The bounds of TestStopInTime are as they were.

--- a/bench/experimenter/parse.go
+++ b/bench/experimenter/parse.go
@@ -39,7 +39,7 @@
 // variantSettings are the srnode settings that a variant can set. The others
 // are determined by the fleet.
 var variantSettings = []string{
-	"mode", "balance", "standby-delay", "watchers", "start-wait", "drain-delay", "drain-timeout", "keys", "key-window",
+	"mode", "balance", "standby-delay", "watchers", "start-wait", "drain-delay", "stop-timeout", "keys", "key-window",
 	"retry-ratio", "retry-window", "retry-slack", "announce-period", "max-body", "log-level",
 }
 
--- a/bench/system/judged_test.go
+++ b/bench/system/judged_test.go
@@ -64,7 +64,7 @@
 	fleet := startEmpty(t, deployer.Spec{
 		Zones: deployer.ReferenceZones(1), Upstreams: true, Services: []string{"quote-desk"}, Relays: true,
 		UpstreamArgs: []string{"--slots", "6", "--queue", "2"},
-		NodeArgs:     []string{"--drain-delay", "1s", "--drain-timeout", "8s"},
+		NodeArgs:     []string{"--drain-delay", "1s", "--stop-timeout", "9800ms"},
 	})
 	waitAllReady(t, fleet, "admin")
 	is.NoErr(fleet.DeclareTeams(ctx, map[string]string{"quoting": "flow"}))
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -49,7 +49,7 @@
 	// long for a slot, or that the peer confirmed that it did not run the call.
 	overloadReasons    = map[string]bool{"queue-full": true, "connections-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
 	unreachableReasons = map[string]bool{"peer-unreachable": true, "upstream-unreachable": true}
-	drainingReasons    = map[string]bool{"draining": true, "no-upstream": true}
+	drainingReasons    = map[string]bool{"draining": true, "no-upstream": true, "stopping": true}
 	// neutralReasons are reasons caused by the caller or by the configuration. They
 	// say nothing about the instance.
 	neutralReasons = map[string]bool{"canceled": true, "body-too-large": true, "body-incomplete": true, "refused": true}
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -36,6 +36,9 @@
 	// connection. The connection must then be closed, because the remaining
 	// bytes would be parsed as the next request.
 	bodyUnread bool
+	// refusedByDrain says that the call would outlast the drain of this node. Its
+	// connection is closed, so that the caller connects to another node.
+	refusedByDrain bool
 	// limits are the limits in force when the call started. persistent says that
 	// the caller keeps its connection open. Both are set only for calls received
 	// from callers, not from peers.
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -79,6 +79,9 @@
 	// which delay.
 	CountCall  func(now time.Time, service string)
 	AllowRetry func(now time.Time, attempt Attempt) (time.Duration, bool)
+	// TimeBound returns the time within which nearly all calls of a route are
+	// answered, and whether it is known.
+	TimeBound func(match Match) (time.Duration, bool)
 	// HasOtherInstance reports whether the service has an instance that is not
 	// among those excluded.
 	HasOtherInstance func(service string, excluded []string) bool
@@ -131,6 +134,7 @@
 func New(self string) *Forwarder {
 	f := &Forwarder{
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
+		TimeBound:   func(Match) (time.Duration, bool) { return 0, false },
 		BodyTimeout: DefaultBodyTimeout, QueryTimeout: DefaultQueryTimeout, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
--- a/node/forwarder/peer_calls_test.go
+++ b/node/forwarder/peer_calls_test.go
@@ -297,8 +297,8 @@
 		<-started
 		drained := make(chan error, 1)
 		go func() { drained <- fx.upstreamNode.Drain(context.Background()) }()
-		for fx.upstreamNode.drain.begin() {
-			fx.upstreamNode.drain.end()
+		for probe := (&watchdog{}); fx.upstreamNode.drain.begin(probe, callEnd{}); {
+			fx.upstreamNode.drain.end(probe)
 			time.Sleep(time.Millisecond)
 		}
 		is.Equal(fx.send(http.MethodGet, "/x", nil).reason, "draining")
@@ -338,7 +338,7 @@
 		is.Equal(string(data), "done")
 		is.True(response.Close)
 		if local {
-			is.True(!fx.entry.drain.beginPeer())
+			is.True(!fx.entry.drain.beginPeer(&watchdog{}, callEnd{}))
 		}
 		is.NoErr(<-drained) // as soon as callers are quiet, long before Linger ends
 		is.Equal(fx.send(http.MethodGet, "/x", nil).reason, "draining")
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -32,6 +32,7 @@
 
 	reasonDeadlineExceeded   = "deadline"
 	reasonIdle               = "idle"
+	reasonStopping           = "stopping"
 	reasonCanceled           = "canceled"
 	reasonPeerLost           = "peer-lost"
 	reasonUpstreamBroken     = "upstream-broken"
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -43,13 +43,14 @@
 // one.
 func (f *Forwarder) handleCall(ctx context.Context, frames *frameStream, inbound *inboundCall) bool {
 	defer inbound.close()
-	if !f.drain.beginPeer() {
-		return f.sendRefusal(frames, Match{}, notRun(reasonDraining))
-	}
-	defer f.drain.end()
-	c := fromHead(f.Now(), inbound.head)
+	now := f.Now()
+	c := fromHead(now, inbound.head)
 	ctx, watchdog, stop := withWatchdog(ctx, c.deadline, c.match.Idle)
 	defer stop(errDone)
+	if !f.drain.beginPeer(watchdog, f.expectedEnd(now, c)) {
+		return f.sendRefusal(frames, Match{}, notRun(reasonDraining))
+	}
+	defer f.drain.end(watchdog)
 	inbound.watchdog.Store(watchdog)
 	onAdmitted := func() error {
 		if c.buffered {
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -22,17 +22,18 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := f.Now()
 	c, failed := f.parseRequest(now, r)
-	if failed == nil && !f.drain.begin() {
-		failed = notRun(reasonDraining)
-	} else if failed == nil {
-		defer f.drain.end()
-	}
 	if failed != nil {
 		f.writeFailure(w, c, failed)
 		return
 	}
 	ctx, watchdog, stop := withWatchdog(r.Context(), c.deadline, c.match.Idle)
 	defer stop(errDone)
+	if !f.drain.begin(watchdog, f.expectedEnd(now, c)) {
+		c.refusedByDrain = true
+		f.writeFailure(w, c, notRun(reasonDraining))
+		return
+	}
+	defer f.drain.end(watchdog)
 	control := http.NewResponseController(w)
 	if failed := f.prepareBody(ctx, watchdog, control, c, r); failed != nil {
 		f.writeFailure(w, c, failed)
@@ -245,7 +246,7 @@
 func (f *Forwarder) setConnectionHeaders(header http.Header, c *call) {
 	unread := c.bodyUnread && (c.upload == nil || !c.upload.complete.Load())
 	switch {
-	case unread || f.drain.isLingering():
+	case unread || c.refusedByDrain || f.drain.isLingering():
 		header.Set("Connection", "close")
 	case c.persistent && c.limits.keepAlive != nil:
 		header["Keep-Alive"] = c.limits.keepAlive
--- a/node/forwarder/watchdog.go
+++ b/node/forwarder/watchdog.go
@@ -102,6 +102,8 @@
 		return reasonIdle
 	case errors.Is(cause, context.DeadlineExceeded):
 		return reasonDeadlineExceeded
+	case errors.Is(cause, errStopping):
+		return reasonStopping
 	default:
 		return reasonCanceled
 	}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -12,6 +12,7 @@
 	"sycamorerun/node/applier"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/deduplicator"
+	"sycamorerun/node/estimator"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/listener"
@@ -78,7 +79,6 @@
 	c.listener = listener.New()
 	c.listener.ErrorResponse = f.RefuseHeader
 	c.listener.SetLimits(settings.limits())
-	f.Grace = settings.DrainDelay
 	f.Upstream = c.upstream
 	f.Service = settings.Service
 	f.Target = c.upstream.id
@@ -90,12 +90,17 @@
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
 	}
+	answerTimes := estimator.New()
 	f.Observe = func(now time.Time, o forwarder.Observation) {
 		c.balancer.Observe(now, balancerObservation(o))
 		if o.Result == sycamorerun.Answered {
 			c.retrier.RecordRunTime(now, o.Service, o.HeadLatency)
+			answerTimes.Record(estimator.Kind{Service: o.Service, Rank: o.Rank, Objective: o.Objective}, o.HeadLatency)
 		}
 	}
+	f.TimeBound = func(match forwarder.Match) (time.Duration, bool) {
+		return answerTimes.Bound(estimator.Kind{Service: match.Service, Rank: match.Rank, Objective: match.Objective})
+	}
 	f.HasOtherInstance = func(service string, excluded []string) bool { return hasOther(instances(service), excluded) }
 	f.Owner = func(service, key string) (sycamorerun.Instance, bool) { return keyOwner(instances(service), key) }
 	f.CountCall = c.retrier.RecordCall
--- a/node/runner/program_test.go
+++ b/node/runner/program_test.go
@@ -181,7 +181,7 @@
 	is.Equal(out.count(" running"), len(reloadable))
 	loaded := Settings{
 		StandbyDelay: 1, MaxHeader: 1, MaxBody: 1, HeaderTimeout: 1, IdleTimeout: 1,
-		AnnouncePeriod: 1, LogLevel: "warn", DrainDelay: 1, DrainTimeout: 1,
+		AnnouncePeriod: 1, LogLevel: "warn", DrainDelay: 1, StopTimeout: 1,
 	}
 	var active Settings
 	for name, change := range reloadable {
--- a/node/runner/reload.go
+++ b/node/runner/reload.go
@@ -34,7 +34,7 @@
 	"announce-period": func(active, loaded *Settings) { active.AnnouncePeriod = loaded.AnnouncePeriod },
 	"log-level":       func(active, loaded *Settings) { active.LogLevel = loaded.LogLevel },
 	"drain-delay":     func(active, loaded *Settings) { active.DrainDelay = loaded.DrainDelay },
-	"drain-timeout":   func(active, loaded *Settings) { active.DrainTimeout = loaded.DrainTimeout },
+	"stop-timeout":    func(active, loaded *Settings) { active.StopTimeout = loaded.StopTimeout },
 }
 
 // applyUpdates returns a function that applies updates until its context ends.
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -22,10 +22,6 @@
 	"sycamorerun/persister"
 )
 
-// lingerDivisor determines the part of the drain timeout in which new calls from
-// callers are still served after the drain delay. The rest is for calls in flight.
-const lingerDivisor = 3
-
 const (
 	// headerTimeout bounds the wait for the header of an operator's request.
 	headerTimeout = 10 * time.Second
@@ -35,7 +31,6 @@
 	reportDelay = 5 * time.Second
 	// stopMargin bounds the rest of the shutdown after the drain: stopping the
 	// HTTP servers, sending the last records to peers and closing the sessions.
-	// Supervisors allow one second beyond the drain before they kill a node.
 	stopMargin = 800 * time.Millisecond
 	// closeTimeout bounds the graceful shutdown of an HTTP server, during which
 	// the last responses are written. A connection on which no request was ever
@@ -232,14 +227,14 @@
 // flight and announces that the node has left. It returns the time by which the
 // process must end.
 func (n *node) drain(callers *http.Server) (exitDeadline time.Time) {
-	s := n.activeSettings.Load()
-	level.Info(n.logger).Log("msg", "draining", "delay", s.DrainDelay, "timeout", s.DrainTimeout)
+	now := time.Now()
+	times := newStopTimes(n.activeSettings.Load())
+	level.Info(n.logger).Log("msg", "draining", "delay", times.delay, "linger", times.linger, "timeout", times.drain)
 	n.stoppedBeforeReady.Store(n.phase.Swap(manager.PhaseDraining) == manager.PhaseStarting)
-	drainDeadline := time.Now().Add(s.DrainDelay + s.DrainTimeout)
 	// This starts the transfer of the keys. Calls are served meanwhile.
 	n.refreshUpstream(time.Now())
-	n.calls.forwarder.Grace, n.calls.forwarder.Linger = s.DrainDelay, s.DrainTimeout/lingerDivisor
-	drainCtx, cancel := context.WithDeadline(context.Background(), drainDeadline)
+	n.calls.forwarder.Grace, n.calls.forwarder.Linger = times.delay, times.linger
+	drainCtx, cancel := context.WithDeadline(context.Background(), now.Add(times.drain))
 	defer cancel()
 	if err := n.calls.forwarder.Drain(drainCtx); err != nil {
 		level.Warn(n.logger).Log("msg", "drain timed out with calls in flight", "err", err)
--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -112,7 +112,7 @@
 func TestDrainStates(t *testing.T) {
 	is := is.New(t)
 	const delay = time.Second
-	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.DrainTimeout = delay, 10*time.Second })
+	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.StopTimeout = delay, 11*time.Second })
 	ready := manager.Announcement{Service: "s", Address: freeAddress(t), State: sycamorerun.StateReady, Slots: 1}
 	state := func() sycamorerun.State {
 		if live := n.tracker.Live(time.Now()); len(live) > 0 {
@@ -146,7 +146,7 @@
 // is no route, which a caller treats as final.
 func TestStoppedBeforeReady(t *testing.T) {
 	is := is.New(t)
-	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.DrainTimeout = time.Millisecond, time.Millisecond })
+	n := readyNode(t, func(s *Settings) { s.DrainDelay, s.StopTimeout = time.Millisecond, stopMargin+2*time.Millisecond })
 	n.phase.Store(manager.PhaseStarting)
 	status := func() int {
 		recorder := httptest.NewRecorder()
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -38,7 +38,7 @@
 	Watchers     int
 	StartWait    time.Duration
 	DrainDelay   time.Duration
-	DrainTimeout time.Duration
+	StopTimeout  time.Duration
 
 	Keys           bool
 	KeyWindow      time.Duration
@@ -80,8 +80,8 @@
 	loader.Add(l, &s.StandbyDelay, "standby-delay", "500ms", loader.Duration(0, 5*time.Second), "how long the standby watcher waits before it fetches an entry itself", loader.Reloadable)
 	loader.Add(l, &s.Watchers, "watchers", "0", loader.Int(0, 64), "number of members in the whole fleet that watch the store, the nearest to it first; 0 selects two per region")
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging a warning that the node is not ready yet")
-	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still accepts new calls, while peers learn that it is leaving", loader.Reloadable)
-	loader.Add(l, &s.DrainTimeout, "drain-timeout", "30s", loader.Duration(0, time.Hour), "how long a stopping node waits for calls in flight", loader.Reloadable)
+	loader.Add(l, &s.StopTimeout, "stop-timeout", "34s", loader.Duration(minStopTimeout, time.Hour), "time from SIGTERM until the process has ended; the supervisor must not kill it earlier", loader.Reloadable)
+	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still accepts calls from peers, while they learn that it is leaving; at most a third of the time for calls before stop-timeout", loader.Reloadable)
 	loader.Add(l, &s.Keys, "keys", "true", loader.Bool(), "whether a request with an idempotency key goes to the key's owner; if false, keys are not transferred and such a request is forwarded like any other")
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long requests with a key of a lost process get the result unknown")
 	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "maximum retries of the fleet as a fraction of a service's calls; a negative value selects the service's own setting")
