limiter: estimate the next free slot by the rate at which calls end

Cause: with all slots taken, the next free one was expected after a quarter of the mean run time at the earliest, however many slots there are.

Change: the estimate is at most the mean time between the ends of the running calls. With one slot nothing changes.

Test: TestEarlyRefusal, 'many slots, one is free soon', failed before.

--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -256,20 +256,26 @@
 
 // timeToFreeSlot returns the expected time until the first running call ends. The
 // estimate for a call is at least a quarter of the mean run time, since nothing is
-// known about the end of a call that has run for longer than the mean.
+// known about the end of a call that has run for longer than the mean. With many
+// slots, the mean time between the ends of calls is shorter than that of any call.
 func (l *Limiter) timeToFreeSlot(now time.Time) time.Duration {
 	if len(l.running) < l.limits.maxRunning() {
 		return 0
 	}
 	shortest := time.Duration(-1)
+	var endsPerSecond float64
 	for r := range l.running {
 		mean := l.runTimes.forKind(r.kind)
+		if mean <= 0 {
+			return 0
+		}
+		endsPerSecond += 1 / mean.Seconds()
 		remaining := max(mean-now.Sub(r.startedAt), mean/4)
 		if shortest < 0 || remaining < shortest {
 			shortest = remaining
 		}
 	}
-	return max(0, shortest)
+	return max(0, min(shortest, time.Duration(float64(time.Second)/endsPerSecond)))
 }
 
 // missesObjective reports whether w is expected to miss its objective even if it
--- a/node/limiter/wait_test.go
+++ b/node/limiter/wait_test.go
@@ -38,6 +38,8 @@
 		"behind others":                  {slots: 1, queued: 3, want: Request{Rank: interactive, Deadline: start.Add(499 * ms)}, reason: Busy, after: 400 * ms},
 		"behind others, in time":         {slots: 1, queued: 3, want: Request{Rank: interactive, Deadline: start.Add(501 * ms)}},
 		"more slots":                     {slots: 2, queued: 4, want: Request{Rank: interactive, Deadline: start.Add(401 * ms)}},
+		"many slots, one is free soon":   {slots: 10, want: Request{Rank: interactive, Objective: 250 * ms}},
+		"many slots, too many queued":    {slots: 10, queued: 9, nested: true, want: Request{Rank: interactive, Objective: 250 * ms}, reason: Busy, after: 100 * ms},
 		"before others by rank":          {slots: 1, queued: 3, want: Request{Rank: 1, Deadline: start.Add(201 * ms)}},
 		"before others as nested":        {slots: 1, queued: 3, want: Request{Rank: interactive, Nested: true, Deadline: start.Add(201 * ms)}},
 		"before others by arrival":       {slots: 1, queued: 3, want: Request{Rank: interactive, Arrived: start.Add(-ms), Deadline: start.Add(201 * ms)}},
