limiter: limit the slots that transfers of request bodies hold

Cause: an upload holds a slot from its admission on, also while its body arrives.

Change: at most a quarter of the slots (two at least) are held by calls whose bodies are being transferred; the others wait in the queue and let calls without a body pass. A transfer counts for 0.5 s at most, since a longer one has a slow caller.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -31,7 +31,12 @@
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id string, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
 	ctx = WithService(ctx, c.match.Service)
-	release, rejection := f.Acquire(ctx, f.Now(), c.slotRequest())
+	request := c.slotRequest()
+	if !c.buffered {
+		received := newReceivedBody(body, c.length)
+		body, request.BodyReceived = received, received.done
+	}
+	release, rejection := f.Acquire(ctx, f.Now(), request)
 	if rejection.Reason == reasonCanceled {
 		// The limiter does not know why the context of a queued call ended.
 		rejection.Reason = endReason(ctx, rejection.Reason)
--- a/node/forwarder/inbound.go
+++ b/node/forwarder/inbound.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -58,6 +59,31 @@
 	return n, err
 }
 
+// receivedBody closes done when the last byte of a request body has been read.
+type receivedBody struct {
+	io.ReadCloser
+	// remaining is the number of unread bytes, or negative if the length is unknown.
+	remaining int64
+	done      chan struct{}
+	once      sync.Once
+}
+
+func newReceivedBody(body io.ReadCloser, length int64) *receivedBody {
+	return &receivedBody{ReadCloser: body, remaining: length, done: make(chan struct{})}
+}
+
+// Read implements io.Reader.
+func (b *receivedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining >= 0 {
+		b.remaining -= int64(n)
+	}
+	if err != nil || b.remaining == 0 {
+		b.once.Do(func() { close(b.done) })
+	}
+	return n, err
+}
+
 // callReceiver receives the frames that a peer sends on a stream.
 type callReceiver struct {
 	frames *frameStream
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -36,6 +36,9 @@
 	// Arrived is when the call reached the first node.
 	Arrived time.Time
 	Nested  bool
+	// BodyReceived is closed when a streamed body has arrived at this node. It is
+	// nil if the body is in memory.
+	BodyReceived <-chan struct{}
 }
 
 // Rejection says why a call got no slot. It is zero if the call got one.
--- a/node/limiter/fairness.go
+++ b/node/limiter/fairness.go
@@ -69,19 +69,26 @@
 // grantRate returns the fraction of the calls of rank that got a slot.
 func (f *fairness) grantRate(rank int) float64 { return f.granted[rank] / f.requested[rank] }
 
-// nextRank returns the rank that gets the next slot: the most urgent rank with a
-// waiting call, or at most once in starvedGrantInterval slots the starving rank
-// with the lowest grant rate.
-func (f *fairness) nextRank(now time.Time, q *queue) int {
-	top := q.topRank()
+// next returns the call that gets the next slot, or nil if none may start: the first
+// one of the most urgent rank or, at most once in starvedGrantInterval slots, of the
+// starving rank with the lowest grant rate.
+func (f *fairness) next(now time.Time, q *queue, transfers bool) *waiter {
+	var top *waiter
+	for rank := 1; top == nil && rank <= MaxRank; rank++ {
+		top = q.head(rank, transfers)
+	}
+	if top == nil {
+		return nil
+	}
 	f.sinceStarvedGrant++
 	if f.sinceStarvedGrant < starvedGrantInterval {
 		return top
 	}
 	worst := top
-	for rank := top + 1; rank <= MaxRank; rank++ {
-		if q.count(rank) > 0 && f.isStarving(now, rank) && (worst == top || f.grantRate(rank) < f.grantRate(worst)) {
-			worst = rank
+	for rank := top.rank + 1; rank <= MaxRank; rank++ {
+		head := q.head(rank, transfers)
+		if head != nil && f.isStarving(now, rank) && (worst == top || f.grantRate(rank) < f.grantRate(worst.rank)) {
+			worst = head
 		}
 	}
 	if worst != top {
--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -56,8 +56,15 @@
 	// Nested calls start before the others of their rank, since the outer call
 	// holds a slot while they wait.
 	Nested bool
+	// BodyReceived is closed when the body of a streamed call has arrived. It is nil
+	// if the body is in memory.
+	BodyReceived <-chan struct{}
 }
 
+// transfers reports whether the body of the call is transferred while the call
+// holds its slot.
+func (r Request) transfers() bool { return r.BodyReceived != nil }
+
 // Refusal says why a call was not admitted; it is zero for an admitted call.
 type Refusal struct {
 	Reason string
@@ -100,6 +107,9 @@
 	queue    queue
 	runTimes runTimes
 	fairness fairness
+	// transfers is the number of running calls whose bodies are being transferred.
+	transfers     int
+	transferTimes movingAverage
 	// timer expires waits that take too long; timerDue is when it fires next.
 	timer    *time.Timer
 	timerDue time.Time
@@ -109,6 +119,10 @@
 type runningCall struct {
 	kind      callKind
 	startedAt time.Time
+	// transfer is set while the transfer of the body counts.
+	transfer bool
+	// released is closed when the slot is released.
+	released chan struct{}
 }
 
 // New returns a limiter that reads the time from the system clock.
@@ -169,7 +183,9 @@
 		l.fairness.record(now, w.rank, false)
 		return Refusal{Reason: Expired}
 	}
-	if len(l.running) < l.limits.maxRunning() && l.queue.length == 0 {
+	if len(l.running) < l.limits.maxRunning() && (!w.request.transfers() || l.canTransfer()) {
+		// Each waiting call waits for the transfer of other bodies, since free slots
+		// are granted at once.
 		l.start(now, w)
 		return Refusal{}
 	}
@@ -251,7 +267,11 @@
 			total = time.Duration(slots) * l.runTimes.all.value
 		}
 	}
-	return l.timeToFreeSlot(now) + total/time.Duration(max(1, l.limits.maxRunning()))
+	wait := l.timeToFreeSlot(now) + total/time.Duration(max(1, l.limits.maxRunning()))
+	if w.request.transfers() {
+		wait = max(wait, l.transferWait(w))
+	}
+	return wait
 }
 
 // timeToFreeSlot returns the expected time until the first running call ends. The
@@ -302,8 +322,11 @@
 
 // start grants a slot to w.
 func (l *Limiter) start(now time.Time, w *waiter) {
-	w.running = &runningCall{kind: w.callKind, startedAt: now}
+	w.running = &runningCall{kind: w.callKind, startedAt: now, released: make(chan struct{})}
 	l.running[w.running] = struct{}{}
+	if w.request.transfers() {
+		l.startTransfer(w)
+	}
 	l.fairness.record(now, w.rank, true)
 	w.decision <- Refusal{}
 }
@@ -383,7 +406,9 @@
 		return
 	}
 	delete(l.running, r)
+	close(r.released)
 	now := l.Now()
+	l.endTransfer(now, r)
 	if started {
 		l.runTimes.add(r.kind, now.Sub(r.startedAt))
 	}
@@ -393,8 +418,11 @@
 // grantSlots grants free slots to waiting calls that can still meet their
 // deadlines, and refuses the others as their turn comes.
 func (l *Limiter) grantSlots(now time.Time) {
-	for len(l.running) < l.limits.maxRunning() && l.queue.length > 0 {
-		next := l.queue.head(l.fairness.nextRank(now, &l.queue))
+	for len(l.running) < l.limits.maxRunning() {
+		next := l.fairness.next(now, &l.queue, l.canTransfer())
+		if next == nil {
+			return
+		}
 		if l.missesDeadline(now, next) {
 			l.refuse(now, next, Expired)
 			continue
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -92,17 +92,29 @@
 	q.length++
 }
 
-// head returns the first waiting call of rank.
-func (q *queue) head(rank int) *waiter { return q.waiters[rank][0] }
-
-// topRank returns the most urgent rank with a waiting call.
-func (q *queue) topRank() int {
-	for rank := 1; rank < MaxRank; rank++ {
-		if len(q.waiters[rank]) > 0 {
-			return rank
+// head returns the first waiting call of rank that may start, or nil. Calls that
+// wait for the transfer of other bodies may not start if transfers is false.
+func (q *queue) head(rank int, transfers bool) *waiter {
+	for _, w := range q.waiters[rank] {
+		if transfers || !w.request.transfers() {
+			return w
 		}
 	}
-	return MaxRank
+	return nil
+}
+
+// streamedAhead returns the number of calls with a streamed body that start before
+// w.
+func (q *queue) streamedAhead(w *waiter) int {
+	count := 0
+	for rank := 1; rank <= w.rank; rank++ {
+		for _, other := range q.waiters[rank][:q.countAhead(rank, w)] {
+			if other.request.transfers() {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // tail returns the last waiting call of the least urgent rank that matches, or nil.
