limiter: share the flag of the nested-load test without a race

The race detector found that the test read and wrote the flag of the judged interval without synchronization. Checks unchanged; go test -race passes.

--- a/node/limiter/nested_test.go
+++ b/node/limiter/nested_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,14 +54,13 @@
 // nestedLoad is the load of a service with uploads whose reads are called by the
 // upstreams of another service while they run calls of their own.
 type nestedLoad struct {
-	outer                 []*Limiter
-	inner                 *Limiter
-	link                  *link
-	random                *rand.Rand
-	mutex                 sync.Mutex
-	outerCalls, uploads   counter
-	judged                bool
-	outerRate, uploadRate float64 // calls per second
+	outer               []*Limiter
+	inner               *Limiter
+	link                *link
+	random              *rand.Rand
+	mutex               sync.Mutex
+	outerCalls, uploads counter
+	judged              atomic.Bool
 }
 
 // runTime draws the time of a run, with a spread as of requests that do different
@@ -140,7 +140,7 @@
 		wait := n.random.ExpFloat64() / perSecond / factor(time.Now())
 		n.mutex.Unlock()
 		time.Sleep(time.Duration(wait * float64(time.Second)))
-		judged := n.judged
+		judged := n.judged.Load()
 		group.Go(func() {
 			if ok := call(); judged {
 				result.add(ok)
@@ -189,7 +189,7 @@
 					n.generate(&group, c.uploads, burst, end, &n.uploads, func() bool { return n.upload(t.Context()) })
 				})
 				time.Sleep(15 * time.Second)
-				n.judged = true
+				n.judged.Store(true)
 				group.Wait()
 				t.Logf("outer calls %.3f of %d, uploads %.3f of %d", n.outerCalls.share(), n.outerCalls.asked, n.uploads.share(), n.uploads.asked)
 				is.True(n.outerCalls.share() >= c.minOuter)
