limiter: estimate a wait by the kinds of the calls ahead

Cause: the calls that start before a call were counted with the mean run time of their rank.

Change: each call ahead counts with the mean run time of its own kind.

Test: TestWaitBehindShortCalls fails before (a wait of 146 ms in place of 109 ms).

--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -255,10 +255,9 @@
 func (l *Limiter) expectedWait(now time.Time, w *waiter) time.Duration {
 	var total time.Duration
 	ahead := 0
-	for rank := 1; rank <= w.rank; rank++ {
-		count := l.queue.countAhead(rank, w)
-		ahead += count
-		total += time.Duration(count) * l.runTimes.forRank(rank)
+	for other := range l.queue.ahead(w) {
+		ahead++
+		total += l.runTimes.forKind(other.callKind)
 	}
 	if l.fairness.isStarving(now, w.rank) {
 		// A starving rank gets at least one in starvedGrantInterval slots.
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -103,18 +104,17 @@
 	return nil
 }
 
-// streamedAhead returns the number of calls with a streamed body that start before
-// w.
-func (q *queue) streamedAhead(w *waiter) int {
-	count := 0
-	for rank := 1; rank <= w.rank; rank++ {
-		for _, other := range q.waiters[rank][:q.countAhead(rank, w)] {
-			if other.request.transfers() {
-				count++
+// ahead returns the waiting calls that start before w.
+func (q *queue) ahead(w *waiter) iter.Seq[*waiter] {
+	return func(yield func(*waiter) bool) {
+		for rank := 1; rank <= w.rank; rank++ {
+			for _, other := range q.waiters[rank][:q.countAhead(rank, w)] {
+				if !yield(other) {
+					return
+				}
 			}
 		}
 	}
-	return count
 }
 
 // tail returns the last waiting call of the least urgent rank that matches, or nil.
--- a/node/limiter/transfer.go
+++ b/node/limiter/transfer.go
@@ -61,6 +61,11 @@
 	if l.canTransfer() {
 		return 0
 	}
-	ahead := l.queue.streamedAhead(w) + 1
-	return time.Duration(ahead) * l.transferTimes.value / time.Duration(l.maxTransfers())
+	transfers := 1
+	for other := range l.queue.ahead(w) {
+		if other.request.transfers() {
+			transfers++
+		}
+	}
+	return time.Duration(transfers) * l.transferTimes.value / time.Duration(l.maxTransfers())
 }
--- a/node/limiter/wait_test.go
+++ b/node/limiter/wait_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// Guards against a wait that is expected to be long since calls of other kinds take
+// long, and not those that start before the call.
+func TestWaitBehindShortCalls(t *testing.T) {
+	const ms = time.Millisecond
+	is := is.New(t)
+	l, _ := newLearnedLimiter(Limits{Slots: 1, Queue: 10}, 100*ms)
+	short := Request{Rank: interactive, Objective: 250 * ms}
+	for range 20 {
+		l.runTimes.add(newCallKind(short.Rank, short.Objective), 20*ms)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 3 {
+		acquireAsync(ctx, l, Request{Rank: interactive, Objective: short.Objective, Nested: true})
+	}
+	_, refusal := l.Acquire(ctx, start, short)
+	is.Equal(refusal, Refusal{Reason: Busy, After: l.runTimes.all.value + 3*20*ms})
+}
+
 // TestWaitsEnd guards against calls that stay queued until their deadlines because
 // the expected wait was too short, and against granting a slot to a call that can no
 // longer meet its deadline.
