forwarder: send a second attempt beside one that takes too long

Cause: a repeatable call whose upstream was silent (it could not queue the request, its answer was lost, or it had crashed without a reset) waited until its caller's deadline, although others could have answered.

Change: after the time within which nearly all calls of its kind are answered, a repeatable call with a small body is also sent to another instance. The first response counts, the other attempt is canceled and counts as a failure of its instance. A second attempt takes only what a full retry budget would lose. Requests without a response for longer than usual are counted (upstream_silences) and logged, one line in 10 s.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -99,14 +99,20 @@
 	if err := onAdmitted(); err != nil {
 		return nil, notRun(reasonPeerLost)
 	}
-	request, err := f.newUpstreamRequest(f.Now(), c, attemptNumber, body)
+	started := f.Now()
+	request, err := f.newUpstreamRequest(started, c, attemptNumber, body)
 	if err != nil {
 		return nil, notRun(reasonBadRequest)
 	}
 	response, err := f.Upstream.RoundTrip(request.WithContext(ctx))
 	if err != nil {
+		if ctx.Err() != nil {
+			now := f.Now()
+			f.recordSilence(now, c.match, now.Sub(started))
+		}
 		return nil, classifyError(ctx, c, err)
 	}
+	f.upstreamTimes.estimator.Record(c.match.kind(), f.Now().Sub(started))
 	watchdog.recordProgress()
 	out, failed := f.readResponse(ctx, watchdog, c, response, finish)
 	if out != nil {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"sycamorerun"
+	"sycamorerun/node/estimator"
 )
 
 // Stream kinds.
@@ -80,7 +81,7 @@
 	CountCall  func(now time.Time, service string)
 	AllowRetry func(now time.Time, attempt Attempt) (time.Duration, bool)
 	// TimeBound returns the time within which nearly all calls of a route are
-	// answered, and whether it is known.
+	// answered, and whether it is known. By default it follows from recent calls.
 	TimeBound func(match Match) (time.Duration, bool)
 	// HasOtherInstance reports whether the service has an instance that is not
 	// among those excluded.
@@ -123,7 +124,10 @@
 	drain  drain
 	pool   pool
 	// refusals holds the calls that this node refused.
-	refusals *refusalCache
+	refusals      *refusalCache
+	upstreamTimes *upstreamTimes
+	// answerTimes holds how long the attempts of this node took to be answered.
+	answerTimes *estimator.Estimator
 	// idlePeerStreams counts the streams of peers that wait for their next call.
 	idlePeerStreams atomic.Int64
 	metrics         metrics
@@ -134,12 +138,12 @@
 func New(self string) *Forwarder {
 	f := &Forwarder{
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
-		TimeBound:   func(Match) (time.Duration, bool) { return 0, false },
 		BodyTimeout: DefaultBodyTimeout, QueryTimeout: DefaultQueryTimeout, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
 	f.SetLimits(DefaultLimits)
-	f.refusals = newRefusalCache()
+	f.refusals, f.upstreamTimes, f.answerTimes = newRefusalCache(), newUpstreamTimes(), estimator.New()
+	f.TimeBound = func(match Match) (time.Duration, bool) { return f.answerTimes.Bound(match.kind()) }
 	return f
 }
 
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -30,11 +30,14 @@
 	reasonMisdirected     = requester.ReasonMisdirected
 	reasonPeerNotStarted  = "peer-not-started"
 
-	reasonDeadlineExceeded   = "deadline"
-	reasonIdle               = "idle"
-	reasonStopping           = "stopping"
-	reasonCanceled           = "canceled"
-	reasonPeerLost           = "peer-lost"
+	reasonDeadlineExceeded = "deadline"
+	reasonIdle             = "idle"
+	reasonStopping         = "stopping"
+	reasonCanceled         = "canceled"
+	reasonPeerLost         = "peer-lost"
+	// reasonSuperseded is the reason of an attempt that ended because another one
+	// of the same call got a response.
+	reasonSuperseded         = "superseded"
 	reasonUpstreamBroken     = "upstream-broken"
 	reasonResponseIncomplete = "response-incomplete"
 )
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -12,7 +12,6 @@
 	"sycamorerun/node/applier"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/deduplicator"
-	"sycamorerun/node/estimator"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/listener"
@@ -90,17 +89,12 @@
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
 	}
-	answerTimes := estimator.New()
 	f.Observe = func(now time.Time, o forwarder.Observation) {
 		c.balancer.Observe(now, balancerObservation(o))
 		if o.Result == sycamorerun.Answered {
 			c.retrier.RecordRunTime(now, o.Service, o.HeadLatency)
-			answerTimes.Record(estimator.Kind{Service: o.Service, Rank: o.Rank, Objective: o.Objective}, o.HeadLatency)
 		}
 	}
-	f.TimeBound = func(match forwarder.Match) (time.Duration, bool) {
-		return answerTimes.Bound(estimator.Kind{Service: match.Service, Rank: match.Rank, Objective: match.Objective})
-	}
 	f.HasOtherInstance = func(service string, excluded []string) bool { return hasOther(instances(service), excluded) }
 	f.Owner = func(service, key string) (sycamorerun.Instance, bool) { return keyOwner(instances(service), key) }
 	f.CountCall = c.retrier.RecordCall
@@ -108,7 +102,7 @@
 		return c.retrier.Allow(now, retrier.Attempt{
 			Service: a.Service, Number: a.Number, Sends: a.Sends, Sent: a.Sent, Limit: a.Limit, SameInstance: a.SameInstance, TimeLeft: a.TimeLeft,
 			ParentAttempt: a.ParentAttempt, Result: a.Result,
-			Repeatable: a.Repeatable, Consumed: a.Consumed, ResponseStarted: a.ResponseStarted,
+			Repeatable: a.Repeatable, Consumed: a.Consumed, ResponseStarted: a.ResponseStarted, Hedge: a.Hedge,
 		})
 	}
 	f.Acquire = func(ctx context.Context, now time.Time, request forwarder.SlotRequest) (func(), forwarder.Rejection) {
