upstream: hang on requests that can't be queued, on demand

Some upstreams never answer what they can't queue, nor a later request on that connection. The stand-in does so with the behavior 'hang', for tests and experiments; TestHang checks both.

--- a/upstream/server/behavior.go
+++ b/upstream/server/behavior.go
@@ -43,6 +43,9 @@
 	Extra float64 `json:"extra"`
 	// Reset resets the connection of a request when slots and queue are full.
 	Reset bool `json:"reset"`
+	// Hang never answers a request when slots and queue are full, nor any later one
+	// on its connection.
+	Hang bool `json:"hang"`
 }
 
 // behaviorState holds the current Behavior. It is safe for concurrent use.
--- a/upstream/server/fault.go
+++ b/upstream/server/fault.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -110,6 +111,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// hangConnection reads from the connection of a request until the client closes it,
+// and answers nothing.
+func hangConnection(w http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.Copy(io.Discard, connection)
+}
+
 // renderResponse returns the bytes of an HTTP response with status 200.
 func renderResponse(header http.Header, answer []byte) []byte {
 	var buffer bytes.Buffer
--- a/upstream/server/fault_test.go
+++ b/upstream/server/fault_test.go
@@ -123,3 +123,37 @@
 	is.Equal(len(took), 2)
 	is.True(took[0] >= 99*time.Millisecond && took[1] >= 199*time.Millisecond)
 }
+
+// Guards against a stand-in that answers what it can't queue although it should hang,
+// or that serves a connection again on which it hangs.
+func TestHang(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	s.Work = 100 * time.Millisecond
+	s.SetBehavior(server.Behavior{Hang: true})
+	upstream := httptest.NewServer(s.Handler())
+	defer upstream.Close()
+	address := upstream.Listener.Addr().String()
+	status := func(conn net.Conn) int {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	running := sendRun(address, "a")
+	defer running.Close()
+	for s.Recorder.Records().Requests == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	hung := sendRun(address, "b")
+	defer hung.Close()
+	is.Equal(status(running), http.StatusOK)
+	fmt.Fprint(hung, "GET /x HTTP/1.1\r\nHost: u\r\n\r\n")
+	_ = hung.SetReadDeadline(time.Now().Add(3 * s.Work))
+	is.Equal(status(hung), 0)
+	next := sendRun(address, "c")
+	defer next.Close()
+	is.Equal(status(next), http.StatusOK)
+	is.Equal(s.Recorder.Records().Shed, 1)
+}
--- a/upstream/server/server.go
+++ b/upstream/server/server.go
@@ -153,6 +153,10 @@
 			if behavior.Reset && !behavior.Shed {
 				resetConnection(r)
 			}
+			if behavior.Hang && !behavior.Shed {
+				hangConnection(w)
+				return
+			}
 			http.Error(w, "overloaded", http.StatusServiceUnavailable)
 			return
 		}
