--- a/node/router/router_test.go
+++ b/node/router/router_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -212,3 +214,35 @@
 		}
 	})
 }
+
+// TestSplitOverSeeds guards against shares that differ from the weights by more than
+// a tenth among 600 calls of random draws, for many splits.
+func TestSplitOverSeeds(t *testing.T) {
+	is := is.New(t)
+	const seeds, calls, tolerance = 200, 600, 0.1
+	worst := 0.0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		names := []string{"a", "b", "c", "d"}[:2+random.IntN(3)]
+		var targets []sycamorerun.Target
+		total := 0
+		for _, name := range names {
+			weight := 1 + random.IntN(1000)
+			targets = append(targets, sycamorerun.Target{Service: name, Weight: weight})
+			total += weight
+		}
+		table, faults := Compile(tree(map[string]sycamorerun.Route{"r": {Prefix: "/", Split: targets}}, names...))
+		is.Equal(len(faults), 0)
+		counts := map[string]int{}
+		for range calls {
+			match, _ := table.Match(Request{Random: random.Uint64()})
+			counts[match.Service]++
+		}
+		for _, target := range targets {
+			difference := math.Abs(float64(counts[target.Service])/calls - float64(target.Weight)/float64(total))
+			worst = max(worst, difference)
+		}
+	}
+	t.Logf("worst deviation %.3f", worst)
+	is.True(worst <= tolerance)
+}
