--- a/bench/experimenter/action.go
+++ b/bench/experimenter/action.go
@@ -51,13 +51,15 @@
 	// Share of the requests: status 500 while the health endpoint reports
 	// healthy, execution without a response, a truncated response, extra bytes
 	// after the response, and a duplicate response. Reset resets the connection
-	// of each request that arrives while slots and queue are full.
+	// of each request that arrives while slots and queue are full. Hang never answers
+	// such a request, nor a later one on its connection.
 	Fail     EventKind = "fail"
 	Drop     EventKind = "drop"
 	Truncate EventKind = "truncate"
 	Surplus  EventKind = "surplus"
 	Extra    EventKind = "extra"
 	Reset    EventKind = "reset"
+	Hang     EventKind = "hang"
 )
 
 // fieldRules defines the fields of an event kind. All kinds have at, and on
@@ -97,6 +99,7 @@
 	Surplus:  {duration: true, share: true},
 	Extra:    {duration: true, share: true},
 	Reset:    {duration: true},
+	Hang:     {duration: true},
 }
 
 // IsStoreFault reports whether the event is a fault of the store.
@@ -118,7 +121,7 @@
 // affects single requests, so that Share, if allowed, applies to requests instead
 // of nodes.
 func (k EventKind) IsRequestBehavior() bool {
-	return k == Fail || k == Drop || k == Truncate || k == Surplus || k == Extra || k == Reset
+	return k == Fail || k == Drop || k == Truncate || k == Surplus || k == Extra || k == Reset || k == Hang
 }
 
 // IsFault reports whether plots mark the event as a fault, which holds for all
--- a/bench/player/event.go
+++ b/bench/player/event.go
@@ -268,7 +268,7 @@
 		if active {
 			change["state"] = sycamorerun.StateDraining
 		}
-	case experimenter.Shed, experimenter.Silent, experimenter.Reset:
+	case experimenter.Shed, experimenter.Silent, experimenter.Reset, experimenter.Hang:
 		change[string(event.Kind)] = active
 	default:
 		share := 0.0
