tracker: look for members that left as well as for failed ones

Cause: a node that is stopped as planned leaves; its old peers removed it and looked only for failed members. If it started again while the store was down, which names the first peers, it knew nobody and nobody looked for it, so that it was not ready until the store was back.

Change: the attempts to reconnect, at the same rate, also go to members that left.

Test: TestPlannedRestartWithoutSeeds waits 30 s in vain before, passes after.

--- a/node/tracker/contact.go
+++ b/node/tracker/contact.go
@@ -18,8 +18,8 @@
 	// seedsPerRound is the number of seeds that one round tries.
 	seedsPerRound = 3
 	// reconnectingNodes is the expected number of nodes on each side of a
-	// partition that try to reconnect to a failed node in one interval. It bounds
-	// the dials to a failed node's address independently of the size of the
+	// partition that try to reconnect to an absent node in one interval. It bounds
+	// the dials to an absent node's address independently of the size of the
 	// fleet.
 	reconnectingNodes = 16
 	// One in seedContactOdds attempts to reconnect also contacts a seed, which
@@ -131,7 +131,7 @@
 	}
 }
 
-// heal tries to reconnect to failed nodes and unreachable availability zones. A
+// heal tries to reconnect to absent nodes and unreachable availability zones. A
 // new link synchronizes the records of both sides.
 func (t *Tracker) heal(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -140,7 +140,7 @@
 			t.retryZone(ctx, zone)
 		}
 		t.probeReportedZones(ctx)
-		t.retryFailed(ctx)
+		t.retryAbsent(ctx)
 	}
 }
 
@@ -196,12 +196,12 @@
 	return zones
 }
 
-// retryFailed tries to reconnect to a failed node, and occasionally contacts a
-// seed.
-func (t *Tracker) retryFailed(ctx context.Context) {
+// retryAbsent tries to reconnect to a node that has failed or left, and
+// occasionally contacts a seed.
+func (t *Tracker) retryAbsent(ctx context.Context) {
 	t.mu.Lock()
 	members := len(t.table.live())
-	r := t.table.randomFailed()
+	r := t.table.randomAbsent()
 	t.mu.Unlock()
 	if rand.IntN(members+1) > reconnectingNodes {
 		return
--- a/node/tracker/timing.go
+++ b/node/tracker/timing.go
@@ -31,7 +31,7 @@
 	// probeTimeout bounds the probes of further members, which follow a failed
 	// dial.
 	probeTimeout time.Duration
-	// healInterval is the mean interval of attempts to reconnect to failed
+	// healInterval is the mean interval of attempts to reconnect to absent
 	// nodes and unreachable zones.
 	healInterval time.Duration
 	// minDiscoveryInterval and maxDiscoveryInterval bound the intervals at
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -322,6 +322,31 @@
 	})
 }
 
+// TestPlannedRestartWithoutSeeds guards against a node that was stopped as planned,
+// starts again while nobody can tell it the address of a peer, and is looked for by
+// none of its old peers.
+func TestPlannedRestartWithoutSeeds(t *testing.T) {
+	t.Parallel()
+	f := newFabric(t)
+	trackers, stops := f.startFleet(12, "a1", "a2")
+	const restarted = 5
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	trackers[restarted].Leave(ctx)
+	stops[restarted]()
+	others := slices.Delete(slices.Clone(trackers), restarted, restarted+1)
+	f.waitAll("the others remove the node that left", others, func(t *Tracker) bool { return count(t) == len(others) })
+	f.mu.Lock()
+	f.seeds = func(sycamorerun.Instance) []netip.AddrPort { return nil }
+	f.mu.Unlock()
+	self := trackers[restarted].Self
+	self.Incarnation = sycamorerun.NewIncarnation(self.Incarnation.Boot() - 1)
+	trackers[restarted], _ = f.start(self)
+	f.waitAll("each node lists the new run", trackers, func(t *Tracker) bool {
+		return count(t) == len(trackers) && find(t, self.Name).Incarnation.Boot() == self.Incarnation.Boot()
+	})
+}
+
 // TestAcceptedLinkAnswers guards against heartbeats that each cause a separate
 // TCP acknowledgement: the accepting node sends its heartbeats only as
 // immediate replies.
--- a/node/tracker/zones.go
+++ b/node/tracker/zones.go
@@ -210,11 +210,12 @@
 	return list[:min(n, len(list))]
 }
 
-// randomFailed returns a random failed record, or nil if there is none.
-func (t *table) randomFailed() *record {
+// randomAbsent returns a random record of a failed node or of one that has left, or
+// nil if there is none. A node that left may have been restarted and know nobody.
+func (t *table) randomAbsent() *record {
 	var list []*record
 	for _, r := range t.expiring {
-		if r.health == failed {
+		if !r.live() && r.Name != t.self.name {
 			list = append(list, r)
 		}
 	}
