--- a/node/runner/program_test.go
+++ b/node/runner/program_test.go
@@ -107,6 +107,8 @@
 	p.write("name = from-file\ndrain-delay = 50ms\nstandby-delay = never\n")
 	p.await("settings are invalid; keeping the active settings", "standby-delay", "never")
 	is.Equal(p.log.count("settings changed"), 0)
+	p.write("name = from-file\nstop-timeout = 1s\n")
+	p.await("settings are invalid; keeping the active settings", "stop-timeout", "1s")
 	p.write("name = from-file\ndrain-delay = 50ms\nmax-body = 5\nmode = gossip\n")
 	p.await("settings changed", "settings=drain-delay")
 	p.await("take effect at the next start", "settings=mode")
@@ -154,6 +156,7 @@
 		"flag, missing":     {args: []string{"--settings-file=" + path + "x"}, code: loader.ExitUsage, line: "no such file"},
 		"variable, missing": {variables: map[string]string{variable: path + "x"}, line: "does not exist"},
 		"faulty":            {args: []string{"--settings-file=" + path}, line: "faulty and ignored: --drain-delay"},
+		"stop too short":    {args: []string{"--stop-timeout=1s"}, code: loader.ExitUsage, line: "--stop-timeout"},
 		"faulty without it": {args: []string{"--settings-file=" + path, "--region="}, code: loader.ExitUsage, line: "--region"},
 	}
 	for name, c := range cases {
