forwarder: revert the second attempts of calls that take long

Cause: in a chain of calls each level sees a slow last link as an instance that takes too long, sends a second attempt, and all links below it run once more.

Kept: the count and the log line of upstreams that don't respond in their usual time, and the estimate behind them.

--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -9,118 +9,51 @@
 	"sycamorerun"
 )
 
-// attempt is an attempt of a call at one instance.
-type attempt struct {
-	number  int
-	to      sycamorerun.Instance
-	started time.Time
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	// out or failed is set once the attempt has ended.
-	out    *attemptResponse
-	failed *failure
-}
-
 // sendWithRetries sends the call until an attempt gets a response or no further
 // retry is permitted.
 func (f *Forwarder) sendWithRetries(ctx context.Context, watchdog *watchdog, c *call) (*attemptResponse, *failure) {
-	s := &sender{forwarder: f, ctx: ctx, watchdog: watchdog, call: c}
+	var tried []string
 	var lastFailure *failure
-	for {
-		a, ok := s.next()
+	sends := 0
+	for n := 1; ; n++ {
+		now := f.Now()
+		to, ok := f.chooseInstance(now, c, tried)
 		if !ok {
 			if lastFailure == nil {
 				lastFailure = notRun(reasonNoUpstream)
 			}
 			return nil, lastFailure
 		}
-		a = s.run(a)
-		if a.failed == nil {
+		attemptCtx, cancel := watchdog.startAttempt(ctx, c)
+		out, failed := f.sendAttempt(attemptCtx, watchdog, c, to, tried, n)
+		if failed == nil {
 			// The attempt context must outlive the response body; it ends with
 			// the call.
 			if c.key == "" {
-				a.out.body = f.observeBody(a.ctx, a.started, c, a.to, a.out)
+				out.body = f.observeBody(attemptCtx, now, c, to, out)
 			}
-			return a.out, nil
+			return out, nil
+		}
+		cancel(errDone)
+		if c.key == "" {
+			f.Observe(f.Now(), Observation{
+				Instance: to.Name, Service: c.match.Service, Result: failed.result,
+				Reason: failed.reason, HeadLatency: f.Now().Sub(now), Load: failed.load,
+				RetryAfter: failed.retryAfter, Rank: c.match.Rank, Objective: c.match.Objective,
+			})
 		}
-		lastFailure = mergeFailures(lastFailure, a.failed)
-		delay, retry := f.retryDelay(c, s.attempts, s.sends, a.failed)
+		lastFailure = mergeFailures(lastFailure, failed)
+		if failed.sent {
+			sends++
+		}
+		delay, retry := f.retryDelay(c, n, sends, failed)
 		if !retry || sleep(ctx, delay) != nil {
 			return nil, lastFailure
 		}
+		tried = append(tried, to.Name)
 	}
 }
 
-// sender sends the attempts of a call.
-type sender struct {
-	forwarder *Forwarder
-	ctx       context.Context
-	watchdog  *watchdog
-	call      *call
-	// attempts is the number of attempts that were started, sends that of the
-	// failed ones that may have reached an upstream. tried holds their instances.
-	attempts, sends int
-	tried           []string
-}
-
-// next chooses the instance for the next attempt. It returns false if there is
-// none.
-func (s *sender) next() (*attempt, bool) {
-	now := s.forwarder.Now()
-	to, ok := s.forwarder.chooseInstance(now, s.call, s.tried)
-	if !ok {
-		return nil, false
-	}
-	s.attempts++
-	a := &attempt{number: s.attempts, to: to, started: now}
-	a.ctx, a.cancel = s.watchdog.startAttempt(s.ctx, s.call)
-	return a, true
-}
-
-// run sends an attempt and waits for its end. It may add a second one, and then
-// returns the first one that gets a response, or else the last one.
-func (s *sender) run(a *attempt) *attempt {
-	bound, ok := s.hedgeDelay()
-	if !ok {
-		s.send(a, s.tried)
-		return s.finish(a)
-	}
-	return s.runHedged(a, bound)
-}
-
-// send sends an attempt and waits for its end. The instances in tried are those of
-// earlier attempts.
-func (s *sender) send(a *attempt, tried []string) {
-	a.out, a.failed = s.forwarder.sendAttempt(a.ctx, s.watchdog, s.call, a.to, tried, a.number)
-}
-
-// finish records the end of an attempt that has failed.
-func (s *sender) finish(a *attempt) *attempt {
-	s.tried = append(s.tried, a.to.Name)
-	if a.failed == nil {
-		return a
-	}
-	a.cancel(errDone)
-	s.forwarder.observeFailure(s.call, a, a.failed.reason)
-	if a.failed.sent {
-		s.sends++
-	}
-	return a
-}
-
-// observeFailure reports the failure of an attempt.
-func (f *Forwarder) observeFailure(c *call, a *attempt, reason string) {
-	if c.key != "" {
-		return
-	}
-	now := f.Now()
-	f.Observe(now, Observation{
-		Instance: a.to.Name, Service: c.match.Service, Result: a.failed.result,
-		Reason: reason, HeadLatency: now.Sub(a.started), Load: a.failed.load,
-		RetryAfter: a.failed.retryAfter, Rank: c.match.Rank, Objective: c.match.Objective,
-	})
-}
-
 // chooseInstance returns the instance for the next attempt. A call with an
 // idempotency key always goes to the owner of the key, whatever its load.
 func (f *Forwarder) chooseInstance(now time.Time, c *call, tried []string) (sycamorerun.Instance, bool) {
@@ -159,7 +92,7 @@
 	now := f.Now()
 	attempt := Attempt{
 		Service: c.match.Service, Number: n, Sends: sends, Sent: failed.sent, Limit: c.match.Attempts, ParentAttempt: c.parentAttempt,
-		Result: failed.result, Reason: failed.reason, Repeatable: c.match.Repeatable, Consumed: consumed, SameInstance: c.key != "", Hedge: failed.reason == reasonSuperseded,
+		Result: failed.result, Reason: failed.reason, Repeatable: c.match.Repeatable, Consumed: consumed, SameInstance: c.key != "",
 	}
 	if !c.deadline.IsZero() {
 		if attempt.TimeLeft = c.deadline.Sub(now); attempt.TimeLeft <= 0 {
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -30,14 +30,11 @@
 	reasonMisdirected     = requester.ReasonMisdirected
 	reasonPeerNotStarted  = "peer-not-started"
 
-	reasonDeadlineExceeded = "deadline"
-	reasonIdle             = "idle"
-	reasonStopping         = "stopping"
-	reasonCanceled         = "canceled"
-	reasonPeerLost         = "peer-lost"
-	// reasonSuperseded is the reason of an attempt that ended because another one
-	// of the same call got a response.
-	reasonSuperseded         = "superseded"
+	reasonDeadlineExceeded   = "deadline"
+	reasonIdle               = "idle"
+	reasonStopping           = "stopping"
+	reasonCanceled           = "canceled"
+	reasonPeerLost           = "peer-lost"
 	reasonUpstreamBroken     = "upstream-broken"
 	reasonResponseIncomplete = "response-incomplete"
 )
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -108,9 +108,6 @@
 	Consumed bool
 	// ResponseStarted says that a part of the response reached the caller.
 	ResponseStarted bool
-	// Hedge says that the attempt has not failed but takes long, so that another
-	// one may be sent beside it.
-	Hedge bool
 }
 
 // Claim identifies a call that is about to run.
--- a/node/retrier/budget.go
+++ b/node/retrier/budget.go
@@ -70,16 +70,6 @@
 	return true
 }
 
-// withdrawSpare takes one retry from a full bucket and reports whether it was full.
-func (b *budget) withdrawSpare(share slackShare) bool {
-	b.initialize(share)
-	if b.tokens < share.bucketSize() {
-		return false
-	}
-	b.tokens = share.bucketSize() - 1
-	return true
-}
-
 func (b *budget) initialize(share slackShare) {
 	if !b.initialized {
 		b.initialized, b.tokens = true, float64(share.fixed/2)
--- a/node/retrier/retrier.go
+++ b/node/retrier/retrier.go
@@ -56,9 +56,6 @@
 	Consumed bool
 	// ResponseStarted says that part of the response has reached the caller.
 	ResponseStarted bool
-	// Hedge says that the attempt has not failed but takes long. Another one beside
-	// it must leave the budget to the retries of failed ones.
-	Hedge bool
 }
 
 // Retrier holds this node's retry budget for every service.
@@ -134,7 +131,7 @@
 	if attempt.TimeLeft != 0 && attempt.TimeLeft-delay <= time.Duration(minRunTimeFraction*float64(s.meanRunTime)) {
 		return 0, false
 	}
-	if attempt.Sent && !r.charge(now, attempt, s) {
+	if attempt.Sent && !r.charge(now, attempt.Service, s) {
 		return 0, false
 	}
 	return delay, true
@@ -142,15 +139,8 @@
 
 // charge takes a retry from this node's share of the budget and reports whether there
 // was one.
-func (r *Retrier) charge(now time.Time, attempt Attempt, s *serviceState) bool {
-	if r.ratio(attempt.Service) <= 0 {
-		return false
-	}
-	share := r.slackShare(now)
-	if attempt.Hedge {
-		return s.budget.withdrawSpare(share)
-	}
-	return s.budget.withdraw(r.bucketNumber(now), share)
+func (r *Retrier) charge(now time.Time, name string, s *serviceState) bool {
+	return r.ratio(name) > 0 && s.budget.withdraw(r.bucketNumber(now), r.slackShare(now))
 }
 
 // ratio returns the number of retries per call of a service, summed over the fleet.
--- a/node/retrier/retrier_test.go
+++ b/node/retrier/retrier_test.go
@@ -205,28 +205,3 @@
 	call(1, 0)
 	is.True(calls <= 1+depth*(defaultMaxSends-1)) // 3 to the power of 28 without ParentAttempt
 }
-
-// TestHedgesLeaveBudget guards against second attempts of slow calls that use up the
-// budget for the retries of failed ones.
-func TestHedgesLeaveBudget(t *testing.T) {
-	is := is.New(t)
-	r := newTestRetrier(0.2)
-	r.Budget = Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 20}
-	hedge := func() bool {
-		_, ok := r.Allow(start, Attempt{Service: "s", Number: 1, Sends: 1, Sent: true, Result: sycamorerun.Unknown, Repeatable: true, Hedge: true})
-		return ok
-	}
-	is.True(hedge()) // the bucket is full at first
-	is.True(!hedge())
-	retries := 0
-	for retry(r, start) {
-		retries++
-	}
-	is.True(retries >= 15)
-	is.True(!hedge())
-	for range 100 {
-		r.RecordCall(start, "s")
-	}
-	is.True(hedge())
-	is.True(retry(r, start))
-}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -102,7 +102,7 @@
 		return c.retrier.Allow(now, retrier.Attempt{
 			Service: a.Service, Number: a.Number, Sends: a.Sends, Sent: a.Sent, Limit: a.Limit, SameInstance: a.SameInstance, TimeLeft: a.TimeLeft,
 			ParentAttempt: a.ParentAttempt, Result: a.Result,
-			Repeatable: a.Repeatable, Consumed: a.Consumed, ResponseStarted: a.ResponseStarted, Hedge: a.Hedge,
+			Repeatable: a.Repeatable, Consumed: a.Consumed, ResponseStarted: a.ResponseStarted,
 		})
 	}
 	f.Acquire = func(ctx context.Context, now time.Time, request forwarder.SlotRequest) (func(), forwarder.Rejection) {
