--- a/node/runner/stop_test.go
+++ b/node/runner/stop_test.go
@@ -61,10 +61,6 @@
 			is.NoErr(n.announce(manager.Announcement{
 				Service: "s", Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()), State: sycamorerun.StateReady, Slots: 6,
 			}))
-			ctx, stop := context.WithCancel(context.Background())
-			defer stop()
-			ended := make(chan error, 1)
-			go func() { ended <- n.run(ctx) }()
 			get := func(path string) error {
 				response, err := http.Get("http://" + n.settings.Callers.String() + path)
 				if err == nil {
@@ -72,9 +68,8 @@
 				}
 				return err
 			}
-			for get("/") != nil {
-				time.Sleep(10 * time.Millisecond)
-			}
+			stop, ended := startServing(n, get)
+			defer stop()
 			if c.hangs {
 				go func() { _ = get("/hangs") }()
 				for n.calls.limiter.Load().Running == 0 {
@@ -98,6 +93,18 @@
 	}
 }
 
+// startServing runs n until the returned function is called, and waits until n serves
+// callers. The channel receives the result of the run.
+func startServing(n *node, get func(path string) error) (stop context.CancelFunc, ended <-chan error) {
+	ctx, stop := context.WithCancel(context.Background())
+	result := make(chan error, 1)
+	go func() { result <- n.run(ctx) }()
+	for get("/") != nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return stop, result
+}
+
 // Guards against a stop that takes a call which it then cuts: at every moment of a
 // stop, calls with a near and with a far deadline must be answered by the upstream,
 // or refused without having run.
@@ -136,10 +143,6 @@
 	is.NoErr(n.announce(manager.Announcement{
 		Service: "s", Address: netip.MustParseAddrPort(upstream.Listener.Addr().String()), State: sycamorerun.StateReady, Slots: 100,
 	}))
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	ended := make(chan error, 1)
-	go func() { ended <- n.run(ctx) }()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	get := func(path string) (*http.Response, error) {
 		response, err := client.Get("http://" + n.settings.Callers.String() + path)
@@ -148,12 +151,11 @@
 		}
 		return response, err
 	}
-	for {
-		if _, err := get("/"); err == nil {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	stop, ended := startServing(n, func(path string) error {
+		_, err := get(path)
+		return err
+	})
+	defer stop()
 	var calls sync.WaitGroup
 	for range 10 { // the node learns how long the calls take
 		calls.Go(func() { _, _ = get("/long") })
