forwarder: estimate the end of a call only during a drain

Match.kind stood with the silences, but all estimates use it.

Change: begin asks for the end once a drain has a deadline; the field is gone; Match.kind stands beside Match. Decisions and assertions are the same; the tests of drains, stops and silences pass.

--- a/node/forwarder/drain.go
+++ b/node/forwarder/drain.go
@@ -49,22 +49,23 @@
 }
 
 // begin adds a caller's call to those in flight. It returns false if calls are
-// refused, or if this one would probably outlast the drain.
-func (d *drain) begin(w *watchdog, end callEnd) bool {
+// refused, or if this one would probably outlast the drain. It calls end only
+// during a drain with a deadline.
+func (d *drain) begin(w *watchdog, end func() callEnd) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.beginLocked(w, end)
 }
 
 // beginPeer is begin for a call from a peer.
-func (d *drain) beginPeer(w *watchdog, end callEnd) bool {
+func (d *drain) beginPeer(w *watchdog, end func() callEnd) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return !d.lingering && d.beginLocked(w, end)
 }
 
-func (d *drain) beginLocked(w *watchdog, end callEnd) bool {
-	if d.closed || !d.outlasts(end) {
+func (d *drain) beginLocked(w *watchdog, end func() callEnd) bool {
+	if d.closed || !d.deadline.IsZero() && !d.outlasts(end()) {
 		return false
 	}
 	if d.calls == nil {
@@ -81,7 +82,7 @@
 // of the drain.
 func (d *drain) outlasts(end callEnd) bool {
 	switch {
-	case d.deadline.IsZero() || !end.latest.IsZero() && !end.latest.After(d.deadline):
+	case !end.latest.IsZero() && !end.latest.After(d.deadline):
 		return true
 	case d.lingering:
 		return false
@@ -194,7 +195,7 @@
 // expectedEnd returns when a call that starts now is expected to end.
 func (f *Forwarder) expectedEnd(now time.Time, c *call) callEnd {
 	end := callEnd{latest: c.deadline}
-	if took, ok := f.TimeBound(c.match); ok {
+	if took, ok := f.answerTimes.Bound(c.match.kind()); ok {
 		end.likely = now.Add(took)
 	}
 	return end
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -80,9 +80,6 @@
 	// which delay.
 	CountCall  func(now time.Time, service string)
 	AllowRetry func(now time.Time, attempt Attempt) (time.Duration, bool)
-	// TimeBound returns the time within which nearly all calls of a route are
-	// answered, and whether it is known. By default it follows from recent calls.
-	TimeBound func(match Match) (time.Duration, bool)
 	// HasOtherInstance reports whether the service has an instance that is not
 	// among those excluded.
 	HasOtherInstance func(service string, excluded []string) bool
@@ -143,7 +140,6 @@
 	}
 	f.SetLimits(DefaultLimits)
 	f.refusals, f.upstreamTimes, f.answerTimes = newRefusalCache(), newUpstreamTimes(), estimator.New()
-	f.TimeBound = func(match Match) (time.Duration, bool) { return f.answerTimes.Bound(match.kind()) }
 	return f
 }
 
--- a/node/forwarder/peer_calls_test.go
+++ b/node/forwarder/peer_calls_test.go
@@ -282,6 +282,9 @@
 	})
 }
 
+// unknownEnd is the end of a call about whose duration nothing is known.
+func unknownEnd() callEnd { return callEnd{} }
+
 // Guards against a planned stop that interrupts calls in flight.
 func TestDrain(t *testing.T) {
 	forBothPaths(t, func(t *testing.T, local bool) {
@@ -297,7 +300,7 @@
 		<-started
 		drained := make(chan error, 1)
 		go func() { drained <- fx.upstreamNode.Drain(context.Background()) }()
-		for probe := (&watchdog{}); fx.upstreamNode.drain.begin(probe, callEnd{}); {
+		for probe := (&watchdog{}); fx.upstreamNode.drain.begin(probe, unknownEnd); {
 			fx.upstreamNode.drain.end(probe)
 			time.Sleep(time.Millisecond)
 		}
@@ -338,7 +341,7 @@
 		is.Equal(string(data), "done")
 		is.True(response.Close)
 		if local {
-			is.True(!fx.entry.drain.beginPeer(&watchdog{}, callEnd{}))
+			is.True(!fx.entry.drain.beginPeer(&watchdog{}, unknownEnd))
 		}
 		is.NoErr(<-drained) // as soon as callers are quiet, long before Linger ends
 		is.Equal(fx.send(http.MethodGet, "/x", nil).reason, "draining")
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -47,7 +47,7 @@
 	c := fromHead(now, inbound.head)
 	ctx, watchdog, stop := withWatchdog(ctx, c.deadline, c.match.Idle)
 	defer stop(errDone)
-	if !f.drain.beginPeer(watchdog, f.expectedEnd(now, c)) {
+	if !f.drain.beginPeer(watchdog, func() callEnd { return f.expectedEnd(now, c) }) {
 		return f.sendRefusal(frames, Match{}, notRun(reasonDraining))
 	}
 	defer f.drain.end(watchdog)
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -28,7 +28,7 @@
 	}
 	ctx, watchdog, stop := withWatchdog(r.Context(), c.deadline, c.match.Idle)
 	defer stop(errDone)
-	if !f.drain.begin(watchdog, f.expectedEnd(now, c)) {
+	if !f.drain.begin(watchdog, func() callEnd { return f.expectedEnd(now, c) }) {
 		c.refusedByDrain = true
 		f.writeFailure(w, c, notRun(reasonDraining))
 		return
--- a/node/forwarder/silence.go
+++ b/node/forwarder/silence.go
@@ -25,11 +25,6 @@
 
 func newUpstreamTimes() *upstreamTimes { return &upstreamTimes{estimator: estimator.New()} }
 
-// kind returns the kind of calls that are expected to take about the same time.
-func (m Match) kind() estimator.Kind {
-	return estimator.Kind{Service: m.Service, Rank: m.Rank, Objective: m.Objective}
-}
-
 // recordSilence counts and logs a request that ended without a response although the
 // upstream answers nearly all requests like it in a shorter time. Such an upstream
 // hangs or has become slow. The connection of the request is closed.
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/estimator"
 )
 
 // Match is the route of a request.
@@ -28,6 +29,11 @@
 	Nested bool
 }
 
+// kind returns the kind of calls that are expected to take about the same time.
+func (m Match) kind() estimator.Kind {
+	return estimator.Kind{Service: m.Service, Rank: m.Rank, Objective: m.Objective}
+}
+
 // SlotRequest describes a call that requests a slot.
 type SlotRequest struct {
 	Rank      int
