--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -136,50 +137,101 @@
 	l.end(findings)
 }
 
-// path: requests whose path begins with the prefix of another route, or of none,
-// than the one that the path without empty and encoded segments begins with.
+// path: requests to a route that is not idempotent, whose path has an empty or an
+// encoded segment, while the workers of a service lose answers.
 func path(l *lab) {
-	const first, inner = "/lohu930/", "/lohu930/pufi791/"
+	const outer, inner = "/lohu930/", "/lohu930/pufi791/"
 	l.configure(7, []string{"huvo11a", "wuno96b"}, host, []map[string]any{
-		route("r-1", first, "non_idempotent", "huvo11a"), route("r-2", inner, "idempotent", "wuno96b"),
+		route("r-1", outer, "non_idempotent", "huvo11a"), route("r-2", inner, "idempotent", "wuno96b"),
 	})
-	allowed := func(target string) string {
+	// kind is that of the route with the longest prefix that begins the path.
+	kind := func(target string) string {
 		switch {
 		case strings.HasPrefix(target, inner):
-			return "wuno96b"
-		case strings.HasPrefix(target, first):
-			return "huvo11a"
+			return "idempotent"
+		case strings.HasPrefix(target, outer):
+			return "non_idempotent"
 		}
 		return ""
 	}
-	services := map[string]string{"i-huvo": "huvo11a", "i-wuno": "wuno96b"}
 	var nodes []*node
-	for i, id := range []string{"i-huvo", "i-wuno"} {
-		n := l.newNode(fmt.Sprintf("sidecar-kgl-a-%d", i+1), "kgl-a", services[id])
+	for i, service := range []string{"huvo11a", "huvo11a", "wuno96b", "wuno96b"} {
+		n := l.newNode(fmt.Sprintf("sidecar-kgl-a-%d", i+1), "kgl-a", service)
 		n.run()
-		l.newWorker(id, n, 50*time.Millisecond)
+		w := l.newWorker(fmt.Sprintf("i-%s-%d", service, i+1), n, 50*time.Millisecond)
+		if l.trouble && i >= 2 {
+			w.lost = &atomic.Int64{}
+		}
 		nodes = append(nodes, n)
 	}
 	for _, n := range nodes {
 		n.waitReady(15 * time.Second)
 	}
 	time.Sleep(4 * time.Second)
-	targets := []string{"/lohu930/2f", "/lohu930/pufi791/2f", "/xoga114/2f"}
-	if l.trouble {
-		targets = append(targets, "//lohu930/2f", "/lohu930//pufi791/2f", "/lohu930/pufi791%2F2f")
+	for range 40 {
+		for _, target := range []string{"/lohu930/2f", "/lohu930/pufi791/2f", "/lohu930//pufi791/2f", "/lohu930/pufi791%2F2f"} {
+			l.request(nodes[0], http.MethodPost, host, target, "x", 2*time.Second)
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
-	for range 3 {
-		for _, target := range targets {
-			for _, n := range nodes {
-				l.request(n, http.MethodPost, host, target, "x", 2*time.Second)
-			}
+	runs := map[string][]run{}
+	for _, r := range l.allRuns() {
+		runs[r.id] = append(runs[r.id], r)
+	}
+	count := map[string]int{}
+	for _, each := range runs {
+		if len(each) > 1 && kind(each[0].path) != "idempotent" {
+			count[each[0].path]++
 		}
 	}
 	var findings []string
+	for target, n := range count {
+		findings = append(findings, fmt.Sprintf("TWICE: %d requests to %s, whose route is not idempotent, ran more than once", n, target))
+	}
+	l.end(findings)
+}
+
+// changedPath: requests whose path has characters that a client sends as they are.
+func changedPath(l *lab) {
+	l.configure(7, []string{"huvo11a"}, host, []map[string]any{
+		route("r-1", "/lohu930/", "idempotent", "huvo11a"), route("r-2", "/pufi791/", "non_idempotent", "huvo11a"),
+	})
+	var nodes []*node
+	for i := 1; i <= 2; i++ {
+		n := l.newNode(fmt.Sprintf("sidecar-kgl-a-%d", i), "kgl-a", "huvo11a")
+		n.run()
+		l.newWorker(fmt.Sprintf("i-%d", i), n, 50*time.Millisecond)
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		n.waitReady(15 * time.Second)
+	}
+	time.Sleep(4 * time.Second)
+	tails := []string{"2f", "a%7Cb", "%41;x=1"}
+	if l.trouble {
+		tails = append(tails, "a|b", "a^b", "a|b?c=d|e")
+	}
+	sent := map[string]string{}
+	for range 5 {
+		for _, tail := range tails {
+			for i, n := range nodes {
+				method, target := http.MethodGet, "/lohu930/"+tail
+				if i == 1 {
+					method, target = http.MethodPost, "/pufi791/"+tail
+				}
+				sent[l.request(n, method, host, target, "", 2*time.Second).id] = target
+			}
+		}
+	}
+	count := map[string]int{}
 	for _, r := range l.allRuns() {
-		if ran, want := services[r.worker], allowed(r.path); ran != want {
-			findings = append(findings, fmt.Sprintf("ROUTE: %s with path %s was run by %s, allowed is %q", r.id, r.path, ran, want))
+		if want, ok := sent[r.id]; !ok || r.path != want {
+			count[fmt.Sprintf("%s was sent, %s was run", want, r.path)]++
 		}
 	}
+	var findings []string
+	for text, n := range count {
+		findings = append(findings, fmt.Sprintf("UNASKED: %s, %d times", text, n))
+	}
 	l.end(findings)
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,7 +7,7 @@
 	"late-heartbeat": lateHeartbeat,
 	"other-writer":   otherWriter,
 	"path":           path,
-	"stress":         stress,
+	"changed-path":   changedPath,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -31,8 +31,11 @@
 	node                 *node
 	sequence             atomic.Int64
 	active               atomic.Int64
-	stopBeats            chan struct{}
-	once                 sync.Once
+	// lost counts the requests of a worker that loses two of five answers: it runs
+	// the request and closes the connection. It is nil for a sound worker.
+	lost      *atomic.Int64
+	stopBeats chan struct{}
+	once      sync.Once
 }
 
 // ServeHTTP runs requests.
@@ -50,7 +53,7 @@
 		header.Set(prefix+"Instance-Id", w.id)
 		return
 	}
-	w.lab.recordRun(run{time.Now(), w.id, id, r.URL.RequestURI(), r.Header.Get(prefix + "Caller-Service")}, r.Method, len(body))
+	w.lab.recordRun(run{time.Now(), w.id, id, r.RequestURI, r.Header.Get(prefix + "Caller-Service")}, r.Method, len(body))
 	running := w.active.Add(1)
 	defer w.active.Add(-1)
 	select {
@@ -58,6 +61,13 @@
 	case <-r.Context().Done():
 		return
 	}
+	if w.lost != nil && w.lost.Add(1)%5 < 2 {
+		w.lab.note("the answer of %s to %s is lost", w.id, id)
+		if conn, _, err := http.NewResponseController(out).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
 	header.Set(prefix+"Request-Id", id)
 	header.Set(prefix+"Response-Signature", "s."+id)
 	header.Set(prefix+"Server-Load", fmt.Sprintf("%d,0,6", running))
