--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build.sh first"
   exit 2
 fi
-exec target/review-standin late-heartbeat review/2/record.txt
+exec target/review-standin other-writer review/2/record.txt
