announcer: reject announcements of another service or address

Cause: an announcement with a later boot replaces the upstream in use at once, and nothing compared its service and address with those of the upstream beside the node, which the settings name. Ruled out: that upstreams leave fields out or announce another service or address than the settings say.

Change: the announcer rejects another service or address on each path, the operators' API included.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -12,6 +12,8 @@
 	"unicode"
 	"unicode/utf8"
 
+	"github.com/pkg/errors"
+
 	"sycamorerun"
 )
 
@@ -68,10 +70,21 @@
 	Boot int64
 }
 
-// valid reports whether a names a usable upstream.
-func (a Announcement) valid() bool {
-	return validID(a.ID) && a.Service != "" && a.Address.IsValid() && a.Address.Port() != 0 && a.Slots > 0 && a.Slots <= sycamorerun.MaxSlots &&
-		(serving(a.State) || leaving(a.State))
+// check returns an error unless a can name an upstream.
+func (a Announcement) check() error {
+	switch {
+	case !validID(a.ID):
+		return errors.New("the id can't be the value of a header")
+	case a.Service == "":
+		return errors.New("no service")
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return errors.New("no address with a port")
+	case a.Slots <= 0 || a.Slots > sycamorerun.MaxSlots:
+		return errors.Errorf("%d slots, want 1 to %d", a.Slots, sycamorerun.MaxSlots)
+	case !serving(a.State) && !leaving(a.State):
+		return errors.Errorf("unknown state %q", a.State)
+	}
+	return nil
 }
 
 // validID reports whether an id can be the value of a header.
@@ -92,8 +105,13 @@
 }
 
 // Announcer tracks the upstream in use. Its methods are safe for concurrent
-// use.
+// use. Set the exported fields before any call.
 type Announcer struct {
+	// Service and Address are those of the upstream beside the node, if they are
+	// known. An announcement of another service or address is from another writer.
+	Service string
+	Address netip.AddrPort
+
 	mutex   sync.Mutex
 	period  func() time.Duration
 	current Announcement
@@ -115,6 +133,18 @@
 	return &Announcer{period: period}
 }
 
+// Check returns an error unless an announcement names an upstream that this node can
+// use.
+func (a *Announcer) Check(in Announcement) error {
+	switch {
+	case a.Service != "" && in.Service != a.Service:
+		return errors.Errorf("service %.64q, the upstream beside this node serves %s", in.Service, a.Service)
+	case a.Address.IsValid() && in.Address != a.Address:
+		return errors.Errorf("address %s, the upstream beside this node has %s", in.Address, a.Address)
+	}
+	return in.check()
+}
+
 // Announce processes an announcement.
 func (a *Announcer) Announce(now time.Time, in Announcement) Outcome {
 	a.mutex.Lock()
@@ -122,7 +152,7 @@
 	a.expire(now)
 	in.Boot = max(in.Boot, 0)
 	switch {
-	case !in.valid():
+	case a.Check(in) != nil:
 		return Invalid
 	case in.ID == a.current.ID && in.Boot == a.current.Boot:
 		return a.update(now, in)
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -38,8 +38,6 @@
 	count  int
 }
 
-var errUnusableUpstream = errors.New("the announcement names no upstream that can be used")
-
 // announce processes an announcement from the operators' API. Since these have no
 // ids, a new upstream of another service can't be distinguished from a misconfigured
 // one and is refused.
@@ -51,7 +49,7 @@
 		announcement.ID = defaultUpstreamID
 	}
 	if n.processAnnouncement(time.Now(), announcement) == announcer.Invalid {
-		return errUnusableUpstream
+		return n.calls.upstream.announcer.Check(announcer.Announcement(announcement))
 	}
 	return nil
 }
@@ -67,7 +65,7 @@
 	}
 	n.refreshUpstream(now)
 	if outcome == announcer.Invalid {
-		n.rejectAnnouncement(now, announcement.ID, errUnusableUpstream)
+		n.rejectAnnouncement(now, announcement.ID, n.calls.upstream.announcer.Check(announcer.Announcement(announcement)))
 		return outcome
 	}
 	n.logAnnouncement(announcement.ID, announcement.State, outcome)
--- a/node/runner/announce_test.go
+++ b/node/runner/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -192,3 +193,48 @@
 	is.True(strings.Contains(logs.String(), "upstream=a"))
 	is.True(strings.Contains(logs.String(), "rejected=51"))
 }
+
+// Guards against another writer that takes the upstream out of use, for good, by
+// announcing a service or an address that isn't the upstream's, before or after the
+// upstream's first announcement.
+func TestAnnouncementOfAnotherWriter(t *testing.T) {
+	own := manager.Announcement{
+		ID: "a", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), State: sycamorerun.StateReady,
+		Slots: 2, Sequence: 1, Boot: 5,
+	}
+	cases := map[string]func(in *manager.Announcement){
+		"unknown service":  func(in *manager.Announcement) { in.Service = "nobody" },
+		"other service":    func(in *manager.Announcement) { in.Service = "t" },
+		"other address":    func(in *manager.Announcement) { in.Address = netip.MustParseAddrPort("127.0.0.2:9") },
+		"other port":       func(in *manager.Announcement) { in.Address = netip.MustParseAddrPort("127.0.0.1:10") },
+		"own id":           func(in *manager.Announcement) { in.ID, in.Service = "a", "nobody" },
+		"drains elsewhere": func(in *manager.Announcement) { in.Service, in.State = "nobody", sycamorerun.StateDraining },
+	}
+	for name, change := range cases {
+		for _, first := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s first %t", name, first), func(t *testing.T) {
+				is := is.New(t)
+				n := readyNode(t, func(s *Settings) { s.Service, s.Upstream = own.Service, own.Address })
+				odd := own
+				odd.ID, odd.Boot = "other", 6
+				change(&odd)
+				sequence := own
+				if !first {
+					is.Equal(n.api().Announce(time.Now(), sequence), announcer.Accepted)
+				}
+				is.Equal(n.api().Announce(time.Now(), odd), announcer.Invalid)
+				sequence.Sequence = 2
+				is.Equal(n.api().Announce(time.Now(), sequence), announcer.Accepted)
+				is.True(n.calls.upstream.admits("s"))
+				is.Equal(n.calls.upstream.id(), "a")
+			})
+		}
+	}
+	is := is.New(t)
+	n := readyNode(t, func(s *Settings) { s.Service = "s" })
+	odd := own
+	odd.ID, odd.Service = "", "t"
+	is.True(n.announce(odd) != nil) // through the operators' API
+	odd.Service = "s"
+	is.NoErr(n.announce(odd))
+}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -118,6 +118,10 @@
 		n.applier.Validate = new(validator.Checker).Check
 	}
 	n.calls = newCalls(now, n.activeSettings.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
+	n.calls.upstream.announcer.Service, n.calls.upstream.announcer.Address = settings.Service, settings.Upstream
+	if r.ServiceName != nil {
+		n.calls.upstream.announcer.Service = r.ServiceName(settings.Service)
+	}
 	n.setLevel = r.logger.SetLevel
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -55,6 +55,9 @@
 	Document *distributor.Document
 	// Contract defines the names of the call headers.
 	Contract *forwarder.Contract
+	// ServiceName returns the name in the configuration of the service in the
+	// settings. If it is nil, both names are the same.
+	ServiceName func(string) string
 	// Handlers holds the constructors of handlers for additional listen addresses.
 	Handlers map[netip.AddrPort]func(API) http.Handler
 
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -14,8 +14,11 @@
 	Name             string
 	AvailabilityZone string
 	Region           string
-	// Service is the service of the local upstream, for Contract.Origin.
-	Service string
+	// Service is the service of the local upstream, for Contract.Origin, and Upstream
+	// its address. Announcements of another service or address are rejected. Both
+	// may be unset.
+	Service  string
+	Upstream netip.AddrPort
 
 	Callers   netip.AddrPort
 	Peers     netip.AddrPort
@@ -63,7 +66,8 @@
 	loader.Add(l, &s.Name, "name", "", loader.Name(), "name of the instance, unique in the fleet")
 	loader.Add(l, &s.AvailabilityZone, "availability-zone", "", loader.Name(), "availability zone of the instance")
 	loader.Add(l, &s.Region, "region", "", loader.Name(), "region of the availability zone")
-	loader.Add(l, &s.Service, "service", "", loader.Text("a name, or nothing"), "service of the upstream beside this node, sent as the origin of calls that enter at this node")
+	loader.Add(l, &s.Service, "service", "", loader.Text("a name, or nothing"), "service of the upstream beside this node, sent as the origin of calls that enter at this node; if set, announcements of another service are rejected")
+	loader.Add(l, &s.Upstream, "upstream", "", loader.OptionalAddress(), "address of the upstream beside this node; if set, announcements of another address are rejected")
 	loader.Add(l, &s.Callers, "callers", "127.0.0.1:8080", loader.Address(), "address for callers")
 	loader.Add(l, &s.Peers, "peers", "127.0.0.1:7060", loader.Address(), "address at which peers reach this node")
 	loader.Add(l, &s.Listen, "listen-peers", "", loader.OptionalAddress(), "address to listen on for peers, if it differs from the one at which they reach this node")
