announcer: take a replaced upstream back when it goes on announcing itself

What callers saw: 503 until a restart, also after an announcement of another writer that no check can tell from a successor's (the right service and address, a later boot).

Cause: a boot that was replaced counted as departed for good, so each later announcement of the real upstream was ignored, although calls to the other one were answered with 421 or refused.

Change: the history keeps replaced boots and departures apart. A replaced boot is taken back when it has announced itself with rising sequences for two periods and the current one is silent, unreachable or misdirected. A departure stays final, and one of a replaced boot or of an older boot is recorded too.

The case 'replaced boot goes on' of TestAnnounce failed before; three others show that a successor that announces itself is kept and that departures stay final. history and candidate have their own files now.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,9 +46,6 @@
 	// without a boot counts as new and not as late. Announcements arrive
 	// seconds late, but not half a minute.
 	lateAnnouncementWindow = 30 * time.Second
-	// departureRetention is how long an id that left before it was announced is
-	// not taken into use, since its announcements may still be in flight.
-	departureRetention = 10 * time.Second
 	// maxIDBytes is the maximum length of an id, which each request contains.
 	maxIDBytes = 1024
 )
@@ -167,25 +163,23 @@
 }
 
 // supersedes reports whether an announcement of another boot or another id
-// replaces the current upstream. It records a boot that is leaving in the
-// history, so that its late announcements are ignored.
+// replaces the current upstream. It records the departure of a boot that is
+// leaving, so that its late announcements are ignored.
 func (a *Announcer) supersedes(now time.Time, in Announcement) bool {
 	later := in.Boot > a.current.Boot && a.current.ID != ""
 	switch {
-	case a.history.hasBoot(in.ID, in.Boot), a.history.recentlyDeparted(now, in.ID):
-		return false
-	case !later && !a.replaceable(now):
+	case a.history.hasLeft(now, in.ID, in.Boot):
 		return false
 	case !later && leaving(in.State):
-		a.history.addBoot(in.ID, in.Boot)
+		a.history.addDeparture(now, in.ID, in.Boot)
 		return a.current.ID == ""
-	case in.Boot != 0 && in.Boot < a.current.Boot:
-		// The clock that boots are taken from may have been set back. A boot
-		// that keeps announcing itself while the current one is replaceable
-		// can't be a late message.
-		return a.confirmCandidate(now, in)
+	case a.history.wasReplaced(in.ID, in.Boot), in.Boot != 0 && in.Boot < a.current.Boot:
+		// The boot that replaced it may be from another writer, or the clock that
+		// boots are taken from may have been set back. A boot that keeps announcing
+		// itself until the current one is replaceable can't be a late message.
+		return a.confirmCandidate(now, in) && a.replaceable(now)
 	default:
-		return true
+		return later || a.replaceable(now)
 	}
 }
 
@@ -238,8 +232,8 @@
 
 // replace makes another boot the current one.
 func (a *Announcer) replace(now time.Time, in Announcement) {
-	a.history.addBoot(a.current.ID, a.current.Boot)
-	a.history.removeDeparture(in.ID)
+	a.history.addReplaced(a.current.ID, a.current.Boot)
+	a.history.removeUnknownBoot(in.ID)
 	a.leftAt, a.warmUntil = time.Time{}, time.Time{}
 	a.current = Announcement{}
 	a.apply(now, in)
@@ -266,7 +260,7 @@
 	case !validID(id):
 		return Invalid
 	case id != a.current.ID:
-		a.history.addDeparture(now, id)
+		a.history.addDepartures(now, id)
 		return Ignored
 	}
 	if !leaving(a.current.State) {
@@ -335,72 +329,3 @@
 func (a *Announcer) confirmSequence(now time.Time, in Announcement) bool {
 	return serving(a.current.State) && a.replaceable(now) && a.confirmCandidate(now, in)
 }
-
-// confirmCandidate reports whether a boot that may be older than the current
-// one has announced itself with rising sequences for replacePeriods.
-func (a *Announcer) confirmCandidate(now time.Time, in Announcement) bool {
-	c := &a.candidate
-	if c.id != in.ID || c.boot != in.Boot || now.Sub(c.last) >= unavailablePeriods*a.period() {
-		*c = candidate{id: in.ID, boot: in.Boot, since: now}
-	} else if in.Sequence <= c.sequence {
-		return false
-	}
-	c.last, c.sequence = now, in.Sequence
-	return serving(in.State) && now.Sub(c.since) >= replacePeriods*a.period()
-}
-
-// candidate is a boot or a sequence with a lower number than the current one that
-// may nevertheless be newer.
-type candidate struct {
-	id          string
-	boot        int64
-	since, last time.Time
-	sequence    uint64
-}
-
-// maxHistory bounds the recorded boots and departures. An instance restarts its
-// upstream only a few times within the time for which announcements can be
-// late.
-const maxHistory = 16
-
-// history holds the last boots that were replaced, and the ids that left
-// without having been announced.
-type history struct {
-	boots      []boot
-	departures []departure
-}
-
-type boot struct {
-	id     string
-	number int64
-}
-
-type departure struct {
-	id string
-	at time.Time
-}
-
-// addBoot records a boot. A boot without a number can't be distinguished from
-// the next one.
-func (h *history) addBoot(id string, number int64) {
-	if number != 0 && !h.hasBoot(id, number) {
-		h.boots = append(h.boots[max(0, len(h.boots)+1-maxHistory):], boot{id, number})
-	}
-}
-
-func (h *history) hasBoot(id string, number int64) bool {
-	return number != 0 && slices.Contains(h.boots, boot{id, number})
-}
-
-func (h *history) addDeparture(now time.Time, id string) {
-	h.removeDeparture(id)
-	h.departures = append(h.departures[max(0, len(h.departures)+1-maxHistory):], departure{id, now})
-}
-
-func (h *history) recentlyDeparted(now time.Time, id string) bool {
-	return slices.ContainsFunc(h.departures, func(d departure) bool { return d.id == id && now.Sub(d.at) < departureRetention })
-}
-
-func (h *history) removeDeparture(id string) {
-	h.departures = slices.DeleteFunc(h.departures, func(d departure) bool { return d.id == id })
-}
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -89,6 +89,42 @@
 			{at: 5000, event: "expire"},
 			{at: 5000, id: "a", boot: 5, seq: 3, want: Ignored},
 		},
+		"replaced boot goes on": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 100, id: "b", boot: 6, seq: 1, want: Accepted, use: "b/6 ready"}, // from another writer
+			{at: 200, event: "misdirected", id: "b"},
+			{at: 1500, id: "a", boot: 5, seq: 2, want: Ignored},
+			{at: 3000, id: "a", boot: 5, seq: 3, want: Ignored},
+			{at: 4500, id: "a", boot: 5, seq: 4, want: Accepted, use: "a/5 ready"},
+			{at: 4600, id: "b", boot: 6, seq: 2, want: Ignored, use: "a/5 ready"},
+			{at: 6000, id: "a", boot: 5, seq: 5, want: Accepted, use: "a/5 ready"},
+		},
+		"replaced boot goes on beside its successor": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 100, id: "b", boot: 6, seq: 1, want: Accepted, use: "b/6 ready"},
+			{at: 1500, id: "a", boot: 5, seq: 2, want: Ignored, use: "b/6 ready"},
+			{at: 3000, id: "a", boot: 5, seq: 3, want: Ignored, use: "b/6 ready"},
+			{at: 4400, id: "b", boot: 6, seq: 2, want: Accepted, use: "b/6 ready"},
+			{at: 4500, id: "a", boot: 5, seq: 4, want: Ignored, use: "b/6 ready"},
+		},
+		"replaced boot leaves": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 100, id: "b", boot: 6, seq: 1, want: Accepted, use: "b/6 ready"},
+			{at: 200, event: "leave", id: "a", want: Ignored, use: "b/6 ready"},
+			{at: 300, event: "misdirected", id: "b"},
+			{at: 11_500, id: "a", boot: 5, seq: 2, want: Ignored},
+			{at: 13_000, id: "a", boot: 5, seq: 3, want: Ignored},
+			{at: 14_500, id: "a", boot: 5, seq: 4, want: Ignored},
+		},
+		"replaced boot drains": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 100, id: "b", boot: 6, seq: 1, want: Accepted, use: "b/6 ready"},
+			{at: 200, id: "a", boot: 5, seq: 2, state: draining, want: Ignored, use: "b/6 ready"},
+			{at: 300, event: "misdirected", id: "b"},
+			{at: 1500, id: "a", boot: 5, seq: 3, want: Ignored},
+			{at: 3000, id: "a", boot: 5, seq: 4, want: Ignored},
+			{at: 4500, id: "a", boot: 5, seq: 5, want: Ignored},
+		},
 		"other id without boot": {
 			{id: "a", seq: 1, want: Accepted, use: "a/0 ready"},
 			{at: 2999, id: "b", seq: 1, want: Ignored, use: "a/0 ready"},
@@ -302,7 +338,7 @@
 		is.Equal(a.Announce(start, step{id: "a", boot: boot, seq: 1}.announcement()), Accepted)
 		a.Leave(start, fmt.Sprint(boot))
 	}
-	is.Equal(len(a.history.boots), maxHistory)
+	is.Equal(len(a.history.replaced), maxHistory)
 	is.Equal(len(a.history.departures), maxHistory)
-	is.True(a.history.hasBoot("a", 99))
+	is.True(a.history.wasReplaced("a", 99))
 }
