recorder: store a departure before it is confirmed

Cause: departures were known to the process alone. A node that was restarted took the next announcement of the upstream for new, also one from before the departure that arrived late. Ruled out: the order within one process, which TestAnnounce covers.

Change: the new package recorder keeps the departures of a node in one object of the store, written before the confirmation, and gives them to the next process. Until they are read (10 s at most) announcements of boots from before the process wait; then they take effect at once. A departure that can't be stored within 0.8 s is not confirmed (503); the upstream gets no more calls all the same. Three related orders that the new property test found: a boot that leaves was not recorded while its id had just left, a delete names no boot and may mean a later one than the node knows, and a departure confirmed before the older ones were read could be displaced by them.

TestDepartureOutlivesRestart failed before in all 6 cases, TestDepartureWithoutStore and the case 'delete overtakes the first announcement of a later boot' of TestAnnounce too.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -28,6 +28,12 @@
 	Stale Outcome = "stale"
 	// Ignored means that the announced upstream is not the one in use.
 	Ignored Outcome = "ignored"
+	// Held means that the announcement takes effect once the departures that
+	// earlier processes of the node confirmed are known.
+	Held Outcome = "held"
+	// Unsaved means that a departure took effect but could not be stored, so that
+	// it must not be confirmed to the sender.
+	Unsaved Outcome = "unsaved"
 	// Invalid means that the announcement names no usable upstream.
 	Invalid Outcome = "invalid"
 )
@@ -121,6 +127,7 @@
 	lastRefused time.Time
 	history     history
 	candidate   candidate
+	held        held
 }
 
 // New returns an Announcer for upstreams that announce themselves once per
@@ -150,6 +157,15 @@
 	switch {
 	case a.Check(in) != nil:
 		return Invalid
+	case a.mustHold(now, in):
+		return a.hold(now, in)
+	}
+	return a.process(now, in)
+}
+
+// process processes a valid announcement.
+func (a *Announcer) process(now time.Time, in Announcement) Outcome {
+	switch {
 	case in.ID == a.current.ID && in.Boot == a.current.Boot:
 		return a.update(now, in)
 	case in.ID == a.current.ID && in.Boot == 0 && !a.silentForLateWindow(now):
@@ -166,12 +182,15 @@
 // replaces the current upstream. It records the departure of a boot that is
 // leaving, so that its late announcements are ignored.
 func (a *Announcer) supersedes(now time.Time, in Announcement) bool {
+	left := a.history.hasLeft(now, in.ID, in.Boot)
+	if leaving(in.State) && in.Boot != 0 {
+		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+	}
 	later := in.Boot > a.current.Boot && a.current.ID != ""
 	switch {
-	case a.history.hasLeft(now, in.ID, in.Boot):
+	case left:
 		return false
 	case !later && leaving(in.State):
-		a.history.addDeparture(now, in.ID, in.Boot)
 		return a.current.ID == ""
 	case a.history.wasReplaced(in.ID, in.Boot), in.Boot != 0 && in.Boot < a.current.Boot:
 		// The boot that replaced it may be from another writer, or the clock that
@@ -233,7 +252,6 @@
 // replace makes another boot the current one.
 func (a *Announcer) replace(now time.Time, in Announcement) {
 	a.history.addReplaced(a.current.ID, a.current.Boot)
-	a.history.removeUnknownBoot(in.ID)
 	a.leftAt, a.warmUntil = time.Time{}, time.Time{}
 	a.current = Announcement{}
 	a.apply(now, in)
@@ -243,7 +261,7 @@
 func (a *Announcer) apply(now time.Time, in Announcement) {
 	a.lastAnnounced, a.unavailable, a.lastRefused, a.candidate = now, false, time.Time{}, candidate{}
 	if leaving(in.State) && !leaving(a.current.State) {
-		a.leftAt = now
+		a.leave(now, in)
 	}
 	a.warmUntil = now.Add(in.Warmup)
 	if serving(in.State) && in.Warmup > 0 {
@@ -260,16 +278,37 @@
 	case !validID(id):
 		return Invalid
 	case id != a.current.ID:
-		a.history.addDepartures(now, id)
+		if !a.leaveHeld(now, id) {
+			a.history.addDepartures(now, id)
+		}
 		return Ignored
 	}
 	if !leaving(a.current.State) {
-		a.leftAt = now
+		a.leave(now, a.current)
+	}
+	if a.current.Boot != 0 {
+		a.history.addDeparture(departureOfID(now, id))
 	}
 	a.current.State = sycamorerun.StateLeft
 	return Accepted
 }
 
+// departureOfID returns the departure of an id with a known boot. It may be that of a
+// later boot whose announcements have not arrived yet, but not that of a boot which
+// starts after it.
+func departureOfID(now time.Time, id string) Departure {
+	return Departure{ID: id, Last: now.UnixMilli(), At: now}
+}
+
+// leave records that the upstream in use leaves. One without a boot can't be
+// distinguished from the next one.
+func (a *Announcer) leave(now time.Time, in Announcement) {
+	a.leftAt = now
+	if in.Boot != 0 {
+		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+	}
+}
+
 // ConnectionRefused records that the upstream in use refused a connection.
 func (a *Announcer) ConnectionRefused(now time.Time) {
 	a.mutex.Lock()
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -74,6 +74,13 @@
 			{at: 60_000, id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
 			{at: 60_001, id: "a", boot: 5, seq: 4, want: Ignored, use: "a/6 ready"},
 		},
+		"delete overtakes the first announcement of a later boot": {
+			{id: "a", boot: 5, seq: 1, want: Accepted, use: "a/5 ready"},
+			{at: 1000, event: "leave", id: "a", want: Accepted},
+			{at: 1100, id: "a", boot: 1_000_000_900, seq: 1, want: Ignored},
+			{at: 1200, id: "a", boot: 1_000_001_001, seq: 1, want: Accepted, use: "a/1000001001 ready"},
+			{at: 1300, id: "a", boot: 1_000_000_900, seq: 2, want: Ignored, use: "a/1000001001 ready"},
+		},
 		"id is used again": {
 			{id: "a", boot: 5, seq: 70, want: Accepted, use: "a/5 ready"},
 			{id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
@@ -125,6 +132,87 @@
 			{at: 3000, id: "a", boot: 5, seq: 4, want: Ignored},
 			{at: 4500, id: "a", boot: 5, seq: 5, want: Ignored},
 		},
+		"restart, late announcement": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 200, event: "restore", id: "a", boot: 5},
+			{at: 300, id: "a", boot: 5, seq: 5, want: Ignored},
+			{at: 400, id: "a", boot: 6, seq: 1, want: Accepted, use: "a/6 ready"},
+			{at: 500, id: "a", boot: 5, seq: 6, want: Ignored, use: "a/6 ready"},
+		},
+		"restart, live upstream": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 150, id: "a", boot: 5, seq: 3, want: Held},
+			{at: 200, event: "restore", id: "b", boot: 5, use: "a/5 ready"},
+			{at: 250, id: "a", boot: 5, seq: 4, want: Stale, use: "a/5 ready"},
+			{at: 300, id: "a", boot: 5, seq: 5, want: Accepted, use: "a/5 ready"},
+		},
+		"restart, live upstream beside a late announcement": {
+			{event: "hold"},
+			{at: 100, id: "b", boot: 6, seq: 1, want: Held},
+			{at: 150, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 200, event: "restore", id: "a", boot: 5, use: "b/6 ready"},
+		},
+		"restart, late announcement beside a live upstream": {
+			{event: "hold"},
+			{at: 100, id: "b", boot: 5, seq: 1, want: Held},
+			{at: 150, id: "a", boot: 6, seq: 4, want: Held},
+			{at: 200, event: "restore", id: "a", boot: 6, use: "b/5 ready"},
+			{at: 300, id: "b", boot: 5, seq: 2, want: Accepted, use: "b/5 ready"},
+		},
+		"restart, departure before the others are known": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 150, event: "leave", id: "a", want: Ignored},
+			{at: 160, id: "a", boot: 5, seq: 5, want: Ignored},
+			{at: 200, event: "restore"},
+			{at: 20_000, id: "a", boot: 5, seq: 6, want: Ignored},
+		},
+		"restart, successor under the id that left": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 150, event: "leave", id: "a", want: Ignored},
+			{at: 160, event: "restore"},
+			{at: 200, id: "a", boot: 1_000_000_149, seq: 1, want: Ignored},
+			{at: 210, id: "a", boot: 1_000_000_151, seq: 1, want: Accepted, use: "a/1000000151 ready"},
+		},
+		"restart, draining before the others are known": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 120, id: "a", boot: 4, seq: 9, state: draining, want: Ignored},
+			{at: 150, id: "a", boot: 5, seq: 5, state: draining, want: Ignored},
+			{at: 200, event: "restore"},
+			{at: 20_000, id: "a", boot: 5, seq: 6, want: Ignored},
+		},
+		"restart, an older boot leaves": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 120, id: "a", boot: 4, seq: 9, state: draining, want: Ignored},
+			{at: 200, event: "restore", use: "a/5 ready"},
+		},
+		"restart, successor is later than the process": {
+			{event: "hold"},
+			{at: 100, id: "a", boot: 1_000_000_050, seq: 1, want: Accepted, use: "a/1000000050 ready"},
+			{at: 200, event: "restore", id: "a", boot: 5, use: "a/1000000050 ready"},
+		},
+		"restart, departures stay unknown": {
+			{event: "hold"},
+			{at: 9999, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 10_000, id: "a", boot: 5, seq: 5, want: Accepted, use: "a/5 ready"},
+			{at: 11_000, event: "restore", id: "a", boot: 5},
+			{at: 11_500, id: "a", boot: 5, seq: 6, want: Stale},
+		},
+		"restart, id left before its boot was announced": {
+			{event: "hold"},
+			{at: 100, event: "restore", id: "a"},
+			{at: 9999, id: "a", boot: 5, seq: 4, want: Ignored},
+			{at: 10_000, id: "a", boot: 6, seq: 4, want: Accepted, use: "a/6 ready"},
+		},
+		"restart, upstream without boot": {
+			{event: "hold"},
+			{at: 100, id: "a", want: Accepted, use: "a/0 ready"},
+		},
 		"other id without boot": {
 			{id: "a", seq: 1, want: Accepted, use: "a/0 ready"},
 			{at: 2999, id: "b", seq: 1, want: Ignored, use: "a/0 ready"},
@@ -214,6 +302,14 @@
 					a.ConnectionSucceeded()
 				case "misdirected":
 					a.Misdirected(now, s.id)
+				case "hold":
+					a.Hold(now)
+				case "restore":
+					var departures []Departure
+					if s.id != "" {
+						departures = []Departure{{ID: s.id, Boot: s.boot, At: start}}
+					}
+					a.Restore(now, departures)
 				default:
 					outcome = a.Announce(now, s.announcement())
 				}
@@ -339,6 +435,7 @@
 		a.Leave(start, fmt.Sprint(boot))
 	}
 	is.Equal(len(a.history.replaced), maxHistory)
-	is.Equal(len(a.history.departures), maxHistory)
+	is.Equal(len(a.history.unknown), maxHistory)
+	is.Equal(len(a.Departures(start)), maxHistory)
 	is.True(a.history.wasReplaced("a", 99))
 }
--- /dev/null
+++ b/node/announcer/held.go
@@ -0,0 +1,98 @@
+package announcer
+
+import (
+	"time"
+
+	"sycamorerun"
+)
+
+// held is the state of an Announcer that does not know yet which departures the
+// earlier processes of its node confirmed. An announcement that arrives meanwhile may
+// be a late one of an upstream that has left.
+type held struct {
+	// active is set until the departures are known, since is when that began.
+	active bool
+	since  time.Time
+	// announcements are the last ones that wait.
+	announcements []received
+}
+
+// received is an announcement and the time at which it arrived.
+type received struct {
+	Announcement
+	at time.Time
+}
+
+// Hold makes the announcements wait for Restore. It has to be called when the node
+// starts.
+func (a *Announcer) Hold(now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.held = held{active: true, since: now}
+}
+
+// Restore adds departures that earlier processes of the node confirmed, and processes
+// the announcements that wait for them.
+func (a *Announcer) Restore(now time.Time, departures []Departure) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.history.restore(now, departures)
+	if a.history.departed(a.current.ID, a.current.Boot) && !leaving(a.current.State) {
+		a.leave(now, a.current)
+		a.current.State = sycamorerun.StateLeft
+	}
+	waiting := a.held.announcements
+	a.held = held{}
+	for _, in := range waiting {
+		a.process(in.at, in.Announcement)
+	}
+}
+
+// Departures returns the departures that still bind, the oldest first.
+func (a *Announcer) Departures(now time.Time) []Departure {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return append(append([]Departure{}, a.history.departures...), a.history.recentUnknown(now)...)
+}
+
+// mustHold reports whether an announcement has to wait for Restore. One of a boot
+// that is later than this process, or that arrives departureRetention after its
+// start, can't be from before a departure that an earlier process confirmed. The
+// departure of an upstream without a boot isn't kept.
+func (a *Announcer) mustHold(now time.Time, in Announcement) bool {
+	switch {
+	case !a.held.active || now.Sub(a.held.since) >= departureRetention:
+		return false
+	case in.ID == a.current.ID && in.Boot == a.current.Boot:
+		return false
+	}
+	return in.Boot != 0 && in.Boot <= a.held.since.UnixMilli()
+}
+
+// hold keeps an announcement for Restore and records a departure at once.
+func (a *Announcer) hold(now time.Time, in Announcement) Outcome {
+	if leaving(in.State) {
+		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+	}
+	if a.history.hasLeft(now, in.ID, in.Boot) {
+		return Ignored
+	}
+	a.held.announcements = append(bounded(a.held.announcements), received{in, now})
+	return Held
+}
+
+// leaveHeld records the departures of the boots of an id whose announcements wait, and
+// reports whether there are any.
+func (a *Announcer) leaveHeld(now time.Time, id string) bool {
+	found := false
+	for _, in := range a.held.announcements {
+		if in.ID == id {
+			a.history.addDeparture(Departure{ID: id, Boot: in.Boot, At: now})
+			found = true
+		}
+	}
+	if found {
+		a.history.addDeparture(departureOfID(now, id))
+	}
+	return found
+}
--- a/node/announcer/history.go
+++ b/node/announcer/history.go
@@ -15,11 +15,25 @@
 	maxHistory = 16
 )
 
+// Departure is the departure of an upstream that was confirmed to it. It binds the
+// next processes of the node as well.
+type Departure struct {
+	ID string
+	// Boot is zero if the id left, which does not say which boot of it did. Such a
+	// departure binds for departureRetention all boots up to Last, or all if Last is
+	// zero.
+	Boot, Last int64
+	At         time.Time
+}
+
 // history holds the last boots that were replaced without having left, and the last
 // departures.
 type history struct {
-	replaced   []boot
-	departures []departure
+	replaced []boot
+	// departures are those of boots, which are final. unknown are those of ids. They
+	// are kept apart, so that departures of other
+	// writers don't displace those of real boots.
+	departures, unknown []Departure
 }
 
 type boot struct {
@@ -27,13 +41,6 @@
 	number int64
 }
 
-// departure is that of a boot, which is final. If the boot is zero, it is that of an
-// id that left before it was announced.
-type departure struct {
-	boot
-	at time.Time
-}
-
 // addReplaced records a boot that was replaced. A boot without a number can't be
 // distinguished from the next one.
 func (h *history) addReplaced(id string, number int64) {
@@ -46,36 +53,65 @@
 	return slices.Contains(h.replaced, boot{id, number})
 }
 
-// addDeparture records the departure of a boot.
-func (h *history) addDeparture(now time.Time, id string, number int64) {
-	b := boot{id, number}
-	h.replaced = slices.DeleteFunc(h.replaced, func(r boot) bool { return r == b })
-	h.departures = slices.DeleteFunc(h.departures, func(d departure) bool { return d.boot == b })
-	h.departures = append(bounded(h.departures), departure{b, now})
+// addDeparture records a departure.
+func (h *history) addDeparture(d Departure) {
+	if d.Boot == 0 {
+		h.removeUnknown(d.ID)
+		h.unknown = append(bounded(h.unknown), d)
+		return
+	}
+	h.replaced = slices.DeleteFunc(h.replaced, func(b boot) bool { return b == boot{d.ID, d.Boot} })
+	h.departures = slices.DeleteFunc(h.departures, func(old Departure) bool { return old.ID == d.ID && old.Boot == d.Boot })
+	h.departures = append(bounded(h.departures), d)
 }
 
-// addDepartures records the departure of an id whose boot is unknown, and of the
-// boots of this id that were replaced.
+// addDepartures records the departure of an id that isn't the current one: those of
+// its boots that were replaced, and that of a boot which is unknown.
 func (h *history) addDepartures(now time.Time, id string) {
 	for _, b := range slices.Clone(h.replaced) {
 		if b.id == id {
-			h.addDeparture(now, id, b.number)
+			h.addDeparture(Departure{ID: id, Boot: b.number, At: now})
+		}
+	}
+	h.addDeparture(Departure{ID: id, At: now})
+}
+
+// restore adds departures from before all others.
+func (h *history) restore(now time.Time, departures []Departure) {
+	own := slices.Concat(h.departures, h.unknown)
+	h.departures, h.unknown = nil, nil
+	for _, d := range departures {
+		// The clock may have been set back since.
+		if d.At.After(now) {
+			d.At = now
 		}
+		h.addDeparture(d)
+	}
+	for _, d := range own {
+		h.addDeparture(d)
 	}
-	h.addDeparture(now, id, 0)
 }
 
-// hasLeft reports whether a boot has left, or its id has left recently before any
-// boot of it was announced.
+// departed reports whether a boot has left.
+func (h *history) departed(id string, number int64) bool {
+	return slices.ContainsFunc(h.departures, func(d Departure) bool { return d.ID == id && d.Boot == number })
+}
+
+// hasLeft reports whether a boot has left, or its id has left recently.
 func (h *history) hasLeft(now time.Time, id string, number int64) bool {
-	return slices.ContainsFunc(h.departures, func(d departure) bool {
-		return d.id == id && (d.number == number && number != 0 || d.number == 0 && now.Sub(d.at) < departureRetention)
+	return h.departed(id, number) || slices.ContainsFunc(h.recentUnknown(now), func(d Departure) bool {
+		return d.ID == id && (d.Last == 0 || number <= d.Last)
 	})
 }
 
-// removeUnknownBoot removes the departure of an id whose boot was unknown.
-func (h *history) removeUnknownBoot(id string) {
-	h.departures = slices.DeleteFunc(h.departures, func(d departure) bool { return d.boot == boot{id, 0} })
+// recentUnknown returns the departures of unknown boots that still bind.
+func (h *history) recentUnknown(now time.Time) []Departure {
+	return slices.DeleteFunc(slices.Clone(h.unknown), func(d Departure) bool { return now.Sub(d.At) >= departureRetention })
+}
+
+// removeUnknown removes the departure of an id whose boot was unknown.
+func (h *history) removeUnknown(id string) {
+	h.unknown = slices.DeleteFunc(h.unknown, func(d Departure) bool { return d.ID == id })
 }
 
 // bounded returns a list without the oldest element if it is full.
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -24,6 +24,9 @@
 	// minPause is the minimum time between two checks after which the process
 	// counts as paused. A busy machine delays a check by about 100 ms.
 	minPause = time.Second
+	// saveTimeout bounds storing a departure before it is confirmed. The upstream
+	// waits for the confirmation for a second.
+	saveTimeout = 800 * time.Millisecond
 	// rejectionLogInterval is the minimum time between two log lines about rejected
 	// announcements, whose sender may repeat them every second.
 	rejectionLogInterval = time.Minute
@@ -68,10 +71,37 @@
 		n.rejectAnnouncement(now, announcement.ID, n.calls.upstream.announcer.Check(announcer.Announcement(announcement)))
 		return outcome
 	}
+	if announcement.State == sycamorerun.StateDraining || announcement.State == sycamorerun.StateLeft {
+		outcome = n.saveDeparture(outcome)
+	}
 	n.logAnnouncement(announcement.ID, announcement.State, outcome)
 	return outcome
 }
 
+// saveDeparture stores a departure that was processed with the given outcome. It
+// returns Unsaved if that fails: a departure that is confirmed binds the next process
+// of this node as well.
+func (n *node) saveDeparture(outcome announcer.Outcome) announcer.Outcome {
+	if n.recorder == nil || outcome == announcer.Invalid {
+		return outcome
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+	defer cancel()
+	if err := n.recorder.Save(ctx); err != nil {
+		level.Warn(n.logger).Log("msg", "departure not confirmed, since it can't be stored", "err", err)
+		return announcer.Unsaved
+	}
+	return outcome
+}
+
+// restoreDepartures applies the departures that earlier processes of this node
+// confirmed.
+func (n *node) restoreDepartures(now time.Time, departures []announcer.Departure) {
+	n.calls.upstream.announcer.Restore(now, departures)
+	_ = level.Debug(n.logger).Log("msg", "departures restored", "count", len(departures))
+	n.refreshUpstream(now)
+}
+
 // rejectAnnouncement counts a rejected announcement and logs it, unless one was
 // logged within rejectionLogInterval.
 func (n *node) rejectAnnouncement(now time.Time, id string, reason error) {
@@ -93,6 +123,7 @@
 func (n *node) processDeparture(now time.Time, id string) announcer.Outcome {
 	outcome := n.calls.upstream.announcer.Leave(now, id)
 	n.refreshUpstream(now)
+	outcome = n.saveDeparture(outcome)
 	n.logAnnouncement(id, sycamorerun.StateLeft, outcome)
 	return outcome
 }
--- a/node/runner/api.go
+++ b/node/runner/api.go
@@ -11,7 +11,8 @@
 type API struct {
 	// Announce and Leave process an announcement and the departure of the upstream
 	// beside the node. After they return, no call starts at an upstream that is
-	// draining or has left.
+	// draining or has left. They return announcer.Unsaved if the next process of this
+	// node would not know that, so that the departure must not be confirmed.
 	Announce func(now time.Time, announcement manager.Announcement) announcer.Outcome
 	Leave    func(now time.Time, id string) announcer.Outcome
 	// Reject records an announcement that a handler can't decode.
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -25,6 +25,7 @@
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
 	"sycamorerun/node/planner"
+	"sycamorerun/node/recorder"
 	"sycamorerun/node/reporter"
 	"sycamorerun/node/router"
 	"sycamorerun/node/seeder"
@@ -68,10 +69,13 @@
 	// reportingEnabled is set reportDelay after the node has become ready.
 	reportingEnabled atomic.Bool
 
-	fleet         *fleet
-	connector     *connector.Connector
-	tracker       *tracker.Tracker
-	seeder        *seeder.Seeder
+	fleet     *fleet
+	connector *connector.Connector
+	tracker   *tracker.Tracker
+	seeder    *seeder.Seeder
+	// recorder is nil if no handlers take announcements with a boot. The operators'
+	// API takes none, so that there is no departure to keep.
+	recorder      *recorder.Recorder
 	applier       *applier.Applier
 	distributor   *distributor.Distributor
 	acceptor      *acceptor.Acceptor
@@ -118,10 +122,7 @@
 		n.applier.Validate = new(validator.Checker).Check
 	}
 	n.calls = newCalls(now, n.activeSettings.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
-	n.calls.upstream.announcer.Service, n.calls.upstream.announcer.Address = settings.Service, settings.Upstream
-	if r.ServiceName != nil {
-		n.calls.upstream.announcer.Service = r.ServiceName(settings.Service)
-	}
+	n.wireAnnouncements(now, r)
 	n.setLevel = r.logger.SetLevel
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
@@ -167,6 +168,22 @@
 	n.tracker.Seeds = n.seeder.Seeds
 }
 
+func (n *node) wireAnnouncements(now time.Time, r *Runner) {
+	a := n.calls.upstream.announcer
+	a.Service, a.Address = n.settings.Service, n.settings.Upstream
+	if r.ServiceName != nil {
+		a.Service = r.ServiceName(n.settings.Service)
+	}
+	if len(r.Handlers) == 0 {
+		return
+	}
+	a.Hold(now)
+	n.recorder = recorder.New(n.settings.Name, n.store)
+	n.recorder.Departures, n.recorder.Restore = a.Departures, n.restoreDepartures
+	n.recorder.IsMaintainer = func() bool { return n.fleet.plan().Seed }
+	n.recorder.Logger, n.recorder.Scope = n.logger, n.scope.SubScope("departures")
+}
+
 func (n *node) wireDistribution() {
 	d := distributor.New()
 	d.Self = n.settings.Name
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -129,6 +129,9 @@
 	start("connector", n.connector.Run)
 	start("tracker", n.tracker.Run)
 	start("seeder", n.seeder.Run)
+	if n.recorder != nil {
+		start("recorder", n.recorder.Run)
+	}
 	start("distributor", n.distributor.Run)
 	start("acceptor", n.acceptor.Run)
 	if n.settings.Keys {
