tracker: tell a restarted node what its earlier runs confirmed

Cause: the departures that earlier processes confirmed were in the store alone, and announcements wait until they are known.

Change: a node publishes its recent departures in its membership record before it confirms them. The restarted node uses them only if the store can't be read, since a peer may lack the last one; the first read is bounded by 0.5 s.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -184,7 +184,7 @@
 func (a *Announcer) supersedes(now time.Time, in Announcement) bool {
 	left := a.history.hasLeft(now, in.ID, in.Boot)
 	if leaving(in.State) && in.Boot != 0 {
-		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+		a.history.addDeparture(sycamorerun.Departure{ID: in.ID, Boot: in.Boot, At: now})
 	}
 	later := in.Boot > a.current.Boot && a.current.ID != ""
 	switch {
@@ -296,8 +296,8 @@
 // departureOfID returns the departure of an id with a known boot. It may be that of a
 // later boot whose announcements have not arrived yet, but not that of a boot which
 // starts after it.
-func departureOfID(now time.Time, id string) Departure {
-	return Departure{ID: id, Last: now.UnixMilli(), At: now}
+func departureOfID(now time.Time, id string) sycamorerun.Departure {
+	return sycamorerun.Departure{ID: id, Last: now.UnixMilli(), At: now}
 }
 
 // leave records that the upstream in use leaves. One without a boot can't be
@@ -305,7 +305,7 @@
 func (a *Announcer) leave(now time.Time, in Announcement) {
 	a.leftAt = now
 	if in.Boot != 0 {
-		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+		a.history.addDeparture(sycamorerun.Departure{ID: in.ID, Boot: in.Boot, At: now})
 	}
 }
 
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -305,11 +305,12 @@
 				case "hold":
 					a.Hold(now)
 				case "restore":
-					var departures []Departure
+					var departures []sycamorerun.Departure
 					if s.id != "" {
-						departures = []Departure{{ID: s.id, Boot: s.boot, At: start}}
+						departures = []sycamorerun.Departure{{ID: s.id, Boot: s.boot, At: start}}
 					}
-					a.Restore(now, departures)
+					a.Learn(now, departures)
+					a.Release()
 				default:
 					outcome = a.Announce(now, s.announcement())
 				}
@@ -436,6 +437,6 @@
 	}
 	is.Equal(len(a.history.replaced), maxHistory)
 	is.Equal(len(a.history.unknown), maxHistory)
-	is.Equal(len(a.Departures(start)), maxHistory)
+	is.Equal(len(a.Departures(start)), maxUnknown)
 	is.True(a.history.wasReplaced("a", 99))
 }
--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -1,6 +1,7 @@
 package announcer
 
 import (
+	"slices"
 	"time"
 
 	"sycamorerun"
@@ -23,7 +24,7 @@
 	at time.Time
 }
 
-// Hold makes the announcements wait for Restore. It has to be called when the node
+// Hold makes the announcements wait for Release. It has to be called when the node
 // starts.
 func (a *Announcer) Hold(now time.Time) {
 	a.mutex.Lock()
@@ -31,9 +32,9 @@
 	a.held = held{active: true, since: now}
 }
 
-// Restore adds departures that earlier processes of the node confirmed, and processes
-// the announcements that wait for them.
-func (a *Announcer) Restore(now time.Time, departures []Departure) {
+// Learn adds departures that earlier processes of the node confirmed, while others may
+// still be unknown.
+func (a *Announcer) Learn(now time.Time, departures []sycamorerun.Departure) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.history.restore(now, departures)
@@ -41,6 +42,13 @@
 		a.leave(now, a.current)
 		a.current.State = sycamorerun.StateLeft
 	}
+}
+
+// Release processes the announcements that wait for the departures. All that can be
+// known of them is known.
+func (a *Announcer) Release() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	waiting := a.held.announcements
 	a.held = held{}
 	for _, in := range waiting {
@@ -48,14 +56,18 @@
 	}
 }
 
-// Departures returns the departures that still bind, the oldest first.
-func (a *Announcer) Departures(now time.Time) []Departure {
+// Departures returns the last departures that still bind: at most maxBoots of boots,
+// then at most maxUnknown of ids.
+func (a *Announcer) Departures(now time.Time) []sycamorerun.Departure {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return append(append([]Departure{}, a.history.departures...), a.history.recentUnknown(now)...)
+	return slices.Concat(last(a.history.departures, maxBoots), last(a.history.recentUnknown(now), maxUnknown))
 }
 
-// mustHold reports whether an announcement has to wait for Restore. One of a boot
+// last returns the last elements of a list.
+func last[T any](list []T, count int) []T { return list[max(0, len(list)-count):] }
+
+// mustHold reports whether an announcement has to wait for Release. One of a boot
 // that is later than this process, or that arrives departureRetention after its
 // start, can't be from before a departure that an earlier process confirmed. The
 // departure of an upstream without a boot isn't kept.
@@ -69,10 +81,10 @@
 	return in.Boot != 0 && in.Boot <= a.held.since.UnixMilli()
 }
 
-// hold keeps an announcement for Restore and records a departure at once.
+// hold keeps an announcement for Release and records a departure at once.
 func (a *Announcer) hold(now time.Time, in Announcement) Outcome {
 	if leaving(in.State) {
-		a.history.addDeparture(Departure{ID: in.ID, Boot: in.Boot, At: now})
+		a.history.addDeparture(sycamorerun.Departure{ID: in.ID, Boot: in.Boot, At: now})
 	}
 	if a.history.hasLeft(now, in.ID, in.Boot) {
 		return Ignored
@@ -87,7 +99,7 @@
 	found := false
 	for _, in := range a.held.announcements {
 		if in.ID == id {
-			a.history.addDeparture(Departure{ID: id, Boot: in.Boot, At: now})
+			a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: in.Boot, At: now})
 			found = true
 		}
 	}
--- a/node/announcer/history.go
+++ b/node/announcer/history.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sycamorerun"
 )
 
 const (
@@ -13,19 +15,14 @@
 	// upstream only a few times within the time for which announcements can be
 	// late.
 	maxHistory = 16
+	// maxBoots and maxUnknown are the maximum numbers of departures for the next
+	// process, of boots and of ids.
+	maxBoots   = 8
+	maxUnknown = 4
+	// MaxDepartures is the maximum number of departures that Departures returns.
+	MaxDepartures = maxBoots + maxUnknown
 )
 
-// Departure is the departure of an upstream that was confirmed to it. It binds the
-// next processes of the node as well.
-type Departure struct {
-	ID string
-	// Boot is zero if the id left, which does not say which boot of it did. Such a
-	// departure binds for departureRetention all boots up to Last, or all if Last is
-	// zero.
-	Boot, Last int64
-	At         time.Time
-}
-
 // history holds the last boots that were replaced without having left, and the last
 // departures.
 type history struct {
@@ -33,7 +30,7 @@
 	// departures are those of boots, which are final. unknown are those of ids. They
 	// are kept apart, so that departures of other
 	// writers don't displace those of real boots.
-	departures, unknown []Departure
+	departures, unknown []sycamorerun.Departure
 }
 
 type boot struct {
@@ -54,14 +51,14 @@
 }
 
 // addDeparture records a departure.
-func (h *history) addDeparture(d Departure) {
+func (h *history) addDeparture(d sycamorerun.Departure) {
 	if d.Boot == 0 {
 		h.removeUnknown(d.ID)
 		h.unknown = append(bounded(h.unknown), d)
 		return
 	}
 	h.replaced = slices.DeleteFunc(h.replaced, func(b boot) bool { return b == boot{d.ID, d.Boot} })
-	h.departures = slices.DeleteFunc(h.departures, func(old Departure) bool { return old.ID == d.ID && old.Boot == d.Boot })
+	h.departures = slices.DeleteFunc(h.departures, func(old sycamorerun.Departure) bool { return old.ID == d.ID && old.Boot == d.Boot })
 	h.departures = append(bounded(h.departures), d)
 }
 
@@ -70,14 +67,14 @@
 func (h *history) addDepartures(now time.Time, id string) {
 	for _, b := range slices.Clone(h.replaced) {
 		if b.id == id {
-			h.addDeparture(Departure{ID: id, Boot: b.number, At: now})
+			h.addDeparture(sycamorerun.Departure{ID: id, Boot: b.number, At: now})
 		}
 	}
-	h.addDeparture(Departure{ID: id, At: now})
+	h.addDeparture(sycamorerun.Departure{ID: id, At: now})
 }
 
 // restore adds departures from before all others.
-func (h *history) restore(now time.Time, departures []Departure) {
+func (h *history) restore(now time.Time, departures []sycamorerun.Departure) {
 	own := slices.Concat(h.departures, h.unknown)
 	h.departures, h.unknown = nil, nil
 	for _, d := range departures {
@@ -94,25 +91,25 @@
 
 // departed reports whether a boot has left.
 func (h *history) departed(id string, number int64) bool {
-	return slices.ContainsFunc(h.departures, func(d Departure) bool { return d.ID == id && d.Boot == number })
+	return slices.ContainsFunc(h.departures, func(d sycamorerun.Departure) bool { return d.ID == id && d.Boot == number })
 }
 
 // hasLeft reports whether a boot has left, or its id has left recently.
 func (h *history) hasLeft(now time.Time, id string, number int64) bool {
-	return h.departed(id, number) || slices.ContainsFunc(h.recentUnknown(now), func(d Departure) bool {
+	return h.departed(id, number) || slices.ContainsFunc(h.recentUnknown(now), func(d sycamorerun.Departure) bool {
 		return d.ID == id && (d.Last == 0 || number <= d.Last)
 	})
 }
 
 // recentUnknown returns the departures of unknown boots that still bind.
-func (h *history) recentUnknown(now time.Time) []Departure {
-	return slices.DeleteFunc(slices.Clone(h.unknown), func(d Departure) bool { return now.Sub(d.At) >= departureRetention })
+func (h *history) recentUnknown(now time.Time) []sycamorerun.Departure {
+	return slices.DeleteFunc(slices.Clone(h.unknown), func(d sycamorerun.Departure) bool { return now.Sub(d.At) >= departureRetention })
 }
 
 // removeUnknown removes the departure of an id whose boot was unknown.
 func (h *history) removeUnknown(id string) {
-	h.unknown = slices.DeleteFunc(h.unknown, func(d Departure) bool { return d.ID == id })
+	h.unknown = slices.DeleteFunc(h.unknown, func(d sycamorerun.Departure) bool { return d.ID == id })
 }
 
 // bounded returns a list without the oldest element if it is full.
-func bounded[T any](list []T) []T { return list[max(0, len(list)+1-maxHistory):] }
+func bounded[T any](list []T) []T { return last(list, maxHistory-1) }
--- a/node/recorder/clean.go
+++ b/node/recorder/clean.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"sycamorerun/node/announcer"
+	"sycamorerun"
 )
 
 const (
@@ -41,7 +41,7 @@
 }
 
 // newest returns the time of the newest departure.
-func newest(departures []announcer.Departure) time.Time {
+func newest(departures []sycamorerun.Departure) time.Time {
 	var at time.Time
 	for _, d := range departures {
 		if d.At.After(at) {
--- a/node/recorder/record.go
+++ b/node/recorder/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sycamorerun"
 	"sycamorerun/node/announcer"
 )
 
@@ -25,7 +26,7 @@
 	Time int64  `json:"time"`
 }
 
-func encode(departures []announcer.Departure) ([]byte, error) {
+func encode(departures []sycamorerun.Departure) ([]byte, error) {
 	r := record{Departures: []departure{}}
 	for _, d := range departures {
 		r.Departures = append(r.Departures, departure{d.ID, d.Boot, d.Last, d.At.UnixMilli()})
@@ -36,7 +37,7 @@
 
 // decode decodes a record. A record with an unusable departure is from another writer
 // and an error as a whole.
-func decode(value []byte) ([]announcer.Departure, error) {
+func decode(value []byte) ([]sycamorerun.Departure, error) {
 	if len(value) > maxRecordBytes {
 		return nil, errors.Errorf("record has %d bytes, limit %d", len(value), maxRecordBytes)
 	}
@@ -44,15 +45,15 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, errors.Wrap(err, "decode departures")
 	}
-	if len(r.Departures) > maxBoots+maxUnknown {
-		return nil, errors.Errorf("record has %d departures, limit %d", len(r.Departures), maxBoots+maxUnknown)
+	if len(r.Departures) > announcer.MaxDepartures {
+		return nil, errors.Errorf("record has %d departures, limit %d", len(r.Departures), announcer.MaxDepartures)
 	}
-	var departures []announcer.Departure
+	var departures []sycamorerun.Departure
 	for _, d := range r.Departures {
 		if d.ID == "" || d.Boot < 0 || d.Last < 0 || d.Time <= 0 {
 			return nil, errors.Errorf("unusable departure of %.64q", d.ID)
 		}
-		departures = append(departures, announcer.Departure{ID: d.ID, Boot: d.Boot, Last: d.Last, At: time.UnixMilli(d.Time)})
+		departures = append(departures, sycamorerun.Departure{ID: d.ID, Boot: d.Boot, Last: d.Last, At: time.UnixMilli(d.Time)})
 	}
 	return departures, nil
 }
--- a/node/recorder/recorder.go
+++ b/node/recorder/recorder.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
-	"sycamorerun/node/announcer"
+	"sycamorerun"
 	"sycamorerun/persister"
 )
 
@@ -30,13 +30,10 @@
 	// stored, because a call failed when they were confirmed or because the sender
 	// no longer waits for the confirmation.
 	checkInterval = time.Second
-	// callTimeout bounds one try to store them.
-	callTimeout = 2 * time.Second
-	// maxBoots and maxUnknown are the maximum numbers of departures in a record, with
-	// a boot and without. A node restarts its upstream only a few times within the
-	// time for which announcements can be late.
-	maxBoots   = 8
-	maxUnknown = 4
+	// callTimeout bounds one try to store them, firstReadTimeout the first try to read
+	// the record.
+	callTimeout      = 2 * time.Second
+	firstReadTimeout = 500 * time.Millisecond
 )
 
 // Recorder stores the departures of one node. Set the exported fields before Run or
@@ -44,11 +41,13 @@
 type Recorder struct {
 	Node  string
 	Store persister.Store
-	// Departures returns the departures that this process knows.
-	Departures func(now time.Time) []announcer.Departure
+	// Departures returns the departures to store, at most announcer.MaxDepartures.
+	Departures func(now time.Time) []sycamorerun.Departure
 	// Restore is called with the departures in the record each time it is read: when
 	// the node starts, and when another process of the node may have written.
-	Restore func(now time.Time, departures []announcer.Departure)
+	Restore func(now time.Time, departures []sycamorerun.Departure)
+	// Unreachable is called when the record can't be read.
+	Unreachable func()
 	// IsMaintainer reports whether this node removes old records of its fleet.
 	IsMaintainer func() bool
 	Now          func() time.Time
@@ -59,8 +58,10 @@
 	busy chan struct{}
 	// loaded is set if stored and revision are those of the record in the store.
 	loaded   bool
-	stored   []announcer.Departure
+	stored   []sycamorerun.Departure
 	revision persister.Revision
+	// failedReads counts the tries to read the record that failed.
+	failedReads int
 }
 
 // New returns a Recorder for a node.
@@ -116,40 +117,29 @@
 			return err
 		}
 	}
-	departures := latest(r.Departures(r.Now()))
+	departures := r.Departures(r.Now())
 	if !slices.ContainsFunc(departures, r.lacks) {
 		return nil
 	}
 	return r.write(ctx, departures)
 }
 
-// latest returns the last departures, as many as a record holds.
-func latest(departures []announcer.Departure) []announcer.Departure {
-	var boots, unknown []announcer.Departure
-	for _, d := range departures {
-		if d.Boot == 0 {
-			unknown = append(unknown, d)
-		} else {
-			boots = append(boots, d)
-		}
-	}
-	return append(boots[max(0, len(boots)-maxBoots):], unknown[max(0, len(unknown)-maxUnknown):]...)
-}
-
 // lacks reports whether the record lacks a departure. An id whose boot is unknown can
 // leave again later.
-func (r *Recorder) lacks(d announcer.Departure) bool {
-	return !slices.ContainsFunc(r.stored, func(s announcer.Departure) bool {
+func (r *Recorder) lacks(d sycamorerun.Departure) bool {
+	return !slices.ContainsFunc(r.stored, func(s sycamorerun.Departure) bool {
 		return s.ID == d.ID && s.Boot == d.Boot && (d.Boot != 0 || !s.At.Before(d.At.Truncate(time.Millisecond)))
 	})
 }
 
 func (r *Recorder) load(ctx context.Context) error {
-	object, err := r.Store.Get(ctx, Prefix+r.Node)
+	object, err := r.read(ctx)
 	if err != nil && !errors.Is(err, persister.ErrMissing) {
+		r.failedReads++
+		r.Unreachable()
 		return err
 	}
-	var stored []announcer.Departure
+	var stored []sycamorerun.Departure
 	if err == nil {
 		if stored, err = decode(object.Value); err != nil {
 			// The next departure replaces what another writer left.
@@ -161,9 +151,20 @@
 	return nil
 }
 
+// read reads the record. The first try is short: the upstream of a node that is
+// started while the store is silent waits for its end.
+func (r *Recorder) read(ctx context.Context) (persister.Object, error) {
+	if r.failedReads == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstReadTimeout)
+		defer cancel()
+	}
+	return r.Store.Get(ctx, Prefix+r.Node)
+}
+
 // write stores departures. After a failure the record has to be read again, since the
 // write may have taken effect or another process of this node may have written.
-func (r *Recorder) write(ctx context.Context, departures []announcer.Departure) error {
+func (r *Recorder) write(ctx context.Context, departures []sycamorerun.Departure) error {
 	value, err := encode(departures)
 	if err != nil {
 		return err
--- a/node/recorder/recorder_test.go
+++ b/node/recorder/recorder_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
+	"sycamorerun"
 	"sycamorerun/node/announcer"
 )
 
@@ -26,10 +27,12 @@
 	p := &process{Announcer: announcer.New(func() time.Duration { return 1500 * time.Millisecond }), recorder: New("n", store.store())}
 	p.Hold(c.now())
 	p.recorder.Departures, p.recorder.Now = p.Departures, c.now
-	p.recorder.Restore = func(now time.Time, departures []announcer.Departure) {
+	p.recorder.Restore = func(now time.Time, departures []sycamorerun.Departure) {
 		p.restores++
-		p.Restore(now, departures)
+		p.Learn(now, departures)
+		p.Release()
 	}
+	p.recorder.Unreachable = func() {}
 	p.recorder.IsMaintainer = func() bool { return true }
 	p.recorder.Logger, p.recorder.Scope = log.NewNopLogger(), tally.NoopScope
 	return p
@@ -55,7 +58,7 @@
 	second := newProcess(store, c)
 	is.NoErr(second.recorder.try(t.Context()))
 	is.Equal(second.restores, 1)
-	is.Equal(second.Departures(c.time), []announcer.Departure{{ID: "a", At: start.Add(time.Second)}})
+	is.Equal(second.Departures(c.time), []sycamorerun.Departure{{ID: "a", At: start.Add(time.Second)}})
 }
 
 // TestRecordIsBounded guards against a record that grows with each departure, and
@@ -65,14 +68,14 @@
 	store, c := &fakeStore{}, &clock{start}
 	p := newProcess(store, c)
 	is.NoErr(p.recorder.Save(t.Context()))
-	p.Restore(start, []announcer.Departure{{ID: "real", Boot: 5, At: start}})
+	p.Learn(start, []sycamorerun.Departure{{ID: "real", Boot: 5, At: start}})
 	for range 100 {
 		p.Leave(start, strings.Repeat("x", store.calls+1))
 		is.NoErr(p.recorder.Save(t.Context()))
 	}
 	stored, err := decode(store.objects[Prefix+"n"].Value)
 	is.NoErr(err)
-	is.Equal(len(stored), 1+maxUnknown)
+	is.Equal(len(stored), 5) // the real one and the last four ids
 	is.Equal(stored[0].ID, "real")
 	calls := store.calls
 	is.NoErr(p.recorder.Save(t.Context()))
@@ -141,7 +144,7 @@
 	is := is.New(t)
 	store, c := &fakeStore{}, &clock{start}
 	for key, at := range map[string]time.Time{"old": start.Add(-expiry), "new": start.Add(time.Second - expiry), "future": start.Add(expiry)} {
-		value, err := encode([]announcer.Departure{{ID: "a", Boot: 5, At: start.Add(-2 * expiry)}, {ID: "a", Boot: 6, At: at}})
+		value, err := encode([]sycamorerun.Departure{{ID: "a", Boot: 5, At: start.Add(-2 * expiry)}, {ID: "a", Boot: 6, At: at}})
 		is.NoErr(err)
 		store.write(Prefix+key, value)
 	}
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -87,6 +87,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
+	// The peers tell the next process while the store can't be reached.
+	n.publishDepartures(time.Now())
+	n.tracker.Flush(ctx)
 	if err := n.recorder.Save(ctx); err != nil {
 		level.Warn(n.logger).Log("msg", "departure not confirmed, since it can't be stored", "err", err)
 		return announcer.Unsaved
@@ -94,12 +97,41 @@
 	return outcome
 }
 
-// restoreDepartures applies the departures that earlier processes of this node
-// confirmed.
-func (n *node) restoreDepartures(now time.Time, departures []announcer.Departure) {
-	n.calls.upstream.announcer.Restore(now, departures)
-	_ = level.Debug(n.logger).Log("msg", "departures restored", "count", len(departures))
-	n.refreshUpstream(now)
+func (n *node) publishDepartures(now time.Time) {
+	n.tracker.SetDepartures(now, n.calls.upstream.announcer.Departures(now))
+}
+
+// restoreDepartures applies the departures that the store holds, which are all that
+// earlier processes of this node confirmed.
+func (n *node) restoreDepartures(now time.Time, departures []sycamorerun.Departure) {
+	n.calls.upstream.announcer.Learn(now, departures)
+	n.releaseAnnouncements("store")
+	n.publishDepartures(now)
+}
+
+// learnDepartures applies the departures that a peer knows. It may lack the last one,
+// so that the store's answer is waited for unless the store can't be reached.
+func (n *node) learnDepartures(now time.Time, departures []sycamorerun.Departure) {
+	n.calls.upstream.announcer.Learn(now, departures)
+	n.departuresLearned.Store(true)
+	if n.storeFailed.Load() {
+		n.releaseAnnouncements("peer")
+	}
+	n.publishDepartures(now)
+}
+
+// useLearnedDepartures is called when the store can't be read.
+func (n *node) useLearnedDepartures() {
+	n.storeFailed.Store(true)
+	if n.departuresLearned.Load() {
+		n.releaseAnnouncements("peer")
+	}
+}
+
+func (n *node) releaseAnnouncements(source string) {
+	n.calls.upstream.announcer.Release()
+	_ = level.Debug(n.logger).Log("msg", "departures of earlier processes known", "source", source)
+	n.refreshUpstream(time.Now())
 }
 
 // rejectAnnouncement counts a rejected announcement and logs it, unless one was
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -75,16 +75,19 @@
 	seeder    *seeder.Seeder
 	// recorder is nil if no handlers take announcements with a boot. The operators'
 	// API takes none, so that there is no departure to keep.
-	recorder      *recorder.Recorder
-	applier       *applier.Applier
-	distributor   *distributor.Distributor
-	acceptor      *acceptor.Acceptor
-	authenticator *authenticator.Authenticator
-	manager       *manager.Manager
-	reporter      *reporter.Reporter
-	calls         *calls
-	keys          *deduplicator.Exchanger
-	publisher     *publisher
+	recorder *recorder.Recorder
+	// storeFailed is set if the store's record of departures could not be read when
+	// the node started, departuresLearned if a peer has told what it knows of them.
+	storeFailed, departuresLearned atomic.Bool
+	applier                        *applier.Applier
+	distributor                    *distributor.Distributor
+	acceptor                       *acceptor.Acceptor
+	authenticator                  *authenticator.Authenticator
+	manager                        *manager.Manager
+	reporter                       *reporter.Reporter
+	calls                          *calls
+	keys                           *deduplicator.Exchanger
+	publisher                      *publisher
 }
 
 // newNode returns a wired node that starts at now.
@@ -122,7 +125,6 @@
 		n.applier.Validate = new(validator.Checker).Check
 	}
 	n.calls = newCalls(now, n.activeSettings.Load, n.applier.Current, n.fleet.serving, n.fleet.live)
-	n.wireAnnouncements(now, r)
 	n.setLevel = r.logger.SetLevel
 	if r.Contract != nil {
 		n.calls.forwarder.Contract = *r.Contract
@@ -135,6 +137,7 @@
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
 	n.wireMembership()
+	n.wireAnnouncements(now, r)
 	n.wireKeys()
 	n.wireDistribution()
 	n.wireAcceptance()
@@ -178,8 +181,10 @@
 		return
 	}
 	a.Hold(now)
+	n.tracker.Departed = n.learnDepartures
 	n.recorder = recorder.New(n.settings.Name, n.store)
 	n.recorder.Departures, n.recorder.Restore = a.Departures, n.restoreDepartures
+	n.recorder.Unreachable = n.useLearnedDepartures
 	n.recorder.IsMaintainer = func() bool { return n.fleet.plan().Seed }
 	n.recorder.Logger, n.recorder.Scope = n.logger, n.scope.SubScope("departures")
 }
--- a/node/tracker/codec.go
+++ b/node/tracker/codec.go
@@ -55,6 +55,7 @@
 		SinceAgeMilli:    milliseconds(now.Sub(r.Since)),
 		Suspected:        r.suspected(),
 		Unreachable:      r.unreachable,
+		Departures:       encodeDepartures(now, r.departures),
 	}
 	if r.expires() {
 		message.AgeMilli = milliseconds(now.Sub(r.inactiveSince))
@@ -72,6 +73,10 @@
 	if err := checkMessage(message); err != nil {
 		return nil, err
 	}
+	departures, err := decodeDepartures(now, message.GetDepartures())
+	if err != nil {
+		return nil, errors.Wrapf(err, "record of %q", message.GetName())
+	}
 	r := &record{
 		Instance: sycamorerun.Instance{
 			Name:             message.GetName(),
@@ -86,6 +91,7 @@
 			Distance:         int(message.GetDistance()),
 			Since:            timeOfAge(now, message.GetSinceAgeMilli(), maxStateAge),
 		},
+		departures:    departures,
 		inactiveSince: timeOfAge(now, message.GetAgeMilli(), retention),
 		key:           newKey(message.GetName()),
 	}
--- a/node/tracker/link.go
+++ b/node/tracker/link.go
@@ -13,7 +13,7 @@
 const (
 	// maxFrameBytes bounds a received frame. recordBatchBytes is the size of
 	// the records in a frame after which a sender starts another frame. One
-	// record is at most about 17 KB.
+	// record is at most about 50 KB.
 	maxFrameBytes    = 1 << 20
 	recordBatchBytes = 256 << 10
 	// batchDelay is how long records wait to be sent together with further
--- a/node/tracker/record.go
+++ b/node/tracker/record.go
@@ -24,7 +24,10 @@
 	// unreachable lists the availability zones that the node reports as
 	// unreachable.
 	unreachable []string
-	health      health
+	// departures are the recent ones that the node published.
+	departures []sycamorerun.Departure
+	earlier    earlierRun
+	health     health
 	// inactiveSince is when the node was suspected or left, by this node's
 	// clock.
 	inactiveSince time.Time
--- a/node/tracker/self.go
+++ b/node/tracker/self.go
@@ -87,11 +87,11 @@
 	return in.Newer(old.Instance) || same && in.suspected() && !old.suspected()
 }
 
-// tickSelf refutes suspicions and expires the upstream's announcement. Refuting
+// tickSelf refutes suspicions and expires the upstream's announcement and departures. Refuting
 // here and not on each received record bounds the rate when two processes use
 // the same name.
 func (t *table) tickSelf(now time.Time) bool {
-	return t.refute(now) || t.expireAnnouncement(now)
+	return t.refute(now) || t.expireAnnouncement(now) || t.expireDepartures(now)
 }
 
 func (t *table) refute(now time.Time) bool {
--- a/node/tracker/serve.go
+++ b/node/tracker/serve.go
@@ -35,7 +35,7 @@
 	_ = l.conn.SetReadDeadline(time.Now().Add(t.timing.handshakeTimeout))
 	defer l.conn.SetReadDeadline(time.Time{})
 	if l.outbound {
-		if err := l.write(t.handshakeFrames(l)); err != nil {
+		if err := l.write(t.handshakeFrames(l, expected)); err != nil {
 			return err
 		}
 	}
@@ -51,7 +51,7 @@
 		return errors.Errorf("handshake from node %s, want %s", name, expected)
 	}
 	if !l.outbound {
-		if err := l.write(t.handshakeFrames(l)); err != nil {
+		if err := l.write(t.handshakeFrames(l, name)); err != nil {
 			return err
 		}
 	}
@@ -59,7 +59,20 @@
 		return err
 	}
 	t.notifyVersion(name, frame)
-	return nil
+	return t.notifyDepartures(frame)
+}
+
+// notifyDepartures calls Departed with the departures in a peer's first frame, if the
+// peer knows an earlier run of this node.
+func (t *Tracker) notifyDepartures(frame *Frame) error {
+	now := time.Now()
+	t.mu.Lock()
+	departures, known, err := t.table.earlierDepartures(now, frame)
+	t.mu.Unlock()
+	if known && t.Departed != nil {
+		t.Departed(now, departures)
+	}
+	return err
 }
 
 // notifyVersion calls VersionSeen with the version of a frame's heartbeat.
@@ -69,13 +82,17 @@
 	}
 }
 
-func (t *Tracker) handshakeFrames(l *link) []*Frame {
+// handshakeFrames returns the first frames for a peer. Its name is empty if only its
+// address is known.
+func (t *Tracker) handshakeFrames(l *link, peer string) []*Frame {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l.sendHeartbeat = true
 	l.markDirty([]string{t.Self.Name})
-	frames := t.table.buildFrames(time.Now(), l, t.version())
+	now := time.Now()
+	frames := t.table.buildFrames(now, l, t.version())
 	frames[0].From = t.Self.Name
+	t.table.describeRuns(now, frames[0], peer)
 	return frames
 }
 
--- a/node/tracker/table.go
+++ b/node/tracker/table.go
@@ -25,6 +25,7 @@
 type table struct {
 	// suspicionTimeout is the time in which a suspect can refute the suspicion.
 	suspicionTimeout time.Duration
+	started          time.Time
 	self             selfState
 	records          map[string]*record
 	// expiring holds the records that change state by the passing of time.
@@ -52,6 +53,7 @@
 	self.Since = now
 	t := &table{
 		suspicionTimeout: suspicionTimeout,
+		started:          now,
 		self:             selfState{name: self.Name},
 		records:          map[string]*record{},
 		expiring:         map[string]*record{},
@@ -126,6 +128,7 @@
 	default:
 		return false
 	}
+	in.earlier = old.following(now, in)
 	t.put(now, in)
 	return true
 }
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -26,6 +26,9 @@
 	// as at most planDelay.
 	planDelay       = 50 * time.Millisecond
 	planDelayFactor = 30
+	// flushInterval is the time between two checks whether all links have sent their
+	// records.
+	flushInterval = 10 * time.Millisecond
 	// maxLinks is the number of open links at which further links opened by peers
 	// are rejected.
 	maxLinks = 256
@@ -49,6 +52,9 @@
 	// VersionSeen is called with the configuration version that a peer's
 	// heartbeat carries.
 	VersionSeen func(peer string, version sycamorerun.Version)
+	// Departed is called with the departures that earlier runs of this node confirmed,
+	// as far as a peer knows them.
+	Departed func(now time.Time, departures []sycamorerun.Departure)
 	// Changed is called after the records have changed.
 	Changed func()
 	Logger  log.Logger
@@ -137,6 +143,17 @@
 	t.flood(nil)
 }
 
+// SetDepartures publishes the departures that this node confirmed, so that its next
+// run learns them from its peers if the store can't be reached.
+func (t *Tracker) SetDepartures(now time.Time, departures []sycamorerun.Departure) {
+	t.setup()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table.setDepartures(now, departures) {
+		t.flood(nil)
+	}
+}
+
 // SetDistance sets the distance of the store from this node.
 func (t *Tracker) SetDistance(now time.Time, distance int) {
 	t.setup()
@@ -181,8 +198,14 @@
 	t.table.leave(time.Now())
 	t.flood(nil)
 	t.mu.Unlock()
+	t.Flush(ctx)
+}
+
+// Flush waits until all links have sent the changed records.
+func (t *Tracker) Flush(ctx context.Context) {
+	t.setup()
 	for ctx.Err() == nil && !t.flushed() {
-		sleep(ctx, 10*time.Millisecond)
+		sleep(ctx, flushInterval)
 	}
 }
 
