--- a/node/recorder/recorder_test.go
+++ b/node/recorder/recorder_test.go
@@ -88,7 +88,8 @@
 	cases := map[string]string{
 		"empty": "", "null": "null", "no object": "[1]", "bytes": "\x00\xff", "other type": `{"departures":7}`,
 		"no id": `{"departures":[{"boot":5,"time":1}]}`, "negative boot": `{"departures":[{"id":"a","boot":-5,"time":1}]}`,
-		"fraction": `{"departures":[{"id":"a","boot":5.5,"time":1}]}`, "no time": `{"departures":[{"id":"a","boot":5}]}`,
+		"fraction": `{"departures":[{"id":"a","boot":5.5,"time":1}]}`, "no boot": `{"departures":[{"id":"a","time":1000000000}]}`,
+		"null boot": `{"departures":[{"id":"a","boot":null,"time":1000000000}]}`, "no time": `{"departures":[{"id":"a","boot":5}]}`,
 		"too many": `{"departures":[` + strings.Repeat(`{"id":"a","boot":5,"time":1},`, 50) + `{"id":"a","boot":5,"time":1}]}`,
 		"large":    `{"departures":[]}` + strings.Repeat(" ", maxRecordBytes),
 	}
