runner: confirm a departure while a peer reads nothing

Cause: the wait until all links have sent the departure had the same limit as storing it, so that one peer that was cut off used up the 0.8 s and the departure was confirmed too late or not at all.

Change: the wait for the links has 0.1 s of its own, after the departure is stored.

--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -27,6 +27,9 @@
 	// saveTimeout bounds storing a departure before it is confirmed. The upstream
 	// waits for the confirmation for a second.
 	saveTimeout = 800 * time.Millisecond
+	// flushTimeout bounds sending a departure to the peers before it is confirmed. It
+	// exceeds the time for which records wait for others.
+	flushTimeout = 100 * time.Millisecond
 	// rejectionLogInterval is the minimum time between two log lines about rejected
 	// announcements, whose sender may repeat them every second.
 	rejectionLogInterval = time.Minute
@@ -85,15 +88,17 @@
 	if n.recorder == nil || outcome == announcer.Invalid {
 		return outcome
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
-	defer cancel()
 	// The peers tell the next process while the store can't be reached.
 	n.publishDepartures(time.Now())
-	n.tracker.Flush(ctx)
-	if err := n.recorder.Save(ctx); err != nil {
+	flushCtx, endFlush := context.WithTimeout(context.Background(), flushTimeout)
+	defer endFlush()
+	saveCtx, endSave := context.WithTimeout(context.Background(), saveTimeout)
+	defer endSave()
+	if err := n.recorder.Save(saveCtx); err != nil {
 		level.Warn(n.logger).Log("msg", "departure not confirmed, since it can't be stored", "err", err)
 		return announcer.Unsaved
 	}
+	n.tracker.Flush(flushCtx)
 	return outcome
 }
 
--- a/node/runner/announce_test.go
+++ b/node/runner/announce_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,9 +19,13 @@
 	"github.com/uber-go/tally/v4"
 
 	"sycamorerun"
+	"sycamorerun/encoder"
 	"sycamorerun/node/announcer"
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/recorder"
+	"sycamorerun/node/tracker"
+	"sycamorerun/persister"
 )
 
 // readyNode returns a node that is in the ready phase but not running.
@@ -238,3 +243,41 @@
 	odd.Service = "s"
 	is.NoErr(n.announce(odd))
 }
+
+// Guards against a departure that is not confirmed because a peer reads nothing.
+func TestDepartureBesideSilentPeer(t *testing.T) {
+	is := is.New(t)
+	n := readyNode(t)
+	stored := make(chan struct{}, 1)
+	n.recorder = recorder.New(n.settings.Name, persister.Store{
+		Get: func(context.Context, string) (persister.Object, error) {
+			return persister.Object{}, persister.ErrMissing
+		},
+		Put: func(context.Context, string, []byte, persister.Revision) (persister.Revision, error) {
+			stored <- struct{}{}
+			return 1, nil
+		},
+	})
+	n.recorder.Departures, n.recorder.Restore = n.calls.upstream.announcer.Departures, n.restoreDepartures
+	n.recorder.Logger, n.recorder.Scope = n.logger, n.scope
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = n.tracker.Run(ctx) }()
+	silent, conn := net.Pipe()
+	defer silent.Close()
+	go n.tracker.Serve(ctx, "peer", conn)
+	for linked := false; !linked; time.Sleep(time.Millisecond) {
+		_, err := encoder.Write(silent, &tracker.Frame{From: "peer", Heartbeat: &tracker.Heartbeat{}})
+		is.NoErr(err)
+		_, err = encoder.Read[tracker.Frame](silent, 1<<20)
+		linked = err == nil
+	}
+	in := manager.Announcement{
+		ID: "a", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), State: sycamorerun.StateReady, Slots: 2, Sequence: 1, Boot: 5,
+	}
+	is.Equal(n.api().Announce(time.Now(), in), announcer.Accepted)
+	started := time.Now()
+	is.Equal(n.api().Leave(started, "a"), announcer.Accepted)
+	is.True(time.Since(started) < saveTimeout)
+	<-stored
+}
