announcer: use a successor under the id of a deleted upstream at once

Cause: a delete of an id that isn't in use blocked all boots of the id for 10 s. Upstreams send their delete twice, seconds apart; when the node is restarted in between, the second one no longer finds the upstream in use and blocked its successor under the same id.

Change: if a boot of the id is known to have left, the delete binds the boots that started before it, as for the upstream in use.

The case 'restart, second delete, successor under the same id' of TestAnnounce failed before.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -278,9 +278,7 @@
 	case !validID(id):
 		return Invalid
 	case id != a.current.ID:
-		if !a.leaveHeld(now, id) {
-			a.history.addDepartures(now, id)
-		}
+		a.leaveOther(now, id)
 		return Ignored
 	}
 	if !leaving(a.current.State) {
@@ -293,6 +291,21 @@
 	return Accepted
 }
 
+// leaveOther records the departure of an id that isn't the current one: those of its
+// known boots, and that of the id. If no boot of it is known, it may be the departure
+// of a boot whose announcements are late, and binds whatever the clock says.
+func (a *Announcer) leaveOther(now time.Time, id string) {
+	boots := append(a.history.replacedBoots(id), a.heldBoots(id)...)
+	for _, boot := range boots {
+		a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: boot, At: now})
+	}
+	departure := sycamorerun.Departure{ID: id, At: now}
+	if a.history.knowsDeparture(id) {
+		departure = departureOfID(now, id)
+	}
+	a.history.addDeparture(departure)
+}
+
 // departureOfID returns the departure of an id with a known boot. It may be that of a
 // later boot whose announcements have not arrived yet, but not that of a boot which
 // starts after it.
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -177,6 +177,13 @@
 			{at: 200, id: "a", boot: 1_000_000_149, seq: 1, want: Ignored},
 			{at: 210, id: "a", boot: 1_000_000_151, seq: 1, want: Accepted, use: "a/1000000151 ready"},
 		},
+		"restart, second delete, successor under the same id": {
+			{event: "hold"},
+			{at: 100, event: "restore", id: "a", boot: 5},
+			{at: 200, event: "leave", id: "a", want: Ignored},
+			{at: 300, id: "a", boot: 5, seq: 9, want: Ignored},
+			{at: 400, id: "a", boot: 1_000_000_300, seq: 1, want: Accepted, use: "a/1000000300 ready"},
+		},
 		"restart, draining before the others are known": {
 			{event: "hold"},
 			{at: 100, id: "a", boot: 5, seq: 4, want: Held},
--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -93,18 +93,13 @@
 	return Held
 }
 
-// leaveHeld records the departures of the boots of an id whose announcements wait, and
-// reports whether there are any.
-func (a *Announcer) leaveHeld(now time.Time, id string) bool {
-	found := false
+// heldBoots returns the boots of an id whose announcements wait.
+func (a *Announcer) heldBoots(id string) []int64 {
+	var boots []int64
 	for _, in := range a.held.announcements {
 		if in.ID == id {
-			a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: in.Boot, At: now})
-			found = true
+			boots = append(boots, in.Boot)
 		}
 	}
-	if found {
-		a.history.addDeparture(departureOfID(now, id))
-	}
-	return found
+	return boots
 }
--- a/node/announcer/history.go
+++ b/node/announcer/history.go
@@ -62,15 +62,20 @@
 	h.departures = append(bounded(h.departures), d)
 }
 
-// addDepartures records the departure of an id that isn't the current one: those of
-// its boots that were replaced, and that of a boot which is unknown.
-func (h *history) addDepartures(now time.Time, id string) {
-	for _, b := range slices.Clone(h.replaced) {
+// replacedBoots returns the boots of an id that were replaced without having left.
+func (h *history) replacedBoots(id string) []int64 {
+	var boots []int64
+	for _, b := range h.replaced {
 		if b.id == id {
-			h.addDeparture(sycamorerun.Departure{ID: id, Boot: b.number, At: now})
+			boots = append(boots, b.number)
 		}
 	}
-	h.addDeparture(sycamorerun.Departure{ID: id, At: now})
+	return boots
+}
+
+// knowsDeparture reports whether a boot of an id has left.
+func (h *history) knowsDeparture(id string) bool {
+	return slices.ContainsFunc(h.departures, func(d sycamorerun.Departure) bool { return d.ID == id })
 }
 
 // restore adds departures from before all others.
