announcer: take an upstream back that a late delete put out of use

What callers saw: an upstream that had started again under its id got no more requests until its next start, when the delete of its earlier start arrived late.

Cause: a delete names an id but no boot, and was final for the boot in use.

A boot that has itself said that it drains stays out. Ruled out: that an upstream announces itself after its own delete.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -189,7 +189,7 @@
 	later := in.Boot > a.current.Boot && a.current.ID != ""
 	switch {
 	case left:
-		return false
+		return serving(in.State) && a.returns(now, in)
 	case !later && leaving(in.State):
 		return a.current.ID == ""
 	case a.history.wasReplaced(in.ID, in.Boot), in.Boot != 0 && in.Boot < a.current.Boot:
@@ -221,7 +221,14 @@
 	if leaving(in.State) {
 		return a.current.State != sycamorerun.StateLeft || in.State == sycamorerun.StateLeft
 	}
-	return !a.ordered(in) || a.pastLateWindow(now, in)
+	return !a.ordered(in) || a.pastLateWindow(now, in) || a.returns(now, in)
+}
+
+// returns reports whether a boot that was deleted is in use again. The delete was a
+// late one of an earlier boot if this one goes on announcing itself for longer than an
+// announcement can be late.
+func (a *Announcer) returns(now time.Time, in Announcement) bool {
+	return a.history.mayReturn(now, in.ID, in.Boot) && a.confirmCandidate(now, in) && a.replaceable(now)
 }
 
 // ordered reports whether in can be distinguished from a late announcement.
@@ -263,6 +270,9 @@
 	if leaving(in.State) && !leaving(a.current.State) {
 		a.leave(now, in)
 	}
+	if serving(in.State) {
+		a.history.removeDeparture(in.ID, in.Boot)
+	}
 	a.warmUntil = now.Add(in.Warmup)
 	if serving(in.State) && in.Warmup > 0 {
 		in.State = sycamorerun.StateCold
@@ -282,9 +292,10 @@
 		return Ignored
 	}
 	if !leaving(a.current.State) {
-		a.leave(now, a.current)
+		a.leftAt = now
 	}
 	if a.current.Boot != 0 {
+		a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: a.current.Boot, Deleted: true, At: now})
 		a.history.addDeparture(departureOfID(now, id))
 	}
 	a.current.State = sycamorerun.StateLeft
@@ -297,7 +308,7 @@
 func (a *Announcer) leaveOther(now time.Time, id string) {
 	boots := append(a.history.replacedBoots(id), a.heldBoots(id)...)
 	for _, boot := range boots {
-		a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: boot, At: now})
+		a.history.addDeparture(sycamorerun.Departure{ID: id, Boot: boot, Deleted: true, At: now})
 	}
 	departure := sycamorerun.Departure{ID: id, At: now}
 	if a.history.knowsDeparture(id) {
--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -38,10 +38,12 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.history.restore(now, departures)
-	if a.history.departed(a.current.ID, a.current.Boot) && !leaving(a.current.State) {
-		a.leave(now, a.current)
-		a.current.State = sycamorerun.StateLeft
+	d, found := a.history.find(a.current.ID, a.current.Boot)
+	if !found || leaving(a.current.State) || d.Deleted && a.lastAnnounced.Sub(d.At) >= departureRetention {
+		return
 	}
+	a.leftAt = now
+	a.current.State = sycamorerun.StateLeft
 }
 
 // Release processes the announcements that wait for the departures. All that can be
--- a/node/announcer/history.go
+++ b/node/announcer/history.go
@@ -58,7 +58,10 @@
 		return
 	}
 	h.replaced = slices.DeleteFunc(h.replaced, func(b boot) bool { return b == boot{d.ID, d.Boot} })
-	h.departures = slices.DeleteFunc(h.departures, func(old sycamorerun.Departure) bool { return old.ID == d.ID && old.Boot == d.Boot })
+	if old, found := h.find(d.ID, d.Boot); found && !old.Deleted {
+		d.Deleted = false // the upstream itself has said that this boot leaves
+	}
+	h.removeDeparture(d.ID, d.Boot)
 	h.departures = append(bounded(h.departures), d)
 }
 
@@ -94,14 +97,41 @@
 	}
 }
 
+// find returns the departure of a boot.
+func (h *history) find(id string, number int64) (sycamorerun.Departure, bool) {
+	i := slices.IndexFunc(h.departures, func(d sycamorerun.Departure) bool { return d.ID == id && d.Boot == number })
+	if i < 0 {
+		return sycamorerun.Departure{}, false
+	}
+	return h.departures[i], true
+}
+
+// removeDeparture removes the departure of a boot.
+func (h *history) removeDeparture(id string, number int64) {
+	h.departures = slices.DeleteFunc(h.departures, func(d sycamorerun.Departure) bool { return d.ID == id && d.Boot == number })
+}
+
 // departed reports whether a boot has left.
 func (h *history) departed(id string, number int64) bool {
-	return slices.ContainsFunc(h.departures, func(d sycamorerun.Departure) bool { return d.ID == id && d.Boot == number })
+	_, found := h.find(id, number)
+	return found
+}
+
+// mayReturn reports whether a boot that has left may do so because the delete that
+// ended it was a late one, and announcements from before it can't arrive any more.
+func (h *history) mayReturn(now time.Time, id string, number int64) bool {
+	d, found := h.find(id, number)
+	return found && d.Deleted && now.Sub(d.At) >= departureRetention && !h.idLeft(now, id, number)
 }
 
 // hasLeft reports whether a boot has left, or its id has left recently.
 func (h *history) hasLeft(now time.Time, id string, number int64) bool {
-	return h.departed(id, number) || slices.ContainsFunc(h.recentUnknown(now), func(d sycamorerun.Departure) bool {
+	return h.departed(id, number) || h.idLeft(now, id, number)
+}
+
+// idLeft reports whether a recent departure of an id binds a boot.
+func (h *history) idLeft(now time.Time, id string, number int64) bool {
+	return slices.ContainsFunc(h.recentUnknown(now), func(d sycamorerun.Departure) bool {
 		return d.ID == id && (d.Last == 0 || number <= d.Last)
 	})
 }
--- a/node/recorder/property_test.go
+++ b/node/recorder/property_test.go
@@ -188,3 +188,36 @@
 		m.clock.time = m.clock.time.Add(beatInterval)
 	}
 }
+
+// TestLiveUpstreamReturns guards against an upstream that goes on announcing itself and
+// is never used again, because of a late message of an earlier boot.
+func TestLiveUpstreamReturns(t *testing.T) {
+	const beats = 20 // well beyond the time for which a late delete binds
+	for seed := range uint64(*runs) {
+		is := is.New(t)
+		m := newModel(seed)
+		for range 100 {
+			m.step()
+		}
+		if m.leaving {
+			m.startUpstream()
+		}
+		m.store.Fault = nil
+		for range beats {
+			m.clock.time = m.clock.time.Add(beatInterval)
+			m.upstream.Sequence++
+			m.pending = append(m.pending, message{m.clock.time, m.upstream, false})
+			_ = m.process.recorder.try(t.Context())
+			m.deliver()
+			m.process.Expire(m.clock.time)
+		}
+		current, used := m.process.Current()
+		if !used || current.ID != m.upstream.ID || current.Boot != m.upstream.Boot {
+			for _, line := range m.trace[max(0, len(m.trace)-60):] {
+				t.Log(line)
+			}
+		}
+		is.True(used)
+		is.Equal(boot{current.ID, current.Boot}, boot{m.upstream.ID, m.upstream.Boot})
+	}
+}
--- a/node/recorder/record.go
+++ b/node/recorder/record.go
@@ -21,16 +21,17 @@
 // departure is the stored form of a departure. Time is in Unix milliseconds. Boot is
 // a pointer, since a departure without one is from another writer.
 type departure struct {
-	ID   string `json:"id"`
-	Boot *int64 `json:"boot"`
-	Last int64  `json:"last,omitempty"`
-	Time int64  `json:"time"`
+	ID      string `json:"id"`
+	Boot    *int64 `json:"boot"`
+	Last    int64  `json:"last,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+	Time    int64  `json:"time"`
 }
 
 func encode(departures []sycamorerun.Departure) ([]byte, error) {
 	r := record{Departures: []departure{}}
 	for _, d := range departures {
-		r.Departures = append(r.Departures, departure{d.ID, &d.Boot, d.Last, d.At.UnixMilli()})
+		r.Departures = append(r.Departures, departure{d.ID, &d.Boot, d.Last, d.Deleted, d.At.UnixMilli()})
 	}
 	value, err := json.Marshal(r)
 	return value, errors.Wrap(err, "encode departures")
@@ -54,7 +55,7 @@
 		if d.ID == "" || d.Boot == nil || *d.Boot < 0 || d.Last < 0 || d.Time <= 0 {
 			return nil, errors.Errorf("unusable departure of %.64q", d.ID)
 		}
-		departures = append(departures, sycamorerun.Departure{ID: d.ID, Boot: *d.Boot, Last: d.Last, At: time.UnixMilli(d.Time)})
+		departures = append(departures, sycamorerun.Departure{ID: d.ID, Boot: *d.Boot, Last: d.Last, Deleted: d.Deleted, At: time.UnixMilli(d.Time)})
 	}
 	return departures, nil
 }
--- a/node/recorder/recorder.go
+++ b/node/recorder/recorder.go
@@ -128,7 +128,7 @@
 // leave again later.
 func (r *Recorder) lacks(d sycamorerun.Departure) bool {
 	return !slices.ContainsFunc(r.stored, func(s sycamorerun.Departure) bool {
-		return s.ID == d.ID && s.Boot == d.Boot && (d.Boot != 0 || !s.At.Before(d.At.Truncate(time.Millisecond)))
+		return s.ID == d.ID && s.Boot == d.Boot && s.Deleted == d.Deleted && (d.Boot != 0 || !s.At.Before(d.At.Truncate(time.Millisecond)))
 	})
 }
 
--- a/node/tracker/departures.go
+++ b/node/tracker/departures.go
@@ -94,7 +94,7 @@
 func encodeDepartures(now time.Time, departures []sycamorerun.Departure) []*Departure {
 	var messages []*Departure
 	for _, d := range recent(now, departures) {
-		messages = append(messages, &Departure{Id: d.ID, Boot: d.Boot, Last: d.Last, AgeMilli: milliseconds(now.Sub(d.At))})
+		messages = append(messages, &Departure{Id: d.ID, Boot: d.Boot, Last: d.Last, Deleted: d.Deleted, AgeMilli: milliseconds(now.Sub(d.At))})
 	}
 	return messages
 }
@@ -109,7 +109,7 @@
 			return nil, errors.Errorf("invalid departure of %.64q", m.GetId())
 		}
 		departures = append(departures, sycamorerun.Departure{
-			ID: m.GetId(), Boot: m.GetBoot(), Last: m.GetLast(), At: timeOfAge(now, m.GetAgeMilli(), departureAge),
+			ID: m.GetId(), Boot: m.GetBoot(), Last: m.GetLast(), Deleted: m.GetDeleted(), At: timeOfAge(now, m.GetAgeMilli(), departureAge),
 		})
 	}
 	return departures, nil
