--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -46,8 +46,8 @@
 	a.current.State = sycamorerun.StateLeft
 }
 
-// Release processes the announcements that wait for the departures. All that can be
-// known of them is known.
+// Release processes the announcements that wait. The caller has passed to Learn all
+// departures that can be known.
 func (a *Announcer) Release() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/node/announcer/history.go
+++ b/node/announcer/history.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// departureRetention is how long an id that left before its boot was announced
-	// is not taken into use, since its announcements may still be in flight.
+	// departureRetention is the time for which announcements from before a departure,
+	// or from before the node's start, may still be in flight.
 	departureRetention = 10 * time.Second
 	// maxHistory bounds the recorded boots and departures. An instance restarts its
 	// upstream only a few times within the time for which announcements can be
@@ -27,9 +27,8 @@
 // departures.
 type history struct {
 	replaced []boot
-	// departures are those of boots, which are final. unknown are those of ids. They
-	// are kept apart, so that departures of other
-	// writers don't displace those of real boots.
+	// departures are those of boots, unknown those of ids. They are kept apart, so
+	// that departures of other writers don't displace those of real boots.
 	departures, unknown []sycamorerun.Departure
 }
 
@@ -136,12 +135,12 @@
 	})
 }
 
-// recentUnknown returns the departures of unknown boots that still bind.
+// recentUnknown returns the departures of ids that still bind.
 func (h *history) recentUnknown(now time.Time) []sycamorerun.Departure {
 	return slices.DeleteFunc(slices.Clone(h.unknown), func(d sycamorerun.Departure) bool { return now.Sub(d.At) >= departureRetention })
 }
 
-// removeUnknown removes the departure of an id whose boot was unknown.
+// removeUnknown removes the departure of an id.
 func (h *history) removeUnknown(id string) {
 	h.unknown = slices.DeleteFunc(h.unknown, func(d sycamorerun.Departure) bool { return d.ID == id })
 }
--- a/node/recorder/recorder.go
+++ b/node/recorder/recorder.go
@@ -44,7 +44,7 @@
 	// Departures returns the departures to store, at most announcer.MaxDepartures.
 	Departures func(now time.Time) []sycamorerun.Departure
 	// Restore is called with the departures in the record each time it is read: when
-	// the node starts, and when another process of the node may have written.
+	// the node starts, and after a failed write.
 	Restore func(now time.Time, departures []sycamorerun.Departure)
 	// Unreachable is called when the record can't be read.
 	Unreachable func()
@@ -151,8 +151,8 @@
 	return nil
 }
 
-// read reads the record. The first try is short: the upstream of a node that is
-// started while the store is silent waits for its end.
+// read reads the record. The first try is short, since the upstream waits for its end
+// if the store is silent when the node starts.
 func (r *Recorder) read(ctx context.Context) (persister.Object, error) {
 	if r.failedReads == 0 {
 		var cancel context.CancelFunc
