tracker: refuse a link with invalid departures before it is registered

Cause: the departures in a peer's first frame were decoded after the link had been registered, so that a link which was refused for them stayed registered until its timeout.

TestInvalidFirstFrame failed before. The other tests of tracker and the departure tests of platform pass.

--- a/node/tracker/departures_test.go
+++ b/node/tracker/departures_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamorerun"
+	"sycamorerun/encoder"
 )
 
 // TestEarlierDepartures guards against a run that doesn't learn from its peers what the
@@ -114,3 +116,26 @@
 		})
 	}
 }
+
+// TestInvalidFirstFrame guards against a link that stays registered although the
+// departures in its first frame are invalid.
+func TestInvalidFirstFrame(t *testing.T) {
+	is := is.New(t)
+	tr := &Tracker{Self: sycamorerun.Instance{
+		Name: "n", Incarnation: sycamorerun.NewIncarnation(1), Address: address(1), AvailabilityZone: "z", Region: "r",
+	}}
+	tr.setup()
+	tr.running = true
+	peer, conn := net.Pipe()
+	defer peer.Close()
+	ended := make(chan struct{})
+	go func() {
+		tr.Serve(t.Context(), "peer", conn)
+		close(ended)
+	}()
+	_, err := encoder.Write(peer, &Frame{From: "peer", Heartbeat: &Heartbeat{}, Settled: true, RunDepartures: []*Departure{{Boot: 5}}})
+	is.NoErr(err)
+	_, _ = encoder.Read[Frame](peer, maxFrameBytes)
+	<-ended
+	is.True(tr.linkTo("peer") == nil)
+}
--- a/node/tracker/serve.go
+++ b/node/tracker/serve.go
@@ -55,24 +55,27 @@
 			return err
 		}
 	}
+	now := time.Now()
+	departures, known, err := t.decodeDepartures(now, frame)
+	if err != nil {
+		return err
+	}
 	if err := t.addLink(l, frame); err != nil {
 		return err
 	}
 	t.notifyVersion(name, frame)
-	return t.notifyDepartures(frame)
-}
-
-// notifyDepartures calls Departed with the departures in a peer's first frame, if the
-// peer knows an earlier run of this node.
-func (t *Tracker) notifyDepartures(frame *Frame) error {
-	now := time.Now()
-	t.mu.Lock()
-	departures, known, err := t.table.earlierDepartures(now, frame)
-	t.mu.Unlock()
 	if known && t.Departed != nil {
 		t.Departed(now, departures)
 	}
-	return err
+	return nil
+}
+
+// decodeDepartures returns the departures in a peer's first frame, and whether the peer
+// knows all earlier runs of this node.
+func (t *Tracker) decodeDepartures(now time.Time, frame *Frame) ([]sycamorerun.Departure, bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.earlierDepartures(now, frame)
 }
 
 // notifyVersion calls VersionSeen with the version of a frame's heartbeat.
