--- a/instance.go
+++ b/instance.go
@@ -29,6 +29,8 @@
 	Service          string
 	State            State
 	Slots            int
+	// Release is the release of the upstream's software, as it announces it.
+	Release string
 	// Distance is the node's latency to the store as a bucket number, 1 or
 	// higher. Zero means not measured, Unreachable that calls to the store fail.
 	Distance int
--- a/path.go
+++ b/path.go
@@ -13,6 +13,8 @@
 	KindService = "service"
 	KindRoute   = "route"
 	KindLimits  = "limits"
+	KindAccount = "account"
+	KindRollout = "rollout"
 )
 
 // LimitsPath is the path of the limits for callers. The administrators own them,
--- a/route.go
+++ b/route.go
@@ -39,6 +39,8 @@
 	// Rank is the priority of calls in an upstream's queue, 1 being the highest.
 	// Zero means the rank of the class.
 	Rank int `json:"rank,omitempty"`
+	// Public says that requests need no key of a client account.
+	Public bool `json:"public,omitempty"`
 }
 
 // Target is a weighted destination of a route.
