parser, validator: client accounts and public routes in the settings tree

The administrators' file gets accounts (label, keys as hashes, rank, rate, burst) and routes get public.

--- a/account.go
+++ b/account.go
@@ -3,6 +3,9 @@
 // Account is the item that describes a client account. Its name is that of the
 // item.
 type Account struct {
+	// Label is the name under which upstreams know the account. If it is empty,
+	// they get the name of the item.
+	Label string `json:"label,omitempty"`
 	// Keys are the hashes of the keys that authenticate the account, each
 	// "sha256:" followed by the hex SHA-256 of the key.
 	Keys []string `json:"keys,omitempty"`
--- a/node/acceptor/decide.go
+++ b/node/acceptor/decide.go
@@ -274,9 +274,9 @@
 	change := request.Change
 	for _, path := range slices.Sorted(maps.Keys(change.Items)) {
 		team, kind, name := path.Split()
-		isTeam := kind == sycamorerun.KindTeam && team == sycamorerun.AdminTeam
+		isAdmins := team == sycamorerun.AdminTeam && (kind == sycamorerun.KindTeam || kind == sycamorerun.KindAccount)
 		isServiceOrRoute := kind == sycamorerun.KindService || kind == sycamorerun.KindRoute
-		namedItem := name != "" && (isTeam || isServiceOrRoute)
+		namedItem := name != "" && (isAdmins || isServiceOrRoute)
 		if team != change.Team || !namedItem && path != sycamorerun.LimitsPath {
 			return refuse(change.ID, "wrong-path", string(path), "team %s can't set this path with a settings file", change.Team), true
 		}
--- a/parser/field.go
+++ b/parser/field.go
@@ -22,6 +22,15 @@
 	MaxTeams    = 512
 	MaxServices = 1024
 	MaxRoutes   = 4096
+	// MaxAccounts is the maximum number of client accounts in the tree, and
+	// MaxKeys that of the keys of one account.
+	MaxAccounts = 100_000
+	MaxKeys     = 512
+	// MaxRank is the lowest priority of a call in a queue.
+	MaxRank = 16
+	// MaxRate is the largest rate of an account in requests a second, and the
+	// largest burst in requests. It is beyond what a fleet can serve.
+	MaxRate = 1e9
 	// MaxHeaderBytes is the largest header size that the limits can set. Nodes
 	// send a header to each other in a single frame.
 	MaxHeaderBytes = 1 << 20
@@ -42,7 +51,7 @@
 	// Object is the kind of the object that contains the field.
 	Object string
 	Name   string
-	// Type is integer, duration, fraction, text, list or map.
+	// Type is integer, duration, fraction, number, boolean, text, list or map.
 	Type string
 	// Unit names what an integer or the length of a list or map counts.
 	Unit string
@@ -66,7 +75,9 @@
 	// Rule is the human-readable description of the format.
 	Rule string
 	// Code is the fault code of a text that does not match.
-	Code    string
+	Code string
+	// secret means that faults must not quote the text.
+	secret  bool
 	pattern *regexp.Regexp
 }
 
@@ -78,7 +89,8 @@
 	methodFormat = newFormat(CodeBadValue, "1 to 16 upper-case letters", `^[A-Z]{1,16}$`)
 	headerFormat = newFormat(CodeBadName, "1 to 63 characters of a-z0-9-, value of 1 to 256 visible ASCII characters and inner spaces", `^[a-z0-9-]{1,63}$`)
 	valueFormat  = newFormat(CodeBadValue, "1 to 256 visible ASCII characters and inner spaces", `^[!-~]([ -~]{0,254}[!-~])?$`)
-	hashFormat   = newFormat(CodeBadValue, "sha256: and 64 lower-case hexadecimal digits", `^sha256:[0-9a-f]{64}$`)
+	labelFormat  = newFormat(CodeBadValue, "empty, or 1 to 256 visible ASCII characters and inner spaces", `^([!-~]([ -~]{0,254}[!-~])?)?$`)
+	hashFormat   = newSecretFormat(CodeBadValue, "sha256: and 64 lower-case hexadecimal digits", `^sha256:[0-9a-f]{64}$`)
 )
 
 // Maximum lengths of texts whose pattern does not limit the length.
@@ -92,6 +104,14 @@
 	return Format{Rule: rule, Code: code, pattern: regexp.MustCompile(pattern)}
 }
 
+// newSecretFormat returns the format of a text that may be a secret by mistake,
+// such as a key in place of its hash.
+func newSecretFormat(code, rule, pattern string) Format {
+	format := newFormat(code, rule, pattern)
+	format.secret = true
+	return format
+}
+
 // Object kinds of a settings file.
 const (
 	objectFile     = "file"
@@ -101,6 +121,7 @@
 	objectRoute    = "route"
 	objectTarget   = "target"
 	objectLimits   = "limits"
+	objectAccount  = "account"
 )
 
 // accessor adapts a function on *T to objects of type any.
@@ -203,9 +224,14 @@
 		pointer: accessor(func(r *sycamorerun.Route) any { return &r.Objective }),
 	},
 	{
-		Object: objectRoute, Name: "rank", Type: "integer", Unit: "rank", Default: "0", Low: 0, High: 16,
+		Object: objectRoute, Name: "rank", Type: "integer", Unit: "rank", Default: "0", Low: 0, High: MaxRank,
 		pointer: accessor(func(r *sycamorerun.Route) any { return &r.Rank }),
 	},
+	{
+		Object: objectRoute, Name: "public", Type: "boolean", Default: "false",
+		Values:  []string{"false", "true"},
+		pointer: accessor(func(r *sycamorerun.Route) any { return &r.Public }),
+	},
 	{
 		Object: objectTarget, Name: "service", Type: "text", Required: true, Format: nameFormat,
 		pointer: accessor(func(t *sycamorerun.Target) any { return &t.Service }),
@@ -232,6 +258,26 @@
 		Low: 0, High: float64(MaxIdle),
 		pointer: accessor(func(l *sycamorerun.Limits) any { return &l.Idle }),
 	},
+	{
+		Object: objectAccount, Name: "label", Type: "text", Format: labelFormat,
+		pointer: accessor(func(a *sycamorerun.Account) any { return &a.Label }),
+	},
+	{
+		Object: objectAccount, Name: "keys", Type: "list", Unit: "hashes", Low: 0, High: MaxKeys, Format: hashFormat,
+		pointer: accessor(func(a *sycamorerun.Account) any { return &a.Keys }),
+	},
+	{
+		Object: objectAccount, Name: "rank", Type: "integer", Unit: "rank", Default: "0", Low: 0, High: MaxRank,
+		pointer: accessor(func(a *sycamorerun.Account) any { return &a.Rank }),
+	},
+	{
+		Object: objectAccount, Name: "rate", Type: "number", Unit: "requests a second", Default: "0", Low: 0, High: MaxRate,
+		pointer: accessor(func(a *sycamorerun.Account) any { return &a.Rate }),
+	},
+	{
+		Object: objectAccount, Name: "burst", Type: "number", Unit: "requests", Default: "0", Low: 0, High: MaxRate,
+		pointer: accessor(func(a *sycamorerun.Account) any { return &a.Burst }),
+	},
 }
 
 // fileFields lists the top-level fields of a settings file.
@@ -241,6 +287,7 @@
 	{Object: objectFile, Name: "services", Type: "map", Unit: "services", High: MaxServices, Format: nameFormat},
 	{Object: objectFile, Name: "routes", Type: "map", Unit: "routes", High: MaxRoutes, Format: nameFormat},
 	{Object: objectFile, Name: "limits", Type: "map", Unit: "fields", High: 4},
+	{Object: objectFile, Name: "accounts", Type: "map", Unit: "accounts", High: MaxAccounts, Format: nameFormat},
 }
 
 // fieldsByObject indexes objectFields by object and keeps their order.
@@ -296,6 +343,8 @@
 	case *sycamorerun.Duration:
 		parsed, _ := time.ParseDuration(f.Default)
 		*value = sycamorerun.Duration(parsed)
+	case *bool:
+		*value = f.Default == "true"
 	case *string:
 		*value = f.Default
 	}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -40,6 +40,7 @@
 	"services": {fileFields[2], sycamorerun.KindService, false, false, func() any { return new(sycamorerun.Service) }},
 	"routes":   {fileFields[3], sycamorerun.KindRoute, false, false, func() any { return new(sycamorerun.Route) }},
 	"limits":   {fileFields[4], sycamorerun.KindLimits, true, true, func() any { return new(sycamorerun.Limits) }},
+	"accounts": {fileFields[5], sycamorerun.KindAccount, true, false, func() any { return new(sycamorerun.Account) }},
 }
 
 // Parse reads a settings file of a team or of the administrators. It returns
@@ -193,7 +194,7 @@
 		switch {
 		case pair.name == fileFields[0].Name:
 		case !known:
-			r.addFault(CodeUnknownField, pair.path, pair.key, "the fields of the file are team, services and routes, or team, teams and limits")
+			r.addFault(CodeUnknownField, pair.path, pair.key, "the fields of the file are team, services and routes, or team, teams, limits and accounts")
 		case subtree.Team != "" && section.admin != admin:
 			r.addFault(CodeUnknownField, pair.path, pair.key, "the file of team %s has no such field", quote(subtree.Team))
 		case section.single:
--- a/parser/part.go
+++ b/parser/part.go
@@ -79,7 +79,7 @@
 	// complete. Decoding each item separately doubled the allocations.
 	defaultPartValues = 512
 	// maxEntries is the maximum number of top-level entries in a file that is
-	// split. Only five fields are defined.
+	// split. Only six fields are defined.
 	maxEntries = 16
 )
 
--- a/parser/reader.go
+++ b/parser/reader.go
@@ -174,6 +174,8 @@
 		r.readInteger(path, node, target)
 	case *float64:
 		r.readFraction(path, node, target)
+	case *bool:
+		r.readBoolean(path, node, target)
 	case *sycamorerun.Duration:
 		r.readDuration(path, node, target)
 	case *string:
@@ -254,6 +256,18 @@
 	}
 }
 
+func (r *reader) readBoolean(path string, node *yaml.Node, target *bool) {
+	text, ok := r.readScalar(path, node, "true or false", "!!bool")
+	if !ok {
+		return
+	}
+	if text != "true" && text != "false" {
+		r.addFault(CodeWrongType, path, node, "%s where true or false belongs", quote(text))
+		return
+	}
+	*target = text == "true"
+}
+
 var decimalPattern = regexp.MustCompile(`^-?(0|[1-9][0-9]*)$`)
 
 func (r *reader) readInteger(path string, node *yaml.Node, target *int) {
--- a/parser/render.go
+++ b/parser/render.go
@@ -13,7 +13,7 @@
 )
 
 // sectionOrder is the order of the sections in a rendered file.
-var sectionOrder = []string{"teams", "services", "routes", "limits"}
+var sectionOrder = []string{"teams", "services", "routes", "limits", "accounts"}
 
 // Render returns a settings file that Parse reads as the given items of team.
 // Holds are omitted because settings files do not contain them.
@@ -68,12 +68,24 @@
 	return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: text}
 }
 
+// boolNode returns the node of a flag, or nil for one that is not set.
+func boolNode(value bool) *yaml.Node {
+	if !value {
+		return nil
+	}
+	return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!bool", Value: "true"}
+}
+
 // objectNode returns a mapping of the object's fields in the order of
-// objectFields, without empty lists and maps.
+// objectFields, without empty lists and maps, flags that are not set and empty labels.
 func objectNode(kind string, object any, style yaml.Style) *yaml.Node {
 	node := newMapping(style)
 	for _, field := range fieldsByObject[kind] {
-		if value := valueNode(field.pointer(object)); value != nil {
+		pointer := field.pointer(object)
+		if text, ok := pointer.(*string); ok && *text == "" && field.Default == "" {
+			continue
+		}
+		if value := valueNode(pointer); value != nil {
 			appendPair(node, field.Name, value)
 		}
 	}
@@ -88,6 +100,8 @@
 		return &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!int", Value: strconv.Itoa(*value)}
 	case *float64:
 		return &yaml.Node{Kind: yaml.ScalarNode, Value: strconv.FormatFloat(*value, 'g', -1, 64)}
+	case *bool:
+		return boolNode(*value)
 	case *sycamorerun.Duration:
 		return textNode(durationText(*value))
 	case *string:
--- a/parser/rule.go
+++ b/parser/rule.go
@@ -31,6 +31,8 @@
 			return newFaults(CodeOutOfBounds, path, "%s is not a whole number of milliseconds", durationText(*value))
 		}
 		return f.checkRange(path, float64(*value), durationText(*value))
+	case *bool:
+		return nil
 	case *string:
 		return f.checkText(path, *value)
 	case *[]string:
@@ -89,6 +91,9 @@
 	if f.pattern.MatchString(value) {
 		return nil
 	}
+	if f.secret {
+		return newFaults(f.Code, path, "the value is not %s", f.Rule)
+	}
 	return newFaults(f.Code, path, "%s is not %s", quote(value), f.Rule)
 }
 
--- a/parser/verify.go
+++ b/parser/verify.go
@@ -59,6 +59,8 @@
 		return new(sycamorerun.Limits), nil
 	case kind == sycamorerun.KindTeam && admin:
 		return new(sycamorerun.Team), nil
+	case kind == sycamorerun.KindAccount && admin:
+		return new(sycamorerun.Account), nil
 	case kind == sycamorerun.KindService && !admin:
 		return new(sycamorerun.Service), nil
 	case kind == sycamorerun.KindRoute && !admin:
--- a/validator/limits.go
+++ b/validator/limits.go
@@ -21,7 +21,7 @@
 	MaxPackedBytes = 900 << 10
 	// maxItems is the maximum number of items of all kinds together. It includes
 	// a hold for each team and for the administrators, and the limits.
-	maxItems = 2*parser.MaxTeams + 2 + parser.MaxServices + parser.MaxRoutes
+	maxItems = 2*parser.MaxTeams + 2 + parser.MaxServices + parser.MaxRoutes + parser.MaxAccounts
 )
 
 // maxCounts holds the maximum number of items by kind.
@@ -32,6 +32,7 @@
 	{sycamorerun.KindTeam, parser.MaxTeams},
 	{sycamorerun.KindService, parser.MaxServices},
 	{sycamorerun.KindRoute, parser.MaxRoutes},
+	{sycamorerun.KindAccount, parser.MaxAccounts},
 }
 
 // CheckLimits returns the faults of a tree that exceeds the limits of sizes and
--- a/validator/validator.go
+++ b/validator/validator.go
@@ -18,6 +18,7 @@
 	CodeNoService        = "no-service"
 	CodeDuplicateService = "duplicate-service"
 	CodeDuplicateHash    = "duplicate-hash"
+	CodeDuplicateKey     = "duplicate-key"
 	CodeNoTeam           = "no-team"
 	CodeSameMatch        = "same-match"
 	CodeTooMany          = parser.CodeTooMany
@@ -29,6 +30,7 @@
 	CodeNoService:        "a route sends to a service that does not exist",
 	CodeDuplicateService: "two teams use the same service name",
 	CodeDuplicateHash:    "two operators have the same token",
+	CodeDuplicateKey:     "two client accounts have the same key",
 	CodeNoTeam:           "the team is not declared by the administrators",
 	CodeSameMatch:        "two routes match exactly the same requests",
 }
@@ -36,10 +38,11 @@
 // treeCheck is the state of one check of a tree.
 type treeCheck struct {
 	faults []sycamorerun.Fault
-	// services, hashes and matches map service names, token hashes and match
-	// keys to the path of the first item that uses them.
-	services, hashes, matches map[string]sycamorerun.Path
-	routes                    []route
+	// services, hashes, keys and matches map service names, token hashes, hashes
+	// of accounts' keys and match keys to the path of the first item that uses
+	// them.
+	services, hashes, keys, matches map[string]sycamorerun.Path
+	routes                          []route
 	// previous and verified are the decoded items of the last valid tree and of
 	// this tree.
 	previous, verified map[sycamorerun.Path]verifiedItem
@@ -66,6 +69,7 @@
 	return &treeCheck{
 		services: map[string]sycamorerun.Path{},
 		hashes:   map[string]sycamorerun.Path{},
+		keys:     map[string]sycamorerun.Path{},
 		matches:  map[string]sycamorerun.Path{},
 		previous: previous,
 		verified: make(map[sycamorerun.Path]verifiedItem, size),
@@ -112,6 +116,8 @@
 	switch object := found.object.(type) {
 	case *sycamorerun.Team:
 		c.checkOperators(path, object)
+	case *sycamorerun.Account:
+		c.checkKeys(path, object)
 	case *sycamorerun.Service:
 		if first, ok := c.services[name]; ok {
 			c.addFault(CodeDuplicateService, path, "service %s belongs to team %s already", name, first.Team())
@@ -137,6 +143,20 @@
 	}
 }
 
+// checkKeys rejects a key that belongs to another account. The fault names the
+// position of the key and not its hash.
+func (c *treeCheck) checkKeys(path sycamorerun.Path, account *sycamorerun.Account) {
+	for i, key := range account.Keys {
+		first, ok := c.keys[key]
+		if ok && first != path {
+			_, _, name := first.Split()
+			c.addFault(CodeDuplicateKey, path, "key %d belongs to account %s already", i+1, name)
+			continue
+		}
+		c.keys[key] = path
+	}
+}
+
 // checkMatch rejects a route that matches exactly the same requests as another.
 func (c *treeCheck) checkMatch(path sycamorerun.Path, key string) {
 	if first, ok := c.matches[key]; ok {
