identifier, router: look-up of client accounts by the hash of a key

Adds a persistent radix index from hashes to accounts. Recompile removes and adds only the keys of accounts that differ. A match says whether the request may use the route, and an account's rank replaces the route's.

--- a/node/router/compile.go
+++ b/node/router/compile.go
@@ -23,6 +23,8 @@
 	CodeInvalidSplit     = "invalid-split"
 	CodeInvalidClass     = "invalid-class"
 	CodeInvalidRepeat    = "invalid-repeat"
+	CodeInvalidKey       = "invalid-key"
+	CodeDuplicateKey     = "duplicate-key"
 )
 
 // defaultRanks holds the rank per class of routes that set none. The gaps leave room
@@ -50,7 +52,7 @@
 		decoded:  make(map[sycamorerun.Path]decodedItem, len(tree.Items)),
 	}}
 	if previous != nil {
-		c.previous = previous.decoded
+		c.previous, c.table.keys = previous.decoded, previous.keys
 	}
 	paths := slices.Sorted(maps.Keys(tree.Items))
 	for _, path := range paths {
@@ -63,6 +65,7 @@
 			c.route(path, tree.Items[path])
 		}
 	}
+	c.accounts(paths, tree.Items)
 	c.limits(tree.Items)
 	if len(c.faults) > 0 {
 		return nil, c.faults
@@ -154,7 +157,7 @@
 		repeat:  c.repeat(path, source.Repeat),
 
 		timeout: time.Duration(source.Timeout), objective: time.Duration(source.Objective), attempts: source.Attempts,
-		rank: source.Rank,
+		rank: source.Rank, public: source.Public,
 	}
 	if compiled.rank == 0 {
 		compiled.rank = defaultRanks[compiled.class]
--- a/node/router/table.go
+++ b/node/router/table.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/identifier"
 )
 
 // anyHost is the index key of routes without hosts.
@@ -28,6 +29,10 @@
 	// decoded holds the decoded items for reuse by Recompile.
 	decoded map[sycamorerun.Path]decodedItem
 	limits  sycamorerun.Limits
+	// keys maps the hashes of keys to accounts. hasAccounts says that there are
+	// any, so that requests need a key.
+	keys        *identifier.Index
+	hasAccounts bool
 }
 
 // hostRoutes holds the routes of one host by prefix. The routes of a prefix are sorted
@@ -50,6 +55,7 @@
 	objective time.Duration
 	attempts  int
 	rank      int
+	public    bool
 }
 
 type header struct{ name, value string }
@@ -69,6 +75,8 @@
 	Host   string
 	Path   string
 	Header http.Header
+	// Key is the hash of the caller's key, or nil if the request has none.
+	Key *identifier.Hash
 	// Random is a uniformly distributed number that selects a service of the split.
 	Random uint64
 }
@@ -89,8 +97,13 @@
 	// Objective is the latency within which a response has its full value; zero
 	// means none.
 	Objective time.Duration
-	// Rank is the priority of the call in a queue; 1 is the most urgent.
+	// Rank is the priority of the call in a queue; 1 is the most urgent. It is set
+	// by the account or else by the route.
 	Rank int
+	// Access says whether the request may use the route, and Account which client
+	// account it belongs to. Account is zero unless Access is AccessGranted.
+	Access  Access
+	Account identifier.Account
 }
 
 // Version returns the version of the tree that the table was compiled from.
@@ -133,6 +146,7 @@
 
 func (t *Table) match(route *route, request Request) Match {
 	target := route.draw(request.Random)
+	access, account := t.access(route, request.Key)
 	return Match{
 		Version:    t.version,
 		Route:      route.path,
@@ -143,7 +157,9 @@
 		Timeout:    cmp.Or(route.timeout, time.Duration(target.settings.Timeout)),
 		Attempts:   route.attempts,
 		Objective:  route.objective,
-		Rank:       route.rank,
+		Rank:       cmp.Or(account.Rank, route.rank),
+		Access:     access,
+		Account:    account,
 	}
 }
 
