forwarder: authenticate client accounts and charge their quotas

Where the configuration has accounts, a request on a route that isn't public needs one Authorization field with a known key, else 401. Upstreams get the name of the account in place of the key, whatever the caller sent. Charge is called once for each request of an account with a rate; beyond the quota the answer is 429 with Retry-After, and the request isn't remembered as refused. Frames to peers and requests for slots carry the account. Without accounts nothing changes.

--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -47,6 +47,9 @@
 
 	key         string
 	fingerprint uint64
+	// credentials are the values of the field Authorization if the upstream does
+	// not get them.
+	credentials []string
 	deadline    time.Time
 	// startedAt is when the call reached this node, arrived when it reached the
 	// first node.
@@ -61,7 +64,7 @@
 
 // slotRequest returns the request for a slot of the upstream.
 func (c *call) slotRequest() SlotRequest {
-	request := SlotRequest{Rank: c.match.Rank, Objective: c.match.Objective, Arrived: c.arrived, Nested: c.match.Nested}
+	request := SlotRequest{Rank: c.match.Rank, Objective: c.match.Objective, Arrived: c.arrived, Nested: c.match.Nested, Account: c.match.Account}
 	if !c.deadline.IsZero() {
 		request.Deadline = c.deadline.Add(-c.replyMargin)
 	}
@@ -106,6 +109,9 @@
 		return c, notRun(reasonNoRoute)
 	}
 	c.match = match
+	if failed := f.admitAccount(now, match); failed != nil {
+		return c, failed
+	}
 	callerTimeout, err := parseDeadline(r.Header.Get(f.Contract.Deadline))
 	if err != nil {
 		return c, notRun(reasonBadDeadline)
@@ -127,6 +133,7 @@
 	c.header = f.endToEndHeader(r.Header)
 	setHeader(c.header, f.Contract.Origin, f.Service)
 	c.trailers = trailerNames(r.Trailer)
+	f.replaceCredentials(c, r.Header)
 	c.trailer = emptyTrailer(c.trailers)
 	if key := c.header.Get(f.Contract.Key); key != "" {
 		c.key = match.Service + "/" + key
@@ -167,7 +174,16 @@
 	for _, part := range []string{c.method, c.host, c.target} {
 		writePart(digest, part)
 	}
-	for _, name := range []string{"Authorization", "Cookie"} {
+	if c.match.Account != "" {
+		// An account may send a request again with another of its keys.
+		writePart(digest, c.match.Account)
+	} else {
+		for _, value := range c.credentials {
+			writePart(digest, headerAuthorization)
+			writePart(digest, value)
+		}
+	}
+	for _, name := range []string{headerAuthorization, "Cookie"} {
 		for _, value := range c.header[name] {
 			writePart(digest, name)
 			writePart(digest, value)
--- a/node/forwarder/contract.go
+++ b/node/forwarder/contract.go
@@ -25,6 +25,10 @@
 	Identity string
 	// Origin names the service of the node at which a request entered.
 	Origin string
+	// Account names the client account of a request to the upstream. Scheme is
+	// the scheme of the field Authorization that carries the account's key.
+	Account string
+	Scheme  string
 	// Target names the upstream instance that a request is meant for.
 	Target string
 	// Unexecuted marks a response to a request that the upstream did not run.
@@ -42,6 +46,7 @@
 var DefaultContract = Contract{
 	Deadline: sycamorerun.HeaderDeadline, Attempt: sycamorerun.HeaderAttempt, Key: sycamorerun.HeaderKey,
 	Outcome: sycamorerun.HeaderOutcome, Reason: sycamorerun.HeaderReason, Request: sycamorerun.HeaderRequest,
+	Account: sycamorerun.HeaderAccount, Scheme: "Bearer",
 }
 
 // setHeader sets a header unless its name is empty.
--- a/node/forwarder/deadline_test.go
+++ b/node/forwarder/deadline_test.go
@@ -346,7 +346,7 @@
 	forBothPaths(t, func(t *testing.T, local bool) {
 		is := is.New(t)
 		fx := newFixture(t, local, reply("ok"))
-		fx.match.Rank, fx.match.Objective, fx.match.Nested = 3, 80*time.Millisecond, true
+		fx.match.Rank, fx.match.Objective, fx.match.Nested, fx.match.Account = 3, 80*time.Millisecond, true, "notary"
 		fx.match.Timeout = 10 * time.Second
 		var got SlotRequest
 		fx.upstreamNode.Acquire = func(_ context.Context, _ time.Time, request SlotRequest) (func(), Rejection) {
@@ -363,6 +363,6 @@
 		}
 		is.True(left <= maxLeft && left > maxLeft-100*time.Millisecond)
 		got.Arrived, got.Deadline = time.Time{}, time.Time{}
-		is.Equal(got, SlotRequest{Rank: 3, Objective: 80 * time.Millisecond, Nested: true})
+		is.Equal(got, SlotRequest{Rank: 3, Objective: 80 * time.Millisecond, Nested: true, Account: "notary"})
 	})
 }
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -68,6 +68,9 @@
 	Target func() string
 	// Match finds the route of a request.
 	Match func(*http.Request) (Match, bool)
+	// Charge counts a request of a client account that has a rate. If the account
+	// is beyond its quota, it returns when the account has room again.
+	Charge func(now time.Time, account string) (retryAfter time.Duration, ok bool)
 	// Pick chooses the instance for an attempt without an idempotency key. Each
 	// successful Pick is followed by exactly one call of Observe.
 	Pick    func(now time.Time, query Query) (sycamorerun.Instance, bool)
@@ -135,6 +138,7 @@
 func New(self string) *Forwarder {
 	f := &Forwarder{
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
+		Charge:      func(time.Time, string) (time.Duration, bool) { return 0, true },
 		BodyTimeout: DefaultBodyTimeout, QueryTimeout: DefaultQueryTimeout, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	}
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -22,6 +22,8 @@
 	reasonBodySlow        = "body-slow"
 	reasonKeyMismatch     = "key-mismatch"
 	reasonKeyElsewhere    = "key-elsewhere"
+	reasonUnauthorized    = "unauthorized"
+	reasonQuota           = "quota"
 
 	reasonNoUpstream      = "no-upstream"
 	reasonDraining        = "draining"
@@ -93,6 +95,8 @@
 	reasonBodyIncomplete:  http.StatusBadRequest,
 	reasonBodySlow:        http.StatusRequestTimeout,
 	reasonKeyMismatch:     http.StatusUnprocessableEntity,
+	reasonUnauthorized:    http.StatusUnauthorized,
+	reasonQuota:           http.StatusTooManyRequests,
 }
 
 // status returns the HTTP status for the caller.
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -300,6 +300,7 @@
 		Body: c.body, Whole: c.buffered, Repeatable: c.match.Repeatable, Key: []byte(c.key), Print: c.fingerprint,
 		IdleMs: c.match.Idle.Milliseconds(), Attempt: attemptNumber, Rank: uint32(c.match.Rank),
 		ObjectiveMs: c.match.Objective.Milliseconds(), Nested: c.match.Nested, AgeMs: now.Sub(c.arrived).Milliseconds(),
+		Account: c.match.Account,
 	}
 	if !c.deadline.IsZero() {
 		head.DeadlineMs = max(1, c.deadline.Sub(now).Milliseconds())
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -109,6 +109,7 @@
 			Service: head.GetService(), Class: sycamorerun.Class(head.GetClass()), Repeatable: head.GetRepeatable(),
 			Idle:      time.Duration(head.GetIdleMs()) * time.Millisecond,
 			Objective: time.Duration(head.GetObjectiveMs()) * time.Millisecond, Rank: int(head.GetRank()), Nested: head.GetNested(),
+			Account: head.GetAccount(),
 		},
 		arrived: now.Add(-time.Duration(head.GetAgeMs()) * time.Millisecond),
 		id:      head.GetCall(), method: head.GetMethod(), host: string(head.GetHost()), target: string(head.GetTarget()),
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -123,9 +123,16 @@
 	header := w.Header()
 	f.setOutcomeHeaders(header, c, failed.result, failed.reason)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if failed.status() == http.StatusServiceUnavailable {
+	switch failed.status() {
+	case http.StatusServiceUnavailable:
 		header.Set("Retry-After", failed.retryAfterHeader(rand.Float64()))
 		f.refusals.add(f.Now(), c)
+	case http.StatusTooManyRequests:
+		// The call is not added to the refused ones, whose retries count from
+		// their first arrival: time spent beyond a quota gives no precedence.
+		header.Set("Retry-After", failed.retryAfterHeader(rand.Float64()))
+	case http.StatusUnauthorized:
+		header.Set("WWW-Authenticate", f.Contract.Scheme)
 	}
 	f.setConnectionHeaders(header, c)
 	control := http.NewResponseController(w)
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -27,8 +27,32 @@
 	Rank int
 	// Nested says that an upstream makes the call while it runs another one.
 	Nested bool
+	// Access says whether the request may use the route.
+	Access Access
+	// Account is the client account of the request; empty means none. Label is
+	// the name of the account for upstreams. Metered says that the account has a
+	// rate, so that its requests are charged.
+	Account string
+	Label   string
+	Metered bool
 }
 
+// Access says whether a request may use its route.
+type Access int
+
+// Values of Access.
+const (
+	// AccessOpen means that the configuration has no client accounts. The field
+	// Authorization belongs to the upstream.
+	AccessOpen Access = iota
+	// AccessPublic means that requests on the route need no key.
+	AccessPublic
+	// AccessGranted means that the key of the request is known.
+	AccessGranted
+	// AccessDenied means that the request lacks a known key.
+	AccessDenied
+)
+
 // kind returns the kind of calls that are expected to take about the same time.
 func (m Match) kind() estimator.Kind {
 	return estimator.Kind{Service: m.Service, Rank: m.Rank, Objective: m.Objective}
@@ -42,6 +66,8 @@
 	// Arrived is when the call reached the first node.
 	Arrived time.Time
 	Nested  bool
+	// Account is the client account of the call; empty means none.
+	Account string
 	// BodyReceived is closed when a streamed body has arrived at this node. It is
 	// nil if the body is in memory.
 	BodyReceived <-chan struct{}
--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -37,6 +37,8 @@
 	// Nested calls start before the others of their rank, since the outer call
 	// holds a slot while they wait.
 	Nested bool
+	// Account is the client account of the call; empty means none.
+	Account string
 	// BodyReceived is closed when the body of a streamed call has arrived. It is nil
 	// if the body is in memory.
 	BodyReceived <-chan struct{}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -13,6 +13,7 @@
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/forwarder"
+	"sycamorerun/node/identifier"
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/listener"
 	"sycamorerun/node/retrier"
@@ -85,7 +86,9 @@
 	if !settings.Keys {
 		f.Contract.Key = ""
 	}
-	f.Match = func(request *http.Request) (forwarder.Match, bool) { return match(current().Table, request) }
+	f.Match = func(request *http.Request) (forwarder.Match, bool) {
+		return match(current().Table, f.Contract.Scheme, request)
+	}
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
 	}
@@ -133,18 +136,26 @@
 }
 
 // match returns the properties of a request's route, and whether there is a route.
-func match(table *router.Table, request *http.Request) (forwarder.Match, bool) {
+// The scheme is that of the callers' keys.
+func match(table *router.Table, scheme string, request *http.Request) (forwarder.Match, bool) {
 	found, ok := table.Match(router.Request{
 		Method: request.Method, Host: request.Host, Path: request.URL.Path,
-		Header: request.Header, Random: rand.Uint64(),
+		Header: request.Header, Random: rand.Uint64(), Key: identifier.ReadKey(request.Header, scheme),
 	})
 	return forwarder.Match{
 		Team: found.Route.Team(), Service: found.Service, Class: found.Class, Repeatable: found.Repeatable,
 		Timeout: found.Timeout, Idle: time.Duration(found.Settings.Idle),
 		Attempts: found.Attempts, Objective: found.Objective, Rank: found.Rank,
+		Access: accesses[found.Access], Account: found.Account.Name, Label: found.Account.Label, Metered: found.Account.Metered,
 	}, ok
 }
 
+// accesses maps the router's decisions to the forwarder's.
+var accesses = map[router.Access]forwarder.Access{
+	router.AccessOpen: forwarder.AccessOpen, router.AccessPublic: forwarder.AccessPublic,
+	router.AccessGranted: forwarder.AccessGranted, router.AccessDenied: forwarder.AccessDenied,
+}
+
 func balancerObservation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
 		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
--- a/result.go
+++ b/result.go
@@ -19,6 +19,8 @@
 	HeaderReason   = "Sycamorerun-Reason"
 	HeaderRequest  = "Sycamorerun-Request"
 	HeaderDeadline = "Sycamorerun-Deadline"
-	HeaderAttempt  = "Sycamorerun-Attempt"
-	HeaderKey      = "Idempotency-Key"
+	// HeaderAccount names the client account of a request to the upstream.
+	HeaderAccount = "Sycamorerun-Account"
+	HeaderAttempt = "Sycamorerun-Attempt"
+	HeaderKey     = "Idempotency-Key"
 )
