divider: share the member count and the division of the retry budget

The quotas of accounts need the same arithmetic as the retry budget: the largest number of members of the last minutes and whole shares among them. Both move from the retrier into a package of their own.

--- a/node/retrier/budget.go
+++ b/node/retrier/budget.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"sycamorerun/node/divider"
 )
 
 // Budget bounds the retries per service, summed over the fleet: within any Window at
@@ -20,13 +22,6 @@
 var DefaultBudget = Budget{Ratio: -1, Window: 10 * time.Second, Slack: 10}
 
 const (
-	// usableFraction is the fraction of the budget that the nodes use. The rest
-	// covers nodes that temporarily see different members.
-	usableFraction = 0.8
-	// memberCountRetention is the time for which the largest number of members
-	// counts, so that a node that loses contact with the others does not take over
-	// their shares at once.
-	memberCountRetention = time.Minute
 	// rotationWindows is the length of a rotation period in windows. The slack that
 	// remains after equal division goes to the same members during one period.
 	rotationWindows = 6
@@ -88,9 +83,9 @@
 // slackShare returns this node's share of the slack in whole retries, although an
 // equal share may be below one.
 func (r *Retrier) slackShare(now time.Time) slackShare {
-	count := r.peakMembers.observe(now, r.Members())
-	slack := int(usableFraction * r.Budget.Slack)
-	result, remainder := slackShare{fixed: slack / count}, slack%count
+	count := r.peakMembers.Observe(now, r.Members())
+	fixed, remainder := divider.Divide(int(divider.UsableFraction*r.Budget.Slack), count)
+	result := slackShare{fixed: fixed}
 	if r.Budget.Window <= 0 {
 		return result
 	}
@@ -102,22 +97,3 @@
 	}
 	return result
 }
-
-// peakMemberCount holds the largest number of members over the last one to two
-// retention periods.
-type peakMemberCount struct {
-	current, previous int
-	periodStart       time.Time
-}
-
-// observe records the current number of members and returns the largest one.
-func (m *peakMemberCount) observe(now time.Time, count int) int {
-	switch elapsed := now.Sub(m.periodStart); {
-	case elapsed >= 2*memberCountRetention:
-		m.previous, m.current, m.periodStart = 0, 0, now
-	case elapsed >= memberCountRetention:
-		m.previous, m.current, m.periodStart = m.current, 0, now
-	}
-	m.current = max(m.current, count, 1)
-	return max(m.current, m.previous)
-}
--- a/node/retrier/retrier.go
+++ b/node/retrier/retrier.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/divider"
 )
 
 const (
@@ -74,7 +75,7 @@
 
 	mutex       sync.Mutex
 	services    map[string]*serviceState
-	peakMembers peakMemberCount
+	peakMembers divider.PeakCount
 	origin      time.Time
 	sweptAt     time.Time
 }
@@ -100,7 +101,7 @@
 func (r *Retrier) RecordCall(now time.Time, name string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.state(now, name).budget.deposit(usableFraction*r.ratio(name), r.slackShare(now))
+	r.state(now, name).budget.deposit(divider.UsableFraction*r.ratio(name), r.slackShare(now))
 }
 
 // RecordRunTime records the duration of an answered attempt.
--- a/node/retrier/retrier_test.go
+++ b/node/retrier/retrier_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"sycamorerun"
+	"sycamorerun/node/divider"
 )
 
 var start = time.Unix(1000, 0)
@@ -72,7 +73,7 @@
 }
 
 // TestBudget guards against a single node that exceeds its budget: beyond the slack,
-// the retries stay below usableFraction of the ratio of calls.
+// the retries stay below divider.UsableFraction of the ratio of calls.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
 	r := newTestRetrier(0.25)
@@ -176,7 +177,7 @@
 	is.Equal(made(start), 2)
 	count = 1
 	is.Equal(made(start.Add(50*time.Second)), 1) // the bucket is empty
-	is.Equal(made(start.Add(3*memberCountRetention)), 4)
+	is.Equal(made(start.Add(3*divider.Retention)), 4)
 }
 
 // TestChain guards against attempts that multiply along a deep call chain when its
