rationer: decide the quotas of accounts over all nodes

Nothing bounded what all nodes together admit of an account. An owner for each of two groups of accounts, chosen by hash among the members, keeps a token bucket for each account in use and grants tokens for one second on demand. A node admits a few requests without a token until its next report. Each node lends its equal share of the rate to the owner by each report for 1.5 s and uses it itself 0.5 s after the end of that lease, so that the parts of a divided fleet together have one rate. New owners and restarted nodes begin with empty buckets.

The property test runs the real decisions over a model of links, callers and faults.

--- /dev/null
+++ b/node/rationer/ledger.go
@@ -0,0 +1,411 @@
+package rationer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorerun"
+	"sycamorerun/node/divider"
+)
+
+const (
+	// reportPeriod is the least time between two reports to the same owner.
+	reportPeriod = 300 * time.Millisecond
+	// urgentPeriod is the least time between two reports if a node has used half of
+	// what it may admit.
+	urgentPeriod = 40 * time.Millisecond
+	// minAllowance is the least number of requests that a node admits without a token
+	// between two answers.
+	minAllowance = 3
+	// activeLease is the time for which an owner may use the share of a node that
+	// uses accounts, and idleLease that of one that does not. An idle node reports
+	// once in idlePeriod. Both are shorter than the time in which the members notice
+	// that a node is cut off.
+	activeLease = 1500 * time.Millisecond
+	idleLease   = 5 * time.Second
+	idlePeriod  = 2 * time.Second
+	// leaseMargin is the time after the end of the lease, as the node counts it, until
+	// the node uses its share itself. It covers the way of the report to the owner.
+	leaseMargin = 500 * time.Millisecond
+	// joinDelay is the time from the start during which a node uses no share of its
+	// own, since it does not know the number of members yet. A node that knows no
+	// other member waits for aloneDelay.
+	joinDelay  = 3 * time.Second
+	aloneDelay = 30 * time.Second
+	// exchangeTimeout bounds the wait for an answer.
+	exchangeTimeout = time.Second
+	// minRetryAfter is the least time that a refused caller is told to wait.
+	minRetryAfter = 200 * time.Millisecond
+	// maxRetryAfter bounds the time that a refused caller is told to wait.
+	maxRetryAfter = 30 * time.Second
+	// limitedAfter is the time without a refusal after which an account counts as
+	// within its limit.
+	limitedAfter = 5 * time.Second
+	// closureGrace is the time for which an account stays closed at a node beyond the
+	// time at which the owner expected room.
+	closureGrace = time.Second
+)
+
+// lender is the state of a node for one group: which owner uses its share.
+type lender struct {
+	// owner is the member that the node reports to. next is the owner among the
+	// present members; it replaces owner once that no longer uses the share.
+	owner, next string
+	// answered is set once the owner has answered, and takeBack is the time from
+	// which the node uses its share itself.
+	answered bool
+	takeBack time.Time
+	// sentAt is the time of the last report. inFlight is set until it is answered or
+	// has failed, and lease is its lease.
+	sentAt   time.Time
+	lease    time.Duration
+	inFlight bool
+	sent     []string
+	used     bool
+	// urgent is set if the node may soon have to refuse an account that has room.
+	urgent bool
+	closed map[string]closure
+	// filled is the time for which the owner has filled its buckets.
+	filled time.Duration
+	// epoch is the epoch of the last answer, received at answeredAt.
+	epoch      uint32
+	answeredAt time.Time
+}
+
+// closure says that nothing may be admitted without a token.
+type closure struct {
+	room, until time.Time
+}
+
+// Ledger admits the requests of accounts at one node.
+type Ledger struct {
+	Self  string
+	Terms Terms
+	// Random returns a number in [0, 1).
+	Random func() float64
+
+	mutex     sync.Mutex
+	startedAt time.Time
+	limits    map[string]limit
+	stocks    map[string]*stock
+	groups    [groupCount]lender
+	peak      divider.PeakCount
+	// count is the number of members that shares are computed with, and index the
+	// index of this node among them.
+	count, index int
+}
+
+// NewLedger returns the ledger of a node that starts at now.
+func NewLedger(now time.Time, self string, terms Terms) *Ledger {
+	return &Ledger{
+		Self: self, Terms: terms, Random: rand.Float64, startedAt: now,
+		limits: map[string]limit{}, stocks: map[string]*stock{}, count: 1,
+	}
+}
+
+// SetAccounts replaces the limits. A node gives up the tokens and shares of accounts
+// whose limit has changed, so that a lower limit binds at once.
+func (l *Ledger) SetAccounts(accounts map[string]sycamorerun.Account) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	limits := make(map[string]limit, len(accounts))
+	for name, account := range accounts {
+		if account.Rate > 0 {
+			limits[name] = l.Terms.limit(account)
+		}
+	}
+	for name, s := range l.stocks {
+		if next, ok := limits[name]; !ok {
+			delete(l.stocks, name)
+		} else if next != l.limits[name] {
+			s.batches, s.credit = nil, min(s.credit, l.firstCredit(name))
+		}
+	}
+	l.limits = limits
+}
+
+// SetMembers sets the names of the live members, sorted.
+func (l *Ledger) SetMembers(now time.Time, members []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.count = l.peak.Observe(now, len(members))
+	l.index = 0
+	for _, name := range members {
+		if name < l.Self {
+			l.index++
+		}
+	}
+	for group := range l.groups {
+		g := &l.groups[group]
+		g.next = ownerOf(group, members)
+		if _, live := slices.BinarySearch(members, g.owner); !live {
+			// It is not a member any more, so that its leases have ended.
+			l.follow(now, g)
+		}
+	}
+}
+
+// follow makes the next owner the owner.
+func (l *Ledger) follow(now time.Time, g *lender) {
+	if g.owner == g.next {
+		return
+	}
+	l.abandon(g)
+	if g.takeBack.After(now) {
+		g.takeBack = now
+	}
+	g.owner, g.answered, g.sentAt = g.next, false, time.Time{}
+}
+
+// Charge decides whether a request of an account is admitted. If it is not, the
+// caller may return after the time given, which is spread.
+func (l *Ledger) Charge(now time.Time, account string) (time.Duration, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	limit, ok := l.limits[account]
+	if !ok {
+		return 0, true
+	}
+	g, s := &l.groups[groupOf(account)], l.stock(now, account)
+	s.offered++
+	s.usedAt, g.used = now, true
+	if s.take(now) || l.advance(now, g, s, account, limit) {
+		s.admitted++
+		g.urgent = g.urgent || l.runsLow(now, g, s, account, limit)
+		return 0, true
+	}
+	s.refused++
+	s.lastRefused = now
+	return l.retryAfter(now, g, account, limit), false
+}
+
+func (l *Ledger) stock(now time.Time, account string) *stock {
+	s, ok := l.stocks[account]
+	if !ok {
+		s = &stock{credit: l.firstCredit(account), creditedAt: now}
+		l.stocks[account] = s
+	}
+	return s
+}
+
+// firstCredit returns the credit with which the share of this node begins. It differs
+// evenly between the members, so that the whole requests that they admit grow steadily
+// together. It is not positive, so that a restart gains nothing.
+func (l *Ledger) firstCredit(account string) float64 {
+	offset := int(xxhash.Sum64String(account) % uint64(l.count))
+	return float64((l.index+offset)%l.count)/float64(l.count) - 1
+}
+
+// advance admits a request without a token: from the reserve while an owner uses this
+// node's share, from the share itself otherwise.
+func (l *Ledger) advance(now time.Time, g *lender, s *stock, account string, limit limit) bool {
+	if now.Before(g.takeBack) {
+		if !g.answered || !l.open(now, g, account, limit) || s.advanced+s.reported >= limit.allowance(l.count) {
+			return false
+		}
+		s.advanced++
+		return true
+	}
+	s.accrue(now, l.shareStart(g), limit.rate/float64(l.count), max(1, limit.pool(l.count)/float64(l.count)))
+	return s.spend()
+}
+
+// runsLow reports whether the node has used half of what it could admit of an account
+// that has room.
+func (l *Ledger) runsLow(now time.Time, g *lender, s *stock, account string, limit limit) bool {
+	allowance := limit.allowance(l.count)
+	return 2*(s.held()+allowance-s.advanced-s.reported) <= s.provided+allowance && l.open(now, g, account, limit)
+}
+
+// open reports whether the account had room when the owner answered last.
+func (l *Ledger) open(now time.Time, g *lender, account string, limit limit) bool {
+	_, closed := g.closedUntil(now, account)
+	return !closed && limit.levelAfter(g.filled, l.count) >= openFraction*limit.pool(l.count)
+}
+
+// shareStart returns the time from which this node uses its share itself.
+func (l *Ledger) shareStart(g *lender) time.Time {
+	if start := l.settledAt(); g.takeBack.Before(start) {
+		return start
+	}
+	return g.takeBack
+}
+
+// settledAt returns the time from which this node trusts the number of members.
+func (l *Ledger) settledAt() time.Time {
+	if l.count == 1 {
+		return l.startedAt.Add(aloneDelay)
+	}
+	return l.startedAt.Add(joinDelay)
+}
+
+func (l *Ledger) settled(now time.Time) bool { return !now.Before(l.settledAt()) }
+
+func (g *lender) closedUntil(now time.Time, account string) (closure, bool) {
+	c, ok := g.closed[account]
+	return c, ok && now.Before(c.until)
+}
+
+// retryAfter returns the time until the account has room, with a random part of the
+// same length, so that its callers do not return at one moment.
+func (l *Ledger) retryAfter(now time.Time, g *lender, account string, limit limit) time.Duration {
+	wait := minRetryAfter
+	if c, ok := g.closedUntil(now, account); ok {
+		wait = max(wait, c.room.Sub(now))
+	} else if !now.Before(g.takeBack) {
+		wait = max(wait, time.Duration(float64(l.count)/limit.rate*float64(time.Second)))
+	}
+	return min(time.Duration(float64(wait)*(1+l.Random())), maxRetryAfter)
+}
+
+// Due returns the report for a group and its owner if one is due. It has to be
+// followed by Answered or Failed.
+func (l *Ledger) Due(now time.Time, group int) (owner string, report *Report, ok bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	g := &l.groups[group]
+	if len(l.limits) == 0 || g.owner == "" || g.inFlight || !g.due(now) {
+		return "", nil, false
+	}
+	active := g.used
+	report = &Report{Group: uint32(group)}
+	for name, s := range l.stocks {
+		if groupOf(name) == group && l.addUse(now, g, report, name, s) {
+			active = true
+		}
+	}
+	g.lease = idleLease
+	if active {
+		g.lease = activeLease
+	}
+	report.LeaseMs = uint32(g.lease.Milliseconds())
+	if l.settled(now) {
+		report.Members = uint32(l.count)
+	}
+	if g.answered {
+		report.SinceMs, report.Epoch = uint32(now.Sub(g.answeredAt).Milliseconds()), g.epoch
+	}
+	g.sentAt, g.inFlight, g.sent, g.used, g.urgent = now, true, report.Accounts, false, false
+	return g.owner, report, true
+}
+
+// due reports whether a report has to be sent: in each period while accounts are
+// used, until the owner has answered first, and rarely otherwise.
+func (g *lender) due(now time.Time) bool {
+	elapsed := now.Sub(g.sentAt)
+	if g.urgent && g.answered {
+		return elapsed >= urgentPeriod
+	}
+	if g.used || !g.answered || g.lease == activeLease {
+		return elapsed >= reportPeriod
+	}
+	return elapsed >= idlePeriod
+}
+
+// addUse adds an account to the report if there is anything to report, and deletes
+// its stock if it is no longer used.
+func (l *Ledger) addUse(now time.Time, g *lender, report *Report, name string, s *stock) bool {
+	s.expire(now)
+	s.measureDemand(now)
+	target := s.target()
+	if limit := l.limits[name]; g.answered && l.open(now, g, name, limit) {
+		target = max(0, target-limit.allowance(l.count))
+	}
+	settled := s.settle(now, g.epoch)
+	returned := s.giveBack(now.Add(2*reportPeriod), target)
+	s.expire(now)
+	wanted := max(0, target-s.held())
+	if s.offered == 0 && s.advanced == 0 && settled == 0 && returned == 0 && wanted == 0 {
+		if s.unused(now) {
+			delete(l.stocks, name)
+		}
+		return false
+	}
+	report.Accounts = append(report.Accounts, name)
+	report.Advanced = append(report.Advanced, uint32(s.advanced))
+	report.Settled = append(report.Settled, uint32(settled))
+	report.Returned = append(report.Returned, uint32(returned))
+	report.Offered = append(report.Offered, uint32(s.offered))
+	report.Wanted = append(report.Wanted, uint32(wanted))
+	s.reported += s.advanced
+	s.advanced, s.offered = 0, 0
+	return true
+}
+
+// Answered applies the answer to the report that was sent last.
+func (l *Ledger) Answered(now time.Time, group int, owner string, answer *Answer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	g := &l.groups[group]
+	if !g.inFlight || g.owner != owner {
+		return
+	}
+	if answer.GetRefused() {
+		l.abandon(g)
+		g.takeBack, g.answered = earlier(g.takeBack, now), false
+		l.follow(now, g)
+		return
+	}
+	for i, name := range g.sent {
+		s := l.stocks[name]
+		if s == nil {
+			continue
+		}
+		s.reported = 0
+		if i < len(answer.GetGranted()) && answer.GetGranted()[i] > 0 && now.Before(g.sentAt.Add(grantLifetime)) {
+			s.batches = append(s.batches, batch{tokens: int(answer.GetGranted()[i]), expires: g.sentAt.Add(grantLifetime), epoch: answer.GetEpoch()})
+		}
+		s.provided = s.held()
+	}
+	g.closed = map[string]closure{}
+	for i, name := range answer.GetClosed() {
+		if i < len(answer.GetRoomMs()) {
+			room := now.Add(time.Duration(answer.GetRoomMs()[i]) * time.Millisecond)
+			g.closed[name] = closure{room: room, until: room.Add(closureGrace)}
+		}
+	}
+	g.inFlight, g.answered = false, true
+	g.epoch, g.answeredAt = answer.GetEpoch(), now
+	l.count = l.peak.Observe(now, int(answer.GetMembers()))
+	g.filled = time.Duration(answer.GetFilledMs()) * time.Millisecond
+	g.takeBack = g.sentAt.Add(g.lease + leaseMargin)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Failed records that the last report was not answered.
+func (l *Ledger) Failed(now time.Time, group int, owner string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	g := &l.groups[group]
+	if g.owner != owner {
+		return
+	}
+	l.abandon(g)
+	if !now.Before(g.takeBack) {
+		l.follow(now, g)
+	}
+}
+
+// abandon ends an exchange without an answer. The owner may have the report, so the
+// requests without tokens are reported again, which counts them twice at worst.
+func (l *Ledger) abandon(g *lender) {
+	if !g.inFlight {
+		return
+	}
+	g.inFlight = false
+	for _, name := range g.sent {
+		if s := l.stocks[name]; s != nil {
+			s.advanced, s.reported = s.advanced+s.reported, 0
+		}
+	}
+}
--- /dev/null
+++ b/node/rationer/property_test.go
@@ -0,0 +1,151 @@
+package rationer
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"sycamorerun"
+)
+
+var (
+	seeds     = flag.Int("seeds", 40, "number of seeds of the property test")
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the property test")
+)
+
+// shapes are the ways in which requests of an account enter.
+var shapes = map[string]func(m *model) func() int{
+	"even":     func(m *model) func() int { return func() int { return m.random.IntN(len(m.nodes)) } },
+	"one zone": func(m *model) func() int { return func() int { return m.random.IntN(max(1, len(m.nodes)/6)) } },
+	"uneven": func(m *model) func() int {
+		return func() int { return m.random.IntN(1 + m.random.IntN(len(m.nodes))) }
+	},
+	"moving": func(m *model) func() int {
+		return func() int {
+			base := int(m.now.Sub(modelStart) / (300 * time.Millisecond))
+			return (base + m.random.IntN(1+len(m.nodes)/6)) % len(m.nodes)
+		}
+	},
+}
+
+var shapeNames = []string{"even", "one zone", "uneven", "moving"}
+
+// playFaults runs a fleet with cuts, restarts, changed limits and callers that ask for
+// up to eight times their rate.
+func playFaults(seed uint64) (*model, error) {
+	terms := Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	if seed%3 == 0 {
+		terms.Overage, terms.Slack = 0, 0
+	}
+	m := newModel(seed, 3+int(seed%22), terms, nil)
+	// The reserve of these accounts covers the allowance of each node.
+	least := minAllowance / maxReserveFraction * float64(len(m.nodes))
+	m.setAccounts(map[string]sycamorerun.Account{
+		"small": {Rate: least, Burst: least}, "medium": {Rate: 2 * least, Burst: least}, "large": {Rate: 6 * least, Burst: 6 * least},
+	})
+	if err := m.run(4 * time.Second); err != nil {
+		return m, err
+	}
+	for range 4 {
+		m.changeCallers()
+		m.fault()
+		if err := m.run(m.between(time.Second, 5*time.Second)); err != nil {
+			return m, err
+		}
+	}
+	return m, nil
+}
+
+func (m *model) setAccounts(accounts map[string]sycamorerun.Account) {
+	m.accounts = accounts
+	for _, n := range m.nodes {
+		n.ledger.SetAccounts(accounts)
+		n.pool.SetAccounts(accounts)
+	}
+}
+
+func (m *model) changeCallers() {
+	m.callers = nil
+	for _, name := range []string{"small", "medium", "large"} {
+		factor := []float64{0.6, 0.9, 2, 5}[m.random.IntN(4)]
+		shape := shapes[shapeNames[m.random.IntN(len(shapeNames))]]
+		m.callers = append(m.callers, modelCallers{account: name, rate: factor * m.accounts[name].Rate, pick: shape(m)})
+	}
+}
+
+// fault cuts, heals or kills some or all nodes.
+func (m *model) fault() {
+	share := []float64{0.2, 0.5, 1}[m.random.IntN(3)]
+	kind := m.random.IntN(4)
+	spared := map[int]bool{}
+	for i, n := range m.nodes {
+		switch {
+		case kind == 1 && m.divided() && !spared[n.island]:
+			// A part of the fleet that is cut off and restarts as a whole can't know
+			// how large the fleet is.
+			spared[n.island] = !n.down
+		case kind == 0:
+			m.cut(i, 0)
+		case m.random.Float64() >= share:
+		case kind == 1:
+			m.kill(i, m.between(300*time.Millisecond, 3*time.Second))
+		case kind == 2:
+			m.cut(i, 1+m.random.IntN(2))
+		default:
+			m.cut(i, 1+i)
+		}
+	}
+	m.gain()
+	m.loss()
+}
+
+// divided reports whether some nodes are cut off.
+func (m *model) divided() bool {
+	for _, n := range m.nodes {
+		if n.island != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// TestBoundHolds guards against more requests than the bound in some sliding window,
+// with cuts and restarts at any moment.
+func TestBoundHolds(t *testing.T) {
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		if m, err := playFaults(seed); err != nil {
+			t.Errorf("seed %d, %d nodes: %v", seed, len(m.nodes), err)
+		}
+	}
+}
+
+// TestCalmAdmits guards against refusals inside the quota while nothing fails: at nine
+// tenths of the rate, each account gets what a bucket in one place would admit.
+func TestCalmAdmits(t *testing.T) {
+	for _, shape := range shapeNames {
+		for _, count := range []int{6, 24, 89} {
+			t.Run(fmt.Sprintf("%s, %d nodes", shape, count), func(t *testing.T) {
+				m := newModel(uint64(count), count, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, nil)
+				m.setAccounts(map[string]sycamorerun.Account{
+					"a": {Rate: 4, Burst: 4}, "b": {Rate: 20, Burst: 20}, "c": {Rate: 100, Burst: 100}, "d": {Rate: 800, Burst: 800},
+				})
+				if err := m.run(8 * time.Second); err != nil {
+					t.Fatal(err)
+				}
+				for name, account := range m.accounts {
+					m.callers = append(m.callers, modelCallers{account: name, rate: 0.9 * account.Rate, pick: shapes[shape](m)})
+				}
+				if err := m.run(20 * time.Second); err != nil {
+					t.Fatal(err)
+				}
+				for name := range m.accounts {
+					if share := float64(m.passed[name]) / float64(m.inside[name]); share < 0.98 {
+						t.Errorf("account %s: %.4f of %d admitted", name, share, m.inside[name])
+					}
+				}
+			})
+		}
+	}
+}
