rationer: report to the owners over streams, metrics and log lines

Tokens of an account that a node no longer uses are given back after one period, since in the model with callers that move every 300 ms the tokens left behind made the account seem used up.

--- a/node/rationer/ledger.go
+++ b/node/rationer/ledger.go
@@ -42,9 +42,6 @@
 	minRetryAfter = 200 * time.Millisecond
 	// maxRetryAfter bounds the time that a refused caller is told to wait.
 	maxRetryAfter = 30 * time.Second
-	// limitedAfter is the time without a refusal after which an account counts as
-	// within its limit.
-	limitedAfter = 5 * time.Second
 	// closureGrace is the time for which an account stays closed at a node beyond the
 	// time at which the owner expected room.
 	closureGrace = time.Second
@@ -93,7 +90,9 @@
 	limits    map[string]limit
 	stocks    map[string]*stock
 	groups    [groupCount]lender
-	peak      divider.PeakCount
+	// wake signals that a report may be due earlier than expected.
+	wake [groupCount]chan struct{}
+	peak divider.PeakCount
 	// count is the number of members that shares are computed with, and index the
 	// index of this node among them.
 	count, index int
@@ -101,10 +100,14 @@
 
 // NewLedger returns the ledger of a node that starts at now.
 func NewLedger(now time.Time, self string, terms Terms) *Ledger {
-	return &Ledger{
+	l := &Ledger{
 		Self: self, Terms: terms, Random: rand.Float64, startedAt: now,
 		limits: map[string]limit{}, stocks: map[string]*stock{}, count: 1,
 	}
+	for group := range l.wake {
+		l.wake[group] = make(chan struct{}, 1)
+	}
+	return l
 }
 
 // SetAccounts replaces the limits. A node gives up the tokens and shares of accounts
@@ -126,12 +129,20 @@
 		}
 	}
 	l.limits = limits
+	l.signalAll()
+}
+
+func (l *Ledger) signalAll() {
+	for group := range l.wake {
+		l.signal(group)
+	}
 }
 
 // SetMembers sets the names of the live members, sorted.
 func (l *Ledger) SetMembers(now time.Time, members []string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	defer l.signalAll()
 	l.count = l.peak.Observe(now, len(members))
 	l.index = 0
 	for _, name := range members {
@@ -172,17 +183,60 @@
 	}
 	g, s := &l.groups[groupOf(account)], l.stock(now, account)
 	s.offered++
-	s.usedAt, g.used = now, true
+	s.usedAt = now
+	l.markUsed(g, groupOf(account))
 	if s.take(now) || l.advance(now, g, s, account, limit) {
 		s.admitted++
-		g.urgent = g.urgent || l.runsLow(now, g, s, account, limit)
+		if !g.urgent && l.runsLow(now, g, s, account, limit) {
+			g.urgent = true
+			l.signal(groupOf(account))
+		}
 		return 0, true
 	}
 	s.refused++
-	s.lastRefused = now
 	return l.retryAfter(now, g, account, limit), false
 }
 
+func (l *Ledger) markUsed(g *lender, group int) {
+	if !g.used {
+		g.used = true
+		l.signal(group)
+	}
+}
+
+// signal lets the wait for the next report be computed again.
+func (l *Ledger) signal(group int) {
+	select {
+	case l.wake[group] <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns the time until the next report of a group may be due.
+func (l *Ledger) wait(now time.Time, group int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	g := &l.groups[group]
+	if len(l.limits) == 0 || g.owner == "" {
+		return pausedWait
+	}
+	return max(0, g.period()-now.Sub(g.sentAt))
+}
+
+// takeUse returns the use of all accounts since the last call.
+func (l *Ledger) takeUse() []accountUse {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var uses []accountUse
+	for name, s := range l.stocks {
+		if s.admitted+s.refused > 0 {
+			uses = append(uses, accountUse{account: name, admitted: s.admitted, refused: s.refused})
+			s.admitted, s.refused = 0, 0
+		}
+	}
+	return uses
+}
+
 func (l *Ledger) stock(now time.Time, account string) *stock {
 	s, ok := l.stocks[account]
 	if !ok {
@@ -268,13 +322,13 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	g := &l.groups[group]
-	if len(l.limits) == 0 || g.owner == "" || g.inFlight || !g.due(now) {
+	if len(l.limits) == 0 || g.owner == "" || g.inFlight || now.Sub(g.sentAt) < g.period() {
 		return "", nil, false
 	}
 	active := g.used
 	report = &Report{Group: uint32(group)}
-	for name, s := range l.stocks {
-		if groupOf(name) == group && l.addUse(now, g, report, name, s) {
+	for _, name := range l.names(group) {
+		if l.addUse(now, g, report, name, l.stocks[name]) {
 			active = true
 		}
 	}
@@ -293,28 +347,46 @@
 	return g.owner, report, true
 }
 
-// due reports whether a report has to be sent: in each period while accounts are
-// used, until the owner has answered first, and rarely otherwise.
-func (g *lender) due(now time.Time) bool {
-	elapsed := now.Sub(g.sentAt)
-	if g.urgent && g.answered {
-		return elapsed >= urgentPeriod
+// names returns the accounts of a group that this node has state of, sorted, so that
+// the tokens of a nearly empty bucket do not depend on the order of a map.
+func (l *Ledger) names(group int) []string {
+	var names []string
+	for name := range l.stocks {
+		if groupOf(name) == group {
+			names = append(names, name)
+		}
 	}
-	if g.used || !g.answered || g.lease == activeLease {
-		return elapsed >= reportPeriod
+	slices.Sort(names)
+	return names
+}
+
+// period returns the time between two reports: short while accounts are used and until
+// the owner has answered first, and long otherwise.
+func (g *lender) period() time.Duration {
+	switch {
+	case g.urgent && g.answered:
+		return urgentPeriod
+	case g.used, !g.answered, g.lease == activeLease:
+		return reportPeriod
+	default:
+		return idlePeriod
 	}
-	return elapsed >= idlePeriod
 }
 
 // addUse adds an account to the report if there is anything to report, and deletes
 // its stock if it is no longer used.
 func (l *Ledger) addUse(now time.Time, g *lender, report *Report, name string, s *stock) bool {
 	s.expire(now)
+	quiet := s.offered == 0 && now.Sub(s.reportedAt) >= reportPeriod
 	s.measureDemand(now)
 	target := s.target()
 	if limit := l.limits[name]; g.answered && l.open(now, g, name, limit) {
 		target = max(0, target-limit.allowance(l.count))
 	}
+	if quiet {
+		// The callers may have moved to another node that needs the tokens.
+		target = 0
+	}
 	settled := s.settle(now, g.epoch)
 	returned := s.giveBack(now.Add(2*reportPeriod), target)
 	s.expire(now)
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -28,6 +28,9 @@
 	// maxFilled bounds the filled time that is announced. All buckets are full by
 	// then.
 	maxFilled = time.Hour
+	// limitedTime is the time after which an account that no longer exceeds its limit
+	// counts as within it.
+	limitedTime = 5 * time.Second
 	// maxWait bounds the time for which an account is announced as closed.
 	maxWait = 30 * time.Second
 )
@@ -61,6 +64,9 @@
 	Terms Terms
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// Limited is called when an account exceeds its limit and when it is within it
+	// again, with the rate of its requests a second. It may be nil.
+	Limited func(account string, limited bool, rate float64)
 
 	mutex     sync.Mutex
 	startedAt time.Time
@@ -79,6 +85,9 @@
 	buckets map[string]*bucket
 	// closed holds the names of the closed buckets.
 	closed map[string]bool
+	// limited holds the accounts that exceed their limit and the time at which each
+	// was last closed.
+	limited map[string]time.Time
 	// loans holds the members whose shares this node uses.
 	loans map[string]loan
 	// epoch tells this ownership of the group from others.
@@ -131,7 +140,7 @@
 		g := &p.groups[i]
 		switch owned := ownerOf(i, members) == p.Self; {
 		case owned && !g.owned:
-			*g = ownedGroup{owned: true, buckets: map[string]*bucket{}, closed: map[string]bool{}, loans: map[string]loan{}, epoch: p.epoch()}
+			*g = ownedGroup{owned: true, buckets: map[string]*bucket{}, closed: map[string]bool{}, limited: map[string]time.Time{}, loans: map[string]loan{}, epoch: p.epoch()}
 		case !owned:
 			*g = ownedGroup{}
 		}
@@ -167,6 +176,9 @@
 		b.demand += float64(report.Offered[i]) / rateTime.Seconds()
 		answer.Granted[i] = uint32(p.grant(b, limit.rate*g.share, limit.pool(g.count)*g.share, int(report.Wanted[i])))
 		g.updateClosed(name, b, limit)
+		if b.closed && b.demand > limit.rate {
+			p.markLimited(now, g, name, b.demand)
+		}
 	}
 	p.listClosed(now, g, answer)
 	answer.FilledMs = uint32(min(g.filled, maxFilled).Milliseconds())
@@ -222,12 +234,33 @@
 		}
 	}
 	g.share = min(1, float64(len(g.loans))/float64(p.count))
+	p.releaseLimited(now, g)
 	if now.Sub(g.prunedAt) >= pruneInterval {
 		g.prunedAt = now
 		p.prune(now, g)
 	}
 }
 
+func (p *Pool) markLimited(now time.Time, g *ownedGroup, name string, rate float64) {
+	if _, ok := g.limited[name]; !ok && p.Limited != nil {
+		p.Limited(name, true, rate)
+	}
+	g.limited[name] = now
+}
+
+// releaseLimited reports the accounts that have not exceeded their limit for a while.
+func (p *Pool) releaseLimited(now time.Time, g *ownedGroup) {
+	for name, last := range g.limited {
+		if now.Sub(last) < limitedTime {
+			continue
+		}
+		delete(g.limited, name)
+		if b := g.buckets[name]; b != nil && p.Limited != nil {
+			p.Limited(name, false, b.demand)
+		}
+	}
+}
+
 // prune deletes the buckets of accounts that are full and out of use. A new bucket
 // would be full as well.
 func (p *Pool) prune(now time.Time, g *ownedGroup) {
--- a/node/rationer/property_test.go
+++ b/node/rationer/property_test.go
@@ -134,7 +134,8 @@
 				if err := m.run(8 * time.Second); err != nil {
 					t.Fatal(err)
 				}
-				for name, account := range m.accounts {
+				for _, name := range []string{"a", "b", "c", "d"} {
+					account := m.accounts[name]
 					m.callers = append(m.callers, modelCallers{account: name, rate: 0.9 * account.Rate, pick: shapes[shape](m)})
 				}
 				if err := m.run(20 * time.Second); err != nil {
--- a/node/rationer/stock.go
+++ b/node/rationer/stock.go
@@ -56,16 +56,8 @@
 	// grows only while no owner uses the share.
 	credit     float64
 	creditedAt time.Time
-	usage
-}
-
-// usage counts requests for metrics and logs.
-type usage struct {
+	// admitted and refused count the requests since the last update of the metrics.
 	admitted, refused int64
-	// lastRefused is the time of the last refusal since the account was last within
-	// its limit; limited is set from the first one on.
-	lastRefused time.Time
-	limited     bool
 }
 
 // expire removes the batches that have expired.
