--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -25,6 +25,7 @@
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/manager"
 	"sycamorerun/node/planner"
+	"sycamorerun/node/rationer"
 	"sycamorerun/node/recorder"
 	"sycamorerun/node/reporter"
 	"sycamorerun/node/router"
@@ -87,6 +88,7 @@
 	reporter                       *reporter.Reporter
 	calls                          *calls
 	keys                           *deduplicator.Exchanger
+	rationer                       *rationer.Rationer
 	publisher                      *publisher
 }
 
@@ -139,6 +141,7 @@
 	n.wireMembership()
 	n.wireAnnouncements(now, r)
 	n.wireKeys()
+	n.wireQuotas(now)
 	n.wireDistribution()
 	n.wireAcceptance()
 	n.wireConnector(tlsConfig)
@@ -252,6 +255,7 @@
 	n.fleet.update(n.settings.Name, n.tracker.Live(now), n.tracker.Reachable(now))
 	n.distributor.Replan()
 	n.updateKeyMembers(now)
+	n.rationer.SetMembers(now, names(n.fleet.live()))
 	n.reportRoutes(now)
 }
 
@@ -286,6 +290,7 @@
 func (n *node) configurationChanged(state applier.State) {
 	n.setLimits()
 	n.authenticator.Update(state.Tree.Items)
+	n.rationer.Update(state.Tree.Items)
 	n.updateKeyMembers(state.Since)
 	n.reportRoutes(state.Since)
 	n.refreshUpstream(time.Now())
@@ -307,6 +312,9 @@
 		deduplicator.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
 			n.keys.Serve(from.Name, stream)
 		},
+		rationer.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
+			n.rationer.Serve(from.Name, stream)
+		},
 		forwarder.KindQuery: func(ctx context.Context, _ connector.Peer, stream net.Conn) {
 			n.calls.forwarder.ServeQuery(ctx, stream)
 		},
--- /dev/null
+++ b/node/runner/quotas.go
@@ -0,0 +1,28 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sycamorerun/node/rationer"
+)
+
+// wireQuotas sets up the quotas of accounts.
+func (n *node) wireQuotas(now time.Time) {
+	r := rationer.New(now, n.settings.Name, rationer.Terms{
+		Window: n.settings.QuotaWindow, Overage: n.settings.QuotaOverage, Slack: n.settings.QuotaSlack,
+	})
+	r.Open = func(ctx context.Context, peer string) (net.Conn, error) {
+		member, ok := n.fleet.member(peer)
+		if !ok {
+			return nil, errors.Errorf("peer %s is not a member", peer)
+		}
+		return n.connector.Open(ctx, member.Address, rationer.Kind)
+	}
+	r.Logger, r.Scope = n.logger, n.scope
+	r.SetMembers(now, names(n.fleet.live()))
+	n.rationer = r
+}
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -137,6 +137,7 @@
 	if n.settings.Keys {
 		start("keys", n.keys.Run)
 	}
+	start("quotas", n.rationer.Run)
 	start("upstream", n.watchUpstream)
 	start("settings", n.applyUpdates(n.updates))
 	start("operators", serve(operators))
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -52,6 +52,12 @@
 	RetryWindow time.Duration
 	RetrySlack  float64
 
+	// QuotaWindow, QuotaOverage and QuotaSlack are the terms on which the rates of
+	// accounts hold.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+
 	// MaxHeader, MaxBody, HeaderTimeout and IdleTimeout are the limits for
 	// callers that apply where the configuration sets none.
 	MaxHeader     int
@@ -91,6 +97,9 @@
 	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "maximum retries of the fleet as a fraction of a service's calls; a negative value selects the service's own setting")
 	loader.Add(l, &s.RetryWindow, "retry-window", "10s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which retries are counted")
 	loader.Add(l, &s.RetrySlack, "retry-slack", "64", loader.Float(0, 1e6), "additional retries of the fleet per window and service beyond the ratio, divided among the nodes")
+	loader.Add(l, &s.QuotaWindow, "quota-window", "5s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which the requests of an account are counted")
+	loader.Add(l, &s.QuotaOverage, "quota-overage", "0", loader.Float(0, 10), "part by which the fleet may exceed the rate and burst of an account in a window")
+	loader.Add(l, &s.QuotaSlack, "quota-slack", "0", loader.Float(0, 1e6), "additional requests of an account per window and fleet beyond its rate, burst and overage")
 	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "expected time between two announcements of the upstream; after three periods without one, the upstream becomes unavailable", loader.Reloadable)
 	loader.Add(l, &s.MaxHeader, "max-header", "65536", loader.Int(1024, parser.MaxHeaderBytes), "maximum size of a request header in bytes; a limit in the configuration takes precedence", loader.Reloadable)
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, parser.MaxBodyBytes), "maximum size of a request body in bytes; a limit in the configuration takes precedence", loader.Reloadable)
