balancer: use the buffer of the candidates again

Cause: each pick copied the records of all instances of the service into a new slice that grew by doubling, under the balancer's lock. Change: candidates refer to the instance's record, and their buffer is kept.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -78,7 +78,9 @@
 	roundRobinIndex uint64
 	mutex           sync.Mutex
 	stats           map[string]*stats
-	sweptAt         time.Time
+	// candidates is the buffer that each pick uses again.
+	candidates []candidate
+	sweptAt    time.Time
 }
 
 // New returns a balancer for a node in an availability zone and region.
@@ -112,7 +114,7 @@
 	chosen := tier.pick(b.Random)
 	chosen.stats.inFlight++
 	chosen.stats.lastUsed = now
-	return chosen.instance, true
+	return *chosen.instance, true
 }
 
 // nextRoundRobin returns the next serving instance in round-robin order.
@@ -148,8 +150,9 @@
 // groupByTier evaluates the serving instances and groups those that can be picked
 // by tier.
 func (b *Balancer) groupByTier(now time.Time, instances []sycamorerun.Instance, query Query, warmup time.Duration) tieredCandidates {
-	var all []candidate
-	for _, instance := range instances {
+	all := b.candidates[:0]
+	for at := range instances {
+		instance := &instances[at]
 		if !instance.Serving() {
 			continue
 		}
@@ -157,6 +160,7 @@
 			instance: instance, stats: b.instanceStats(now, instance.Name), tier: b.tierOf(instance),
 		})
 	}
+	b.candidates = all
 	markEjected(now, all)
 	setSpeeds(now, all, callKind{query.Rank, query.Objective})
 	grouped := tieredCandidates{all: all}
@@ -186,7 +190,7 @@
 
 // tierOf returns 0 for instances in the availability zone of this node, 1 for
 // others in its region and 2 for other regions.
-func (b *Balancer) tierOf(instance sycamorerun.Instance) int {
+func (b *Balancer) tierOf(instance *sycamorerun.Instance) int {
 	switch {
 	case instance.AvailabilityZone == b.AvailabilityZone && instance.Region == b.Region:
 		return 0
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -42,7 +42,7 @@
 
 // candidate is an instance with its statistics and their evaluation.
 type candidate struct {
-	instance sycamorerun.Instance
+	instance *sycamorerun.Instance
 	stats    *stats
 	tier     int
 	ejected  bool
