--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -35,6 +35,9 @@
 teams:
   quoting: {mode: review, operators: [{name: ann, hash: "sha256:` + hashDigits + `"}]}
 limits: {header: 16384, idle: 60s}
+accounts:
+  notary: {label: Notary No. 1, keys: ["sha256:` + hashDigits + `"], rank: 2, rate: 0.5, burst: 100}
+  clerk: {}
 `
 
 const hashDigits = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
@@ -53,13 +56,18 @@
 				`"class":"interactive","repeat":"default","split":[{"service":"quote-desk","weight":100}]}`,
 		}},
 		"admin": {adminExample, map[sycamorerun.Path]string{
-			"admin/team/quoting": `{"mode":"review","operators":[{"name":"ann","hash":"sha256:` + hashDigits + `"}]}`,
-			"admin/limits":       `{"header":16384,"idle":"1m0s"}`,
+			"admin/team/quoting":   `{"mode":"review","operators":[{"name":"ann","hash":"sha256:` + hashDigits + `"}]}`,
+			"admin/limits":         `{"header":16384,"idle":"1m0s"}`,
+			"admin/account/notary": `{"label":"Notary No. 1","keys":["sha256:` + hashDigits + `"],"rank":2,"rate":0.5,"burst":100}`,
+			"admin/account/clerk":  `{}`,
 		}},
 		"defaults": {"team: a\nservices: {null: }\nroutes: {r: {split: [{service: s}]}}", map[sycamorerun.Path]string{
 			"a/service/null": service,
 			"a/route/r":      `{"prefix":"/","class":"interactive","repeat":"default","split":[{"service":"s","weight":100}]}`,
 		}},
+		"public": {"team: a\nroutes: {r: {public: true, split: [{service: s}]}}", map[sycamorerun.Path]string{
+			"a/route/r": `{"prefix":"/","class":"interactive","repeat":"default","split":[{"service":"s","weight":100}],"public":true}`,
+		}},
 		"durations": {"team: a\nservices: {s: {timeout: 60s, idle: 0.5m, warmup: 0s, retries: -0.0}}", map[sycamorerun.Path]string{
 			"a/service/s": `{"slots":6,"queue":12,"connections":130,"timeout":"1m0s","idle":"30s","warmup":"0s","retries":0}`,
 		}},
@@ -86,6 +94,8 @@
 	service := func(text string) string { return "team: a\nservices:\n  s:\n    " + text }
 	route := func(text string) string { return "team: a\nroutes:\n  r:\n    split: [{service: s}]\n    " + text }
 	split := func(text string) string { return "team: a\nroutes:\n  r:\n    split: " + text }
+	account := func(text, name string) string { return "team: admin\naccounts:\n  " + name + ":\n    " + text }
+	hash := `"sha256:` + hashDigits + `"`
 	many := strings.Builder{}
 	for i := range parser.MaxServices + 1 {
 		many.WriteString("  s" + strconv.Itoa(i) + ": {}\n")
@@ -153,6 +163,18 @@
 		"no weight":         {split("[{service: s, weight: 0}]"), "out-of-bounds", "routes.r.split", "4"},
 		"mode":              {"team: admin\nteams: {a: {mode: x}}", "bad-value", "teams.a.mode", "2"},
 		"operator hash":     {strings.Replace(adminExample, "sha256:", "md5:", 1), "bad-value", "teams.quoting.operators[0].hash", "3"},
+		"public":            {route("public: 1"), "wrong-type", "routes.r.public", "5"},
+		"accounts in team":  {"team: a\naccounts: {}", "unknown-field", "accounts", "2"},
+		"account name":      {account("keys: []", "B"), "bad-name", "accounts.B", "3"},
+		"key for a hash":    {account("keys: [secret]", "b"), "bad-value", "accounts.b.keys[0]", "4"},
+		"duplicate key":     {account("keys: ["+hash+", "+hash+"]", "b"), "duplicate", "accounts.b.keys[1]", "4"},
+		"too many keys":     {account("keys: ["+strings.Repeat(hash+", ", 513)+"]", "b"), "out-of-bounds", "accounts.b.keys", "4"},
+		"negative rate":     {account("rate: -1", "b"), "out-of-bounds", "accounts.b.rate", "4"},
+		"absurd rate":       {account("rate: 1e10", "b"), "out-of-bounds", "accounts.b.rate", "4"},
+		"infinite rate":     {account("rate: .inf", "b"), "wrong-type", "accounts.b.rate", "4"},
+		"negative burst":    {account("burst: -0.1", "b"), "out-of-bounds", "accounts.b.burst", "4"},
+		"account rank":      {account("rank: 17", "b"), "out-of-bounds", "accounts.b.rank", "4"},
+		"account label":     {account(`label: "a\nb"`, "b"), "bad-value", "accounts.b.label", "4"},
 		"many aliases":      {"team: &x a\nservices: {" + strings.Repeat("? *x ,", parser.MaxAliases) + "}", "too-many-aliases", "", "2"},
 		"recursive alias":   {"team: a\nservices: &x {s: *x}", "unknown-field", "services.s.s", "2"},
 	} {
@@ -164,6 +186,7 @@
 			is.Equal(faults[0].Path, test.path)
 			is.Equal(strconv.Itoa(faults[0].Line), test.line)
 			is.True(faults[0].Reason != "")
+			is.True(!strings.Contains(faults[0].Reason, "secret")) // a key is not quoted
 			is.True(parser.Codes[faults[0].Code] != "")
 		})
 	}
--- a/validator/validator_test.go
+++ b/validator/validator_test.go
@@ -32,6 +32,11 @@
 	return item
 }
 
+// account returns an account whose key has a hash with the given digit.
+func account(digit string) sycamorerun.Item {
+	return sycamorerun.Item(`{"keys":["sha256:` + strings.Repeat(digit, 64) + `"]}`)
+}
+
 func baseTree() items {
 	return items{
 		"admin/team/a": sycamorerun.Item(team), "admin/team/b": sycamorerun.Item(team),
@@ -70,21 +75,25 @@
 		"no service": {items{"a/route/q": route(sycamorerun.Route{
 			Prefix: "/", Split: []sycamorerun.Target{{Service: "gone", Weight: 1}},
 		})}, "no-service", "a/route/q"},
-		"removed service":    {items{"a/service/s": nil}, "malformed", "a/service/s"},
-		"two owners":         {items{"b/service/s": sycamorerun.Item(service)}, "duplicate-service", "b/service/s"},
-		"undeclared":         {items{"c/service/t": sycamorerun.Item(service)}, "no-team", "c/service/t"},
-		"same match":         {items{"b/route/q": route(sycamorerun.Route{Hosts: []string{"y", "x"}, Prefix: "/", Split: split})}, "same-match", "b/route/r"},
-		"same token":         {items{"admin/team/a": operators, "admin/team/b": operators}, "duplicate-hash", "admin/team/b"},
-		"malformed":          {items{"a/service/t": sycamorerun.Item(`{`)}, "malformed", "a/service/t"},
-		"limits":             {items{"admin/limits": sycamorerun.Item(`{"header":1024,"wait":"1s"}`)}, "", ""},
-		"limits of a team":   {items{"a/limits": sycamorerun.Item(`{}`)}, "bad-path", "a/limits"},
-		"limits with a name": {items{"admin/limits/x": sycamorerun.Item(`{}`)}, "bad-path", "admin/limits/x"},
-		"limits too large":   {items{"admin/limits": sycamorerun.Item(`{"header":1048577}`)}, "out-of-bounds", "admin/limits"},
-		"no name":            {items{"a/service/": sycamorerun.Item(service)}, "bad-path", "a/service/"},
-		"bad path":           {items{"a/x/t": sycamorerun.Item(service)}, "bad-path", "a/x/t"},
-		"too many services":  {many, "too-many", ""},
-		"too large":          {large, "too-large", ""},
-		"too large packed":   {packed, "too-large", ""},
+		"removed service":     {items{"a/service/s": nil}, "malformed", "a/service/s"},
+		"two owners":          {items{"b/service/s": sycamorerun.Item(service)}, "duplicate-service", "b/service/s"},
+		"undeclared":          {items{"c/service/t": sycamorerun.Item(service)}, "no-team", "c/service/t"},
+		"same match":          {items{"b/route/q": route(sycamorerun.Route{Hosts: []string{"y", "x"}, Prefix: "/", Split: split})}, "same-match", "b/route/r"},
+		"same token":          {items{"admin/team/a": operators, "admin/team/b": operators}, "duplicate-hash", "admin/team/b"},
+		"malformed":           {items{"a/service/t": sycamorerun.Item(`{`)}, "malformed", "a/service/t"},
+		"limits":              {items{"admin/limits": sycamorerun.Item(`{"header":1024,"wait":"1s"}`)}, "", ""},
+		"limits of a team":    {items{"a/limits": sycamorerun.Item(`{}`)}, "bad-path", "a/limits"},
+		"limits with a name":  {items{"admin/limits/x": sycamorerun.Item(`{}`)}, "bad-path", "admin/limits/x"},
+		"limits too large":    {items{"admin/limits": sycamorerun.Item(`{"header":1048577}`)}, "out-of-bounds", "admin/limits"},
+		"accounts":            {items{"admin/account/x": account("0"), "admin/account/y": account("1")}, "", ""},
+		"account of a team":   {items{"a/account/x": account("0")}, "bad-path", "a/account/x"},
+		"key of two accounts": {items{"admin/account/x": account("0"), "admin/account/y": account("0")}, "duplicate-key", "admin/account/y"},
+		"account hash":        {items{"admin/account/x": account("g")}, "bad-value", "admin/account/x"},
+		"no name":             {items{"a/service/": sycamorerun.Item(service)}, "bad-path", "a/service/"},
+		"bad path":            {items{"a/x/t": sycamorerun.Item(service)}, "bad-path", "a/x/t"},
+		"too many services":   {many, "too-many", ""},
+		"too large":           {large, "too-large", ""},
+		"too large packed":    {packed, "too-large", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
