--- a/api/design/design.go
+++ b/api/design/design.go
@@ -264,6 +264,17 @@
 	Required("route", "state", "targets")
 })
 
+// Account is a client account.
+var Account = Type("Account", func() {
+	Attribute("name", String)
+	Attribute("label", String, "Name for upstreams, if it differs")
+	Attribute("rank", Int, "Priority of its calls, 1 first; absent if the routes' applies")
+	Attribute("rate", Float64, "Requests a second that all nodes together admit; absent if there is no limit")
+	Attribute("burst", Float64, "Requests beyond the rate that they admit at once")
+	Attribute("keys", Int, "Number of keys")
+	Required("name", "keys")
+})
+
 // Candidate is an upstream to which a call could be sent.
 var Candidate = Type("Candidate", func() {
 	Attribute("instance", String)
@@ -323,6 +334,15 @@
 			statuses()
 		})
 	})
+	Method("accounts", func() {
+		Description("Lists the client accounts in force. Keys are only counted.")
+		Payload(func() { APIKey("token", "token", String) })
+		Result(ArrayOf(Account))
+		HTTP(func() {
+			GET("/v1/accounts")
+			statuses()
+		})
+	})
 	Method("convergence", func() {
 		Description("Asks the fleet which versions are in force where.")
 		Payload(func() { APIKey("token", "token", String) })
--- a/api/gen/fleet/client.go
+++ b/api/gen/fleet/client.go
@@ -18,16 +18,18 @@
 	StatusEndpoint      goa.Endpoint
 	MembersEndpoint     goa.Endpoint
 	RoutesEndpoint      goa.Endpoint
+	AccountsEndpoint    goa.Endpoint
 	ConvergenceEndpoint goa.Endpoint
 	ExplainEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "fleet" service client given the endpoints.
-func NewClient(status, members, routes, convergence, explain goa.Endpoint) *Client {
+func NewClient(status, members, routes, accounts, convergence, explain goa.Endpoint) *Client {
 	return &Client{
 		StatusEndpoint:      status,
 		MembersEndpoint:     members,
 		RoutesEndpoint:      routes,
+		AccountsEndpoint:    accounts,
 		ConvergenceEndpoint: convergence,
 		ExplainEndpoint:     explain,
 	}
@@ -84,6 +86,23 @@
 	return ires.([]*RouteState), nil
 }
 
+// Accounts calls the "accounts" endpoint of the "fleet" service.
+// Accounts may return the following errors:
+//   - "unauthorized" (type *Problem): The token is missing or not known
+//   - "forbidden" (type *Problem): The token's team does not own the subtree
+//   - "invalid" (type *Problem): The request is malformed
+//   - "unavailable" (type *Problem): The node can't answer now
+//   - "missing" (type *Problem): Nothing has that name
+//   - error: internal error
+func (c *Client) Accounts(ctx context.Context, p *AccountsPayload) (res []*Account, err error) {
+	var ires any
+	ires, err = c.AccountsEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*Account), nil
+}
+
 // Convergence calls the "convergence" endpoint of the "fleet" service.
 // Convergence may return the following errors:
 //   - "unauthorized" (type *Problem): The token is missing or not known
--- a/api/gen/fleet/endpoints.go
+++ b/api/gen/fleet/endpoints.go
@@ -19,6 +19,7 @@
 	Status      goa.Endpoint
 	Members     goa.Endpoint
 	Routes      goa.Endpoint
+	Accounts    goa.Endpoint
 	Convergence goa.Endpoint
 	Explain     goa.Endpoint
 }
@@ -31,6 +32,7 @@
 		Status:      NewStatusEndpoint(s, a.APIKeyAuth),
 		Members:     NewMembersEndpoint(s, a.APIKeyAuth),
 		Routes:      NewRoutesEndpoint(s, a.APIKeyAuth),
+		Accounts:    NewAccountsEndpoint(s, a.APIKeyAuth),
 		Convergence: NewConvergenceEndpoint(s, a.APIKeyAuth),
 		Explain:     NewExplainEndpoint(s, a.APIKeyAuth),
 	}
@@ -41,6 +43,7 @@
 	e.Status = m(e.Status)
 	e.Members = m(e.Members)
 	e.Routes = m(e.Routes)
+	e.Accounts = m(e.Accounts)
 	e.Convergence = m(e.Convergence)
 	e.Explain = m(e.Explain)
 }
@@ -114,6 +117,29 @@
 	}
 }
 
+// NewAccountsEndpoint returns an endpoint function that calls the method
+// "accounts" of service "fleet".
+func NewAccountsEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*AccountsPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.Accounts(ctx, p)
+	}
+}
+
 // NewConvergenceEndpoint returns an endpoint function that calls the method
 // "convergence" of service "fleet".
 func NewConvergenceEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
--- a/api/gen/fleet/service.go
+++ b/api/gen/fleet/service.go
@@ -21,6 +21,8 @@
 	Members(context.Context, *MembersPayload) (res []*Member, err error)
 	// Lists the routes in force and whether their services have upstreams.
 	Routes(context.Context, *RoutesPayload) (res []*RouteState, err error)
+	// Lists the client accounts in force. Keys are only counted.
+	Accounts(context.Context, *AccountsPayload) (res []*Account, err error)
 	// Asks the fleet which versions are in force where.
 	Convergence(context.Context, *ConvergencePayload) (res *ConvergenceResult, err error)
 	// Says which route and upstream a request would take and why.
@@ -47,7 +49,26 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [5]string{"status", "members", "routes", "convergence", "explain"}
+var MethodNames = [6]string{"status", "members", "routes", "accounts", "convergence", "explain"}
+
+type Account struct {
+	Name string
+	// Name for upstreams, if it differs
+	Label *string
+	// Priority of its calls, 1 first; absent if the routes' applies
+	Rank *int
+	// Requests a second that all nodes together admit; absent if there is no limit
+	Rate *float64
+	// Requests beyond the rate that they admit at once
+	Burst *float64
+	// Number of keys
+	Keys int
+}
+
+// AccountsPayload is the payload type of the fleet service accounts method.
+type AccountsPayload struct {
+	Token *string
+}
 
 type Candidate struct {
 	Instance string
--- a/api/gen/http/cli/node/cli.go
+++ b/api/gen/http/cli/node/cli.go
@@ -26,16 +26,16 @@
 func UsageCommands() []string {
 	return []string{
 		"settings (read|submit|outcome|check|proposals|history)",
-		"fleet (status|members|routes|convergence|explain)",
+		"fleet (status|members|routes|accounts|convergence|explain)",
 		"upstream announce",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "settings read --team \"Quam sunt illum nam ipsum.\" --token \"Eum architecto laudantium.\"" + "\n" +
-		os.Args[0] + " " + "fleet status --token \"Doloribus aperiam id et eligendi ut facilis.\"" + "\n" +
-		os.Args[0] + " " + "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"e0-\",\n      \"slots\": 114,\n      \"state\": \"ready\"\n   }'" + "\n" +
+	return os.Args[0] + " " + "settings read --team \"Ut aut.\" --token \"Aut illo id necessitatibus.\"" + "\n" +
+		os.Args[0] + " " + "fleet status --token \"Est ipsum.\"" + "\n" +
+		os.Args[0] + " " + "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"q\",\n      \"slots\": 48,\n      \"state\": \"left\"\n   }'" + "\n" +
 		""
 }
 
@@ -88,6 +88,9 @@
 		fleetRoutesTeamFlag  = fleetRoutesFlags.String("team", "", "")
 		fleetRoutesTokenFlag = fleetRoutesFlags.String("token", "", "")
 
+		fleetAccountsFlags     = flag.NewFlagSet("accounts", flag.ExitOnError)
+		fleetAccountsTokenFlag = fleetAccountsFlags.String("token", "", "")
+
 		fleetConvergenceFlags     = flag.NewFlagSet("convergence", flag.ExitOnError)
 		fleetConvergenceTokenFlag = fleetConvergenceFlags.String("token", "", "")
 
@@ -112,6 +115,7 @@
 	fleetStatusFlags.Usage = fleetStatusUsage
 	fleetMembersFlags.Usage = fleetMembersUsage
 	fleetRoutesFlags.Usage = fleetRoutesUsage
+	fleetAccountsFlags.Usage = fleetAccountsUsage
 	fleetConvergenceFlags.Usage = fleetConvergenceUsage
 	fleetExplainFlags.Usage = fleetExplainUsage
 
@@ -187,6 +191,9 @@
 			case "routes":
 				epf = fleetRoutesFlags
 
+			case "accounts":
+				epf = fleetAccountsFlags
+
 			case "convergence":
 				epf = fleetConvergenceFlags
 
@@ -256,6 +263,9 @@
 			case "routes":
 				endpoint = c.Routes()
 				data, err = fleetc.BuildRoutesPayload(*fleetRoutesTeamFlag, *fleetRoutesTokenFlag)
+			case "accounts":
+				endpoint = c.Accounts()
+				data, err = fleetc.BuildAccountsPayload(*fleetAccountsTokenFlag)
 			case "convergence":
 				endpoint = c.Convergence()
 				data, err = fleetc.BuildConvergencePayload(*fleetConvergenceTokenFlag)
@@ -311,7 +321,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings read --team \"Quam sunt illum nam ipsum.\" --token \"Eum architecto laudantium.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings read --team \"Ut aut.\" --token \"Aut illo id necessitatibus.\"")
 }
 
 func settingsSubmitUsage() {
@@ -331,7 +341,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings submit --body '{\n      \"base\": 3652016294400223828,\n      \"content\": \"Assumenda assumenda.\",\n      \"id\": \"914f66b6-1c0f-4c6f-b6af-8518ad963afd\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Qui praesentium similique tenetur ad natus.\",\n      \"reason\": \"hjn\",\n      \"settings\": \"gs6\",\n      \"team\": \"n\",\n      \"until\": \"1995-12-12T06:05:06Z\",\n      \"version\": 1455268127360735091\n   }' --token \"Odit facilis eius esse veniam.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings submit --body '{\n      \"base\": 13837130677995934029,\n      \"content\": \"Dolorum perferendis incidunt.\",\n      \"id\": \"4aa44cfd-6113-48fc-bfa3-70f298464a32\",\n      \"kind\": \"reject\",\n      \"proposal\": \"Occaecati eum.\",\n      \"reason\": \"dfg\",\n      \"settings\": \"kne\",\n      \"team\": \"rw\",\n      \"until\": \"1971-01-10T05:30:03Z\",\n      \"version\": 3530897280341337349\n   }' --token \"Est et veniam qui quia eos.\"")
 }
 
 func settingsOutcomeUsage() {
@@ -351,7 +361,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings outcome --id \"34eb0181-15bb-4ec1-b48c-b05842f00854\" --token \"Molestiae et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings outcome --id \"b3697342-d2a5-4f6f-8c20-1a64235d42aa\" --token \"Esse hic consequatur aut et sed.\"")
 }
 
 func settingsCheckUsage() {
@@ -371,7 +381,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings check --body '{\n      \"settings\": \"pmq\",\n      \"team\": \"m\"\n   }' --token \"Quas saepe.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings check --body '{\n      \"settings\": \"2a4\",\n      \"team\": \"t\"\n   }' --token \"Omnis voluptatum.\"")
 }
 
 func settingsProposalsUsage() {
@@ -391,7 +401,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings proposals --team \"Quo non enim perspiciatis asperiores.\" --token \"Rerum maiores sequi est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings proposals --team \"Ea nisi.\" --token \"Voluptatem asperiores eos suscipit velit.\"")
 }
 
 func settingsHistoryUsage() {
@@ -413,7 +423,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings history --team \"Maxime aut et.\" --limit 915 --token \"Rerum in quaerat.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "settings history --team \"Adipisci earum.\" --limit 998 --token \"Quae et.\"")
 }
 
 // fleetUsage displays the usage of the fleet command and its subcommands.
@@ -424,6 +434,7 @@
 	fmt.Fprintln(os.Stderr, `    status: Returns the node's own state.`)
 	fmt.Fprintln(os.Stderr, `    members: Lists the instances that this node knows.`)
 	fmt.Fprintln(os.Stderr, `    routes: Lists the routes in force and whether their services have upstreams.`)
+	fmt.Fprintln(os.Stderr, `    accounts: Lists the client accounts in force. Keys are only counted.`)
 	fmt.Fprintln(os.Stderr, `    convergence: Asks the fleet which versions are in force where.`)
 	fmt.Fprintln(os.Stderr, `    explain: Says which route and upstream a request would take and why.`)
 	fmt.Fprintln(os.Stderr)
@@ -445,7 +456,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Doloribus aperiam id et eligendi ut facilis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Est ipsum.\"")
 }
 
 func fleetMembersUsage() {
@@ -463,7 +474,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet members --token \"Beatae quia aut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet members --token \"Et rem.\"")
 }
 
 func fleetRoutesUsage() {
@@ -483,7 +494,25 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet routes --team \"Ab rerum dolorem in.\" --token \"Minima qui repellat tempora aliquam sunt.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet routes --team \"Laborum et fugiat.\" --token \"Adipisci architecto nulla optio impedit numquam voluptas.\"")
+}
+
+func fleetAccountsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet accounts", os.Args[0])
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists the client accounts in force. Keys are only counted.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet accounts --token \"Et voluptas quia inventore dolor maiores explicabo.\"")
 }
 
 func fleetConvergenceUsage() {
@@ -501,7 +530,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet convergence --token \"Reprehenderit quos minus deserunt vel ut impedit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet convergence --token \"Dolorem sed vero inventore.\"")
 }
 
 func fleetExplainUsage() {
@@ -521,7 +550,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet explain --body '{\n      \"headers\": {\n         \"Minus aut et inventore inventore fugit.\": \"Et nihil sed.\",\n         \"Velit unde omnis eos.\": \"Numquam et ipsam repellendus aut nesciunt.\",\n         \"Veniam id nihil eum eaque ab eum.\": \"Cum dicta laborum.\"\n      },\n      \"host\": \"Deserunt velit.\",\n      \"method\": \"Odio quisquam eos quos nam minima optio.\",\n      \"path\": \"Ipsa soluta.\"\n   }' --token \"Nisi quo nemo voluptatem qui nihil.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet explain --body '{\n      \"headers\": {\n         \"Animi omnis eum occaecati et.\": \"Quae incidunt ea autem aliquam.\",\n         \"Architecto et sequi expedita quisquam voluptas consequuntur.\": \"Repellendus harum.\",\n         \"Impedit deserunt quas nostrum id animi.\": \"Consequuntur aut ea quidem aut corporis.\"\n      },\n      \"host\": \"Voluptatem qui nihil exercitationem neque et.\",\n      \"method\": \"Aut nesciunt vel nisi quo.\",\n      \"path\": \"Et ut architecto cumque voluptas ut.\"\n   }' --token \"Omnis dolor doloribus.\"")
 }
 
 // upstreamUsage displays the usage of the upstream command and its subcommands.
@@ -549,5 +578,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"e0-\",\n      \"slots\": 114,\n      \"state\": \"ready\"\n   }'")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "upstream announce --body '{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"q\",\n      \"slots\": 48,\n      \"state\": \"left\"\n   }'")
 }
--- a/api/gen/http/fleet/client/cli.go
+++ b/api/gen/http/fleet/client/cli.go
@@ -65,6 +65,21 @@
 	return v, nil
 }
 
+// BuildAccountsPayload builds the payload for the fleet accounts endpoint from
+// CLI flags.
+func BuildAccountsPayload(fleetAccountsToken string) (*fleet.AccountsPayload, error) {
+	var token *string
+	{
+		if fleetAccountsToken != "" {
+			token = &fleetAccountsToken
+		}
+	}
+	v := &fleet.AccountsPayload{}
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildConvergencePayload builds the payload for the fleet convergence
 // endpoint from CLI flags.
 func BuildConvergencePayload(fleetConvergenceToken string) (*fleet.ConvergencePayload, error) {
@@ -88,7 +103,7 @@
 	{
 		err = json.Unmarshal([]byte(fleetExplainBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"headers\": {\n         \"Minus aut et inventore inventore fugit.\": \"Et nihil sed.\",\n         \"Velit unde omnis eos.\": \"Numquam et ipsam repellendus aut nesciunt.\",\n         \"Veniam id nihil eum eaque ab eum.\": \"Cum dicta laborum.\"\n      },\n      \"host\": \"Deserunt velit.\",\n      \"method\": \"Odio quisquam eos quos nam minima optio.\",\n      \"path\": \"Ipsa soluta.\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"headers\": {\n         \"Animi omnis eum occaecati et.\": \"Quae incidunt ea autem aliquam.\",\n         \"Architecto et sequi expedita quisquam voluptas consequuntur.\": \"Repellendus harum.\",\n         \"Impedit deserunt quas nostrum id animi.\": \"Consequuntur aut ea quidem aut corporis.\"\n      },\n      \"host\": \"Voluptatem qui nihil exercitationem neque et.\",\n      \"method\": \"Aut nesciunt vel nisi quo.\",\n      \"path\": \"Et ut architecto cumque voluptas ut.\"\n   }'")
 		}
 	}
 	var token *string
--- a/api/gen/http/fleet/client/client.go
+++ b/api/gen/http/fleet/client/client.go
@@ -27,6 +27,10 @@
 	// Routes Doer is the HTTP client used to make requests to the routes endpoint.
 	RoutesDoer goahttp.Doer
 
+	// Accounts Doer is the HTTP client used to make requests to the accounts
+	// endpoint.
+	AccountsDoer goahttp.Doer
+
 	// Convergence Doer is the HTTP client used to make requests to the convergence
 	// endpoint.
 	ConvergenceDoer goahttp.Doer
@@ -58,6 +62,7 @@
 		StatusDoer:          doer,
 		MembersDoer:         doer,
 		RoutesDoer:          doer,
+		AccountsDoer:        doer,
 		ConvergenceDoer:     doer,
 		ExplainDoer:         doer,
 		RestoreResponseBody: restoreBody,
@@ -140,6 +145,30 @@
 	}
 }
 
+// Accounts returns an endpoint that makes HTTP requests to the fleet service
+// accounts server.
+func (c *Client) Accounts() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeAccountsRequest(c.encoder)
+		decodeResponse = DecodeAccountsResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildAccountsRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.AccountsDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("fleet", "accounts", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Convergence returns an endpoint that makes HTTP requests to the fleet
 // service convergence server.
 func (c *Client) Convergence() goa.Endpoint {
--- a/api/gen/http/fleet/client/encode_decode.go
+++ b/api/gen/http/fleet/client/encode_decode.go
@@ -480,6 +480,160 @@
 	}
 }
 
+// BuildAccountsRequest instantiates a HTTP request object with method and path
+// set to call the "fleet" service "accounts" endpoint
+func (c *Client) BuildAccountsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: AccountsFleetPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("fleet", "accounts", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeAccountsRequest returns an encoder for requests sent to the fleet
+// accounts server.
+func EncodeAccountsRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*fleet.AccountsPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("fleet", "accounts", "*fleet.AccountsPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeAccountsResponse returns a decoder for responses returned by the fleet
+// accounts endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+// DecodeAccountsResponse may return the following errors:
+//   - "unauthorized" (type *fleet.Problem): http.StatusUnauthorized
+//   - "forbidden" (type *fleet.Problem): http.StatusForbidden
+//   - "invalid" (type *fleet.Problem): http.StatusBadRequest
+//   - "unavailable" (type *fleet.Problem): http.StatusServiceUnavailable
+//   - "missing" (type *fleet.Problem): http.StatusNotFound
+//   - error: internal error
+func DecodeAccountsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*AccountResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateAccountResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			res := NewAccountsAccountOK(body)
+			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body AccountsUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			err = ValidateAccountsUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			return nil, NewAccountsUnauthorized(&body)
+		case http.StatusForbidden:
+			var (
+				body AccountsForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			err = ValidateAccountsForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			return nil, NewAccountsForbidden(&body)
+		case http.StatusBadRequest:
+			var (
+				body AccountsInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			err = ValidateAccountsInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			return nil, NewAccountsInvalid(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body AccountsUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			err = ValidateAccountsUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			return nil, NewAccountsUnavailable(&body)
+		case http.StatusNotFound:
+			var (
+				body AccountsMissingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("fleet", "accounts", err)
+			}
+			err = ValidateAccountsMissingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("fleet", "accounts", err)
+			}
+			return nil, NewAccountsMissing(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("fleet", "accounts", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildConvergenceRequest instantiates a HTTP request object with method and
 // path set to call the "fleet" service "convergence" endpoint
 func (c *Client) BuildConvergenceRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -829,6 +983,21 @@
 	return res
 }
 
+// unmarshalAccountResponseToFleetAccount builds a value of type *fleet.Account
+// from a value of type *AccountResponse.
+func unmarshalAccountResponseToFleetAccount(v *AccountResponse) *fleet.Account {
+	res := &fleet.Account{
+		Name:  *v.Name,
+		Label: v.Label,
+		Rank:  v.Rank,
+		Rate:  v.Rate,
+		Burst: v.Burst,
+		Keys:  *v.Keys,
+	}
+
+	return res
+}
+
 // unmarshalTallyResponseBodyToFleetTally builds a value of type *fleet.Tally
 // from a value of type *TallyResponseBody.
 func unmarshalTallyResponseBodyToFleetTally(v *TallyResponseBody) *fleet.Tally {
--- a/api/gen/http/fleet/client/paths.go
+++ b/api/gen/http/fleet/client/paths.go
@@ -22,6 +22,11 @@
 	return "/v1/routes"
 }
 
+// AccountsFleetPath returns the URL path to the fleet service accounts HTTP endpoint.
+func AccountsFleetPath() string {
+	return "/v1/accounts"
+}
+
 // ConvergenceFleetPath returns the URL path to the fleet service convergence HTTP endpoint.
 func ConvergenceFleetPath() string {
 	return "/v1/convergence"
--- a/api/gen/http/fleet/client/types.go
+++ b/api/gen/http/fleet/client/types.go
@@ -269,6 +269,71 @@
 	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// AccountsUnauthorizedResponseBody is the type of the "fleet" service
+// "accounts" endpoint HTTP response body for the "unauthorized" error.
+type AccountsUnauthorizedResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsForbiddenResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "forbidden" error.
+type AccountsForbiddenResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsInvalidResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "invalid" error.
+type AccountsInvalidResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsUnavailableResponseBody is the type of the "fleet" service
+// "accounts" endpoint HTTP response body for the "unavailable" error.
+type AccountsUnavailableResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsMissingResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "missing" error.
+type AccountsMissingResponseBody struct {
+	// Error name
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Stable code of the error, such as wrong-team
+	Code *string `form:"code,omitempty" json:"code,omitempty" xml:"code,omitempty"`
+	// Text for a person
+	Reason *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ConvergenceUnauthorizedResponseBody is the type of the "fleet" service
 // "convergence" endpoint HTTP response body for the "unauthorized" error.
 type ConvergenceUnauthorizedResponseBody struct {
@@ -433,6 +498,21 @@
 	Upstreams *int `form:"upstreams,omitempty" json:"upstreams,omitempty" xml:"upstreams,omitempty"`
 }
 
+// AccountResponse is used to define fields on response body types.
+type AccountResponse struct {
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// Name for upstreams, if it differs
+	Label *string `form:"label,omitempty" json:"label,omitempty" xml:"label,omitempty"`
+	// Priority of its calls, 1 first; absent if the routes' applies
+	Rank *int `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
+	// Requests a second that all nodes together admit; absent if there is no limit
+	Rate *float64 `form:"rate,omitempty" json:"rate,omitempty" xml:"rate,omitempty"`
+	// Requests beyond the rate that they admit at once
+	Burst *float64 `form:"burst,omitempty" json:"burst,omitempty" xml:"burst,omitempty"`
+	// Number of keys
+	Keys *int `form:"keys,omitempty" json:"keys,omitempty" xml:"keys,omitempty"`
+}
+
 // TallyResponseBody is used to define fields on response body types.
 type TallyResponseBody struct {
 	Version *uint64 `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
@@ -744,6 +824,84 @@
 	return v
 }
 
+// NewAccountsAccountOK builds a "fleet" service "accounts" endpoint result
+// from a HTTP "OK" response.
+func NewAccountsAccountOK(body []*AccountResponse) []*fleet.Account {
+	v := make([]*fleet.Account, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalAccountResponseToFleetAccount(val)
+	}
+
+	return v
+}
+
+// NewAccountsUnauthorized builds a fleet service accounts endpoint
+// unauthorized error.
+func NewAccountsUnauthorized(body *AccountsUnauthorizedResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewAccountsForbidden builds a fleet service accounts endpoint forbidden
+// error.
+func NewAccountsForbidden(body *AccountsForbiddenResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewAccountsInvalid builds a fleet service accounts endpoint invalid error.
+func NewAccountsInvalid(body *AccountsInvalidResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewAccountsUnavailable builds a fleet service accounts endpoint unavailable
+// error.
+func NewAccountsUnavailable(body *AccountsUnavailableResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
+// NewAccountsMissing builds a fleet service accounts endpoint missing error.
+func NewAccountsMissing(body *AccountsMissingResponseBody) *fleet.Problem {
+	v := &fleet.Problem{
+		Name:   *body.Name,
+		Code:   *body.Code,
+		Reason: *body.Reason,
+		Retry:  body.Retry,
+	}
+
+	return v
+}
+
 // NewConvergenceResultOK builds a "fleet" service "convergence" endpoint
 // result from a HTTP "OK" response.
 func NewConvergenceResultOK(body *ConvergenceResponseBody) *fleet.ConvergenceResult {
@@ -1257,6 +1415,81 @@
 	return
 }
 
+// ValidateAccountsUnauthorizedResponseBody runs the validations defined on
+// accounts_unauthorized_response_body
+func ValidateAccountsUnauthorizedResponseBody(body *AccountsUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateAccountsForbiddenResponseBody runs the validations defined on
+// accounts_forbidden_response_body
+func ValidateAccountsForbiddenResponseBody(body *AccountsForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateAccountsInvalidResponseBody runs the validations defined on
+// accounts_invalid_response_body
+func ValidateAccountsInvalidResponseBody(body *AccountsInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateAccountsUnavailableResponseBody runs the validations defined on
+// accounts_unavailable_response_body
+func ValidateAccountsUnavailableResponseBody(body *AccountsUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
+// ValidateAccountsMissingResponseBody runs the validations defined on
+// accounts_missing_response_body
+func ValidateAccountsMissingResponseBody(body *AccountsMissingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Code == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("code", "body"))
+	}
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
+	}
+	return
+}
+
 // ValidateConvergenceUnauthorizedResponseBody runs the validations defined on
 // convergence_unauthorized_response_body
 func ValidateConvergenceUnauthorizedResponseBody(body *ConvergenceUnauthorizedResponseBody) (err error) {
@@ -1474,6 +1707,17 @@
 	return
 }
 
+// ValidateAccountResponse runs the validations defined on AccountResponse
+func ValidateAccountResponse(body *AccountResponse) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Keys == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("keys", "body"))
+	}
+	return
+}
+
 // ValidateTallyResponseBody runs the validations defined on TallyResponseBody
 func ValidateTallyResponseBody(body *TallyResponseBody) (err error) {
 	if body.Version == nil {
--- a/api/gen/http/fleet/server/encode_decode.go
+++ b/api/gen/http/fleet/server/encode_decode.go
@@ -378,6 +378,124 @@
 	}
 }
 
+// EncodeAccountsResponse returns an encoder for responses returned by the
+// fleet accounts endpoint.
+func EncodeAccountsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*fleet.Account)
+		enc := encoder(ctx, w)
+		body := NewAccountsResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeAccountsRequest returns a decoder for requests sent to the fleet
+// accounts endpoint.
+func DecodeAccountsRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*fleet.AccountsPayload, error) {
+	return func(r *http.Request) (*fleet.AccountsPayload, error) {
+		var payload *fleet.AccountsPayload
+		var (
+			token *string
+		)
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewAccountsPayload(token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
+
+		return payload, nil
+	}
+}
+
+// EncodeAccountsError returns an encoder for errors returned by the accounts
+// fleet endpoint.
+func EncodeAccountsError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewAccountsUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewAccountsForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		case "invalid":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewAccountsInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewAccountsUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "missing":
+			var res *fleet.Problem
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewAccountsMissingResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeConvergenceResponse returns an encoder for responses returned by the
 // fleet convergence endpoint.
 func EncodeConvergenceResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -687,6 +805,21 @@
 	return res
 }
 
+// marshalFleetAccountToAccountResponse builds a value of type *AccountResponse
+// from a value of type *fleet.Account.
+func marshalFleetAccountToAccountResponse(v *fleet.Account) *AccountResponse {
+	res := &AccountResponse{
+		Name:  v.Name,
+		Label: v.Label,
+		Rank:  v.Rank,
+		Rate:  v.Rate,
+		Burst: v.Burst,
+		Keys:  v.Keys,
+	}
+
+	return res
+}
+
 // marshalFleetTallyToTallyResponseBody builds a value of type
 // *TallyResponseBody from a value of type *fleet.Tally.
 func marshalFleetTallyToTallyResponseBody(v *fleet.Tally) *TallyResponseBody {
--- a/api/gen/http/fleet/server/server.go
+++ b/api/gen/http/fleet/server/server.go
@@ -22,6 +22,7 @@
 	Status      http.Handler
 	Members     http.Handler
 	Routes      http.Handler
+	Accounts    http.Handler
 	Convergence http.Handler
 	Explain     http.Handler
 }
@@ -56,12 +57,14 @@
 			{"Status", "GET", "/v1/status"},
 			{"Members", "GET", "/v1/members"},
 			{"Routes", "GET", "/v1/routes"},
+			{"Accounts", "GET", "/v1/accounts"},
 			{"Convergence", "GET", "/v1/convergence"},
 			{"Explain", "POST", "/v1/explanations"},
 		},
 		Status:      NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 		Members:     NewMembersHandler(e.Members, mux, decoder, encoder, errhandler, formatter),
 		Routes:      NewRoutesHandler(e.Routes, mux, decoder, encoder, errhandler, formatter),
+		Accounts:    NewAccountsHandler(e.Accounts, mux, decoder, encoder, errhandler, formatter),
 		Convergence: NewConvergenceHandler(e.Convergence, mux, decoder, encoder, errhandler, formatter),
 		Explain:     NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
 	}
@@ -75,6 +78,7 @@
 	s.Status = m(s.Status)
 	s.Members = m(s.Members)
 	s.Routes = m(s.Routes)
+	s.Accounts = m(s.Accounts)
 	s.Convergence = m(s.Convergence)
 	s.Explain = m(s.Explain)
 }
@@ -87,6 +91,7 @@
 	MountStatusHandler(mux, h.Status)
 	MountMembersHandler(mux, h.Members)
 	MountRoutesHandler(mux, h.Routes)
+	MountAccountsHandler(mux, h.Accounts)
 	MountConvergenceHandler(mux, h.Convergence)
 	MountExplainHandler(mux, h.Explain)
 }
@@ -255,6 +260,59 @@
 	})
 }
 
+// MountAccountsHandler configures the mux to serve the "fleet" service
+// "accounts" endpoint.
+func MountAccountsHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/accounts", f)
+}
+
+// NewAccountsHandler creates a HTTP handler which loads the HTTP request and
+// calls the "fleet" service "accounts" endpoint.
+func NewAccountsHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeAccountsRequest(mux, decoder)
+		encodeResponse = EncodeAccountsResponse(encoder)
+		encodeError    = EncodeAccountsError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "accounts")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "fleet")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountConvergenceHandler configures the mux to serve the "fleet" service
 // "convergence" endpoint.
 func MountConvergenceHandler(mux goahttp.Muxer, h http.Handler) {
--- a/api/gen/http/fleet/server/types.go
+++ b/api/gen/http/fleet/server/types.go
@@ -55,6 +55,10 @@
 // response body.
 type RoutesResponseBody []*RouteStateResponse
 
+// AccountsResponseBody is the type of the "fleet" service "accounts" endpoint
+// HTTP response body.
+type AccountsResponseBody []*AccountResponse
+
 // ConvergenceResponseBody is the type of the "fleet" service "convergence"
 // endpoint HTTP response body.
 type ConvergenceResponseBody struct {
@@ -277,6 +281,71 @@
 	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
 }
 
+// AccountsUnauthorizedResponseBody is the type of the "fleet" service
+// "accounts" endpoint HTTP response body for the "unauthorized" error.
+type AccountsUnauthorizedResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsForbiddenResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "forbidden" error.
+type AccountsForbiddenResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsInvalidResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "invalid" error.
+type AccountsInvalidResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsUnavailableResponseBody is the type of the "fleet" service
+// "accounts" endpoint HTTP response body for the "unavailable" error.
+type AccountsUnavailableResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
+// AccountsMissingResponseBody is the type of the "fleet" service "accounts"
+// endpoint HTTP response body for the "missing" error.
+type AccountsMissingResponseBody struct {
+	// Error name
+	Name string `form:"name" json:"name" xml:"name"`
+	// Stable code of the error, such as wrong-team
+	Code string `form:"code" json:"code" xml:"code"`
+	// Text for a person
+	Reason string `form:"reason" json:"reason" xml:"reason"`
+	// Milliseconds to wait before trying again, 0 when there is no use
+	Retry *int64 `form:"retry,omitempty" json:"retry,omitempty" xml:"retry,omitempty"`
+}
+
 // ConvergenceUnauthorizedResponseBody is the type of the "fleet" service
 // "convergence" endpoint HTTP response body for the "unauthorized" error.
 type ConvergenceUnauthorizedResponseBody struct {
@@ -441,6 +510,21 @@
 	Upstreams int `form:"upstreams" json:"upstreams" xml:"upstreams"`
 }
 
+// AccountResponse is used to define fields on response body types.
+type AccountResponse struct {
+	Name string `form:"name" json:"name" xml:"name"`
+	// Name for upstreams, if it differs
+	Label *string `form:"label,omitempty" json:"label,omitempty" xml:"label,omitempty"`
+	// Priority of its calls, 1 first; absent if the routes' applies
+	Rank *int `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
+	// Requests a second that all nodes together admit; absent if there is no limit
+	Rate *float64 `form:"rate,omitempty" json:"rate,omitempty" xml:"rate,omitempty"`
+	// Requests beyond the rate that they admit at once
+	Burst *float64 `form:"burst,omitempty" json:"burst,omitempty" xml:"burst,omitempty"`
+	// Number of keys
+	Keys int `form:"keys" json:"keys" xml:"keys"`
+}
+
 // TallyResponseBody is used to define fields on response body types.
 type TallyResponseBody struct {
 	Version uint64 `form:"version" json:"version" xml:"version"`
@@ -538,6 +622,20 @@
 	return body
 }
 
+// NewAccountsResponseBody builds the HTTP response body from the result of the
+// "accounts" endpoint of the "fleet" service.
+func NewAccountsResponseBody(res []*fleet.Account) AccountsResponseBody {
+	body := make([]*AccountResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalFleetAccountToAccountResponse(val)
+	}
+	return body
+}
+
 // NewConvergenceResponseBody builds the HTTP response body from the result of
 // the "convergence" endpoint of the "fleet" service.
 func NewConvergenceResponseBody(res *fleet.ConvergenceResult) *ConvergenceResponseBody {
@@ -788,6 +886,66 @@
 	return body
 }
 
+// NewAccountsUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "accounts" endpoint of the "fleet" service.
+func NewAccountsUnauthorizedResponseBody(res *fleet.Problem) *AccountsUnauthorizedResponseBody {
+	body := &AccountsUnauthorizedResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewAccountsForbiddenResponseBody builds the HTTP response body from the
+// result of the "accounts" endpoint of the "fleet" service.
+func NewAccountsForbiddenResponseBody(res *fleet.Problem) *AccountsForbiddenResponseBody {
+	body := &AccountsForbiddenResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewAccountsInvalidResponseBody builds the HTTP response body from the result
+// of the "accounts" endpoint of the "fleet" service.
+func NewAccountsInvalidResponseBody(res *fleet.Problem) *AccountsInvalidResponseBody {
+	body := &AccountsInvalidResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewAccountsUnavailableResponseBody builds the HTTP response body from the
+// result of the "accounts" endpoint of the "fleet" service.
+func NewAccountsUnavailableResponseBody(res *fleet.Problem) *AccountsUnavailableResponseBody {
+	body := &AccountsUnavailableResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
+// NewAccountsMissingResponseBody builds the HTTP response body from the result
+// of the "accounts" endpoint of the "fleet" service.
+func NewAccountsMissingResponseBody(res *fleet.Problem) *AccountsMissingResponseBody {
+	body := &AccountsMissingResponseBody{
+		Name:   res.Name,
+		Code:   res.Code,
+		Reason: res.Reason,
+		Retry:  res.Retry,
+	}
+	return body
+}
+
 // NewConvergenceUnauthorizedResponseBody builds the HTTP response body from
 // the result of the "convergence" endpoint of the "fleet" service.
 func NewConvergenceUnauthorizedResponseBody(res *fleet.Problem) *ConvergenceUnauthorizedResponseBody {
@@ -933,6 +1091,14 @@
 	return v
 }
 
+// NewAccountsPayload builds a fleet service accounts endpoint payload.
+func NewAccountsPayload(token *string) *fleet.AccountsPayload {
+	v := &fleet.AccountsPayload{}
+	v.Token = token
+
+	return v
+}
+
 // NewConvergencePayload builds a fleet service convergence endpoint payload.
 func NewConvergencePayload(token *string) *fleet.ConvergencePayload {
 	v := &fleet.ConvergencePayload{}
--- a/api/gen/http/settings/client/cli.go
+++ b/api/gen/http/settings/client/cli.go
@@ -47,7 +47,7 @@
 	{
 		err = json.Unmarshal([]byte(settingsSubmitBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 3652016294400223828,\n      \"content\": \"Assumenda assumenda.\",\n      \"id\": \"914f66b6-1c0f-4c6f-b6af-8518ad963afd\",\n      \"kind\": \"revert\",\n      \"proposal\": \"Qui praesentium similique tenetur ad natus.\",\n      \"reason\": \"hjn\",\n      \"settings\": \"gs6\",\n      \"team\": \"n\",\n      \"until\": \"1995-12-12T06:05:06Z\",\n      \"version\": 1455268127360735091\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"base\": 13837130677995934029,\n      \"content\": \"Dolorum perferendis incidunt.\",\n      \"id\": \"4aa44cfd-6113-48fc-bfa3-70f298464a32\",\n      \"kind\": \"reject\",\n      \"proposal\": \"Occaecati eum.\",\n      \"reason\": \"dfg\",\n      \"settings\": \"kne\",\n      \"team\": \"rw\",\n      \"until\": \"1971-01-10T05:30:03Z\",\n      \"version\": 3530897280341337349\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidateFormat("body.id", body.ID, goa.FormatUUID))
 		if !(body.Kind == "apply" || body.Kind == "hold" || body.Kind == "release" || body.Kind == "revert" || body.Kind == "approve" || body.Kind == "reject") {
@@ -127,7 +127,7 @@
 	{
 		err = json.Unmarshal([]byte(settingsCheckBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"settings\": \"pmq\",\n      \"team\": \"m\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"settings\": \"2a4\",\n      \"team\": \"t\"\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.team", body.Team, "^[a-z0-9-]{1,63}$"))
 		if utf8.RuneCountInString(body.Settings) > 4194304 {
--- a/api/gen/http/upstream/client/cli.go
+++ b/api/gen/http/upstream/client/cli.go
@@ -23,7 +23,7 @@
 	{
 		err = json.Unmarshal([]byte(upstreamAnnounceBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"e0-\",\n      \"slots\": 114,\n      \"state\": \"ready\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"127.0.0.1:9000\",\n      \"service\": \"q\",\n      \"slots\": 48,\n      \"state\": \"left\"\n   }'")
 		}
 		err = goa.MergeErrors(err, goa.ValidatePattern("body.service", body.Service, "^[a-z0-9-]{1,63}$"))
 		if !(body.State == "cold" || body.State == "ready" || body.State == "draining" || body.State == "left") {
--- a/ctl/commander/commander_test.go
+++ b/ctl/commander/commander_test.go
@@ -86,6 +86,7 @@
 		"explained state":  {&fake{}, "explain GET http://a/", 0, "25.0% of the calls are for gone"},
 		"status of routes": {&fake{}, "status", 0, "unserved  2"},
 		"routes":           {&fake{}, "routes quoting", 0, "quote-desk: 3, gone: 0"},
+		"accounts":         {&fake{}, "accounts", 0, "notary   Notary  2     0.5   10     3"},
 		"unserved routes":  {&fake{}, "routes quoting --unserved -o json", 0, `"quoting/route/quotes"`},
 		"explain header":   {&fake{}, "explain GET http://a/ -H x", 2, "NAME: VALUE"},
 		"server":           {&fake{}, "status --server ftp://x", 2, "ftp://x"},
--- a/ctl/commander/fake_test.go
+++ b/ctl/commander/fake_test.go
@@ -133,6 +133,10 @@
 	return []*fleet.RouteState{partialRoute, {Route: "quoting/route/fine", State: "served", Targets: []*fleet.Target{}}}, nil
 }
 
+func (f *fake) Accounts(context.Context, *fleet.AccountsPayload) ([]*fleet.Account, error) {
+	return []*fleet.Account{{Name: "clerk"}, {Name: "notary", Label: pointer("Notary"), Rank: pointer(2), Rate: pointer(0.5), Burst: pointer(10.0), Keys: 3}}, nil
+}
+
 func (f *fake) Convergence(context.Context, *fleet.ConvergencePayload) (*fleet.ConvergenceResult, error) {
 	if f.convergence != nil {
 		return f.convergence(), nil
--- a/ctl/commander/fleet.go
+++ b/ctl/commander/fleet.go
@@ -49,6 +49,11 @@
 		}),
 	}
 	routes.Flags().BoolVar(&unserved, "unserved", false, "only routes of which some calls have no upstream")
+	accounts := &cobra.Command{
+		Use: "accounts", Short: "List the client accounts; keys are only counted", GroupID: groupFleet,
+		Example: "  srctl accounts\n  srctl accounts --output json",
+		Args:    cobra.NoArgs, RunE: c.runE(c.accounts),
+	}
 	var version uint64
 	convergence := &cobra.Command{
 		Use: "convergence", Short: "Show which versions are in force in the fleet", GroupID: groupFleet,
@@ -69,7 +74,7 @@
 		}),
 	}
 	explain.Flags().StringArrayVarP(&headers, "header", "H", nil, "request header, `NAME: VALUE`; repeatable")
-	return []*cobra.Command{history, status, members, routes, convergence, explain}
+	return []*cobra.Command{history, status, members, routes, accounts, convergence, explain}
 }
 
 // readAndPrint reads from a node and prints the result.
@@ -169,6 +174,29 @@
 	})
 }
 
+func (c *Commander) accounts(ctx context.Context, _ *cobra.Command, _ []string) error {
+	return readAndPrint(ctx, c, func(ctx context.Context, node *requester.Node, token *string) ([]*fleet.Account, error) {
+		return node.Fleet.Accounts(ctx, &fleet.AccountsPayload{Token: token})
+	}, func(w io.Writer, accounts []*fleet.Account) {
+		var rows [][]any
+		for _, account := range accounts {
+			rows = append(rows, []any{
+				account.Name, optionalString(account.Label), optionalNumber(account.Rank),
+				optionalNumber(account.Rate), optionalNumber(account.Burst), account.Keys,
+			})
+		}
+		printer.Table(w, "ACCOUNT LABEL RANK RATE BURST KEYS", rows)
+	})
+}
+
+// optionalNumber returns the text of a number, or an empty one if there is none.
+func optionalNumber[T int | float64](value *T) string {
+	if value == nil {
+		return ""
+	}
+	return fmt.Sprint(*value)
+}
+
 // stateServed is the state of a route if all of its services have upstreams.
 const stateServed = "served"
 
--- a/ctl/requester/node.go
+++ b/ctl/requester/node.go
@@ -39,7 +39,7 @@
 		Settings: settings.NewClient(
 			s.Read(), s.Submit(), s.OutcomeEndpoint(), s.Check(), s.Proposals(), s.History(),
 		),
-		Fleet:    fleet.NewClient(f.Status(), f.Members(), f.Routes(), f.Convergence(), f.Explain()),
+		Fleet:    fleet.NewClient(f.Status(), f.Members(), f.Routes(), f.Accounts(), f.Convergence(), f.Explain()),
 		recorder: recorder,
 	}
 }
--- a/node/manager/fleet.go
+++ b/node/manager/fleet.go
@@ -58,6 +58,30 @@
 	return results, nil
 }
 
+// Accounts implements fleet.Service.
+func (s *fleetService) Accounts(context.Context, *fleet.AccountsPayload) ([]*fleet.Account, error) {
+	results := []*fleet.Account{}
+	for _, account := range s.Manager.Accounts() {
+		results = append(results, toAccount(account))
+	}
+	return results, nil
+}
+
+// toAccount leaves out what is not set.
+func toAccount(account Account) *fleet.Account {
+	result := &fleet.Account{Name: account.Name, Keys: len(account.Keys)}
+	if account.Label != "" {
+		result.Label = &account.Label
+	}
+	if account.Rank > 0 {
+		result.Rank = &account.Rank
+	}
+	if account.Rate > 0 {
+		result.Rate, result.Burst = &account.Rate, &account.Burst
+	}
+	return result
+}
+
 func toRouteState(route Route) *fleet.RouteState {
 	result := &fleet.RouteState{Route: string(route.Path), State: route.State, Targets: []*fleet.Target{}}
 	if !route.Since.IsZero() {
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -61,6 +61,12 @@
 	Targets []Target
 }
 
+// Account is a client account in force.
+type Account struct {
+	sycamorerun.Account
+	Name string
+}
+
 // Member is an instance and the verdict of the failure detector.
 type Member struct {
 	sycamorerun.Instance
@@ -160,14 +166,16 @@
 	// Parse parses a settings file.
 	Parse func(text []byte) (team string, items map[sycamorerun.Path]sycamorerun.Item, faults []sycamorerun.Fault)
 	// Validate returns the faults of the items of a whole tree.
-	Validate    func(items map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault
-	Submit      func(ctx context.Context, change sycamorerun.Change) sycamorerun.Outcome
-	Lookup      func(ctx context.Context, id string) (sycamorerun.Outcome, bool)
-	Proposals   func(ctx context.Context, team string) ([]Proposal, error)
-	History     func(ctx context.Context, team string, limit int) []sycamorerun.Entry
-	Status      func() Status
-	Members     func() []Member
-	Routes      func() []Route
+	Validate  func(items map[sycamorerun.Path]sycamorerun.Item) []sycamorerun.Fault
+	Submit    func(ctx context.Context, change sycamorerun.Change) sycamorerun.Outcome
+	Lookup    func(ctx context.Context, id string) (sycamorerun.Outcome, bool)
+	Proposals func(ctx context.Context, team string) ([]Proposal, error)
+	History   func(ctx context.Context, team string, limit int) []sycamorerun.Entry
+	Status    func() Status
+	Members   func() []Member
+	Routes    func() []Route
+	// Accounts returns the client accounts in force, sorted by name.
+	Accounts    func() []Account
 	Convergence func(ctx context.Context) (Convergence, error)
 	Explain     func(query Query) Explanation
 	Announce    func(announcement Announcement) error
--- a/node/manager/manager_test.go
+++ b/node/manager/manager_test.go
@@ -54,6 +54,12 @@
 		Routes: func() []manager.Route {
 			return []manager.Route{{Path: "a/route/x", State: "unserved", Since: time.Unix(1000, 0)}, {Path: "b/route/y", State: "served"}}
 		},
+		Accounts: func() []manager.Account {
+			return []manager.Account{
+				{Name: "clerk"},
+				{Name: "notary", Account: sycamorerun.Account{Label: "Notary", Keys: []string{"sha256:0", "sha256:1"}, Rank: 2, Rate: 5}},
+			}
+		},
 		Announce: func(announcement manager.Announcement) error {
 			h.announced = append(h.announced, announcement)
 			return nil
@@ -188,6 +194,13 @@
 	is.Equal(routes, []any{map[string]any{"route": "a/route/x", "state": "unserved", "since": "1970-01-01T00:16:40Z", "targets": []any{}}})
 	_, routes = h.list("/v1/routes", "token-of-b")
 	is.Equal(len(routes), 2)
+	_, accounts := h.list("/v1/accounts", "token-of-b")
+	is.Equal(accounts, []any{
+		map[string]any{"name": "clerk", "keys": 0.0},
+		map[string]any{"name": "notary", "label": "Notary", "rank": 2.0, "rate": 5.0, "burst": 0.0, "keys": 2.0},
+	})
+	status, _ = h.list("/v1/accounts", "guess")
+	is.Equal(status, 401)
 	status, _ = h.list("/v1/routes", "guess")
 	is.Equal(status, 401)
 	status, fields = h.send(http.MethodGet, "/v1/tree?team=a", "token-of-b", "", remote)
--- a/node/router/accounts.go
+++ b/node/router/accounts.go
@@ -26,6 +26,18 @@
 // Keys returns the number of keys of all client accounts.
 func (t *Table) Keys() int { return t.keys.Len() }
 
+// Accounts returns the client accounts by name.
+func (t *Table) Accounts() map[string]sycamorerun.Account {
+	accounts := map[string]sycamorerun.Account{}
+	for path, item := range t.decoded {
+		if account, ok := item.value.(sycamorerun.Account); ok {
+			_, _, name := path.Split()
+			accounts[name] = account
+		}
+	}
+	return accounts
+}
+
 // access returns whether a request with key may use route, and its account.
 func (t *Table) access(route *route, key *identifier.Hash) (Access, identifier.Account) {
 	switch {
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -49,6 +50,7 @@
 		Status:      n.status,
 		Members:     n.members,
 		Routes:      n.routes,
+		Accounts:    n.accounts,
 		Convergence: n.convergence,
 		Explain:     n.explain,
 		Announce:    n.announce,
@@ -193,6 +195,15 @@
 	return routes
 }
 
+func (n *node) accounts() []manager.Account {
+	accounts := n.applier.Current().Table.Accounts()
+	var list []manager.Account
+	for _, name := range slices.Sorted(maps.Keys(accounts)) {
+		list = append(list, manager.Account{Account: accounts[name], Name: name})
+	}
+	return list
+}
+
 func (n *node) route(status router.Status) manager.Route {
 	route := manager.Route{Path: status.Route, State: string(status.State)}
 	route.Since, _ = n.reporter.Since(status.Route, status.State)
