--- a/node/router/accounts_test.go
+++ b/node/router/accounts_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -129,3 +130,33 @@
 		}
 	})
 }
+
+// Measures a version that changes the key of one account, and the memory of the
+// table, by the number of accounts with one key each.
+func BenchmarkRecompileAccounts(b *testing.B) {
+	for _, size := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			accounts := map[string][]string{}
+			for i := range size {
+				accounts[fmt.Sprint("a", i)] = []string{fmt.Sprint("k", i)}
+			}
+			before := accountTree(accounts)
+			accounts["a0"] = []string{"other"}
+			after := accountTree(accounts)
+			var start, end runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&start)
+			table, _ := Compile(before)
+			runtime.GC()
+			runtime.ReadMemStats(&end)
+			first := table
+			for b.Loop() {
+				table, _ = Recompile(table, after)
+				table, _ = Recompile(table, before)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(2*b.N), "us/version")
+			b.ReportMetric(float64(end.HeapAlloc-start.HeapAlloc)/float64(size), "bytes/account")
+			runtime.KeepAlive(first)
+		})
+	}
+}
