--- a/node/forwarder/account_test.go
+++ b/node/forwarder/account_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -159,6 +160,24 @@
 	is.Equal(charged, 2) // once for each request, not for each attempt
 }
 
+// Measures the refusal of a request beyond the quota, without the network, beside
+// that of one without a known key.
+func BenchmarkRefuse(b *testing.B) {
+	for name, field := range map[string]string{"quota": "Bearer k1", "unauthorized": "Bearer k2"} {
+		b.Run(name, func(b *testing.B) {
+			fx := newFixture(b, true, reply("ok"))
+			fx.useAccounts(false)
+			fx.entry.Charge = func(time.Time, string) (time.Duration, bool) { return time.Second, false }
+			request := httptest.NewRequest(http.MethodGet, "http://x/x", nil)
+			request.Header.Set("Authorization", field)
+			b.ReportAllocs()
+			for b.Loop() {
+				fx.entry.ServeHTTP(httptest.NewRecorder(), request)
+			}
+		})
+	}
+}
+
 // Guards against a response that is recorded for the idempotency key of one
 // account and returned to another one, and against an account that can't repeat
 // a request with its second key.
--- a/node/router/accounts_test.go
+++ b/node/router/accounts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -74,6 +75,9 @@
 			is.Equal(match.Account.Name, c.account)
 			is.Equal(match.Rank, c.rank)
 			is.Equal(match.Account.Metered, c.account != "")
+			attributes := table.Explain(Request{Method: "GET", Path: c.path}).Attributes()
+			is.Equal(strings.HasSuffix(attributes, ", public"), c.access == AccessPublic)
+			is.Equal(strings.HasSuffix(attributes, ", needs a key"), c.access == AccessGranted || c.access == AccessDenied)
 		})
 	}
 }
--- a/node/router/explain.go
+++ b/node/router/explain.go
@@ -35,6 +35,12 @@
 	if e.Match.Attempts > 0 {
 		text += fmt.Sprintf(", at most %d attempts", e.Match.Attempts)
 	}
+	switch e.Match.Access {
+	case AccessPublic:
+		text += ", public"
+	case AccessDenied:
+		text += ", needs a key"
+	}
 	return text
 }
 
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -167,6 +167,8 @@
 		"accounts in team":  {"team: a\naccounts: {}", "unknown-field", "accounts", "2"},
 		"account name":      {account("keys: []", "B"), "bad-name", "accounts.B", "3"},
 		"key for a hash":    {account("keys: [secret]", "b"), "bad-value", "accounts.b.keys[0]", "4"},
+		"numeric key":       {account("keys: [5ec2e7]", "b"), "bad-value", "accounts.b.keys[0]", "4"},
+		"number for a hash": {account("keys: [52741]", "b"), "wrong-type", "accounts.b.keys[0]", "4"},
 		"duplicate key":     {account("keys: ["+hash+", "+hash+"]", "b"), "duplicate", "accounts.b.keys[1]", "4"},
 		"too many keys":     {account("keys: ["+strings.Repeat(hash+", ", 513)+"]", "b"), "out-of-bounds", "accounts.b.keys", "4"},
 		"negative rate":     {account("rate: -1", "b"), "out-of-bounds", "accounts.b.rate", "4"},
@@ -186,7 +188,9 @@
 			is.Equal(faults[0].Path, test.path)
 			is.Equal(strconv.Itoa(faults[0].Line), test.line)
 			is.True(faults[0].Reason != "")
-			is.True(!strings.Contains(faults[0].Reason, "secret")) // a key is not quoted
+			for _, key := range []string{"secret", "5ec2e7", "52741"} {
+				is.True(!strings.Contains(faults[0].Reason, key)) // a key is not quoted
+			}
 			is.True(parser.Codes[faults[0].Code] != "")
 		})
 	}
--- a/parser/reader.go
+++ b/parser/reader.go
@@ -25,7 +25,9 @@
 	lineByPath map[string]int
 	// failedPaths contains the paths of values that could not be read, so that
 	// they are not checked as well.
-	failedPaths  map[string]bool
+	failedPaths map[string]bool
+	// secret means that faults must not quote the value that is read.
+	secret       bool
 	visitedNodes int
 	// deferredParts contains the parts of sections that are decoded when they
 	// are read.
@@ -152,7 +154,9 @@
 		field.setDefault(object)
 		switch {
 		case i >= 0:
+			r.secret = field.Format.secret
 			r.readValue(pairs[i].path, pairs[i].value, field.pointer(object))
+			r.secret = false
 		case field.Required:
 			r.addFault(CodeMissingField, joinPath(path, field.Name), node, "the field is required")
 		}
@@ -242,6 +246,10 @@
 	if found.Kind == yaml.ScalarNode && !hasExplicitTag(found) && slices.Contains(tags, found.ShortTag()) {
 		return found.Value, true
 	}
+	if r.secret && found.Kind == yaml.ScalarNode {
+		r.addFault(CodeWrongType, path, node, "the value is not %s", want)
+		return "", false
+	}
 	hint := ""
 	if want == "a text" && found.Kind == yaml.ScalarNode {
 		hint = "; put it in quotes"
