rationer: let the nodes choose another owner that answers

A node whose owner did not answer waited until the members had noticed, 6.5 s or longer, before it had another.

--- a/node/rationer/ledger.go
+++ b/node/rationer/ledger.go
@@ -31,6 +31,9 @@
 	// leaseMargin is the time after the end of the lease, as the node counts it, until
 	// the node uses its share itself. It covers the way of the report to the owner.
 	leaseMargin = 500 * time.Millisecond
+	// retryOwnerAfter is the time after which an owner that failed to answer is tried
+	// again. The members have noticed by then if it is gone.
+	retryOwnerAfter = 10 * time.Second
 	// joinDelay is the time from the start during which a node uses no share of its
 	// own, since it does not know the number of members yet. A node that knows no
 	// other member waits for aloneDelay.
@@ -49,9 +52,15 @@
 
 // lender is the state of a node for one group: which owner uses its share.
 type lender struct {
-	// owner is the member that the node reports to. next is the owner among the
-	// present members; it replaces owner once that no longer uses the share.
-	owner, next string
+	// owner is the member that the node reports to. candidates are the members that
+	// may be, in order; the node prefers the first that answers.
+	owner      string
+	candidates []string
+	// failed holds the times at which candidates have last failed to answer.
+	failed map[string]time.Time
+	// leaving is set if the last report ends the lease, so that the node can change
+	// to another owner.
+	leaving bool
 	// answered is set once the owner has answered, and takeBack is the time from
 	// which the node uses its share itself.
 	answered bool
@@ -104,8 +113,9 @@
 		Self: self, Terms: terms, Random: rand.Float64, startedAt: now,
 		limits: map[string]limit{}, stocks: map[string]*stock{}, count: 1,
 	}
-	for group := range l.wake {
+	for group := range groupCount {
 		l.wake[group] = make(chan struct{}, 1)
+		l.groups[group].failed = map[string]time.Time{}
 	}
 	return l
 }
@@ -152,24 +162,30 @@
 	}
 	for group := range l.groups {
 		g := &l.groups[group]
-		g.next = ownerOf(group, members)
+		g.candidates = candidatesOf(group, members)
 		if _, live := slices.BinarySearch(members, g.owner); !live {
 			// It is not a member any more, so that its leases have ended.
-			l.follow(now, g)
+			l.follow(now, g, g.candidates[0])
 		}
 	}
 }
 
-// follow makes the next owner the owner.
-func (l *Ledger) follow(now time.Time, g *lender) {
-	if g.owner == g.next {
-		return
-	}
+// follow makes another member the owner, at a time at which none uses the share.
+func (l *Ledger) follow(now time.Time, g *lender, owner string) {
 	l.abandon(g)
-	if g.takeBack.After(now) {
-		g.takeBack = now
+	g.takeBack = earlier(g.takeBack, now)
+	g.owner, g.answered, g.sentAt = owner, false, time.Time{}
+}
+
+// preferred returns the first candidate that has not failed lately.
+func (g *lender) preferred(now time.Time) string {
+	for _, name := range g.candidates {
+		if failedAt, ok := g.failed[name]; !ok || now.Sub(failedAt) >= retryOwnerAfter {
+			return name
+		}
 	}
-	g.owner, g.answered, g.sentAt = g.next, false, time.Time{}
+	clear(g.failed)
+	return g.candidates[0]
 }
 
 // Charge decides whether a request of an account is admitted. If it is not, the
@@ -325,6 +341,9 @@
 	if len(l.limits) == 0 || g.owner == "" || g.inFlight || now.Sub(g.sentAt) < g.period() {
 		return "", nil, false
 	}
+	if owner := g.preferred(now); owner != g.owner && !now.Before(g.takeBack) {
+		l.follow(now, g, owner)
+	}
 	active := g.used
 	report = &Report{Group: uint32(group)}
 	for _, name := range l.names(group) {
@@ -332,9 +351,14 @@
 			active = true
 		}
 	}
-	g.lease = idleLease
-	if active {
+	g.leaving = g.answered && g.preferred(now) != g.owner
+	switch {
+	case g.leaving:
+		g.lease = 0
+	case active:
 		g.lease = activeLease
+	default:
+		g.lease = idleLease
 	}
 	report.LeaseMs = uint32(g.lease.Milliseconds())
 	if l.settled(now) {
@@ -419,7 +443,6 @@
 	if answer.GetRefused() {
 		l.abandon(g)
 		g.takeBack, g.answered = earlier(g.takeBack, now), false
-		l.follow(now, g)
 		return
 	}
 	for i, name := range g.sent {
@@ -445,6 +468,9 @@
 	l.count = l.peak.Observe(now, int(answer.GetMembers()))
 	g.filled = time.Duration(answer.GetFilledMs()) * time.Millisecond
 	g.takeBack = g.sentAt.Add(g.lease + leaseMargin)
+	if g.leaving {
+		l.follow(now, g, g.preferred(now))
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -464,7 +490,8 @@
 	}
 	l.abandon(g)
 	if !now.Before(g.takeBack) {
-		l.follow(now, g)
+		g.failed[owner] = now
+		l.follow(now, g, g.preferred(now))
 	}
 }
 
--- a/node/rationer/limit.go
+++ b/node/rationer/limit.go
@@ -4,6 +4,8 @@
 package rationer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +17,9 @@
 	// groupCount is the number of groups of accounts. Each group has an owner, and a
 	// node sends a report to each owner, so that few groups keep the messages few.
 	groupCount = 2
+	// maxCandidates is the number of members that a node tries as owner of a group. A
+	// part of the fleet that is cut off most likely has one of them.
+	maxCandidates = 16
 	// minDepthFraction is the smallest part of the bound that may be admitted at
 	// once. Tokens that wait at nodes for a request come from it. If the bound leaves
 	// less, tokens are granted at a lower rate.
@@ -89,17 +94,20 @@
 // groupOf returns the group of an account.
 func groupOf(account string) int { return int(xxhash.Sum64String(account) % groupCount) }
 
-// ownerOf returns the member that owns a group, by rendezvous hashing, so that a
-// change of the members moves only the groups of the members that changed.
-func ownerOf(group int, members []string) string {
-	owner, highest := "", uint64(0)
+// candidatesOf returns the members that may own a group, by rendezvous hashing, so that
+// a change of the members moves only the groups of the members that changed. members
+// must not be empty.
+func candidatesOf(group int, members []string) []string {
+	hashes := make(map[string]uint64, len(members))
 	for _, name := range members {
 		var digest xxhash.Digest
 		digest.ResetWithSeed(uint64(group))
 		_, _ = digest.WriteString(name)
-		if hash := digest.Sum64(); owner == "" || hash > highest || hash == highest && name < owner {
-			owner, highest = name, hash
-		}
+		hashes[name] = digest.Sum64()
 	}
-	return owner
+	candidates := slices.Clone(members)
+	slices.SortFunc(candidates, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a, b))
+	})
+	return candidates[:min(len(candidates), maxCandidates)]
 }
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -79,9 +79,9 @@
 	settled bool
 }
 
-// ownedGroup is the state of one group. It is empty if this node is not the owner.
+// ownedGroup is the state of one group. Any node owns a group for the members that lend
+// it their shares; the lending nodes choose the same owner if they can.
 type ownedGroup struct {
-	owned   bool
 	buckets map[string]*bucket
 	// closed holds the names of the closed buckets.
 	closed map[string]bool
@@ -105,7 +105,13 @@
 
 // NewPool returns the pool of a node that starts at now.
 func NewPool(now time.Time, self string, terms Terms) *Pool {
-	return &Pool{Self: self, Terms: terms, Random: rand.Float64, startedAt: now, limits: map[string]limit{}, count: 1}
+	p := &Pool{Self: self, Terms: terms, Random: rand.Float64, startedAt: now, limits: map[string]limit{}, count: 1}
+	for group := range p.groups {
+		p.groups[group] = ownedGroup{
+			buckets: map[string]*bucket{}, closed: map[string]bool{}, limited: map[string]time.Time{}, loans: map[string]loan{},
+		}
+	}
+	return p
 }
 
 // SetAccounts replaces the limits.
@@ -129,22 +135,11 @@
 	}
 }
 
-// SetMembers sets the names of the live members. A node that becomes an owner begins
-// with empty buckets, and the buckets fill with the shares that nodes lend it. So no
-// change of owners admits more than one bucket that goes on.
-func (p *Pool) SetMembers(now time.Time, members []string) {
+// SetMembers sets the number of live members.
+func (p *Pool) SetMembers(now time.Time, members int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.count = p.peak.Observe(now, len(members))
-	for i := range p.groups {
-		g := &p.groups[i]
-		switch owned := ownerOf(i, members) == p.Self; {
-		case owned && !g.owned:
-			*g = ownedGroup{owned: true, buckets: map[string]*bucket{}, closed: map[string]bool{}, limited: map[string]time.Time{}, loans: map[string]loan{}, epoch: p.epoch()}
-		case !owned:
-			*g = ownedGroup{}
-		}
-	}
+	p.count = p.peak.Observe(now, members)
 }
 
 // Serve applies a report of a member and returns the answer.
@@ -156,11 +151,19 @@
 	}
 	g := &p.groups[report.GetGroup()]
 	p.learnCount(now, int(report.GetMembers()))
-	if !g.owned || !p.settled {
+	if !p.settled {
 		return &Answer{Refused: true}
 	}
+	if g.epoch == 0 {
+		g.epoch = p.epoch()
+	}
 	settles := g.settles(now, from, report)
-	g.loans[from] = loan{until: now.Add(min(idleLease, time.Duration(report.GetLeaseMs())*time.Millisecond)), answered: now}
+	lease := min(idleLease, time.Duration(report.GetLeaseMs())*time.Millisecond)
+	g.loans[from] = loan{until: now.Add(lease), answered: now}
+	if lease == 0 {
+		// The member lends its share to another owner from now on.
+		g.sweptAt = time.Time{}
+	}
 	p.updateShare(now, g)
 	answer := &Answer{Granted: make([]uint32, len(report.GetAccounts())), Epoch: g.epoch, Members: uint32(p.count)}
 	for i, name := range report.GetAccounts() {
@@ -218,7 +221,7 @@
 // loans at most once per slot, since they are as many as the members.
 func (p *Pool) updateShare(now time.Time, g *ownedGroup) {
 	if g.sharedAt.IsZero() {
-		g.sharedAt, g.sweptAt = now, now
+		g.sharedAt = now
 	}
 	elapsed := now.Sub(g.sharedAt)
 	g.filled += time.Duration(g.share * float64(elapsed))
--- a/node/rationer/rationer.go
+++ b/node/rationer/rationer.go
@@ -74,7 +74,7 @@
 
 // SetMembers sets the names of the live members, sorted.
 func (r *Rationer) SetMembers(now time.Time, members []string) {
-	r.pool.SetMembers(now, members)
+	r.pool.SetMembers(now, len(members))
 	r.ledger.SetMembers(now, members)
 }
 
