--- a/node/runner/quotas.go
+++ b/node/runner/quotas.go
@@ -25,4 +25,5 @@
 	r.Logger, r.Scope = n.logger, n.scope
 	r.SetMembers(now, names(n.fleet.live()))
 	n.rationer = r
+	n.calls.forwarder.Charge = r.Charge
 }
