rationer: end the lease before a node that leaves is replaced as owner

A node that has left goes on answering until it ends, so its leases have not ended when the members see it leave. The lender ends the lease with a report, or waits for its end. A node alone that has left sees no members and panicked in the platform's tests; it keeps those that it knew.

--- a/node/rationer/ledger.go
+++ b/node/rationer/ledger.go
@@ -148,8 +148,12 @@
 	}
 }
 
-// SetMembers sets the names of the live members, sorted.
+// SetMembers sets the names of the live members, sorted. A node that has left knows
+// none and goes on with those that it knew.
 func (l *Ledger) SetMembers(now time.Time, members []string) {
+	if len(members) == 0 {
+		return
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	defer l.signalAll()
@@ -161,12 +165,7 @@
 		}
 	}
 	for group := range l.groups {
-		g := &l.groups[group]
-		g.candidates = candidatesOf(group, members)
-		if _, live := slices.BinarySearch(members, g.owner); !live {
-			// It is not a member any more, so that its leases have ended.
-			l.follow(now, g, g.candidates[0])
-		}
+		l.groups[group].candidates = candidatesOf(group, members)
 	}
 }
 
@@ -233,7 +232,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	g := &l.groups[group]
-	if len(l.limits) == 0 || g.owner == "" {
+	if len(l.limits) == 0 || len(g.candidates) == 0 {
 		return pausedWait
 	}
 	return max(0, g.period()-now.Sub(g.sentAt))
@@ -338,7 +337,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	g := &l.groups[group]
-	if len(l.limits) == 0 || g.owner == "" || g.inFlight || now.Sub(g.sentAt) < g.period() {
+	if len(l.limits) == 0 || len(g.candidates) == 0 || g.inFlight || now.Sub(g.sentAt) < g.period() {
 		return "", nil, false
 	}
 	if owner := g.preferred(now); owner != g.owner && !now.Before(g.takeBack) {
