--- a/node/rationer/bench_test.go
+++ b/node/rationer/bench_test.go
@@ -36,3 +36,25 @@
 		run("admitted with nine refusals", 9)
 	}
 }
+
+// BenchmarkServe measures what a report of eight accounts costs the owner.
+func BenchmarkServe(b *testing.B) {
+	accounts := map[string]sycamorerun.Account{}
+	report := &Report{LeaseMs: uint32(activeLease.Milliseconds()), Members: 89}
+	for i := 0; len(report.Accounts) < 8; i++ {
+		name := fmt.Sprintf("account-%d", i)
+		accounts[name] = sycamorerun.Account{Rate: 1000, Burst: 1000}
+		if groupOf(name) == 0 {
+			report.Accounts = append(report.Accounts, name)
+		}
+	}
+	numbers := []uint32{1, 1, 1, 1, 1, 1, 1, 1}
+	report.Advanced, report.Settled, report.Returned, report.Offered, report.Wanted = numbers, numbers, numbers, numbers, numbers
+	pool := NewPool(modelStart, "n000", testTerms)
+	pool.SetAccounts(accounts)
+	b.ReportAllocs()
+	for i := range b.N {
+		pool.Serve(modelStart.Add(time.Duration(i)*time.Millisecond), fmt.Sprintf("n%03d", i%89), report)
+	}
+	b.ReportMetric(float64(size(report)), "B/report")
+}
