--- a/node/rationer/model_test.go
+++ b/node/rationer/model_test.go
@@ -23,10 +23,12 @@
 	name   string
 	island int
 	down   bool
-	run    int
-	ledger *Ledger
-	pool   *Pool
-	view   map[string]bool
+	// leaving is set while the node has left and goes on answering.
+	leaving bool
+	run     int
+	ledger  *Ledger
+	pool    *Pool
+	view    map[string]bool
 }
 
 // modelMessage is a message that is delivered at a time unless a cut is in the way.
@@ -91,7 +93,7 @@
 // start starts a process at node i, which knows only itself.
 func (m *model) start(i int) {
 	n := m.nodes[i]
-	n.down, n.run = false, n.run+1
+	n.down, n.leaving, n.run = false, false, n.run+1
 	n.ledger, n.pool = NewLedger(m.now, n.name, m.terms), NewPool(m.now, n.name, m.terms)
 	n.ledger.Random, n.pool.Random = m.random.Float64, m.random.Float64
 	n.ledger.SetAccounts(m.accounts)
@@ -134,9 +136,9 @@
 				if i == j || m.reaches(i, j) != gained {
 					continue
 				}
-				if gained {
+				if gained && !other.leaving {
 					n.view[other.name] = true
-				} else if m.now.Sub(m.since[[2]int{i, j}]) >= least {
+				} else if !gained && m.now.Sub(m.since[[2]int{i, j}]) >= least {
 					delete(n.view, other.name)
 				}
 			}
@@ -186,6 +188,25 @@
 	})
 }
 
+// leave lets a node tell the others that it leaves. It goes on answering for a while.
+func (m *model) leave(i int, drain, downFor time.Duration) {
+	m.nodes[i].leaving = true
+	run := m.nodes[i].run
+	for j := range m.nodes {
+		m.at(m.now.Add(m.between(20*time.Millisecond, time.Second)), func() {
+			if m.nodes[i].run == run && m.reaches(i, j) && i != j {
+				delete(m.nodes[j].view, m.nodes[i].name)
+				m.applyView(j)
+			}
+		})
+	}
+	m.at(m.now.Add(drain), func() {
+		if m.nodes[i].run == run && !m.nodes[i].down {
+			m.kill(i, downFor)
+		}
+	})
+}
+
 // cut moves a node to another island.
 func (m *model) cut(i, island int) { m.nodes[i].island = island }
 
--- a/node/rationer/property_test.go
+++ b/node/rationer/property_test.go
@@ -74,14 +74,14 @@
 	}
 }
 
-// fault cuts, heals or kills some or all nodes.
+// fault cuts, heals, stops or kills some or all nodes.
 func (m *model) fault() {
 	share := []float64{0.2, 0.5, 1}[m.random.IntN(3)]
-	kind := m.random.IntN(4)
+	kind := m.random.IntN(5)
 	spared := map[int]bool{}
 	for i, n := range m.nodes {
 		switch {
-		case kind == 1 && m.divided() && !spared[n.island] && m.knows(n):
+		case (kind == 1 || kind == 4) && m.divided() && !spared[n.island] && m.knows(n):
 			spared[n.island] = true
 		case kind == 0:
 			m.cut(i, 0)
@@ -90,6 +90,8 @@
 			m.kill(i, m.between(300*time.Millisecond, 3*time.Second))
 		case kind == 2:
 			m.cut(i, 1+m.random.IntN(2))
+		case kind == 4:
+			m.leave(i, m.between(500*time.Millisecond, 3*time.Second), m.between(300*time.Millisecond, 3*time.Second))
 		default:
 			m.cut(i, 1+i)
 		}
