rationer: trust a number of members that does not grow any more

After a restart of the whole fleet nothing was admitted for 3 s, in which the nodes did not trust the number of members that they knew. They trust it after 1 s without growth now.

--- a/node/rationer/ledger.go
+++ b/node/rationer/ledger.go
@@ -21,6 +21,9 @@
 	// minAllowance is the least number of requests that a node admits without a token
 	// between two answers.
 	minAllowance = 3
+	// goodAllowance is the number that lets a node wait for its first tokens when many
+	// callers of an account turn to it.
+	goodAllowance = 4
 	// activeLease is the time for which an owner may use the share of a node that
 	// uses accounts, and idleLease that of one that does not. An idle node reports
 	// once in idlePeriod. Both are shorter than the time in which the members notice
@@ -35,10 +38,12 @@
 	// again. The members have noticed by then if it is gone.
 	retryOwnerAfter = 10 * time.Second
 	// joinDelay is the time from the start during which a node uses no share of its
-	// own, since it does not know the number of members yet. A node that knows no
-	// other member waits for aloneDelay.
-	joinDelay  = 3 * time.Second
-	aloneDelay = 30 * time.Second
+	// own, since it does not know the number of members yet. It ends early if the
+	// number has not grown for growthPause. A node that knows no other member waits
+	// for aloneDelay.
+	joinDelay   = 3 * time.Second
+	growthPause = time.Second
+	aloneDelay  = 30 * time.Second
 	// exchangeTimeout bounds the wait for an answer.
 	exchangeTimeout = time.Second
 	// minRetryAfter is the least time that a refused caller is told to wait.
@@ -102,6 +107,8 @@
 	// wake signals that a report may be due earlier than expected.
 	wake [groupCount]chan struct{}
 	peak divider.PeakCount
+	// grownAt is the time at which count has last grown.
+	grownAt time.Time
 	// count is the number of members that shares are computed with, and index the
 	// index of this node among them.
 	count, index int
@@ -157,7 +164,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	defer l.signalAll()
-	l.count = l.peak.Observe(now, len(members))
+	previous := l.count
+	if l.count = l.peak.Observe(now, len(members)); l.count > previous {
+		l.grownAt = now
+	}
 	l.index = 0
 	for _, name := range members {
 		if name < l.Self {
@@ -305,11 +315,13 @@
 }
 
 // settledAt returns the time from which this node trusts the number of members.
-func (l *Ledger) settledAt() time.Time {
-	if l.count == 1 {
-		return l.startedAt.Add(aloneDelay)
+func (l *Ledger) settledAt() time.Time { return settledAt(l.startedAt, l.grownAt, l.count) }
+
+func settledAt(startedAt, grownAt time.Time, count int) time.Time {
+	if count == 1 {
+		return startedAt.Add(aloneDelay)
 	}
-	return l.startedAt.Add(joinDelay)
+	return earlier(startedAt.Add(joinDelay), grownAt.Add(growthPause))
 }
 
 func (l *Ledger) settled(now time.Time) bool { return !now.Before(l.settledAt()) }
--- a/node/rationer/limit.go
+++ b/node/rationer/limit.go
@@ -25,7 +25,7 @@
 	// less, tokens are granted at a lower rate.
 	minDepthFraction = 0.1
 	// reserveFraction is the part of the depth for requests that nodes admit without
-	// a token. It is larger, up to maxReserveFraction, if minAllowance for each node
+	// a token. It is larger, up to maxReserveFraction, if goodAllowance for each node
 	// takes more.
 	reserveFraction    = 1.0 / 3
 	maxReserveFraction = 0.5
@@ -63,7 +63,7 @@
 // reserve returns the number of requests that all members together admit before the
 // owner knows.
 func (l limit) reserve(members int) float64 {
-	return max(reserveFraction*l.depth, min(maxReserveFraction*l.depth, float64(minAllowance*members)))
+	return max(reserveFraction*l.depth, min(maxReserveFraction*l.depth, float64(goodAllowance*members)))
 }
 
 // pool returns the number of tokens that the owner may grant at once.
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -77,6 +77,8 @@
 	// if it comes from a node that has run for longer than joinDelay.
 	count   int
 	settled bool
+	// grownAt is the time at which count has last grown.
+	grownAt time.Time
 }
 
 // ownedGroup is the state of one group. Any node owns a group for the members that lend
@@ -139,7 +141,10 @@
 func (p *Pool) SetMembers(now time.Time, members int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.count = p.peak.Observe(now, members)
+	previous := p.count
+	if p.count = p.peak.Observe(now, members); p.count > previous {
+		p.grownAt = now
+	}
 }
 
 // Serve applies a report of a member and returns the answer.
@@ -210,11 +215,7 @@
 // After a start of the whole fleet no node does, and the owner waits.
 func (p *Pool) learnCount(now time.Time, members int) {
 	p.count = p.peak.Observe(now, max(members, 1))
-	delay := joinDelay
-	if p.count == 1 {
-		delay = aloneDelay
-	}
-	p.settled = p.settled || members > 1 || now.Sub(p.startedAt) >= delay
+	p.settled = p.settled || members > 1 || !now.Before(settledAt(p.startedAt, p.grownAt, p.count))
 }
 
 // updateShare adds the time since the last call to the filled time. It counts the
--- a/node/rationer/rationer_test.go
+++ b/node/rationer/rationer_test.go
@@ -74,8 +74,8 @@
 		greatest int
 	}{
 		"at the start":                   {10, 0, 0, 0},
-		"before the members are known":   {10, joinDelay, 0, 0},
-		"own share once they are":        {10, joinDelay + time.Second, 8, 10},
+		"before the members are known":   {10, growthPause, 0, 0},
+		"own share once they are":        {10, growthPause + time.Second, 8, 10},
 		"alone, before others may join":  {1, aloneDelay, 0, 0},
 		"alone, with the whole rate":     {1, aloneDelay + time.Second, 50, 100},
 		"share of a long time unclaimed": {10, time.Hour, 8, 20},
