balancer: send calls to another region only where it is known to have room

Cause: calls left their region when its utilization passed 1.05, and a region about which nothing was known counted as idle; a refused call was tried at further regions in turn. When all regions are full, each call crosses regions in vain several times. Change: a call leaves its region only as far as the region is expected to refuse it for its wait, to regions whose fresh reports show room; a region about which nothing is known is explored at growing intervals. A call that another region refused stays. Large calls leave less often, by the learned mean size of their kind. After a refusal, instances that are full are not asked again.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -16,6 +16,8 @@
 	Service string
 	// Tried lists the names of instances that must not be picked.
 	Tried []string
+	// LastReason is the reason why the last attempt of the call failed, or empty.
+	LastReason string
 	// Rank is the priority of the call; 1 is the most urgent.
 	Rank int
 	// Objective is the latency objective of the call. Run times are compared
@@ -46,6 +48,9 @@
 	// After is the time until the instance expects capacity for calls of Rank;
 	// zero means unknown.
 	After time.Duration
+	// Bytes is the size of the bodies of the request and the response; zero means
+	// unknown.
+	Bytes int64
 	// Rank and Objective are those of the call.
 	Rank      int
 	Objective time.Duration
@@ -78,7 +83,9 @@
 	roundRobinIndex uint64
 	mutex           sync.Mutex
 	stats           map[string]*stats
-	// candidates is the buffer that each pick uses again.
+	sizes           sizes
+	explorations    map[regionKey]*exploration
+	// candidates is reused by each pick.
 	candidates []candidate
 	sweptAt    time.Time
 }
@@ -88,7 +95,7 @@
 	return &Balancer{
 		AvailabilityZone: availabilityZone, Region: region,
 		Warmup: func(string) time.Duration { return 0 },
-		Random: rand.Float64, stats: map[string]*stats{},
+		Random: rand.Float64, stats: map[string]*stats{}, sizes: sizes{}, explorations: map[regionKey]*exploration{},
 		// A random start keeps nodes that start together from picking the same
 		// instance first.
 		roundRobinIndex: uint64(rand.Uint32()),
@@ -107,6 +114,7 @@
 		return b.nextRoundRobin(instances, query.Tried)
 	}
 	tiers := b.groupByTier(now, instances, query, warmup)
+	b.explore(now, query.Service, &tiers)
 	tier := tiers.choose(b.Random())
 	if tier == nil {
 		return sycamorerun.Instance{}, false
@@ -134,6 +142,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.instanceStats(now, observation.Instance).observe(now, observation)
+	if observation.Result == sycamorerun.Answered && observation.Bytes > 0 {
+		b.sizes.record(sizeKey{observation.Service, callKind{observation.Rank, observation.Objective}}, observation.Bytes)
+	}
 }
 
 // Chances returns the share of the next calls that Pick would send to each
@@ -162,29 +173,36 @@
 	}
 	b.candidates = all
 	markEjected(now, all)
-	setSpeeds(now, all, callKind{query.Rank, query.Objective})
+	kind := callKind{query.Rank, query.Objective}
+	run := setSpeeds(now, all, kind)
 	grouped := tieredCandidates{all: all}
+	refused := overloadReasons[query.LastReason]
 	var full []*candidate
+	options := farOptions{unlimited: true, share: b.sizes.lightness(sizeKey{query.Service, kind})}
 	for at := range all {
 		c := &all[at]
+		if c.ejected || now.Before(c.stats.avoidedUntil) {
+			continue
+		}
+		tried := slices.Contains(query.Tried, c.instance.Name)
+		if c.tier < farTier && (!tried || refused) {
+			options.unlimited = false
+		}
+		options.forbidden = options.forbidden || refused && tried && c.tier == farTier
 		switch {
-		case c.ejected || now.Before(c.stats.avoidedUntil) || slices.Contains(query.Tried, c.instance.Name):
+		case tried:
 		case c.stats.full(now, query.Rank):
 			full = append(full, c)
 		default:
+			c.pickable = true
 			grouped.tiers[c.tier].add(c)
 		}
 	}
-	if len(grouped.tiers[0].candidates)+len(grouped.tiers[1].candidates)+len(grouped.tiers[2].candidates) == 0 {
-		// The full instances are the only ones left. They know better than this
-		// node whether they are still full.
-		for _, c := range full {
-			grouped.tiers[c.tier].add(c)
-		}
-	}
-	for at := range grouped.tiers {
-		grouped.tiers[at].evaluate(now, warmup)
+	options.full = grouped.near() == 0
+	if !refused || options.unlimited {
+		grouped.addFull(full)
 	}
+	grouped.evaluate(now, warmup, reachRange(query.Objective, run), options)
 	return grouped
 }
 
--- a/node/balancer/speed.go
+++ b/node/balancer/speed.go
@@ -52,8 +52,9 @@
 
 // setSpeeds sets the speeds of the candidates for calls of a kind. Upstreams of one
 // service differ in speed; with equal shares of the calls, the slow ones would be
-// full while the fast ones are idle.
-func setSpeeds(now time.Time, all []candidate, kind callKind) {
+// full while the fast ones are idle. It returns the median run time, or zero if it is
+// not known.
+func setSpeeds(now time.Time, all []candidate, kind callKind) time.Duration {
 	var known []time.Duration
 	for at := range all {
 		all[at].speed = 1
@@ -62,7 +63,7 @@
 		}
 	}
 	if len(known) < 2 {
-		return
+		return 0
 	}
 	slices.Sort(known)
 	median := float64(known[len(known)/2]+known[(len(known)-1)/2]) / 2
@@ -71,4 +72,5 @@
 			all[at].speed = min(maxSpeed, max(minSpeed, median/float64(run)))
 		}
 	}
+	return time.Duration(median)
 }
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -30,10 +30,10 @@
 // to one at end.
 type spilloverRange struct{ start, end float64 }
 
-// spilloverRanges are the ranges for spillover to the same region and to other
-// regions. A response from another region costs a fifth of the value of a read, and
-// 40 ms, which is about the wait behind a queue of half the slots.
-var spilloverRanges = [...]spilloverRange{{0.7, 1.3}, {1.05, 1.6}}
+// zoneSpillover is the range for spillover to other zones of the region, and
+// defaultReach that for calls to other regions whose objectives or run times are
+// unknown.
+var zoneSpillover, defaultReach = spilloverRange{0.7, 1.3}, spilloverRange{1.05, 1.6}
 
 // share returns the share of the calls that spills over at a utilization.
 func (s spilloverRange) share(utilization float64) float64 {
@@ -46,6 +46,8 @@
 	stats    *stats
 	tier     int
 	ejected  bool
+	// pickable says that the instance is neither ejected nor avoided, full or tried.
+	pickable bool
 	// capacity is the number of slots, reduced during slow start.
 	capacity float64
 	// speed is the speed at which the upstream runs calls of the query's kind,
@@ -115,13 +117,16 @@
 	capacity   float64
 	weight     float64
 	load       float64
+	// reachLoad is the load as it counts for calls to other regions.
+	reachLoad float64
 }
 
 func (t *tier) add(c *candidate) { t.candidates = append(t.candidates, c) }
 
 // evaluate sets the load, capacity and weight of the candidates and of the tier. For
-// missing and stale reports, the mean of the fresh ones is used.
-func (t *tier) evaluate(now time.Time, warmup time.Duration) {
+// missing and stale reports, the mean of the fresh ones is used. The range is that in
+// which calls leave the region.
+func (t *tier) evaluate(now time.Time, warmup time.Duration, reach spilloverRange) {
 	var sum, weights float64
 	for _, c := range t.candidates {
 		weight := c.stats.reportWeight(now)
@@ -141,7 +146,8 @@
 		t.weight += c.weight
 		// The bound keeps a single instance that is slow, or reports an impossible
 		// load, from making its whole tier look full.
-		t.load += min(c.load, spilloverRanges[1].end*c.capacity)
+		t.load += min(c.load, defaultReach.end*c.capacity)
+		t.reachLoad += min(c.load, reach.end*c.capacity)
 	}
 }
 
@@ -198,49 +204,91 @@
 	return last
 }
 
+// farTier is the index of the tier of the other regions.
+const farTier = 2
+
 // tieredCandidates groups candidates by tier, the nearest tier first.
 type tieredCandidates struct {
 	all   []candidate
 	tiers [3]tier
+	// travels is the share of the calls that go to other regions, as far as those
+	// have the capacity.
+	travels float64
+	// open are the names of the regions with capacity, unknown those about which
+	// nothing is known.
+	open    []string
+	unknown []regionLoad
+}
+
+// near returns the number of candidates in the region of this node.
+func (t *tieredCandidates) near() int {
+	return len(t.tiers[0].candidates) + len(t.tiers[1].candidates)
+}
+
+// addFull adds full candidates where there are no others. They know better than this
+// node whether they are still full.
+func (t *tieredCandidates) addFull(full []*candidate) {
+	near, far := t.near() == 0, len(t.tiers[farTier].candidates) == 0
+	for _, c := range full {
+		if c.tier < farTier && near || c.tier == farTier && far {
+			t.tiers[c.tier].add(c)
+		}
+	}
+}
+
+// only leaves the given candidates of other regions as the only ones.
+func (t *tieredCandidates) only(far []*candidate) {
+	t.tiers = [3]tier{}
+	for _, c := range far {
+		c.capacity = float64(max(defaultSlots, c.instance.Slots))
+		c.weight = c.capacity
+		t.tiers[farTier].add(c)
+		t.tiers[farTier].capacity += c.capacity
+		t.tiers[farTier].weight += c.weight
+	}
 }
 
-// shares returns the share of calls of each tier. The share that spills over from a
-// tier rises with its utilization, as far as the farther tiers have spare capacity.
+// shares returns the share of calls of each tier. The share that leaves a zone rises
+// with its utilization, as far as the region has spare capacity.
 func (t *tieredCandidates) shares() [3]float64 {
+	zone, region, far := &t.tiers[0], &t.tiers[1], &t.tiers[farTier]
 	var shares [3]float64
 	left := 1.0
-	last := -1
-	for at := range t.tiers {
-		near := &t.tiers[at]
-		if len(near.candidates) == 0 {
-			continue
+	if len(far.candidates) > 0 {
+		spare, nearSpare := far.spareCapacity(), zone.spareCapacity()+region.spareCapacity()
+		shares[farTier] = t.travels
+		if t.near() > 0 {
+			shares[farTier] *= spare / max(1, spare+nearSpare)
 		}
-		spill := t.spillover(at)
-		shares[at] = left * (1 - spill)
-		left *= spill
-		last = at
+		left -= shares[farTier]
 	}
-	if last >= 0 {
-		shares[last] += left
+	switch {
+	case t.near() == 0:
+	case len(region.candidates) == 0:
+		shares[0] = left
+	case len(zone.candidates) == 0:
+		shares[1] = left
+	default:
+		shares[1] = left * t.zoneSpillover()
+		shares[0] = left - shares[1]
 	}
 	return shares
 }
 
-// spillover returns the share of calls that spills over from the tier with index at.
-func (t *tieredCandidates) spillover(at int) float64 {
-	near := &t.tiers[at]
-	var share float64
-	for next := at + 1; next < len(t.tiers); next++ {
-		spare := t.tiers[next].spareCapacity()
-		if spare <= 0 {
-			continue
-		}
-		rangeShare := spilloverRanges[next-1].share(near.load / near.capacity)
-		share = max(share, rangeShare*spare/(spare+near.spareCapacity()))
+// zoneSpillover returns the share of calls that spills over from the zone to the rest
+// of the region.
+func (t *tieredCandidates) zoneSpillover() float64 {
+	zone, region := &t.tiers[0], &t.tiers[1]
+	spare := region.spareCapacity()
+	if spare <= 0 {
+		return 0
 	}
-	return share
+	return zoneSpillover.share(zone.load/zone.capacity) * spare / (spare + zone.spareCapacity())
 }
 
+// roundingError bounds what the sum of the shares lacks to one by rounding.
+const roundingError = 1e-9
+
 // choose returns the tier drawn with a random number in [0, 1), or nil when no
 // instance can be picked.
 func (t *tieredCandidates) choose(draw float64) *tier {
@@ -254,6 +302,9 @@
 			return last
 		}
 	}
+	if draw > roundingError {
+		return nil // the call does not leave the region, which has no instance for it
+	}
 	return last
 }
 
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -17,7 +17,7 @@
 	sends := 0
 	for n := 1; ; n++ {
 		now := f.Now()
-		to, ok := f.chooseInstance(now, c, tried)
+		to, ok := f.chooseInstance(now, c, tried, lastFailure)
 		if !ok {
 			if lastFailure == nil {
 				lastFailure = notRun(reasonNoUpstream)
@@ -56,11 +56,15 @@
 
 // chooseInstance returns the instance for the next attempt. A call with an
 // idempotency key always goes to the owner of the key, whatever its load.
-func (f *Forwarder) chooseInstance(now time.Time, c *call, tried []string) (sycamorerun.Instance, bool) {
+func (f *Forwarder) chooseInstance(now time.Time, c *call, tried []string, last *failure) (sycamorerun.Instance, bool) {
 	if c.key != "" {
 		return f.Owner(c.match.Service, c.key)
 	}
-	return f.Pick(now, Query{Service: c.match.Service, Tried: tried, Rank: c.match.Rank, Objective: c.match.Objective})
+	query := Query{Service: c.match.Service, Tried: tried, Rank: c.match.Rank, Objective: c.match.Objective}
+	if last != nil {
+		query.LastReason = last.reason
+	}
+	return f.Pick(now, query)
 }
 
 // mergeFailures returns the failure of the whole call. Once an attempt may have
@@ -134,22 +138,27 @@
 // observeBody wraps the body of out, so that Observe is called once, when the
 // body ends.
 func (f *Forwarder) observeBody(ctx context.Context, start time.Time, c *call, to sycamorerun.Instance, out *attemptResponse) bodySource {
-	return &observedBody{bodySource: out.body, ctx: ctx, onEnd: func(result sycamorerun.Result, reason string) {
+	observed := &observedBody{bodySource: out.body, ctx: ctx, bytes: max(0, c.length)}
+	observed.onEnd = func(result sycamorerun.Result, reason string) {
 		if result == sycamorerun.Answered {
 			f.answerTimes.Record(c.match.kind(), out.headAt.Sub(start))
 		}
 		f.Observe(f.Now(), Observation{
 			Instance: to.Name, Service: c.match.Service, Result: result, Reason: reason, Status: out.status,
 			Load: out.load, HeadLatency: out.headAt.Sub(start), Rank: c.match.Rank, Objective: c.match.Objective,
+			Bytes: observed.bytes,
 		})
-	}}
+	}
+	return observed
 }
 
 // observedBody calls onEnd once with the result of its bodySource.
 type observedBody struct {
 	bodySource
-	ctx      context.Context
-	onEnd    func(sycamorerun.Result, string)
+	ctx   context.Context
+	onEnd func(sycamorerun.Result, string)
+	// bytes is the size of the request's body and of what was read.
+	bytes    int64
 	failed   bool
 	reported bool
 }
@@ -157,6 +166,7 @@
 // Next implements bodySource.
 func (b *observedBody) Next() ([]byte, error) {
 	data, err := b.bodySource.Next()
+	b.bytes += int64(len(data))
 	if err == io.EOF {
 		b.report(sycamorerun.Answered, "")
 	}
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -59,6 +59,8 @@
 	Service string
 	// Tried names the instances that earlier attempts of the call used.
 	Tried []string
+	// LastReason is the reason why the last attempt failed, or empty.
+	LastReason string
 	// Rank is the rank of the call. An instance that is full for one rank may
 	// accept calls of a more urgent one.
 	Rank int
@@ -84,8 +86,11 @@
 	// RetryAfter is the time after which the instance expects capacity for calls
 	// of Rank; zero means unknown.
 	RetryAfter time.Duration
-	Rank       int
-	Objective  time.Duration
+	// Bytes is the size of the bodies of the request and the response if the
+	// response is complete.
+	Bytes     int64
+	Rank      int
+	Objective time.Duration
 }
 
 // Attempt is a failed attempt that may be repeated.
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -148,7 +148,7 @@
 func balancerObservation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
 		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
-		After: o.RetryAfter, Rank: o.Rank, Objective: o.Objective,
+		After: o.RetryAfter, Rank: o.Rank, Objective: o.Objective, Bytes: o.Bytes,
 	}
 	if o.Load != nil {
 		result.Load = &balancer.Load{
