forwarder, balancer: use the slowdown that an upstream states

Cause: upstreams share their machines; some state with each answer how long work takes there at this moment. Nodes passed the header on unread. Change: the node beside the upstream reads the value and passes it on with its age; the balancer divides the speed of the instance by it, with a weight that falls by 63% in 50 ms. Odd values are ignored or bounded.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -33,6 +33,10 @@
 	// RunTime is the mean time for which recent calls of the same rank and objective
 	// held a slot; zero means unknown.
 	RunTime time.Duration
+	// Slowdown is how long work takes on the upstream's machine, relative to its usual
+	// time, as the upstream told SlowdownAge before the report. Zero means unknown.
+	Slowdown    float64
+	SlowdownAge time.Duration
 }
 
 // Observation is the outcome of an attempt at a picked instance.
@@ -175,6 +179,7 @@
 	markEjected(now, all)
 	kind := callKind{query.Rank, query.Objective}
 	run := setSpeeds(now, all, kind)
+	applySlowdowns(now, all)
 	grouped := tieredCandidates{all: all}
 	refused := overloadReasons[query.LastReason]
 	var full []*candidate
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -64,6 +64,7 @@
 	reportedAt          time.Time
 	inFlightAtReport    int // calls of this node in flight when the report arrived
 	runTimes            map[callKind]runTime
+	slowdown            slowdown
 	failureRate         float64
 	outcomes            int
 	consecutiveFailures int
@@ -94,6 +95,7 @@
 	s.lastUsed = now
 	if observation.Load != nil {
 		s.report, s.reportedAt, s.inFlightAtReport = *observation.Load, now, s.inFlight
+		s.recordSlowdown(now, observation.Load)
 		s.recordRunTime(now, callKind{observation.Rank, observation.Objective}, observation.Load.RunTime)
 	}
 	switch {
--- a/node/forwarder/contract.go
+++ b/node/forwarder/contract.go
@@ -33,9 +33,13 @@
 	// running a request.
 	Signature string
 	// Load describes the load of the upstream in a response. It is forwarded to
-	// the caller but not read by nodes: all requests to an upstream go through
-	// the node beside it, whose own counters give the same information.
+	// the caller. Nodes read only the slowdown from it: all requests to an upstream
+	// go through the node beside it, whose own counters give the rest.
 	Load string
+	// ParseSlowdown returns the slowdown that a value of Load states: how long work
+	// takes on the upstream's machine at this moment, relative to its usual time. It
+	// reports false if the value states none. Nil means that no value does.
+	ParseSlowdown func(load string) (float64, bool)
 }
 
 // DefaultContract names the headers of sycamorerun itself.
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -143,6 +143,7 @@
 // readResponse reads the response of the upstream. A body of up to
 // maxBufferedBodyBytes is read at once, a larger one is streamed.
 func (f *Forwarder) readResponse(ctx context.Context, watchdog *watchdog, c *call, response *http.Response, finish func(Completion)) (*attemptResponse, *failure) {
+	f.recordSlowdown(f.Now(), response.Header.Get(f.Contract.Load))
 	out := &attemptResponse{
 		status: response.StatusCode, header: f.endToEndHeader(response.Header),
 		trailers: trailerNames(response.Trailer), length: response.ContentLength, load: f.Load(c.match),
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -122,6 +122,7 @@
 	pool   pool
 	// refusals holds the calls that this node refused.
 	refusals      *refusalCache
+	slowdown      slowdownRecord
 	upstreamTimes *upstreamTimes
 	// answerTimes holds how long the attempts of this node took to be answered.
 	answerTimes *estimator.Estimator
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -114,10 +114,12 @@
 	}
 	f.Load = func(match forwarder.Match) *forwarder.Load {
 		load := c.limiter.Load()
-		return &forwarder.Load{
+		report := &forwarder.Load{
 			Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots),
 			RunUs: c.limiter.MeanRunTime(match.Rank, match.Objective).Microseconds(),
 		}
+		f.AddSlowdown(f.Now(), report)
+		return report
 	}
 	f.Begin = func(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
 		return c.deduplicator.Begin(now, claim.ID, deduplicatorKey(claim))
@@ -153,7 +155,8 @@
 	if o.Load != nil {
 		result.Load = &balancer.Load{
 			Running: int(o.Load.GetRunning()), Queued: int(o.Load.GetQueued()), Slots: int(o.Load.GetSlots()),
-			RunTime: time.Duration(o.Load.GetRunUs()) * time.Microsecond,
+			RunTime:  time.Duration(o.Load.GetRunUs()) * time.Microsecond,
+			Slowdown: float64(o.Load.GetSlowdown()) / 100, SlowdownAge: time.Duration(o.Load.GetSlowdownAgeMs()) * time.Millisecond,
 		}
 	}
 	return result
