--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"sycamorerun"
 )
 
@@ -83,9 +85,12 @@
 	// RoundRobin picks the serving instances in turn, whatever their zone, load
 	// and outcomes. It is the simplest policy and the baseline for measurements.
 	RoundRobin bool
+	// Scope receives the metrics.
+	Scope tally.Scope
 
 	roundRobinIndex uint64
 	mutex           sync.Mutex
+	metrics         *metrics
 	stats           map[string]*stats
 	sizes           sizes
 	explorations    map[regionKey]*exploration
@@ -99,6 +104,7 @@
 	return &Balancer{
 		AvailabilityZone: availabilityZone, Region: region,
 		Warmup: func(string) time.Duration { return 0 },
+		Scope:  tally.NoopScope,
 		Random: rand.Float64, stats: map[string]*stats{}, sizes: sizes{}, explorations: map[regionKey]*exploration{},
 		// A random start keeps nodes that start together from picking the same
 		// instance first.
@@ -114,6 +120,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.sweep(now)
+	if b.metrics == nil {
+		b.metrics = newMetrics(b.Scope)
+	}
 	if b.RoundRobin {
 		return b.nextRoundRobin(instances, query.Tried)
 	}
@@ -121,11 +130,13 @@
 	b.explore(now, query.Service, &tiers)
 	tier := tiers.choose(b.Random())
 	if tier == nil {
+		b.metrics.unsent.Inc(1)
 		return sycamorerun.Instance{}, false
 	}
 	chosen := tier.pick(b.Random)
 	chosen.stats.inFlight++
 	chosen.stats.lastUsed = now
+	b.metrics.picks[chosen.tier].Inc(1)
 	return *chosen.instance, true
 }
 
--- a/node/balancer/reach.go
+++ b/node/balancer/reach.go
@@ -161,6 +161,7 @@
 		}
 		known.next = now.Add(known.interval)
 		known.interval = min(2*known.interval, maxExploration)
+		b.metrics.explorations.Inc(1)
 		t.only(r.candidates)
 		return
 	}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -134,6 +134,7 @@
 	}
 	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
+	n.calls.balancer.Scope = scope.SubScope("balancer")
 	n.reporter = newReporter(n.applier.Current, n.fleet)
 	n.reporter.Logger, n.reporter.Scope = logger, scope.SubScope("reporter")
 	n.wireMembership()
