--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"sycamorerun"
 )
 
@@ -16,6 +18,8 @@
 	Service string
 	// Tried lists the names of instances that must not be picked.
 	Tried []string
+	// LastReason is the reason why the last attempt of the call failed, or empty.
+	LastReason string
 	// Rank is the priority of the call; 1 is the most urgent.
 	Rank int
 	// Objective is the latency objective of the call. Run times are compared
@@ -31,6 +35,10 @@
 	// RunTime is the mean time for which recent calls of the same rank and objective
 	// held a slot; zero means unknown.
 	RunTime time.Duration
+	// Slowdown is how long work takes on the upstream's machine, relative to its usual
+	// time, as the upstream told SlowdownAge before the report. Zero means unknown.
+	Slowdown    float64
+	SlowdownAge time.Duration
 }
 
 // Observation is the outcome of an attempt at a picked instance.
@@ -46,6 +54,9 @@
 	// After is the time until the instance expects capacity for calls of Rank;
 	// zero means unknown.
 	After time.Duration
+	// Bytes is the size of the bodies of the request and the response; zero means
+	// unknown.
+	Bytes int64
 	// Rank and Objective are those of the call.
 	Rank      int
 	Objective time.Duration
@@ -74,11 +85,16 @@
 	// RoundRobin picks the serving instances in turn, whatever their zone, load
 	// and outcomes. It is the simplest policy and the baseline for measurements.
 	RoundRobin bool
+	// Scope receives the metrics.
+	Scope tally.Scope
 
 	roundRobinIndex uint64
 	mutex           sync.Mutex
+	metrics         *metrics
 	stats           map[string]*stats
-	// candidates is the buffer that each pick uses again.
+	sizes           sizes
+	explorations    map[regionKey]*exploration
+	// candidates is reused by each pick.
 	candidates []candidate
 	sweptAt    time.Time
 }
@@ -88,7 +104,8 @@
 	return &Balancer{
 		AvailabilityZone: availabilityZone, Region: region,
 		Warmup: func(string) time.Duration { return 0 },
-		Random: rand.Float64, stats: map[string]*stats{},
+		Scope:  tally.NoopScope,
+		Random: rand.Float64, stats: map[string]*stats{}, sizes: sizes{}, explorations: map[regionKey]*exploration{},
 		// A random start keeps nodes that start together from picking the same
 		// instance first.
 		roundRobinIndex: uint64(rand.Uint32()),
@@ -103,17 +120,23 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.sweep(now)
+	if b.metrics == nil {
+		b.metrics = newMetrics(b.Scope)
+	}
 	if b.RoundRobin {
 		return b.nextRoundRobin(instances, query.Tried)
 	}
 	tiers := b.groupByTier(now, instances, query, warmup)
+	b.explore(now, query.Service, &tiers)
 	tier := tiers.choose(b.Random())
 	if tier == nil {
+		b.metrics.unsent.Inc(1)
 		return sycamorerun.Instance{}, false
 	}
 	chosen := tier.pick(b.Random)
 	chosen.stats.inFlight++
 	chosen.stats.lastUsed = now
+	b.metrics.picks[chosen.tier].Inc(1)
 	return *chosen.instance, true
 }
 
@@ -134,6 +157,9 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.instanceStats(now, observation.Instance).observe(now, observation)
+	if observation.Result == sycamorerun.Answered && observation.Bytes > 0 {
+		b.sizes.record(sizeKey{observation.Service, callKind{observation.Rank, observation.Objective}}, observation.Bytes)
+	}
 }
 
 // Chances returns the share of the next calls that Pick would send to each
@@ -162,29 +188,37 @@
 	}
 	b.candidates = all
 	markEjected(now, all)
-	setSpeeds(now, all, callKind{query.Rank, query.Objective})
+	kind := callKind{query.Rank, query.Objective}
+	run := setSpeeds(now, all, kind)
+	applySlowdowns(now, all)
 	grouped := tieredCandidates{all: all}
+	refused := overloadReasons[query.LastReason]
 	var full []*candidate
+	options := farOptions{unlimited: true, share: b.sizes.lightness(sizeKey{query.Service, kind})}
 	for at := range all {
 		c := &all[at]
+		if c.ejected || now.Before(c.stats.avoidedUntil) {
+			continue
+		}
+		tried := slices.Contains(query.Tried, c.instance.Name)
+		if c.tier < farTier && (!tried || refused) {
+			options.unlimited = false
+		}
+		options.forbidden = options.forbidden || refused && tried && c.tier == farTier
 		switch {
-		case c.ejected || now.Before(c.stats.avoidedUntil) || slices.Contains(query.Tried, c.instance.Name):
+		case tried:
 		case c.stats.full(now, query.Rank):
 			full = append(full, c)
 		default:
+			c.pickable = true
 			grouped.tiers[c.tier].add(c)
 		}
 	}
-	if len(grouped.tiers[0].candidates)+len(grouped.tiers[1].candidates)+len(grouped.tiers[2].candidates) == 0 {
-		// The full instances are the only ones left. They know better than this
-		// node whether they are still full.
-		for _, c := range full {
-			grouped.tiers[c.tier].add(c)
-		}
-	}
-	for at := range grouped.tiers {
-		grouped.tiers[at].evaluate(now, warmup)
+	options.full = grouped.near() == 0
+	if !refused || options.unlimited {
+		grouped.addFull(full)
 	}
+	grouped.evaluate(now, warmup, reachRange(query.Objective, run), options)
 	return grouped
 }
 
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -117,10 +117,12 @@
 	}
 	f.Load = func(match forwarder.Match) *forwarder.Load {
 		load := c.limiter.Load()
-		return &forwarder.Load{
+		report := &forwarder.Load{
 			Running: uint32(load.Running), Queued: uint32(load.Queued), Slots: uint32(load.Slots),
 			RunUs: c.limiter.MeanRunTime(match.Rank, match.Objective).Microseconds(),
 		}
+		f.AddSlowdown(f.Now(), report)
+		return report
 	}
 	f.Begin = func(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
 		return c.deduplicator.Begin(now, claim.ID, deduplicatorKey(claim))
@@ -159,12 +161,13 @@
 func balancerObservation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
 		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
-		After: o.RetryAfter, Rank: o.Rank, Objective: o.Objective,
+		After: o.RetryAfter, Rank: o.Rank, Objective: o.Objective, Bytes: o.Bytes,
 	}
 	if o.Load != nil {
 		result.Load = &balancer.Load{
 			Running: int(o.Load.GetRunning()), Queued: int(o.Load.GetQueued()), Slots: int(o.Load.GetSlots()),
-			RunTime: time.Duration(o.Load.GetRunUs()) * time.Microsecond,
+			RunTime:  time.Duration(o.Load.GetRunUs()) * time.Microsecond,
+			Slowdown: float64(o.Load.GetSlowdown()) / 100, SlowdownAge: time.Duration(o.Load.GetSlowdownAgeMs()) * time.Millisecond,
 		}
 	}
 	return result
