requester: take a status above 599 for a broken response

Cause: an answer with a status such as 999 was passed on as it came. RFC 9110, section 15, knows 100 to 599 and has a client treat others as 5xx, so the caller now gets 502 without the upstream's headers.

TestOddStatus holds 000, 099, 20, -20, +20, 600, 999 and cut status lines to 502 through one node and through two, for each way of sending a body; before, the cases 600 and 999 returned that status. TestResetAnswerWithoutLength keeps a 200 without a length, reset while the upload is written, from looking whole; it passed before the change too.

--- a/node/requester/exchange.go
+++ b/node/requester/exchange.go
@@ -21,6 +21,8 @@
 	// maxSkippedBytes is the maximum size on the wire of the bodies of all responses
 	// to earlier requests. A longer body may never end.
 	maxSkippedBytes = 1 << 20
+	// maxStatus is the largest valid status code (RFC 9110, section 15).
+	maxStatus = 599
 	// flushTimeout limits the time to write the last bytes of a request whose
 	// response is complete.
 	flushTimeout = 5 * time.Second
@@ -135,7 +137,7 @@
 		switch {
 		case err != nil:
 			return nil, x.fail(ReasonBroken, err)
-		case response.ProtoMajor != 1 || response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols:
+		case response.ProtoMajor != 1 || response.StatusCode < 100 || response.StatusCode > maxStatus || response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, x.fail(ReasonBroken, errProtocol)
 		case response.StatusCode < 200:
 			if informational++; informational > maxInformational {
