forwarder: measure a header at its smallest size on the wire

Cause: the size of a header was computed with a space after each colon, so that one of many short fields inside the limit got 431. TestSingleRequestsInsideLimits/short_fields of platform/crowds failed before and passes. The listener goes on counting the bytes as they arrive.

--- a/node/forwarder/header.go
+++ b/node/forwarder/header.go
@@ -40,12 +40,12 @@
 	return len(name) >= len(internalPrefix) && strings.EqualFold(name[:len(internalPrefix)], internalPrefix)
 }
 
-// headerSize returns the size of header on the wire in bytes.
+// headerSize returns the smallest size that header can have had on the wire, in bytes.
 func headerSize(header http.Header) int {
 	total := 0
 	for name, values := range header {
 		for _, value := range values {
-			total += len(name) + len(value) + len(": \r\n")
+			total += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return total
