governor: bound what all callers' connections make a process hold

One account of bytes and connections over all HTTP listeners of a process. Its bounds follow from the settings memory and descriptors; beyond them the costliest or least active connections end, those of the address that holds most first. A request that was not read completely gets 503. The listeners of operators, readiness and announcements have limits for headers and idle connections, the latter two for bodies too. Go's memory limit follows from memory. Peers' handshakes are limited by descriptors.

--- a/Makefile
+++ b/Makefile
@@ -16,10 +16,15 @@
 
 # The tests with real processes always run: go test does not know that they
 # depend on the programs that they build.
+# Those with crowds of callers run after all others, since they measure memory.
+CROWDS = ./platform/crowds
+UNCROWDED = $$(go list $(filter-out ./bench/...,$(PACKAGES)) | grep -v '/crowds$$')
+
 test:
 	@test -z '$(RED)' || echo 'passed over, see KNOWN-RED.txt: $(RED)'
-	go test -timeout 240s $(SKIP) $(filter-out ./bench/...,$(PACKAGES))
+	go test -timeout 240s $(SKIP) $(UNCROWDED)
 	go test -count=1 -timeout 240s $(SKIP) ./bench/...
+	go test -count=1 -timeout 900s $(SKIP) $(CROWDS)
 
 tools:
 	go build -o $(BIN)/ mvdan.cc/gofumpt github.com/mgechev/revive goa.design/goa/v3/cmd/goa google.golang.org/protobuf/cmd/protoc-gen-go
--- a/node/forwarder/limits.go
+++ b/node/forwarder/limits.go
@@ -54,6 +54,7 @@
 var headerReasons = map[int]string{
 	http.StatusRequestHeaderFieldsTooLarge: reasonHeadersTooLarge,
 	http.StatusRequestTimeout:              reasonHeadersSlow,
+	http.StatusServiceUnavailable:          reasonEvicted,
 }
 
 // RefuseHeader returns the response to a request whose header could not be read,
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -20,6 +20,7 @@
 	reasonBodyTooLarge    = "body-too-large"
 	reasonBodyIncomplete  = "body-incomplete"
 	reasonBodySlow        = "body-slow"
+	reasonEvicted         = "evicted"
 	reasonKeyMismatch     = "key-mismatch"
 	reasonKeyElsewhere    = "key-elsewhere"
 	reasonUnauthorized    = "unauthorized"
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"sycamorerun"
+	"sycamorerun/node/governor"
 )
 
 // finalWriteTimeout bounds the write of a buffered response after its call has
@@ -95,7 +97,10 @@
 			bodyTimer.Reset(f.BodyTimeout)
 		}
 		if err != nil && read < len(c.body) {
-			if ctx.Err() != nil {
+			switch {
+			case errors.Is(err, governor.ErrEvicted):
+				return notRun(reasonEvicted)
+			case ctx.Err() != nil:
 				return notRun(reasonBodySlow)
 			}
 			return notRun(reasonBodyIncomplete)
--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"sycamorerun"
+	"sycamorerun/node/governor"
 )
 
 const (
@@ -71,6 +72,13 @@
 	// within these, so only the time without any request is limited here.
 	http2     bool
 	rejectErr error
+	// evicted is set once the connection has been ended to make room for others.
+	evicted bool
+	// holder is the account of the connection, or nil. It must not be called with
+	// the mutex locked, since it may evict this connection.
+	holder *governor.Holder
+	// bodyHeld is how much of the body in progress is accounted for.
+	bodyHeld int
 	// handled is set once the request has reached the handler.
 	handled atomic.Bool
 }
@@ -79,7 +87,11 @@
 func (c *conn) enterPhase(now time.Time, next phase, limits sycamorerun.Limits) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.evicted {
+		return
+	}
 	c.firstRequest = c.firstRequest && next == readingHeader
+	c.bodyHeld = 0
 	c.handled.Store(false)
 	switch {
 	case next == serving:
@@ -111,7 +123,7 @@
 func (c *conn) extendDeadline(limits sycamorerun.Limits) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.deadline.IsZero() {
+	if c.deadline.IsZero() || c.evicted {
 		return
 	}
 	var deadline time.Time
@@ -129,19 +141,33 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != serving || c.http2 {
+	if c.phase != serving || c.http2 || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn. It has no effect on a connection that has
+// been evicted.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.evicted {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Read implements net.Conn and rejects headers that exceed the limits.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.account(p[:n])
 		status, again := c.checkRead(time.Now(), p[:n], err)
 		switch {
 		case again:
+		case status == 0 && err != nil && c.isEvicted():
+			return n, governor.ErrEvicted
 		case status != 0:
 			return 0, c.reject(status)
 		default:
@@ -158,6 +184,10 @@
 	var netErr net.Error
 	timedOut := len(data) == 0 && errors.As(err, &netErr) && netErr.Timeout()
 	switch {
+	case c.evicted && c.phase != serving && c.rejectErr == nil && !c.http2 && c.headerBytes+len(data) > 0:
+		return http.StatusServiceUnavailable, false
+	case c.evicted:
+		return 0, false
 	case c.phase == serving:
 		// A read of HTTP/2 frames continues while requests begin and end.
 		return 0, timedOut && c.http2
@@ -243,6 +273,7 @@
 // is discarded here before the connection is closed.
 func (c *conn) Close() error {
 	c.listener.remove(c)
+	c.hold((*governor.Holder).Close)
 	if !c.unhandled() || c.halfClose() != nil {
 		return c.Conn.Close()
 	}
--- a/node/listener/listener.go
+++ b/node/listener/listener.go
@@ -5,13 +5,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/node/governor"
 )
 
 // Listener holds the limits and the connections that they apply to. An
@@ -19,9 +22,16 @@
 // Wrap.
 type Listener struct {
 	// ErrorResponse returns the response to a header that is too large (status
-	// 431) or not complete in time (status 408). The connection is closed after
-	// it.
+	// 431), not complete in time (status 408) or not read for want of room (status
+	// 503). The connection is closed after it.
 	ErrorResponse func(status int) []byte
+	// Door accounts for what the connections hold. Nil means no account.
+	Door *governor.Door
+	// BodyHeld is how many bytes of a request body the handler holds at most.
+	BodyHeld int
+	// BodyTimeout bounds the time from the end of a header to the end of the body.
+	// Zero means that the handler bounds it.
+	BodyTimeout time.Duration
 
 	limits atomic.Pointer[sycamorerun.Limits]
 	mutex  sync.Mutex
@@ -30,7 +40,7 @@
 
 // New returns a Listener without limits.
 func New() *Listener {
-	l := &Listener{conns: map[*conn]struct{}{}}
+	l := &Listener{ErrorResponse: plainResponse, BodyHeld: defaultBodyHeld, conns: map[*conn]struct{}{}}
 	l.limits.Store(&sycamorerun.Limits{})
 	return l
 }
@@ -67,6 +77,9 @@
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.handled.Store(true)
 		}
+		if l.BodyTimeout > 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.BodyTimeout))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -81,9 +94,13 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.enterPhase(time.Now(), serving, *l.limits.Load())
+		now := time.Now()
+		c.enterPhase(now, serving, *l.limits.Load())
+		c.hold(func(h *governor.Holder) { h.Begin(now) })
 	case http.StateIdle:
-		c.enterPhase(time.Now(), idle, *l.limits.Load())
+		now := time.Now()
+		c.enterPhase(now, idle, *l.limits.Load())
+		c.hold(func(h *governor.Holder) { h.End(now) })
 	}
 }
 
@@ -103,14 +120,33 @@
 }
 
 func (l *Listener) add(inner net.Conn) *conn {
+	now := time.Now()
 	c := &conn{Conn: inner, listener: l, firstRequest: true}
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	l.conns[c] = struct{}{}
-	c.enterPhase(time.Now(), readingHeader, *l.limits.Load())
+	c.enterPhase(now, readingHeader, *l.limits.Load())
+	l.mutex.Unlock()
+	if l.Door != nil {
+		c.holder = l.Door.Open(now, remoteAddress(inner), c.evict)
+	}
 	return c
 }
 
+// remoteAddress returns the address of the caller, or the zero address if it has
+// none.
+func remoteAddress(inner net.Conn) netip.Addr {
+	remote, err := netip.ParseAddrPort(inner.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return remote.Addr().Unmap()
+}
+
+// plainResponse is the ErrorResponse of a new Listener.
+func plainResponse(status int) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+}
+
 func (l *Listener) remove(c *conn) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -23,6 +23,7 @@
 	"sycamorerun/node/deduplicator"
 	"sycamorerun/node/distributor"
 	"sycamorerun/node/forwarder"
+	"sycamorerun/node/governor"
 	"sycamorerun/node/manager"
 	"sycamorerun/node/planner"
 	"sycamorerun/node/rationer"
@@ -90,6 +91,7 @@
 	keys                           *deduplicator.Exchanger
 	rationer                       *rationer.Rationer
 	publisher                      *publisher
+	governor                       *governor.Governor
 }
 
 // newNode returns a wired node that starts at now.
@@ -134,6 +136,8 @@
 			n.calls.forwarder.Contract.Key = ""
 		}
 	}
+	n.governor = n.newGovernor()
+	n.calls.listener.Door = n.governor.Door("callers", 0, 0)
 	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.calls.balancer.Scope = scope.SubScope("balancer")
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -30,7 +30,7 @@
 			AvailabilityZone: n.self.AvailabilityZone, Region: n.self.Region,
 		},
 		// All calls have ended by then, so only streams without a call are left.
-		Limits: connector.Limits{Drain: leaveTimeout},
+		Limits: connector.Limits{Drain: leaveTimeout, Handshakes: n.settings.maxHandshakes()},
 		TLS:    security, Listen: n.settings.peerListenAddress(), Handlers: n.streamHandlers(), Logger: n.logger, Scope: n.scope,
 	}
 }
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -18,6 +18,7 @@
 	"sycamorerun/meter"
 	"sycamorerun/node/distributor"
 	"sycamorerun/node/forwarder"
+	"sycamorerun/node/listener"
 	"sycamorerun/node/manager"
 	"sycamorerun/persister"
 )
@@ -122,9 +123,7 @@
 			}
 		})
 	}
-	operators := &http.Server{
-		Addr: n.settings.Operators.String(), Handler: n.manager.Handler(), ReadHeaderTimeout: headerTimeout,
-	}
+	operators := &http.Server{Addr: n.settings.Operators.String(), Handler: n.manager.Handler()}
 	callers := callerServer(n.settings.Callers, n.calls, n.ready)
 	start("connector", n.connector.Run)
 	start("tracker", n.tracker.Run)
@@ -140,13 +139,13 @@
 	start("quotas", n.rationer.Run)
 	start("upstream", n.watchUpstream)
 	start("settings", n.applyUpdates(n.updates))
-	start("operators", serve(operators))
+	start("operators", n.serveDoor("operators", operators, func(l *listener.Listener) { l.BodyHeld = operatorBody }))
 	start("callers", serveWrapped(callers, n.calls.listener.Wrap))
 	for address, handler := range n.handlers {
-		start("handler", serve(&http.Server{
-			Addr: address.String(), Handler: handler(n.api()), ReadHeaderTimeout: headerTimeout,
-		}))
+		server := &http.Server{Addr: address.String(), Handler: handler(n.api())}
+		start("handler", n.serveDoor("handlers", server, func(l *listener.Listener) { l.BodyTimeout = doorBody }))
 	}
+	start("governor", n.watchGovernor)
 	start("bootstrap", n.bootstrap)
 	level.Info(n.logger).Log("msg", "node started", "callers", n.settings.Callers, "peers", n.settings.Peers, "operators", n.settings.Operators)
 
@@ -190,14 +189,9 @@
 	return err
 }
 
-// serve returns a function that runs an HTTP server until the server is shut down.
-// It closes the server immediately when its context ends, which happens if another
-// component fails.
-func serve(server *http.Server) func(context.Context) error {
-	return serveWrapped(server, func(listener net.Listener) net.Listener { return listener })
-}
-
-// serveWrapped is serve with a listener that wrap returns.
+// serveWrapped returns a function that runs an HTTP server on a listener that wrap
+// returns, until the server is shut down. It closes the server immediately when its
+// context ends, which happens if another component fails.
 func serveWrapped(server *http.Server, wrap func(net.Listener) net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		defer context.AfterFunc(ctx, func() { _ = server.Close() })()
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -64,7 +64,11 @@
 	MaxBody       int
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
-	LogLevel      string
+	// Memory is the memory of the machine in MB, Descriptors the number of descriptors
+	// that the process may open. Zero means unknown.
+	Memory      int
+	Descriptors int
+	LogLevel    string
 }
 
 // Register adds the settings to l.
@@ -105,6 +109,8 @@
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, parser.MaxBodyBytes), "maximum size of a request body in bytes; a limit in the configuration takes precedence", loader.Reloadable)
 	loader.Add(l, &s.HeaderTimeout, "header-timeout", "10s", loader.Duration(time.Millisecond, parser.MaxWait), "maximum time to receive a request header; a limit in the configuration takes precedence", loader.Reloadable)
 	loader.Add(l, &s.IdleTimeout, "idle-timeout", "2m", loader.Duration(time.Millisecond, parser.MaxIdle), "time after which an idle caller connection is closed; a limit in the configuration takes precedence", loader.Reloadable)
+	loader.Add(l, &s.Memory, "memory", "0", loader.Int(0, 1<<20), "memory of the machine in MB; callers' connections hold at most a quarter of it, beyond which the costliest are closed; 0 sets no bound")
+	loader.Add(l, &s.Descriptors, "descriptors", "0", loader.Int(0, 1<<20), "descriptors that the process may open; callers' connections use at most three quarters of them but for 32, beyond which the least active are closed; 0 sets no bound")
 	loader.Add(l, &s.LogLevel, "log-level", "info", loader.Choice("debug", "info", "warn", "error"), "minimum level of logged messages", loader.Reloadable)
 	l.AddFile()
 	l.Check(s.checkTLS)
