rationer: count the requests refused before into Retry-After

The owner adds the time that the account needs for what it refused in the last second. It does not keep the account closed for that time.

--- a/node/rationer/lender.go
+++ b/node/rationer/lender.go
@@ -63,7 +63,8 @@
 	answeredAt time.Time
 }
 
-// closure says that nothing may be admitted without a token.
+// closure says that nothing may be admitted without a token until a time. From room on,
+// the account is expected to have room for a caller that was refused.
 type closure struct {
 	room, until time.Time
 }
@@ -217,9 +218,10 @@
 	}
 	g.closed = map[string]closure{}
 	for i, name := range answer.GetClosed() {
-		if i < len(answer.GetRoomMs()) {
+		if i < min(len(answer.GetRoomMs()), len(answer.GetBacklogMs())) {
 			room := now.Add(time.Duration(answer.GetRoomMs()[i]) * time.Millisecond)
-			g.closed[name] = closure{room: room, until: room.Add(closureGrace)}
+			backlog := time.Duration(answer.GetBacklogMs()[i]) * time.Millisecond
+			g.closed[name] = closure{room: room.Add(backlog), until: room.Add(closureGrace)}
 		}
 	}
 	g.inFlight, g.answered = false, true
