rationer: pause between candidates that fail at once

A node that reaches nobody turned to the next candidate without a pause, so that dials that fail at once, as while the connector backs off, kept a core busy. TestOwnerFails fails without the change.

--- a/node/rationer/lender.go
+++ b/node/rationer/lender.go
@@ -253,6 +253,8 @@
 	if !now.Before(g.takeBack) {
 		g.failed[owner] = now
 		l.follow(now, g, g.preferred(now))
+		// Candidates that can't be reached may fail at once.
+		g.sentAt = now
 	}
 }
 
--- a/node/rationer/owner_test.go
+++ b/node/rationer/owner_test.go
@@ -106,8 +106,9 @@
 	is.True(report.GetLeaseMs() > 0)
 }
 
-// TestOwnerFails guards against a share that is used by the node before the lease has
-// ended, and against a node that stays with an owner that does not answer.
+// TestOwnerFails guards against a share that is lent to another owner before the lease
+// has ended, against a node that stays with an owner that does not answer, and against
+// reports without a pause while all candidates fail at once.
 func TestOwnerFails(t *testing.T) {
 	is := is.New(t)
 	members := []string{"a", "b", "c", "n000"}
@@ -119,7 +120,7 @@
 	_, report, _ := ledger.Due(now, 0)
 	ledger.Answered(now, 0, candidates[0], &Answer{Epoch: 1})
 	end := now.Add(time.Duration(report.GetLeaseMs())*time.Millisecond + leaseMargin)
-	asked := map[string]bool{}
+	asked, reports := map[string]bool{}, 0
 	for ; now.Before(end.Add(2 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		owner, _, ok := ledger.Due(now, 0)
 		if !ok {
@@ -127,7 +128,9 @@
 		}
 		is.True(owner == candidates[0] || !now.Before(end))
 		asked[owner] = true
+		reports++
 		ledger.Failed(now, 0, owner)
 	}
+	is.True(reports <= int(now.Sub(modelStart.Add(time.Minute))/reportPeriod)+1)
 	is.True(asked[candidates[1]])
 }
