listener: close an evicted connection at once

Cause: a connection that was ended for its descriptor kept it for another half second, in which the rest of its request was discarded.

--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -228,17 +228,23 @@
 }
 
 // reject sends the error response for the status, then discards further data
-// for up to rejectTimeout.
+// for up to rejectTimeout. An evicted connection is closed at once: its descriptor is
+// needed.
 func (c *conn) reject(status int) error {
 	// After an error of this type, net/http closes the connection without sending
 	// a response.
 	opErr := &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeaderRejected}
 	c.mutex.Lock()
 	c.rejectErr = opErr
+	evicted := c.evicted
 	c.mutex.Unlock()
 	deadline := time.Now().Add(rejectTimeout)
 	_ = c.Conn.SetDeadline(deadline)
-	if _, err := c.Conn.Write(c.listener.ErrorResponse(status)); err == nil && c.halfClose() == nil {
+	_, err := c.Conn.Write(c.listener.ErrorResponse(status))
+	switch {
+	case evicted:
+		_ = c.Conn.Close()
+	case err == nil && c.halfClose() == nil:
 		c.discard()
 	}
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
@@ -250,6 +256,9 @@
 // the meantime, since many callers look for a response only after sending
 // everything.
 func (c *conn) CloseWrite() error {
+	if c.isEvicted() {
+		return c.Conn.Close()
+	}
 	err := c.halfClose()
 	if err == nil {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(rejectTimeout))
@@ -289,5 +298,5 @@
 func (c *conn) unhandled() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.phase == serving && !c.http2 && c.rejectErr == nil && !c.handled.Load()
+	return c.phase == serving && !c.http2 && !c.evicted && c.rejectErr == nil && !c.handled.Load()
 }
