rationer: take the backlog out of Retry-After again

Callers who were told to wait for the requests refused before returned late and took the room of those who had just arrived.

--- a/node/rationer/ledger.go
+++ b/node/rationer/ledger.go
@@ -247,9 +247,8 @@
 
 func (l *Ledger) settled(now time.Time) bool { return !now.Before(l.settledAt()) }
 
-// retryAfter returns the time until the account has room for the callers that were
-// refused before, with a random part of the same length, so that they do not return at
-// one moment.
+// retryAfter returns the time until the account has room, with a random part of the
+// same length, so that its callers do not return at one moment.
 func (l *Ledger) retryAfter(now time.Time, g *lender, account string, limit limit) time.Duration {
 	wait := minRetryAfter
 	if c, ok := g.closedUntil(now, account); ok {
--- a/node/rationer/lender.go
+++ b/node/rationer/lender.go
@@ -63,8 +63,7 @@
 	answeredAt time.Time
 }
 
-// closure says that nothing may be admitted without a token until a time. From room on,
-// the account is expected to have room for a caller that was refused.
+// closure says that nothing may be admitted without a token.
 type closure struct {
 	room, until time.Time
 }
@@ -218,10 +217,9 @@
 	}
 	g.closed = map[string]closure{}
 	for i, name := range answer.GetClosed() {
-		if i < min(len(answer.GetRoomMs()), len(answer.GetBacklogMs())) {
+		if i < len(answer.GetRoomMs()) {
 			room := now.Add(time.Duration(answer.GetRoomMs()[i]) * time.Millisecond)
-			backlog := time.Duration(answer.GetBacklogMs()[i]) * time.Millisecond
-			g.closed[name] = closure{room: room.Add(backlog), until: room.Add(closureGrace)}
+			g.closed[name] = closure{room: room, until: room.Add(closureGrace)}
 		}
 	}
 	g.inFlight, g.answered = false, true
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -391,7 +391,5 @@
 		wait := time.Duration(missing / max(limit.rate*g.share, minRate) * float64(time.Second))
 		answer.Closed = append(answer.Closed, name)
 		answer.RoomMs = append(answer.RoomMs, uint32(min(maxWait, wait).Milliseconds()))
-		backlog := time.Duration(max(0, b.demand/limit.rate-1) * float64(rateTime))
-		answer.BacklogMs = append(answer.BacklogMs, uint32(min(maxWait, backlog).Milliseconds()))
 	}
 }
