node, platform: publish the release of each upstream

Cause: a rollout needs to know which release every upstream runs; the announcement's field was checked and then dropped.

The announcement, the advertisement and the membership record carry the release. A record without one (from an earlier build) decodes as before.

Tests of node/tracker, node/announcer, node/runner and platform pass.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -63,6 +63,8 @@
 	Address netip.AddrPort
 	State   sycamorerun.State
 	Slots   int
+	// Release is the release of the upstream's software, or empty.
+	Release string
 	// Warmup is the remaining time of the slow start.
 	Warmup   time.Duration
 	Sequence uint64
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -202,7 +202,7 @@
 	}
 	n.lastRefresh = now
 	upstream, ok := n.calls.upstream.announcer.Current()
-	next := advertisement{upstream.Service, upstream.State, upstream.Slots}
+	next := advertisement{upstream.Service, upstream.State, upstream.Slots, upstream.Release}
 	if !ok {
 		// The node remains a member without an upstream.
 		next.state = sycamorerun.StateNone
@@ -222,7 +222,7 @@
 	// attract calls that are then refused.
 	next.state = n.advertisedState(next.state)
 	if next != n.advertised {
-		level.Info(n.logger).Log("msg", "upstream advertisement changed", "upstream", upstream.ID, "service", next.service, "state", next.state, "slots", next.slots)
+		level.Info(n.logger).Log("msg", "upstream advertisement changed", "upstream", upstream.ID, "service", next.service, "state", next.state, "slots", next.slots, "release", next.release)
 		n.advertised = next
 	}
 	n.publisher.setDesired(next)
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -52,7 +52,7 @@
 		Now: time.Now, Logger: n.logger, Scope: n.scope,
 	}
 	n.publisher = &publisher{
-		publish:      func(p advertisement) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots) },
+		publish:      func(p advertisement) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots, p.release) },
 		join:         n.acquireKeys,
 		keysDisabled: !n.settings.Keys,
 		leave: func() {
--- a/node/runner/publisher.go
+++ b/node/runner/publisher.go
@@ -12,6 +12,7 @@
 	service string
 	state   sycamorerun.State
 	slots   int
+	release string
 }
 
 func (a advertisement) serving() bool { return sycamorerun.Instance{State: a.state}.Serving() }
--- a/node/runner/publisher_test.go
+++ b/node/runner/publisher_test.go
@@ -73,7 +73,7 @@
 	never := func() { t.Error("keys are transferred although they are disabled") }
 	n.publisher.join, n.publisher.leave = never, never
 	for _, state := range []sycamorerun.State{sycamorerun.StateReady, sycamorerun.StateDraining, sycamorerun.StateCold, sycamorerun.StateNone} {
-		n.publisher.setDesired(advertisement{"s", state, 1})
+		n.publisher.setDesired(advertisement{"s", state, 1, ""})
 		is.Equal(n.state(), state)
 	}
 	is.Equal(n.calls.forwarder.Contract.Key, "")
--- a/node/tracker/codec.go
+++ b/node/tracker/codec.go
@@ -51,6 +51,7 @@
 		Service:          r.Service,
 		State:            uint32(slices.Index(wireStates, r.State)),
 		Slots:            uint32(r.Slots),
+		Release:          r.Release,
 		Distance:         int32(r.Distance),
 		SinceAgeMilli:    milliseconds(now.Sub(r.Since)),
 		Suspected:        r.suspected(),
@@ -88,6 +89,7 @@
 			Service:          intern(message.GetService()),
 			State:            wireStates[message.GetState()],
 			Slots:            int(message.GetSlots()),
+			Release:          intern(message.GetRelease()),
 			Distance:         int(message.GetDistance()),
 			Since:            timeOfAge(now, message.GetSinceAgeMilli(), maxStateAge),
 		},
@@ -114,6 +116,8 @@
 	switch {
 	case len(message.GetService()) > maxNameBytes:
 		return errors.Errorf("record of %q has a service name of %d bytes, which exceeds the limit", message.GetName(), len(message.GetService()))
+	case len(message.GetRelease()) > maxNameBytes:
+		return errors.Errorf("record of %q has a release of %d bytes, which exceeds the limit", message.GetName(), len(message.GetRelease()))
 	case int(message.GetState()) >= len(wireStates):
 		return errors.Errorf("record of %q has unknown state %d", message.GetName(), message.GetState())
 	case !sycamorerun.Incarnation(message.GetIncarnation()).Valid():
--- a/node/tracker/property_test.go
+++ b/node/tracker/property_test.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		if p.announced.Service != "" {
-			p.table.announce(s.now, p.announced.Service, p.announced.State, p.announced.Slots)
+			p.table.announce(s.now, p.announced.Service, p.announced.State, p.announced.Slots, p.announced.Release)
 		}
 		p.table.tick(s.now)
 		s.flood(p, nil)
--- a/node/tracker/self.go
+++ b/node/tracker/self.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"strings"
 	"time"
 
 	"sycamorerun"
@@ -37,7 +38,7 @@
 
 // announce applies an announcement of the local upstream and reports whether
 // the record changed.
-func (t *table) announce(now time.Time, service string, state sycamorerun.State, slots int) bool {
+func (t *table) announce(now time.Time, service string, state sycamorerun.State, slots int, release string) bool {
 	old := t.records[t.self.name]
 	if old.State == sycamorerun.StateLeft {
 		return false
@@ -45,10 +46,11 @@
 	t.self.announced = now
 	// Peers reject a record with more slots.
 	slots = min(slots, sycamorerun.MaxSlots)
-	if old.Service == service && old.State == state && old.Slots == slots {
+	release = strings.ToValidUTF8(release[:min(len(release), maxNameBytes)], "")
+	if old.Service == service && old.State == state && old.Slots == slots && old.Release == release {
 		return false
 	}
-	t.updateSelf(now, func(r *record) { r.Service, r.State, r.Slots = service, state, slots })
+	t.updateSelf(now, func(r *record) { r.Service, r.State, r.Slots, r.Release = service, state, slots, release })
 	return true
 }
 
--- a/node/tracker/table_test.go
+++ b/node/tracker/table_test.go
@@ -168,15 +168,15 @@
 		table.tick(at(seconds))
 		return table.records["node-0000"].State
 	}
-	is.True(table.announce(start, "quote-desk", sycamorerun.StateReady, 6))
-	is.True(!table.announce(at(4), "quote-desk", sycamorerun.StateReady, 6))
+	is.True(table.announce(start, "quote-desk", sycamorerun.StateReady, 6, ""))
+	is.True(!table.announce(at(4), "quote-desk", sycamorerun.StateReady, 6, ""))
 	is.Equal(state(8.9), sycamorerun.StateReady)
 	is.Equal(state(9), sycamorerun.StateDraining)
 	is.Equal(state(13.9), sycamorerun.StateDraining)
 	is.Equal(state(14), sycamorerun.StateNone)
-	is.True(table.announce(at(20), "quote-desk", sycamorerun.StateReady, 6))
+	is.True(table.announce(at(20), "quote-desk", sycamorerun.StateReady, 6, ""))
 	table.leave(at(21))
-	is.True(!table.announce(at(22), "quote-desk", sycamorerun.StateReady, 6))
+	is.True(!table.announce(at(22), "quote-desk", sycamorerun.StateReady, 6, ""))
 	is.Equal(state(60), sycamorerun.StateLeft)
 }
 
@@ -348,7 +348,7 @@
 	is := is.New(t)
 	for _, slots := range []int{1, sycamorerun.MaxSlots, sycamorerun.MaxSlots + 1, 1 << 32, 1<<32 + 1, 1 << 53} {
 		table := newTable(start, instance(0, "a1"), defaultTiming.suspicionTimeout)
-		table.announce(start, "s", sycamorerun.StateReady, slots)
+		table.announce(start, "s", sycamorerun.StateReady, slots, "")
 		sent, err := decode(start, encode(start, table.records["node-0000"]))
 		is.NoErr(err)
 		is.Equal(sent.Slots, min(slots, sycamorerun.MaxSlots))
--- a/node/tracker/tracker.go
+++ b/node/tracker/tracker.go
@@ -135,11 +135,11 @@
 
 // Announce sets the local upstream's service, state and slots. It has to be
 // repeated within 5 s.
-func (t *Tracker) Announce(now time.Time, service string, state sycamorerun.State, slots int) {
+func (t *Tracker) Announce(now time.Time, service string, state sycamorerun.State, slots int, release string) {
 	t.setup()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.announce(now, service, state, slots)
+	t.table.announce(now, service, state, slots, release)
 	t.flood(nil)
 }
 
--- a/node/tracker/tracker_test.go
+++ b/node/tracker/tracker_test.go
@@ -188,7 +188,7 @@
 	f := newFabric(t)
 	trackers, _ := f.startFleet(18, "a1", "a2", "b1")
 	leaver := trackers[7]
-	leaver.Announce(time.Now(), "quote-desk", sycamorerun.StateReady, 6)
+	leaver.Announce(time.Now(), "quote-desk", sycamorerun.StateReady, 6, "")
 	f.waitAll("each node has the announced state", trackers, func(t *Tracker) bool {
 		return find(t, leaver.Self.Name).State == sycamorerun.StateReady
 	})
