runner: let calls pass the rollout gate

The gate, the decider and the reports have to be wired into a node, and take effect only where a site bounds the share of exposed calls.

Adds the setting rollout-share (0: no rollouts). The balancer can pick among a part of the instances.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -115,7 +115,11 @@
 // Pick chooses an instance and counts a call in flight there until Observe is
 // called for it. It reports false if no instance can be picked.
 func (b *Balancer) Pick(now time.Time, query Query) (sycamorerun.Instance, bool) {
-	instances := b.Instances(query.Service)
+	return b.PickAmong(now, query, b.Instances(query.Service))
+}
+
+// PickAmong is Pick with a subset of the service's instances.
+func (b *Balancer) PickAmong(now time.Time, query Query, instances []sycamorerun.Instance) (sycamorerun.Instance, bool) {
 	warmup := b.Warmup(query.Service)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -9,6 +9,9 @@
 	"sycamorerun/node/requester"
 )
 
+// ReasonCanceled is the reason of a call whose caller has left.
+const ReasonCanceled = "canceled"
+
 // Values of the header Sycamorerun-Reason.
 const (
 	reasonNoRoute         = "no-route"
@@ -36,7 +39,7 @@
 	reasonDeadlineExceeded   = "deadline"
 	reasonIdle               = "idle"
 	reasonStopping           = "stopping"
-	reasonCanceled           = "canceled"
+	reasonCanceled           = ReasonCanceled
 	reasonPeerLost           = "peer-lost"
 	reasonUpstreamBroken     = "upstream-broken"
 	reasonResponseIncomplete = "response-incomplete"
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -28,6 +28,7 @@
 	"sycamorerun/node/planner"
 	"sycamorerun/node/rationer"
 	"sycamorerun/node/recorder"
+	"sycamorerun/node/releaser"
 	"sycamorerun/node/reporter"
 	"sycamorerun/node/router"
 	"sycamorerun/node/seeder"
@@ -92,6 +93,8 @@
 	rationer                       *rationer.Rationer
 	publisher                      *publisher
 	governor                       *governor.Governor
+	// rollouts is nil if there are none.
+	rollouts *rollouts
 }
 
 // newNode returns a wired node that starts at now.
@@ -149,6 +152,7 @@
 	n.wireQuotas(now)
 	n.wireDistribution()
 	n.wireAcceptance()
+	n.wireRollouts(now, r)
 	n.wireConnector(tlsConfig)
 	n.wireManager(metrics)
 	n.calls.forwarder.Open = n.connector.Open
@@ -304,7 +308,7 @@
 
 // streamHandlers returns the handlers of the streams that peers can open, by kind.
 func (n *node) streamHandlers() map[string]connector.Handler {
-	return map[string]connector.Handler{
+	handlers := map[string]connector.Handler{
 		kindTracker: func(ctx context.Context, from connector.Peer, stream net.Conn) {
 			n.tracker.Serve(ctx, from.Name, stream)
 		},
@@ -324,4 +328,10 @@
 			n.calls.forwarder.ServeQuery(ctx, stream)
 		},
 	}
+	if n.rollouts != nil {
+		handlers[releaser.Kind] = func(ctx context.Context, _ connector.Peer, stream net.Conn) {
+			n.rollouts.keeper.Serve(ctx, stream)
+		}
+	}
+	return handlers
 }
--- a/node/runner/runner.go
+++ b/node/runner/runner.go
@@ -20,6 +20,7 @@
 	"sycamorerun/node/forwarder"
 	"sycamorerun/node/listener"
 	"sycamorerun/node/manager"
+	"sycamorerun/node/releaser"
 	"sycamorerun/persister"
 )
 
@@ -59,6 +60,9 @@
 	// ServiceName returns the name in the configuration of the service in the
 	// settings. If it is nil, both names are the same.
 	ServiceName func(string) string
+	// Rollouts gives access to the operators' rollout orders. If it is nil, or the
+	// setting rollout-share is zero, upstreams of all releases are served alike.
+	Rollouts *releaser.Orders
 	// Handlers holds the constructors of handlers for additional listen addresses.
 	Handlers map[netip.AddrPort]func(API) http.Handler
 
@@ -133,6 +137,10 @@
 	}
 	start("distributor", n.distributor.Run)
 	start("acceptor", n.acceptor.Run)
+	if n.rollouts != nil {
+		start("rollouts", n.rollouts.keeper.Run)
+		start("rollout reports", n.rollouts.exchanger.Run)
+	}
 	if n.settings.Keys {
 		start("keys", n.keys.Run)
 	}
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -58,6 +58,10 @@
 	QuotaOverage float64
 	QuotaSlack   float64
 
+	// RolloutShare is the bound on the share of a service's calls that go to a
+	// release that is tried. Zero disables rollouts.
+	RolloutShare float64
+
 	// MaxHeader, MaxBody, HeaderTimeout and IdleTimeout are the limits for
 	// callers that apply where the configuration sets none.
 	MaxHeader     int
@@ -104,6 +108,7 @@
 	loader.Add(l, &s.QuotaWindow, "quota-window", "5s", loader.Duration(time.Second, 10*time.Minute), "sliding window in which the requests of an account are counted")
 	loader.Add(l, &s.QuotaOverage, "quota-overage", "0", loader.Float(0, 10), "part by which the fleet may exceed the rate and burst of an account in a window")
 	loader.Add(l, &s.QuotaSlack, "quota-slack", "0", loader.Float(0, 1e6), "additional requests of an account per window and fleet beyond its rate, burst and overage")
+	loader.Add(l, &s.RolloutShare, "rollout-share", "0", loader.Float(0, 0.5), "maximum share of a service's calls that go to a release while it is tried; 0 means that releases are not tried, and that upstreams of all releases are served alike")
 	loader.Add(l, &s.AnnouncePeriod, "announce-period", "1500ms", loader.Duration(100*time.Millisecond, time.Minute), "expected time between two announcements of the upstream; after three periods without one, the upstream becomes unavailable", loader.Reloadable)
 	loader.Add(l, &s.MaxHeader, "max-header", "65536", loader.Int(1024, parser.MaxHeaderBytes), "maximum size of a request header in bytes; a limit in the configuration takes precedence", loader.Reloadable)
 	loader.Add(l, &s.MaxBody, "max-body", "1073741824", loader.Int(0, parser.MaxBodyBytes), "maximum size of a request body in bytes; a limit in the configuration takes precedence", loader.Reloadable)
