releaser: read the orders while a service has an unknown release

While a service has had a second release without an order for less than 4 s, the decider reads the orders every 0.5 s. Reads are serialized, since of two concurrent ones the older could take effect last.

--- a/node/releaser/decider.go
+++ b/node/releaser/decider.go
@@ -618,3 +618,19 @@
 	slices.Sort(services)
 	return services
 }
+
+// unknown reports whether a service has got another release a short time ago for
+// which there is no order.
+func (d *Decider) unknown(now time.Time) bool {
+	for service, k := range d.releases {
+		if _, ordered := d.rollouts[service]; ordered || len(k.seen) < 2 {
+			continue
+		}
+		for _, seen := range k.seen {
+			if now.Sub(seen) < 2*approveDelay {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/node/releaser/gate_test.go
+++ b/node/releaser/gate_test.go
@@ -136,3 +136,17 @@
 		})
 	}
 }
+
+// TestUnknownRelease guards against an order that is learned late, and against reads of
+// the orders that never end.
+func TestUnknownRelease(t *testing.T) {
+	is := is.New(t)
+	d := NewDecider(modelShare)
+	members := instances("v1", "v2")
+	d.SetOrders(start, nil)
+	d.decide(start, "s", members)
+	is.True(d.unknown(start))
+	is.True(!d.unknown(start.Add(2 * approveDelay)))
+	d.SetOrders(start, []Order{{Service: "s", ID: 7, Rollout: sycamorerun.Rollout{Release: "v2", Duration: sycamorerun.Duration(time.Minute)}}})
+	is.True(!d.unknown(start))
+}
--- a/node/releaser/keeper.go
+++ b/node/releaser/keeper.go
@@ -27,6 +27,9 @@
 	watchTimeout = 4 * time.Second
 	// progressInterval is the time between two log lines about a rollout in progress.
 	progressInterval = 2 * time.Second
+	// unknownPeriod is the time between two reads of the orders while a service has a
+	// new release without an order, since a watch may miss the order for seconds.
+	unknownPeriod = 500 * time.Millisecond
 	// minRetry and maxRetry bound the delay after a failed call.
 	minRetry = 100 * time.Millisecond
 	maxRetry = time.Second
@@ -51,12 +54,15 @@
 	Logger    log.Logger
 	Scope     tally.Scope
 
+	reading sync.Mutex
 	mutex   sync.Mutex
 	decider *Decider
 	writing map[string]bool
 	faults  map[string]uint64
 	// reported is the time of the last log lines about the progress.
 	reported time.Time
+	// reread is the time of the last read for a release without an order.
+	reread time.Time
 }
 
 // Run decides while this node is the decider, until ctx ends.
@@ -101,6 +107,10 @@
 			level.Info(k.Logger).Log("msg", "rollout in progress", "service", service, "evidence", decider.summary(service))
 		}
 	}
+	if now := time.Now(); now.Sub(k.reread) >= unknownPeriod && decider.unknown(now) {
+		k.reread = now
+		go func() { _, _ = k.read(ctx, decider) }()
+	}
 	for _, order := range decider.Unloaded() {
 		k.start(order.Service, func() { k.load(ctx, decider, order) })
 	}
@@ -270,6 +280,9 @@
 
 // read reads the orders and logs those that can't be carried out.
 func (k *Keeper) read(ctx context.Context, decider *Decider) (persister.Revision, error) {
+	// Of two concurrent reads the older could take effect last.
+	k.reading.Lock()
+	defer k.reading.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	orders, revision, err := k.Orders.List(ctx)
