pacer: pace large responses on the link, admit them by it

Cause: the machines of one service have links of 13 Mbit/s, and large responses fill the sockets' buffers there, so that small answers to nested calls wait behind them. Change: with the setting link-rate, a response that is not in memory is passed on in chunks of 5 ms of the link while no more than 10 ms of it are occupied, more urgent ranks first; a call with a large response is refused at once (link-full) if the link can't carry it within 0.4 of its objective.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -192,7 +192,7 @@
 	run := setSpeeds(now, all, kind)
 	applySlowdowns(now, all)
 	grouped := tieredCandidates{all: all}
-	refused := overloadReasons[query.LastReason]
+	refused := overloadReasons[query.LastReason] || linkReasons[query.LastReason]
 	var full []*candidate
 	options := farOptions{unlimited: true, share: b.sizes.lightness(sizeKey{query.Service, kind})}
 	for at := range all {
@@ -207,7 +207,7 @@
 		options.forbidden = options.forbidden || refused && tried && c.tier == farTier
 		switch {
 		case tried:
-		case c.stats.full(now, query.Rank):
+		case c.stats.full(now, kind):
 			full = append(full, c)
 		default:
 			c.pickable = true
--- a/node/balancer/balancer_test.go
+++ b/node/balancer/balancer_test.go
@@ -225,6 +225,7 @@
 		"shed":           {sycamorerun.NotRun, "shed", false},
 		"late in queue":  {sycamorerun.NotRun, "deadline", false},
 		"idle in queue":  {sycamorerun.NotRun, "idle", false},
+		"link full":      {sycamorerun.NotRun, "link-full", false},
 		"idle when run":  {sycamorerun.Unknown, "idle", true},
 		"not reached":    {sycamorerun.NotRun, "peer-unreachable", true},
 		"caller is gone": {sycamorerun.NotRun, "canceled", false},
@@ -259,6 +260,8 @@
 	}{
 		"full":                 {refused("queue-full", 200*ms, 4), 1, 4, 199 * ms, 200 * ms},
 		"busy":                 {refused("busy", 200*ms, 4), 1, 8, 199 * ms, 200 * ms},
+		"link full":            {refused("link-full", 200*ms, 4), 1, 4, 199 * ms, 200 * ms},
+		"link full for others": {refused("link-full", 200*ms, 8), 1, 9, -1, 0},
 		"full, time unknown":   {refused("queue-full", 0, 4), 1, 4, 49 * ms, 50 * ms},
 		"full for too long":    {refused("queue-full", time.Hour, 4), 1, 4, 999 * ms, time.Second},
 		"full for later ranks": {refused("queue-full", 200*ms, 8), 1, 4, -1, 0},
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -47,7 +47,10 @@
 var (
 	// An idle timeout of a call that did not run means that the call waited too
 	// long for a slot, or that the peer confirmed that it did not run the call.
-	overloadReasons    = map[string]bool{"queue-full": true, "connections-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
+	overloadReasons = map[string]bool{"queue-full": true, "connections-full": true, "shed": true, "deadline": true, "idle": true, "busy": true}
+	// linkReasons mean that the link of the instance's machine is full of large
+	// responses. Other kinds of calls are not affected.
+	linkReasons        = map[string]bool{"link-full": true}
 	unreachableReasons = map[string]bool{"peer-unreachable": true, "upstream-unreachable": true}
 	drainingReasons    = map[string]bool{"draining": true, "no-upstream": true, "stopping": true}
 	// neutralReasons are reasons caused by the caller or by the configuration. They
@@ -82,11 +85,15 @@
 	// fullRank.
 	fullUntil time.Time
 	fullRank  int
+	// linkFullUntil is the time at which the link of the instance's machine is expected
+	// to have capacity for responses to calls of linkFullKind.
+	linkFullUntil time.Time
+	linkFullKind  callKind
 }
 
-// full reports whether the instance has reported that it takes no calls of rank yet.
-func (s *stats) full(now time.Time, rank int) bool {
-	return now.Before(s.fullUntil) && rank >= s.fullRank
+// full reports whether the instance has reported that it takes no calls of a kind yet.
+func (s *stats) full(now time.Time, kind callKind) bool {
+	return now.Before(s.fullUntil) && kind.rank >= s.fullRank || now.Before(s.linkFullUntil) && kind == s.linkFullKind
 }
 
 // observe records the outcome of an attempt at the instance.
@@ -105,6 +112,9 @@
 	case observation.Result == sycamorerun.NotRun && overloadReasons[observation.Reason]:
 		s.recordOverload(now)
 		s.fullUntil, s.fullRank = now.Add(min(cmp.Or(observation.After, defaultFullTime), maxFullTime)), observation.Rank
+	case observation.Result == sycamorerun.NotRun && linkReasons[observation.Reason]:
+		s.linkFullUntil = now.Add(min(cmp.Or(observation.After, defaultFullTime), maxFullTime))
+		s.linkFullKind = callKind{observation.Rank, observation.Objective}
 	case observation.Result == sycamorerun.NotRun && unreachableReasons[observation.Reason]:
 		s.recordUnreachable(now)
 	default:
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -161,9 +161,13 @@
 		if err != nil {
 			return nil, unknown(endReason(ctx, reasonResponseIncomplete))
 		}
+		f.Pacer.Record(c.match.sizeKind(), out.length)
 		return f.finishBuffered(out, data, finish), nil
 	default:
-		out.body = &upstreamBody{response: response, filterHeader: f.endToEndHeader, watchdog: watchdog, finish: finish}
+		out.body = &upstreamBody{
+			response: response, filterHeader: f.endToEndHeader, watchdog: watchdog, finish: finish,
+			recordSize: func(bytes int64) { f.Pacer.Record(c.match.sizeKind(), bytes) },
+		}
 		return out, nil
 	}
 }
@@ -186,7 +190,9 @@
 	filterHeader func(http.Header) http.Header
 	watchdog     *watchdog
 	finish       func(Completion)
+	recordSize   func(bytes int64)
 	buffer       []byte
+	bytes        int64
 }
 
 // Next implements bodySource.
@@ -198,9 +204,11 @@
 		n, err := b.response.Body.Read(b.buffer)
 		if n > 0 {
 			b.watchdog.recordProgress()
+			b.bytes += int64(n)
 			return b.buffer[:n], nil
 		}
 		if err == io.EOF {
+			b.recordSize(b.bytes)
 			b.finish(Completion{Result: sycamorerun.Answered})
 			return nil, io.EOF
 		}
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 
 	"sycamorerun"
 	"sycamorerun/node/estimator"
+	"sycamorerun/node/pacer"
 )
 
 // Stream kinds.
@@ -103,6 +104,9 @@
 	// Upstream sends requests to the upstream beside this node, see Transport.
 	Upstream http.RoundTripper
 
+	// Pacer paces large responses on the link of this machine.
+	Pacer *pacer.Pacer
+
 	// Now returns the current time.
 	Now func() time.Time
 	// BodyTimeout bounds the time in which a caller sends nothing of a body that
@@ -141,7 +145,7 @@
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
 		Charge:      func(time.Time, string) (time.Duration, bool) { return 0, true },
 		BodyTimeout: DefaultBodyTimeout, QueryTimeout: DefaultQueryTimeout, Grace: DefaultGrace,
-		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
+		Logger: log.NewNopLogger(), Scope: tally.NoopScope, Pacer: &pacer.Pacer{},
 	}
 	f.SetLimits(DefaultLimits)
 	f.refusals, f.upstreamTimes, f.answerTimes = newRefusalCache(), newUpstreamTimes(), estimator.New()
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -78,9 +78,10 @@
 	}
 	response := toResponse(out, data, inMemory)
 	response.Keep = keep
+	f.Pacer.Charge(f.Now(), len(data)+headerSize(out.header))
 	err := frames.send(&Frame{Kind: &Frame_Response{Response: response}})
 	if err == nil && !inMemory {
-		err = frames.sendBody(out.body.Next, out.body.Trailer, watchdog.recordProgress)
+		err = frames.sendBody(f.pace(ctx, c, out.body).Next, out.body.Trailer, watchdog.recordProgress)
 	}
 	return err == nil && keep
 }
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -169,6 +169,9 @@
 	var data []byte
 	var err error
 	inMemory := isInMemory(out.body)
+	if !inMemory {
+		out.body = f.pace(ctx, c, out.body)
+	}
 	if out.length >= 0 {
 		// The head is sent after the first bytes of a body of known length,
 		// since a failure can be reported only before the head.
@@ -189,6 +192,9 @@
 			err = context.Cause(ctx)
 		}
 		if err == nil && len(data) > 0 {
+			if inMemory {
+				f.Pacer.Charge(f.Now(), len(data))
+			}
 			_, err = w.Write(data)
 		}
 		// The server buffers the head and the first bytes of a response until
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -5,6 +5,7 @@
 
 	"sycamorerun"
 	"sycamorerun/node/estimator"
+	"sycamorerun/node/pacer"
 )
 
 // Match is the route of a request.
@@ -58,6 +59,11 @@
 	return estimator.Kind{Service: m.Service, Rank: m.Rank, Objective: m.Objective}
 }
 
+// sizeKind returns the kind of calls whose responses have about the same size.
+func (m Match) sizeKind() pacer.Kind {
+	return pacer.Kind{Service: m.Service, Rank: m.Rank, Objective: m.Objective}
+}
+
 // SlotRequest describes a call that requests a slot.
 type SlotRequest struct {
 	Rank      int
--- /dev/null
+++ b/node/pacer/pacer_test.go
@@ -0,0 +1,134 @@
+package pacer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func granted(t *turn) bool {
+	if t == nil {
+		return true
+	}
+	select {
+	case <-t.granted:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestPace guards against transfers that fill the buffers of the sockets, against a
+// transfer that is held back on a free link, and against small messages that don't
+// count.
+func TestPace(t *testing.T) {
+	cases := map[string]struct {
+		rate  float64
+		small int // bytes of small messages per millisecond
+		// least and most bound the bytes that transfers send in a second.
+		least, most int
+	}{
+		"13 Mbit/s":                         {13e6, 0, 1_500_000, 1_625_000},
+		"200 Mbit/s":                        {200e6, 0, 23_000_000, 25_000_000},
+		"13 Mbit/s, half is small messages": {13e6, 800, 700_000, 825_000},
+		"13 Mbit/s, small messages only":    {13e6, 1600, 0, 40_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Pacer{Rate: c.rate}
+			sent := 0
+			for ms := range 1000 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				p.Charge(now, c.small)
+				for p.delay(now) == 0 {
+					is.Equal(p.request(now, Transfer{}, p.Chunk()), nil)
+					sent += p.Chunk()
+				}
+			}
+			is.True(sent >= c.least && sent <= c.most)
+		})
+	}
+	is := is.New(t)
+	unused := &Pacer{Rate: 13e6}
+	is.Equal(unused.request(start, Transfer{}, unused.Chunk()), nil)
+	unknown := &Pacer{}
+	is.NoErr(unknown.Wait(context.Background(), start, Transfer{}, 1<<30))
+}
+
+// TestOrder guards against an urgent transfer that waits behind others, and against
+// younger transfers that overtake older ones.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	p := &Pacer{Rate: 8e6}
+	p.Charge(start, 1<<20)
+	young := p.request(start, Transfer{Rank: 4, Started: start.Add(time.Second)}, 1000)
+	old := p.request(start, Transfer{Rank: 4, Started: start}, 1000)
+	urgent := p.request(start, Transfer{Rank: 1, Started: start.Add(time.Second)}, 100_000)
+	gone := p.request(start, Transfer{Rank: 2, Started: start}, 1000)
+	p.withdraw(gone)
+	p.grant(start)
+	is.True(!granted(urgent))
+	p.grant(p.free)
+	is.True(granted(urgent) && !granted(old) && !granted(young) && !granted(gone))
+	p.grant(p.free)
+	is.True(granted(old) && granted(young) && !granted(gone))
+}
+
+// TestCanceled guards against a transfer that waits on for a call that has ended.
+func TestCanceled(t *testing.T) {
+	is := is.New(t)
+	p := &Pacer{Rate: 1}
+	p.Charge(time.Now(), 1<<20)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(p.Wait(ctx, time.Now(), Transfer{}, 1000) != nil)
+	is.Equal(len(p.waiting), 0)
+}
+
+// TestAdmit guards against more large responses than the link can carry in time, and
+// against the refusal of small ones, of the only one, or on a link of unknown rate.
+func TestAdmit(t *testing.T) {
+	export := Kind{Service: "exports", Rank: 4, Objective: 800 * time.Millisecond}
+	cases := map[string]struct {
+		rate  float64
+		kind  Kind
+		bytes int64
+		// admitted is the number of calls that are admitted at once, of 20.
+		admitted int
+	}{
+		"large, slow link":      {13e6, export, 90_000, 6},
+		"large, fast link":      {200e6, export, 90_000, 20},
+		"small, slow link":      {13e6, export, 5_000, 20},
+		"huge":                  {1e6, export, 10_000_000, 1},
+		"rate unknown":          {0, export, 90_000, 20},
+		"without objective":     {13e6, Kind{Service: "exports"}, 90_000, 20},
+		"nothing known of size": {13e6, export, 0, 20},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Pacer{Rate: c.rate}
+			if c.bytes > 0 {
+				p.Record(c.kind, c.bytes)
+			}
+			var release []func()
+			for range 20 {
+				sent, wait := p.Admit(c.kind)
+				is.Equal(sent == nil, wait > 0)
+				if sent != nil {
+					release = append(release, sent)
+				}
+			}
+			is.Equal(len(release), c.admitted)
+			for _, sent := range release {
+				sent()
+			}
+			is.Equal(p.admitted, 0.0)
+		})
+	}
+}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -16,6 +16,7 @@
 	"sycamorerun/node/identifier"
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/listener"
+	"sycamorerun/node/pacer"
 	"sycamorerun/node/retrier"
 	"sycamorerun/node/router"
 )
@@ -31,6 +32,9 @@
 	listener     *listener.Listener
 }
 
+// bitsPerMegabit converts the unit of the setting link-rate.
+const bitsPerMegabit = 1e6
+
 // setLimits applies the limits for callers to all requests that begin after the call.
 func (c *calls) setLimits(limits sycamorerun.Limits) {
 	c.forwarder.SetLimits(limits)
@@ -76,6 +80,7 @@
 
 	f := forwarder.New(settings.Name)
 	f.SetLimits(settings.limits())
+	f.Pacer.Rate = settings.LinkRate * bitsPerMegabit
 	c.listener = listener.New()
 	c.listener.ErrorResponse = f.RefuseHeader
 	c.listener.SetLimits(settings.limits())
@@ -112,8 +117,19 @@
 		if !c.upstream.admits(forwarder.ServiceOf(ctx)) {
 			return nil, forwarder.Rejection{Reason: limiter.Draining}
 		}
+		sent, wait := f.Pacer.Admit(pacer.Kind{Service: forwarder.ServiceOf(ctx), Rank: request.Rank, Objective: request.Objective})
+		if sent == nil {
+			return nil, forwarder.Rejection{Reason: pacer.Full, After: wait}
+		}
 		release, refusal := c.limiter.Acquire(ctx, now, limiter.Request(request))
-		return release, forwarder.Rejection(refusal)
+		if refusal.Reason != "" {
+			sent()
+			return nil, forwarder.Rejection(refusal)
+		}
+		return func() {
+			sent()
+			release()
+		}, forwarder.Rejection{}
 	}
 	f.Load = func(match forwarder.Match) *forwarder.Load {
 		load := c.limiter.Load()
--- a/node/runner/settings.go
+++ b/node/runner/settings.go
@@ -43,6 +43,9 @@
 	DrainDelay   time.Duration
 	StopTimeout  time.Duration
 
+	// LinkRate is the rate of the machine's link in Mbit/s; zero means unknown.
+	LinkRate float64
+
 	Keys           bool
 	KeyWindow      time.Duration
 	AnnouncePeriod time.Duration
@@ -96,6 +99,7 @@
 	loader.Add(l, &s.StartWait, "start-wait", "10s", loader.Duration(0, 10*time.Minute), "how long to wait for the newest version before logging a warning that the node is not ready yet")
 	loader.Add(l, &s.StopTimeout, "stop-timeout", "34s", loader.Duration(minStopTimeout, time.Hour), "time from SIGTERM until the process has ended; the supervisor must not kill it earlier", loader.Reloadable)
 	loader.Add(l, &s.DrainDelay, "drain-delay", "3s", loader.Duration(0, time.Minute), "how long a stopping node still accepts calls from peers, while they learn that it is leaving; at most a third of the time for calls before stop-timeout", loader.Reloadable)
+	loader.Add(l, &s.LinkRate, "link-rate", "0", loader.Float(0, 1e6), "rate of the machine's link in Mbit/s; large responses are paced under it, so that small ones don't wait behind them; 0 means unknown, and nothing is paced")
 	loader.Add(l, &s.Keys, "keys", "true", loader.Bool(), "whether a request with an idempotency key goes to the key's owner; if false, keys are not transferred and such a request is forwarded like any other")
 	loader.Add(l, &s.KeyWindow, "key-window", "10m", loader.Duration(time.Second, 24*time.Hour), "how long an idempotency key is remembered, and how long requests with a key of a lost process get the result unknown")
 	loader.Add(l, &s.RetryRatio, "retry-ratio", "-1", loader.Float(-1, 1), "maximum retries of the fleet as a fraction of a service's calls; a negative value selects the service's own setting")
