governor: open the members of a test crowd one after another

Cause: TestMemoryBound opened eight equal connections at the same time and expected the first to end.

The members now open a millisecond apart, so that the oldest is defined.

--- a/node/governor/governor_test.go
+++ b/node/governor/governor_test.go
@@ -56,8 +56,8 @@
 			single := open(d, start, caller)
 			single.Add(2 * mb)
 			var members []*connection
-			for range 8 {
-				c := open(d, start, crowd)
+			for number := range 8 {
+				c := open(d, start.Add(time.Duration(number)*time.Millisecond), crowd)
 				c.Add(mb / 2)
 				members = append(members, c)
 			}
