governor: don't delay a connection that has been ended

Cause: a connection that was ended by what it read itself, or while it waited for others to close, waited for up to a second for its own end. Meanwhile it kept its memory and delayed the others too.

Add tells only open connections to wait, and Await returns when the connection is ended. TestEndedConnectionsDoNotWait failed before in both cases, the second after 1.00 s; with the change 40 runs with -race passed.

--- a/node/governor/governor.go
+++ b/node/governor/governor.go
@@ -94,6 +94,8 @@
 	since time.Time
 	// busy is set while a request is in progress.
 	busy bool
+	// ended is closed when the connection is ended to make room.
+	ended chan struct{}
 }
 
 // Open accounts for a connection from source. It ends another one if there are too
@@ -105,7 +107,7 @@
 	if g.holders == nil {
 		g.holders, g.sources = map[*Holder]struct{}{}, map[netip.Addr]*usage{}
 	}
-	h := &Holder{door: d, source: source, evict: evict, since: now}
+	h := &Holder{door: d, source: source, evict: evict, since: now, ended: make(chan struct{})}
 	g.holders[h] = struct{}{}
 	if g.sources[source] == nil {
 		g.sources[source] = &usage{}
@@ -121,14 +123,16 @@
 }
 
 // Add accounts for further bytes, or for bytes that are no longer held. It reports
-// whether the connection has to call Await before it holds more.
+// whether the connection has to call Await before it holds more. One that has been
+// ended must not wait, since others wait until it has closed.
 func (h *Holder) Add(bytes int64) (wait bool) {
 	g := h.door.governor
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.change(h, bytes)
 	g.makeRoom()
-	return !g.hasRoom()
+	_, open := g.holders[h]
+	return open && !g.hasRoom()
 }
 
 // hasRoom reports whether what ended connections still hold fits beside the others.
@@ -140,7 +144,7 @@
 const maxDelay = time.Second
 
 // Await delays a connection that is about to hold more until those that have been ended
-// for its sake have closed.
+// for its sake have closed, or it is ended itself.
 func (h *Holder) Await() {
 	g := h.door.governor
 	timer := time.NewTimer(maxDelay)
@@ -158,6 +162,8 @@
 		}
 		select {
 		case <-room:
+		case <-h.ended:
+			return
 		case <-timer.C:
 			return
 		}
@@ -241,6 +247,7 @@
 	h.departing = h.bytes
 	g.departing += h.bytes
 	g.remove(h)
+	close(h.ended)
 	h.evict()
 	if g.Evicted != nil {
 		g.Evicted(h.door.name, bound)
--- a/node/governor/governor_test.go
+++ b/node/governor/governor_test.go
@@ -140,6 +140,44 @@
 	is.Equal(d.used, usage{})
 }
 
+// Guards against an ended connection that waits for its own end, which keeps what it
+// holds and delays all others.
+func TestEndedConnectionsDoNotWait(t *testing.T) {
+	const mb = 1 << 20
+	newDoor := func() *Door {
+		return (&Governor{Bytes: 5 * mb, Now: func() time.Time { return start }}).Door("callers", 0, 0)
+	}
+	tests := map[string]func(is *is.I){
+		"ended by what it adds itself": func(is *is.I) {
+			c := open(newDoor(), start, caller)
+			wait := c.Add(6 * mb)
+			is.True(c.ended && !wait)
+		},
+		"ended while it waits": func(is *is.I) {
+			d := newDoor()
+			largest, waiting, other := open(d, start, caller), open(d, start, caller), open(d, start, caller)
+			largest.Add(4 * mb)
+			waiting.Add(3 * mb)
+			is.True(largest.ended && !waiting.ended)
+			is.True(waiting.Add(1)) // until the largest has closed
+			done := make(chan struct{})
+			began := time.Now()
+			go func() {
+				defer close(done)
+				waiting.Await()
+			}()
+			time.Sleep(10 * time.Millisecond)
+			other.Add(2*mb + mb/2)
+			is.True(waiting.ended)
+			<-done
+			is.True(time.Since(began) < maxDelay)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { test(is.New(t)) })
+	}
+}
+
 // Guards against a log line for each ended connection of a crowd.
 func TestEpisodes(t *testing.T) {
 	is := is.New(t)
