governor: keep an account from falling below its connection

Cause: with HTTP/2 a response can still be written, or a handler run, when the last stream of the connection has been reset and End has dropped what the requests held. What they gave back afterwards was subtracted once more, so that the account was too low until the next request ended.

Add stops at the cost of the connection itself. TestLateRelease failed before.

--- a/node/governor/governor.go
+++ b/node/governor/governor.go
@@ -129,7 +129,8 @@
 	g := h.door.governor
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.change(h, bytes)
+	// With HTTP/2, bytes may be given back after End has dropped them.
+	g.change(h, max(bytes, connectionBytes-h.bytes))
 	g.makeRoom()
 	_, open := g.holders[h]
 	return open && !g.hasRoom()
--- a/node/governor/governor_test.go
+++ b/node/governor/governor_test.go
@@ -178,6 +178,23 @@
 	}
 }
 
+// Guards against an account that falls below what an open connection costs, when bytes
+// are given back after the request that held them has ended.
+func TestLateRelease(t *testing.T) {
+	is := is.New(t)
+	g := &Governor{Bytes: 1 << 20, Now: func() time.Time { return start }}
+	c := open(g.Door("callers", 0, 0), start, caller)
+	c.Begin(start)
+	c.Add(1 << 10)
+	c.End(start)
+	c.Add(-1 << 10)
+	bytes, _ := g.Held()
+	is.Equal(bytes, int64(connectionBytes))
+	c.Close()
+	bytes, _ = g.Held()
+	is.Equal(bytes, int64(0))
+}
+
 // Guards against a log line for each ended connection of a crowd.
 func TestEpisodes(t *testing.T) {
 	is := is.New(t)
