listener: charge a large response for its size and one stream of buffers

Cause: while a response was written, its connection was charged eight times the size of the write. A handler that writes its answer at once, as those of the operators do, was charged 32 MB for 4 MB, so that one answer with a large tree could end connections of callers, or its own, on a small machine.

The factor stands for the buffers of a stream that is passed on. It is now bounded by 256 KiB; writes of up to 36 KiB are charged as before.

--- a/node/listener/account.go
+++ b/node/listener/account.go
@@ -20,8 +20,10 @@
 	http2Factor  = 128
 	maxHTTP2Held = 8 << 20
 	// responseFactor is how much is held for a response while a part of it is written:
-	// further parts wait in the buffers of the stream that it comes from.
+	// further parts wait in the buffers of the stream that it comes from, which hold
+	// streamBytes at most.
 	responseFactor = 8
+	streamBytes    = 256 << 10
 )
 
 // hold calls use with the account of the connection, if there is one.
@@ -60,7 +62,7 @@
 	if c.holder == nil {
 		return c.Conn.Write(p)
 	}
-	held := int64(responseFactor * len(p))
+	held := int64(len(p) + min((responseFactor-1)*len(p), streamBytes))
 	c.holder.Add(held)
 	n, err := c.Conn.Write(p)
 	c.holder.Add(-held)
--- a/node/listener/listener_test.go
+++ b/node/listener/listener_test.go
@@ -19,6 +19,12 @@
 func serve(t *testing.T, limits sycamorerun.Limits, handler http.HandlerFunc) (*Listener, string) {
 	t.Helper()
 	l := New()
+	return l, serveOn(t, l, limits, handler)
+}
+
+// serveOn is serve with a Listener.
+func serveOn(t *testing.T, l *Listener, limits sycamorerun.Limits, handler http.HandlerFunc) (address string) {
+	t.Helper()
 	l.ErrorResponse = func(status int) []byte { return fmt.Appendf(nil, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n", status) }
 	l.SetLimits(limits)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -32,7 +38,7 @@
 		_ = server.Close()
 		l.waitEmpty(t, 5*time.Second)
 	})
-	return l, inner.Addr().String()
+	return inner.Addr().String()
 }
 
 // waitEmpty waits until no connection is tracked.
