listener: charge HTTP/2 requests for what they hold

Cause: each byte of an HTTP/2 connection was charged 128, up to 8 MiB, until no request was in progress on it. One that always has a request in progress, such as that of a busy gateway, was charged 8.4 MB after 500 requests with bodies of 16 KiB (1.1 MB without bodies), so that six of them filled a machine of 184 MB and were closed for want of room.

Frames are now told apart. Compressed fields are charged 128 a byte until the request reaches its handler, then the request for its fields and its handler until it has ended, and other frames for their bytes up to the flow-control window.

--- a/node/listener/account.go
+++ b/node/listener/account.go
@@ -14,11 +14,6 @@
 	// defaultBodyHeld is the BodyHeld of a new Listener: the buffer of a body that is
 	// sent on.
 	defaultBodyHeld = 64 << 10
-	// http2Factor is the most memory that a byte of HTTP/2 frames can cost, since one
-	// byte can stand for a header field that was sent before. maxHTTP2Held bounds the
-	// account of a connection, whose headers have a limit of their own.
-	http2Factor  = 128
-	maxHTTP2Held = 8 << 20
 	// responseFactor is how much is held for a response while a part of it is written:
 	// further parts wait in the buffers of the stream that it comes from, which hold
 	// streamBytes at most.
@@ -40,10 +35,12 @@
 	}
 	c.mutex.Lock()
 	var cost int
+	if c.firstRequest && !c.http2 {
+		c.frames.add(data) // whether these are frames is known after the first bytes
+	}
 	switch {
 	case c.http2:
-		cost = min(http2Factor*len(data), maxHTTP2Held-c.bodyHeld)
-		c.bodyHeld += cost
+		cost = c.frames.add(data)
 	case c.phase == serving:
 		cost = min(len(data), c.listener.BodyHeld-c.bodyHeld)
 		c.bodyHeld += cost
--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -79,6 +79,8 @@
 	holder *governor.Holder
 	// bodyHeld is how much of the body in progress is accounted for.
 	bodyHeld int
+	// frames is the account of HTTP/2 frames.
+	frames frames
 	// handled is set once the request has reached the handler.
 	handled atomic.Bool
 }
@@ -92,6 +94,9 @@
 	}
 	c.firstRequest = c.firstRequest && next == readingHeader
 	c.bodyHeld = 0
+	if next == idle {
+		c.frames.reset()
+	}
 	c.handled.Store(false)
 	switch {
 	case next == serving:
--- a/node/listener/listener.go
+++ b/node/listener/listener.go
@@ -76,6 +76,7 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.handled.Store(true)
+			defer c.accountStream(r)()
 		}
 		if l.BodyTimeout > 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.BodyTimeout))
