--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,15 +18,27 @@
 	"sycamorerun/node/manager"
 )
 
+// The ports of free addresses are below those that the kernel gives to outgoing
+// connections and to listeners without a port, which could take one before the test
+// listens on it.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // Guards against a node that hangs instead of returning an error if one of its
