limiter: fair shares of the slots among the accounts of a rank

An account that sends many times its usual filled the queue of an upstream, and the calls of all accounts of its rank were refused alike.

Within a rank the limiter now divides the slots by start-time fair queueing: an account whose served work is more than four mean run times ahead of the others, by its weight, gives way to their calls, also with its places in the queue. Without a shortage no account is ahead, and calls without an account are ordered as before.

--- a/node/limiter/limiter.go
+++ b/node/limiter/limiter.go
@@ -37,7 +37,8 @@
 	// Nested calls start before the others of their rank, since the outer call
 	// holds a slot while they wait.
 	Nested bool
-	// Account is the client account of the call; empty means none.
+	// Account is the client account of the call; empty means none. Accounts of one
+	// rank share the slots.
 	Account string
 	// BodyReceived is closed when the body of a streamed call has arrived. It is nil
 	// if the body is in memory.
@@ -83,6 +84,9 @@
 	// Now is the clock that decides which waiting calls have expired when a
 	// slot becomes free.
 	Now func() time.Time
+	// Weight returns the weight of an account's share of the slots, for example the
+	// rate that it has agreed on. Zero or less means the mean weight.
+	Weight func(account string) float64
 
 	mutex    sync.Mutex
 	limits   Limits
@@ -90,6 +94,7 @@
 	queue    queue
 	runTimes runTimes
 	fairness fairness
+	shares   shares
 	// transfers is the number of running calls whose bodies are being transferred.
 	transfers     int
 	transferTimes movingAverage
@@ -110,7 +115,7 @@
 
 // New returns a limiter that reads the time from the system clock.
 func New(limits Limits) *Limiter {
-	return &Limiter{Now: time.Now, limits: limits, running: map[*runningCall]struct{}{}}
+	return &Limiter{Now: time.Now, Weight: func(string) float64 { return 0 }, limits: limits, running: map[*runningCall]struct{}{}}
 }
 
 // Acquire waits for a slot. It returns a function that releases the slot, or the
@@ -162,6 +167,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	w.late = l.missesObjective(now, w)
+	if w.request.Account != "" {
+		w.tag = l.shares.tag(w.request.Account, l.Weight(w.request.Account), l.runTimes.forKind(w.callKind), l.runTimes.all.value)
+	}
 	if l.missesDeadline(now, w) {
 		l.fairness.record(now, w.rank, false)
 		return Refusal{Reason: Expired}
@@ -196,7 +204,8 @@
 
 // victim returns the waiting call to shed in favor of w, or nil. The only waiting
 // call of a starving rank is not shed, and a starving rank without a waiting call
-// may displace a call of any other rank.
+// may displace a call of any other rank. A call of an account that is ahead of its
+// share gives way to one of its rank whose account is not.
 func (l *Limiter) victim(now time.Time, w *waiter) *waiter {
 	evictable := func(rank int) bool { return l.queue.count(rank) > 1 || !l.fairness.isStarving(now, rank) }
 	if l.limits.Queue == 0 {
@@ -205,6 +214,11 @@
 	if victim := l.queue.tail(func(rank int) bool { return rank > w.rank && evictable(rank) }); victim != nil {
 		return victim
 	}
+	if !w.tag.ahead {
+		if waiters := l.queue.waiters[w.rank]; len(waiters) > 0 && waiters[len(waiters)-1].tag.ahead {
+			return waiters[len(waiters)-1]
+		}
+	}
 	if l.queue.count(w.rank) == 0 && l.fairness.isStarving(now, w.rank) {
 		if victim := l.queue.tail(func(rank int) bool { return l.queue.count(rank) > 1 }); victim != nil {
 			return victim
@@ -233,6 +247,7 @@
 		l.startTransfer(w)
 	}
 	l.fairness.record(now, w.rank, true)
+	l.shares.start(w.tag)
 	w.decision <- Refusal{}
 }
 
@@ -328,6 +343,7 @@
 		if next == nil {
 			return
 		}
+		next = l.shares.choose(&l.queue, next, l.canTransfer())
 		if l.missesDeadline(now, next) {
 			l.refuse(now, next, Expired)
 			continue
--- a/node/limiter/queue.go
+++ b/node/limiter/queue.go
@@ -20,6 +20,8 @@
 	late bool
 	// waitDeadline is the time until which the call may wait; zero means no limit.
 	waitDeadline time.Time
+	// tag orders the calls of accounts that had more than their share.
+	tag tag
 	// decision receives exactly one value and is buffered.
 	decision chan Refusal
 	// running is set before a zero Refusal is sent to decision.
@@ -42,8 +44,8 @@
 }
 
 // queue holds the waiting calls of each rank in the order in which they start:
-// nested calls first, then calls that can meet their objectives, then by the end
-// of the objective.
+// nested calls first, then those of accounts that are not ahead of their share, then
+// calls that can meet their objectives, then by the end of the objective.
 type queue struct {
 	waiters [MaxRank + 1][]*waiter
 	length  int
@@ -73,9 +75,15 @@
 	if a.request.Nested != b.request.Nested {
 		return a.request.Nested
 	}
+	if a.tag.ahead != b.tag.ahead {
+		return b.tag.ahead
+	}
 	if a.late != b.late {
 		return b.late
 	}
+	if a.tag.ahead && a.tag.start != b.tag.start {
+		return a.tag.start < b.tag.start
+	}
 	return a.objectiveDeadline().Before(b.objectiveDeadline())
 }
 
@@ -91,6 +99,9 @@
 func (q *queue) push(w *waiter) {
 	q.waiters[w.rank] = slices.Insert(q.waiters[w.rank], q.insertIndex(w), w)
 	q.length++
+	if w.tag.account != nil {
+		w.tag.account.waiting++
+	}
 }
 
 // head returns the first waiting call of rank that may start, or nil. Calls that
@@ -104,6 +115,17 @@
 	return nil
 }
 
+// firstAhead returns the first waiting call of rank that may start and whose account
+// is ahead of its share, or nil.
+func (q *queue) firstAhead(rank int, transfers bool) *waiter {
+	for _, w := range q.waiters[rank] {
+		if w.tag.ahead && (transfers || !w.request.transfers()) {
+			return w
+		}
+	}
+	return nil
+}
+
 // ahead returns the waiting calls that start before w.
 func (q *queue) ahead(w *waiter) iter.Seq[*waiter] {
 	return func(yield func(*waiter) bool) {
@@ -136,6 +158,9 @@
 	}
 	q.waiters[w.rank] = slices.Delete(q.waiters[w.rank], at, at+1)
 	q.length--
+	if w.tag.account != nil {
+		w.tag.account.waiting--
+	}
 	return true
 }
 
