runner, rationer: weigh the shares of accounts by their rates

The limiter divides the slots of an upstream by the weights of the accounts; without them a large account would be cut first, although it sends no more than usual. The rate that an account has agreed on is its usual need, and known at each node.

--- a/node/rationer/rationer.go
+++ b/node/rationer/rationer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -43,6 +44,8 @@
 	// mutex guards decoded.
 	mutex   sync.Mutex
 	decoded decodedAccounts
+	// rates holds the rates of the accounts of the version in force that have one.
+	rates atomic.Pointer[map[string]float64]
 }
 
 // New returns the rationer of a node that starts at now.
@@ -61,12 +64,26 @@
 	return r.ledger.Charge(now, account)
 }
 
+// Rate returns the rate of an account in requests a second, or zero if it has none.
+func (r *Rationer) Rate(account string) float64 {
+	rates := r.rates.Load()
+	if rates == nil {
+		return 0
+	}
+	return (*rates)[account]
+}
+
 // Update takes over the accounts of a version.
 func (r *Rationer) Update(items map[sycamorerun.Path]sycamorerun.Item) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.decoded.update(items) {
 		accounts := r.decoded.limited()
+		rates := make(map[string]float64, len(accounts))
+		for name, account := range accounts {
+			rates[name] = account.Rate
+		}
+		r.rates.Store(&rates)
 		r.pool.SetAccounts(accounts)
 		r.ledger.SetAccounts(accounts)
 	}
--- a/node/rationer/rationer_test.go
+++ b/node/rationer/rationer_test.go
@@ -177,6 +177,29 @@
 
 // TestLogsLimit guards against an account that enters or leaves its limit unnoticed or
 // more than once.
+// TestRate guards against shares of the slots that do not follow the versions.
+func TestRate(t *testing.T) {
+	is := is.New(t)
+	r := New(modelStart, "n000", testTerms)
+	is.Equal(r.Rate("a"), 0.0)
+	r.Update(accountItems(is, map[string]float64{"a": 10, "b": 0}))
+	is.Equal(r.Rate("a"), 10.0)
+	is.Equal(r.Rate("b"), 0.0)
+	r.Update(accountItems(is, map[string]float64{"b": 5}))
+	is.Equal(r.Rate("a"), 0.0)
+	is.Equal(r.Rate("b"), 5.0)
+}
+
+func accountItems(is *is.I, rates map[string]float64) map[sycamorerun.Path]sycamorerun.Item {
+	items := map[sycamorerun.Path]sycamorerun.Item{}
+	for name, rate := range rates {
+		item, err := json.Marshal(sycamorerun.Account{Rate: rate})
+		is.NoErr(err)
+		items[sycamorerun.NewPath("t", sycamorerun.KindAccount, name)] = item
+	}
+	return items
+}
+
 func TestLogsLimit(t *testing.T) {
 	is := is.New(t)
 	var events []bool
--- a/node/runner/quotas.go
+++ b/node/runner/quotas.go
@@ -26,4 +26,5 @@
 	r.SetMembers(now, names(n.fleet.live()))
 	n.rationer = r
 	n.calls.forwarder.Charge = r.Charge
+	n.calls.limiter.Weight = r.Rate
 }
