admitter: leave small shortages to the queues

Half of the accepted work is now admitted on top of it, in place of a quarter, and ten recent calls are needed, in place of five.

--- a/node/admitter/service.go
+++ b/node/admitter/service.go
@@ -13,10 +13,10 @@
 	timeConstant = time.Second
 	// headroom is the work that is admitted for each unit of accepted work. The
 	// work beyond one shows when there is room again.
-	headroom = 1.25
+	headroom = 1.5
 	// minCalls is the weight of the outcomes of a service below which no call is
 	// refused.
-	minCalls = 5
+	minCalls = 10
 	// minShare is the share of the calls of a kind that is admitted at least,
 	// relative to the share that is accepted of all calls of the service.
 	minShare = 0.5
