--- a/node/estimator/estimator.go
+++ b/node/estimator/estimator.go
@@ -72,17 +72,6 @@
 	return known.mean + boundDeviations*known.deviation, true
 }
 
-// Mean returns the mean time of the calls of a kind, or zero if none is known.
-func (e *Estimator) Mean(kind Kind) time.Duration {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	known, ok := e.kinds[kind]
-	if !ok {
-		return 0
-	}
-	return known.mean
-}
-
 func (t *times) add(took time.Duration) {
 	t.count++
 	if t.count == 1 {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -72,11 +72,6 @@
 	// Charge counts a request of a client account that has a rate. If the account
 	// is beyond its quota, it returns when the account has room again.
 	Charge func(now time.Time, account string) (retryAfter time.Duration, ok bool)
-	// Admit reports whether a call that enters at this node may be sent, and
-	// otherwise after which time. RecordAdmission records how an admitted call
-	// ended. New sets both to admit each call.
-	Admit           func(now time.Time, admission Admission) (time.Duration, bool)
-	RecordAdmission func(now time.Time, result AdmissionResult)
 	// Pick chooses the instance for an attempt without an idempotency key. Each
 	// successful Pick is followed by exactly one call of Observe.
 	Pick    func(now time.Time, query Query) (sycamorerun.Instance, bool)
@@ -143,16 +138,14 @@
 	metrics         metrics
 }
 
-// New returns a forwarder. Of the function fields that connect it to other
-// components, only Admit and RecordAdmission have defaults.
+// New returns a forwarder. The function fields that connect it to other
+// components have no defaults, except for Charge, which admits each request.
 func New(self string) *Forwarder {
 	f := &Forwarder{
 		Self: self, Contract: DefaultContract, Target: func() string { return "" }, Now: time.Now,
 		Charge:      func(time.Time, string) (time.Duration, bool) { return 0, true },
 		BodyTimeout: DefaultBodyTimeout, QueryTimeout: DefaultQueryTimeout, Grace: DefaultGrace,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope, Pacer: &pacer.Pacer{},
-		Admit:           func(time.Time, Admission) (time.Duration, bool) { return 0, true },
-		RecordAdmission: func(time.Time, AdmissionResult) {},
 	}
 	f.SetLimits(DefaultLimits)
 	f.refusals, f.upstreamTimes, f.answerTimes = newRefusalCache(), newUpstreamTimes(), estimator.New()
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -29,13 +29,6 @@
 	reasonUnauthorized    = "unauthorized"
 	reasonQuota           = "quota"
 
-	// reasonOverloaded means that the call was refused where it entered, since its
-	// service has no room for it.
-	reasonOverloaded      = "overloaded"
-	reasonQueueFull       = "queue-full"
-	reasonShed            = "shed"
-	reasonBusy            = "busy"
-	reasonConnectionsFull = "connections-full"
 	reasonNoUpstream      = "no-upstream"
 	reasonDraining        = "draining"
 	reasonPeerUnreachable = "peer-unreachable"
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -53,7 +53,7 @@
 		// all levels below it.
 		f.CountCall(now, c.match.Service)
 	}
-	out, failed := f.sendAdmitted(ctx, now, watchdog, c)
+	out, failed := f.sendWithRetries(ctx, watchdog, c)
 	if failed != nil {
 		if c.upload != nil && c.upload.tooLarge.Load() {
 			// The body was cut at its limit, which takes precedence over the
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -86,33 +86,6 @@
 	After time.Duration
 }
 
-// Admission describes a call that enters the fleet at this node, before it is sent
-// anywhere.
-type Admission struct {
-	Service   string
-	Rank      int
-	Objective time.Duration
-	// Returned says that the caller sends a call again that this node has refused,
-	// and Late that it can no longer meet its objective.
-	Returned bool
-	Late     bool
-}
-
-// AdmissionResult describes how an admitted call ended.
-type AdmissionResult struct {
-	Service   string
-	Rank      int
-	Objective time.Duration
-	// Accepted says that an upstream took the call. Otherwise no attempt found
-	// room.
-	Accepted bool
-	// RunTime is the mean time for which calls of the same rank and objective hold
-	// a slot; zero means unknown.
-	RunTime time.Duration
-	// After is the time after which capacity is expected; zero means unknown.
-	After time.Duration
-}
-
 // Query describes the instance that an attempt needs.
 type Query struct {
 	Service string
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"sycamorerun"
-	"sycamorerun/node/admitter"
 	"sycamorerun/node/announcer"
 	"sycamorerun/node/applier"
 	"sycamorerun/node/balancer"
@@ -25,7 +24,6 @@
 // calls holds the components of the data path.
 type calls struct {
 	forwarder    *forwarder.Forwarder
-	admitter     *admitter.Admitter
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	retrier      *retrier.Retrier
@@ -52,7 +50,6 @@
 	}}
 	service := func(name string) (sycamorerun.Service, bool) { return current().Table.Service(name) }
 
-	c.admitter = admitter.New()
 	c.limiter = limiter.New(limiter.Limits{})
 	c.retrier = retrier.New(func(name string) float64 {
 		found, _ := service(name)
@@ -97,17 +94,6 @@
 	f.Match = func(request *http.Request) (forwarder.Match, bool) {
 		return match(current().Table, f.Contract.Scheme, request)
 	}
-	f.Admit = func(now time.Time, admission forwarder.Admission) (time.Duration, bool) {
-		return c.admitter.Admit(now, admitter.Call{
-			Service: admission.Service, Kind: admitter.Kind{Rank: admission.Rank, Objective: admission.Objective}, Returned: admission.Returned, Late: admission.Late,
-		})
-	}
-	f.RecordAdmission = func(now time.Time, result forwarder.AdmissionResult) {
-		c.admitter.Record(now, admitter.Outcome{
-			Service: result.Service, Kind: admitter.Kind{Rank: result.Rank, Objective: result.Objective},
-			Accepted: result.Accepted, RunTime: result.RunTime, After: result.After,
-		})
-	}
 	f.Pick = func(now time.Time, query forwarder.Query) (sycamorerun.Instance, bool) {
 		return c.balancer.Pick(now, balancer.Query(query))
 	}
