governor: count ended connections until they free their descriptor

Cause: an ended connection left the account of connections at once, but kept its descriptor for up to half a second, while its response was sent and the rest of the request discarded. The tests of platform/crowds did not see this, since they counted descriptors after the crowd had settled.

A listener now accepts no further connection while ended ones take more than an eighth of the bound beyond it, for a second at most each time. An account closes after the descriptor.

--- a/node/governor/governor.go
+++ b/node/governor/governor.go
@@ -38,8 +38,10 @@
 	// bytes is what the open connections hold, and departing what ended ones hold
 	// until they close.
 	bytes, departing int64
-	holders          map[*Holder]struct{}
-	// room is closed and replaced when departing falls.
+	// closing is the number of ended connections that have not closed.
+	closing int
+	holders map[*Holder]struct{}
+	// room is closed and replaced when an ended connection closes.
 	room chan struct{}
 	// sources holds what the connections from one address cost together.
 	sources map[netip.Addr]*usage
@@ -141,24 +143,41 @@
 	return g.Bytes == 0 || g.departing == 0 || g.bytes+g.departing <= g.Bytes
 }
 
-// maxDelay bounds Await, for connections that take long to close.
+// maxDelay bounds each wait, for connections that take long to close.
 const maxDelay = time.Second
 
 // Await delays a connection that is about to hold more until those that have been ended
 // for its sake have closed, or it is ended itself.
-func (h *Holder) Await() {
+func (h *Holder) Await() { h.await(h.door.governor.hasRoom) }
+
+// closingShare is the divisor of the bound for connections that ended ones may use
+// beyond it until they close.
+const closingShare = 8
+
+// AwaitDescriptors delays the acceptance of further connections while too many that
+// have been ended are still open. The reserved connections of a door don't wait.
+func (h *Holder) AwaitDescriptors() {
+	g := h.door.governor
+	h.await(func() bool {
+		return g.Connections == 0 || g.closing == 0 || h.door.protected() ||
+			len(g.holders)+g.closing <= g.Connections+g.Connections/closingShare
+	})
+}
+
+// await waits until fits, which is called with the mutex locked, returns true.
+func (h *Holder) await(fits func() bool) {
 	g := h.door.governor
 	timer := time.NewTimer(maxDelay)
 	defer timer.Stop()
 	for {
 		g.mutex.Lock()
-		fits := g.hasRoom()
+		done := fits()
 		if g.room == nil {
 			g.room = make(chan struct{})
 		}
 		room := g.room
 		g.mutex.Unlock()
-		if fits {
+		if done {
 			return
 		}
 		select {
@@ -196,6 +215,7 @@
 	g.remove(h)
 	if h.departing > 0 {
 		g.departing -= h.departing
+		g.closing--
 		h.departing = 0
 		if g.room != nil {
 			close(g.room)
@@ -247,6 +267,7 @@
 	}
 	h.departing = h.bytes
 	g.departing += h.bytes
+	g.closing++
 	g.remove(h)
 	close(h.ended)
 	h.evict()
--- a/node/governor/governor_test.go
+++ b/node/governor/governor_test.go
@@ -120,6 +120,33 @@
 	is.Equal(connections, g.Connections)
 }
 
+// Guards against ended connections that take the descriptors of others until they
+// close, and against a readiness probe that waits for them.
+func TestAwaitDescriptors(t *testing.T) {
+	is := is.New(t)
+	g := &Governor{Connections: 8}
+	d, ready := g.Door("callers", 0, 0), g.Door("ready", 8, 1<<20)
+	waits := func(c *connection) bool {
+		began := time.Now()
+		c.AwaitDescriptors()
+		return time.Since(began) >= maxDelay
+	}
+	var conns []*connection
+	for number := range 9 {
+		conns = append(conns, open(d, start.Add(time.Duration(number)*time.Second), crowd))
+	}
+	is.True(conns[0].ended && !waits(conns[8]))
+	last := open(d, start.Add(time.Minute), crowd)
+	is.True(conns[1].ended && waits(last))
+	is.True(!waits(open(ready, start.Add(time.Minute), caller)))
+	for _, c := range conns[:3] {
+		c.Close()
+		c.Close()
+	}
+	is.True(!waits(last))
+	is.Equal(g.closing, 0)
+}
+
 // Guards against accounts that grow with connections that have long been closed.
 func TestClosedConnections(t *testing.T) {
 	is := is.New(t)
--- a/node/listener/conn.go
+++ b/node/listener/conn.go
@@ -287,18 +287,24 @@
 // is discarded here before the connection is closed.
 func (c *conn) Close() error {
 	c.listener.remove(c)
-	c.hold((*governor.Holder).Close)
 	if !c.unhandled() || c.halfClose() != nil {
-		return c.Conn.Close()
+		return c.closeAccounted()
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(rejectTimeout))
 	go func() {
 		c.discard()
-		_ = c.Conn.Close()
+		_ = c.closeAccounted()
 	}()
 	return nil
 }
 
+// closeAccounted closes the connection, and its account once its descriptor is free.
+func (c *conn) closeAccounted() error {
+	err := c.Conn.Close()
+	c.hold((*governor.Holder).Close)
+	return err
+}
+
 // unhandled reports whether a request was read but did not reach the handler.
 func (c *conn) unhandled() bool {
 	c.mutex.Lock()
--- a/node/listener/listener.go
+++ b/node/listener/listener.go
@@ -117,7 +117,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.limiter.add(inner), nil
+	c := l.limiter.add(inner)
+	c.hold((*governor.Holder).AwaitDescriptors)
+	return c, nil
 }
 
 func (l *Listener) add(inner net.Conn) *conn {
