listener: look for HTTP/2 frames only in the first bytes of a connection

Cause: until the header of the first request of an HTTP/1 connection was complete, all of its bytes were examined as frames.

They are now examined up to the bytes that tell the protocol.

--- a/node/listener/account.go
+++ b/node/listener/account.go
@@ -35,8 +35,8 @@
 	}
 	c.mutex.Lock()
 	var cost int
-	if c.firstRequest && !c.http2 {
-		c.frames.add(data) // whether these are frames is known after the first bytes
+	if c.firstRequest && c.headerBytes < len(c.prefix) {
+		c.frames.add(data) // whether these are frames is known after the prefix
 	}
 	switch {
 	case c.http2:
