governor: spare the connection that is being opened

Cause: at the bound of connections the new one was the only one without a request when all others had one in progress, and so ended itself.

TestNewcomerAmongBusy failed before.

--- a/node/governor/governor.go
+++ b/node/governor/governor.go
@@ -109,6 +109,10 @@
 	if g.holders == nil {
 		g.holders, g.sources = map[*Holder]struct{}{}, map[netip.Addr]*usage{}
 	}
+	// The newcomer is not among those that can end: it has had no time for a request.
+	if g.Connections > 0 && len(g.holders) >= g.Connections {
+		g.end(now, g.leastActive(), Connections)
+	}
 	h := &Holder{door: d, source: source, evict: evict, since: now, ended: make(chan struct{})}
 	g.holders[h] = struct{}{}
 	if g.sources[source] == nil {
@@ -117,9 +121,6 @@
 	g.sources[source].connections++
 	d.used.connections++
 	g.change(h, connectionBytes)
-	if g.Connections > 0 && len(g.holders) > g.Connections {
-		g.end(now, g.leastActive(), Connections)
-	}
 	g.makeRoom()
 	return h
 }
--- a/node/governor/governor_test.go
+++ b/node/governor/governor_test.go
@@ -147,6 +147,24 @@
 	is.Equal(g.closing, 0)
 }
 
+// Guards against a new caller that is ended at once where all others have a request in
+// progress.
+func TestNewcomerAmongBusy(t *testing.T) {
+	is := is.New(t)
+	g := &Governor{Connections: 4}
+	d := g.Door("callers", 0, 0)
+	var busy []*connection
+	for second := range 4 {
+		c := open(d, start.Add(time.Duration(second)*time.Second), crowd)
+		c.Begin(start.Add(time.Duration(second) * time.Second))
+		busy = append(busy, c)
+	}
+	newcomer := open(d, start.Add(time.Minute), crowd)
+	is.True(!newcomer.ended)
+	is.True(busy[0].ended) // the one whose request began first
+	is.True(!busy[1].ended && !busy[2].ended && !busy[3].ended)
+}
+
 // Guards against accounts that grow with connections that have long been closed.
 func TestClosedConnections(t *testing.T) {
 	is := is.New(t)
