parser: keep keys out of faults about lists of hashes

A key that an administrator wrote twice in place of its hash, and one written where the list of hashes belongs, appeared in the fault's reason, which the API returns and srctl prints. Faults of secret formats now only name the position.

TestParseDuplicateKey and the case "key for a list" of TestParseFaults failed before.

--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -169,6 +169,7 @@
 		"key for a hash":    {account("keys: [secret]", "b"), "bad-value", "accounts.b.keys[0]", "4"},
 		"numeric key":       {account("keys: [5ec2e7]", "b"), "bad-value", "accounts.b.keys[0]", "4"},
 		"number for a hash": {account("keys: [52741]", "b"), "wrong-type", "accounts.b.keys[0]", "4"},
+		"key for a list":    {account("keys: secret", "b"), "wrong-type", "accounts.b.keys", "4"},
 		"duplicate key":     {account("keys: ["+hash+", "+hash+"]", "b"), "duplicate", "accounts.b.keys[1]", "4"},
 		"too many keys":     {account("keys: ["+strings.Repeat(hash+", ", 513)+"]", "b"), "out-of-bounds", "accounts.b.keys", "4"},
 		"negative rate":     {account("rate: -1", "b"), "out-of-bounds", "accounts.b.rate", "4"},
@@ -196,6 +197,17 @@
 	}
 }
 
+// TestParseDuplicateKey guards against a fault that shows a key that was put in
+// place of its hash twice.
+func TestParseDuplicateKey(t *testing.T) {
+	is := is.New(t)
+	_, faults := parser.Parse([]byte("team: admin\naccounts:\n  b:\n    keys: [secret, secret]\n"))
+	is.Equal(len(faults), 3) // neither is a hash, and the second is a duplicate
+	for _, fault := range faults {
+		is.True(!strings.Contains(fault.Reason, "secret"))
+	}
+}
+
 // TestParseEveryFault guards against a fault that hides others, faults that are
 // not in the order of the text, and an unbounded number of faults.
 func TestParseEveryFault(t *testing.T) {
--- a/parser/reader.go
+++ b/parser/reader.go
@@ -207,6 +207,10 @@
 	if isNull(sequence) {
 		return nil
 	}
+	if r.secret && sequence.Kind == yaml.ScalarNode {
+		r.addFault(CodeWrongType, path, node, "the value is not a list")
+		return nil
+	}
 	if sequence.Kind != yaml.SequenceNode {
 		r.addFault(CodeWrongType, path, node, "%s where a list belongs", describe(sequence))
 		return nil
--- a/parser/rule.go
+++ b/parser/rule.go
@@ -106,7 +106,7 @@
 	for i, value := range values {
 		elementPath := fmt.Sprintf("%s[%d]", path, i)
 		faults = append(faults, f.checkText(elementPath, value)...)
-		faults = append(faults, checkUnique(seen, elementPath, value)...)
+		faults = append(faults, f.Format.checkUnique(seen, elementPath, value)...)
 	}
 	return faults
 }
@@ -136,7 +136,7 @@
 	for i := range targets {
 		elementPath := fmt.Sprintf("%s[%d]", path, i)
 		faults = append(faults, checkObject(objectTarget, elementPath, &targets[i])...)
-		faults = append(faults, checkUnique(seen, joinPath(elementPath, "service"), targets[i].Service)...)
+		faults = append(faults, nameFormat.checkUnique(seen, joinPath(elementPath, "service"), targets[i].Service)...)
 		totalWeight += targets[i].Weight
 	}
 	if totalWeight == 0 {
@@ -154,16 +154,19 @@
 	for i := range operators {
 		elementPath := fmt.Sprintf("%s[%d]", path, i)
 		faults = append(faults, checkObject(objectOperator, elementPath, &operators[i])...)
-		faults = append(faults, checkUnique(names, joinPath(elementPath, "name"), operators[i].Name)...)
-		faults = append(faults, checkUnique(hashes, joinPath(elementPath, "hash"), operators[i].Hash)...)
+		faults = append(faults, nameFormat.checkUnique(names, joinPath(elementPath, "name"), operators[i].Name)...)
+		faults = append(faults, hashFormat.checkUnique(hashes, joinPath(elementPath, "hash"), operators[i].Hash)...)
 	}
 	return faults
 }
 
 // checkUnique returns a fault if value is already in seen and adds it to seen.
 // Empty values are ignored because another rule rejects them.
-func checkUnique(seen map[string]bool, path, value string) []sycamorerun.Fault {
+func (f Format) checkUnique(seen map[string]bool, path, value string) []sycamorerun.Fault {
 	if value != "" && seen[value] {
+		if f.secret {
+			return newFaults(CodeDuplicate, path, "the value occurs twice")
+		}
 		return newFaults(CodeDuplicate, path, "%s occurs twice", quote(value))
 	}
 	seen[value] = true
