forwarder: scope idempotency keys by client account

Two accounts that chose the same idempotency key shared its record. The second one got 422 key-mismatch, and could be refused for as long as the key was kept. The scope of a key now is the service and the account; without an account it is the service, as before. A call that is repeated for another account runs again.

TestIdempotencyKeyOfTwoAccounts failed before.

--- a/node/forwarder/account_test.go
+++ b/node/forwarder/account_test.go
@@ -190,3 +190,27 @@
 	is.True(fingerprint("a", "Bearer k1") != fingerprint("b", "Bearer k1"))
 	is.True(fingerprint("", "Bearer k1") != fingerprint("", "Bearer k2")) // a public route
 }
+
+// Guards against an account whose requests are refused because another one has
+// used the same idempotency key.
+func TestIdempotencyKeyOfTwoAccounts(t *testing.T) {
+	forBothPaths(t, func(t *testing.T, local bool) {
+		is := is.New(t)
+		fx := newFixture(t, local, reply("booked"))
+		fx.entry.Match = func(r *http.Request) (Match, bool) {
+			match := fx.match
+			match.Access, match.Account = AccessGranted, strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+			return match, true
+		}
+		send := func(account string) callResult {
+			return fx.send(http.MethodPost, "/x", strings.NewReader("a"), sycamorerun.HeaderKey, "1", "Authorization", "Bearer "+account)
+		}
+		ran := callResult{status: 200, outcome: "answered", body: "booked"}
+		is.Equal(send("notary"), ran)
+		is.Equal(send("court"), ran)
+		ran.reason = "key-recorded"
+		is.Equal(send("notary"), ran)
+		is.Equal(send("court"), ran)
+		is.Equal(fx.executed.Load(), int64(2))
+	})
+}
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -136,11 +136,20 @@
 	f.replaceCredentials(c, r.Header)
 	c.trailer = emptyTrailer(c.trailers)
 	if key := c.header.Get(f.Contract.Key); key != "" {
-		c.key = match.Service + "/" + key
+		c.key = keyScope(match) + "/" + key
 	}
 	return c, nil
 }
 
+// keyScope returns the scope of an idempotency key. Accounts choose their keys
+// independently of each other. Names contain no "@", so that scopes are distinct.
+func keyScope(match Match) string {
+	if match.Account == "" {
+		return match.Service
+	}
+	return match.Service + "@" + match.Account
+}
+
 // hasDotSegment reports whether path has a "." or ".." segment, which an
 // upstream may resolve to a path outside the prefix that the router matched.
 func hasDotSegment(path string) bool {
