forwarder: don't count a call of one account as the retry of another

A refused call was found again by method, host and target. A call of another account for the same target took over its arrival, and with it its place before later calls. The account is now a part of the search.

The case "another account" of TestRefusalCache failed before.

--- a/node/forwarder/refusals.go
+++ b/node/forwarder/refusals.go
@@ -15,9 +15,10 @@
 	deadlineTolerance = 100 * time.Millisecond
 )
 
-// refusalCache holds refused calls by method, host and target. Callers retry a
-// refused call at the same node, under a new id. The age of a retried call
-// counts from its first arrival, as does its caller's latency objective.
+// refusalCache holds refused calls by method, host, target and client account.
+// Callers retry a refused call at the same node, under a new id. The age of a
+// retried call counts from its first arrival, as does its caller's latency
+// objective.
 type refusalCache struct {
 	seed  maphash.Seed
 	mutex sync.Mutex
@@ -35,7 +36,7 @@
 }
 
 func (r *refusalCache) key(c *call) uint64 {
-	return maphash.Comparable(r.seed, [3]string{c.method, c.host, c.target})
+	return maphash.Comparable(r.seed, [4]string{c.method, c.host, c.target, c.match.Account})
 }
 
 // add stores c, which is refused at now. Calls without a caller's deadline are
--- a/node/forwarder/refusals_test.go
+++ b/node/forwarder/refusals_test.go
@@ -25,6 +25,7 @@
 		"another target":         {change: func(c *call) { c.target = "/y" }},
 		"another method":         {change: func(c *call) { c.method = "POST" }},
 		"another host":           {change: func(c *call) { c.host = "b.example" }},
+		"another account":        {change: func(c *call) { c.match.Account = "court" }},
 		"after the first's time": {after: 2 * time.Second},
 	}
 	for name, c := range cases {
