parser: allow labels of client accounts beyond ASCII

A document with an account such as "Notaría Peña" was refused as a whole, so that the previous version stayed in force on all nodes. A label may now have any visible characters; upstreams get it in UTF-8. Controls, format characters and spaces at the ends are refused as before. Labels within ASCII are unchanged.

--- a/parser/field.go
+++ b/parser/field.go
@@ -89,7 +89,7 @@
 	methodFormat = newFormat(CodeBadValue, "1 to 16 upper-case letters", `^[A-Z]{1,16}$`)
 	headerFormat = newFormat(CodeBadName, "1 to 63 characters of a-z0-9-, value of 1 to 256 visible ASCII characters and inner spaces", `^[a-z0-9-]{1,63}$`)
 	valueFormat  = newFormat(CodeBadValue, "1 to 256 visible ASCII characters and inner spaces", `^[!-~]([ -~]{0,254}[!-~])?$`)
-	labelFormat  = newFormat(CodeBadValue, "empty, or 1 to 256 visible ASCII characters and inner spaces", `^([!-~]([ -~]{0,254}[!-~])?)?$`)
+	labelFormat  = newFormat(CodeBadValue, "empty, or 1 to 256 visible characters and inner spaces", `^([^\pC\pZ]([^\pC\pZ]| ){0,254}[^\pC\pZ]|[^\pC\pZ])?$`)
 	hashFormat   = newSecretFormat(CodeBadValue, "sha256: and 64 lower-case hexadecimal digits", `^sha256:[0-9a-f]{64}$`)
 )
 
