forwarder: drop internal headers that are written with an underscore

A caller's Sycamorerun_Account reached the upstream beside the node's own Sycamorerun-Account. Gateways such as CGI and WSGI map both to one variable, so that a caller could forge the account or the service of origin.

The case "forged account, underscore" of TestCredentials failed before.

--- a/node/forwarder/account_test.go
+++ b/node/forwarder/account_test.go
@@ -75,6 +75,7 @@
 		"named in Connection":            {good + "Connection: Authorization, Sycamorerun-Account\r\n", false, "200", "Notaría No. 1"},
 		"forged account":                 {good + "Sycamorerun-Account: other\r\n", false, "200", "Notaría No. 1"},
 		"forged account, other case":     {good + "sYCAMORERUN-aCCOUNT:other\r\n", false, "200", "Notaría No. 1"},
+		"forged account, underscore":     {good + "sycamorerun_account: other\r\n", false, "200", "Notaría No. 1"},
 		"forged account twice":           {"Sycamorerun-Account: a\r\n" + good + "Sycamorerun-Account: b\r\n", false, "200", "Notaría No. 1"},
 		"space before the colon":         {good + "Sycamorerun-Account : other\r\n", false, "400", ""},
 		"public without a key":           {"", true, "200", ""},
@@ -99,6 +100,9 @@
 				got := <-seen
 				is.Equal(got["Authorization"], nil)
 				is.Equal(strings.Join(got[sycamorerun.HeaderAccount], "|"), c.account)
+				for name := range got {
+					is.True(!strings.EqualFold(name, "Sycamorerun_Account")) // the same to CGI
+				}
 			})
 		}
 	})
--- a/node/forwarder/header.go
+++ b/node/forwarder/header.go
@@ -14,7 +14,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-const internalPrefix = "Sycamorerun-"
+// internalPrefix and a separator begin the names of internal headers.
+const internalPrefix = "Sycamorerun"
 
 // endToEndHeader returns a copy of header without hop-by-hop headers, the
 // headers that Connection lists, and the headers with the internal prefix that
@@ -36,8 +37,12 @@
 	return kept
 }
 
+// isInternalHeader reports whether the name has the internal prefix. An underscore
+// counts as a hyphen, since gateways such as CGI don't distinguish them: a caller
+// could forge a header.
 func isInternalHeader(name string) bool {
-	return len(name) >= len(internalPrefix) && strings.EqualFold(name[:len(internalPrefix)], internalPrefix)
+	const length = len(internalPrefix)
+	return len(name) > length && (name[length] == '-' || name[length] == '_') && strings.EqualFold(name[:length], internalPrefix)
 }
 
 // headerSize returns the smallest size that header can have had on the wire, in bytes.
