rationer: keep the bucket of an account that is removed and comes back

The owner of an account deleted its bucket when a version removed the account.

TestAccountComesBack and TestRemovedAccounts failed before.

--- a/node/rationer/owner_test.go
+++ b/node/rationer/owner_test.go
@@ -43,6 +43,37 @@
 	is.True(total > 0)
 }
 
+// TestAccountComesBack guards against a second burst of an account that one version
+// removes and the next one adds again.
+func TestAccountComesBack(t *testing.T) {
+	is := is.New(t)
+	account := sycamorerun.Account{Rate: 5, Burst: 500}
+	pool, limit, ask := ownerFixture(account)
+	after := time.Duration(0)
+	for ; after < 3*time.Minute; after += 100 * time.Millisecond {
+		ask(after, 0, 0)
+	}
+	is.True(ask(after, 10_000, 0) > int(limit.pool(1))-2) // the whole burst
+	pool.SetAccounts(nil)
+	pool.SetAccounts(map[string]sycamorerun.Account{"a": account})
+	after += 2 * grantLifetime // the tokens granted before have expired
+	is.True(float64(ask(after, 10_000, 0)) <= limit.rate*2*grantLifetime.Seconds())
+}
+
+// TestRemovedAccounts guards against buckets that are kept forever, or for a time in
+// which a new one would not be full.
+func TestRemovedAccounts(t *testing.T) {
+	is := is.New(t)
+	pool, _, ask := ownerFixture(sycamorerun.Account{Rate: 100, Burst: 100})
+	ask(0, 10_000, 0)
+	pool.SetAccounts(nil)
+	buckets := func() int { return len(pool.groups[groupOf("a")].buckets) }
+	ask(2*pruneInterval, 0, 0)
+	is.Equal(buckets(), 1)
+	ask(2*pruneInterval+maxFilled, 0, 0)
+	is.Equal(buckets(), 0)
+}
+
 // TestOutstanding guards against tokens that are granted while those granted before
 // may still be used: together they never exceed the pool.
 func TestOutstanding(t *testing.T) {
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -116,7 +116,8 @@
 	return p
 }
 
-// SetAccounts replaces the limits.
+// SetAccounts replaces the limits. The buckets of removed accounts stay, so that an
+// account that soon comes back gets no second burst.
 func (p *Pool) SetAccounts(accounts map[string]sycamorerun.Account) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -128,9 +129,7 @@
 	}
 	for i := range p.groups {
 		for name, b := range p.groups[i].buckets {
-			if limit, ok := p.limits[name]; !ok {
-				delete(p.groups[i].buckets, name)
-			} else {
+			if limit, ok := p.limits[name]; ok {
 				b.level = min(b.level, limit.pool(p.count))
 			}
 		}
@@ -265,13 +264,15 @@
 	}
 }
 
-// prune deletes the buckets of accounts that are full and out of use. A new bucket
-// would be full as well.
+// prune deletes the buckets of accounts that are full and out of use, and those of
+// removed accounts that would be full by now. A new bucket would be full as well.
 func (p *Pool) prune(now time.Time, g *ownedGroup) {
 	for name, b := range g.buckets {
 		limit, ok := p.limits[name]
 		if !ok {
-			delete(g.buckets, name)
+			if now.Sub(p.startedAt)-b.updatedAt >= maxFilled {
+				delete(g.buckets, name)
+			}
 			continue
 		}
 		g.bucket(now.Sub(p.startedAt), name, limit)
