pacer: keep the turns of others when a transfer joins the queue

Each chunk that began to wait set the timer to a millisecond from then at the earliest. On a fast link, transfers that came in shorter intervals postponed the turn of all, although the link was free. The timer is now set by the first one that waits only.

TestManyTransfers, one new transfer each 0.5 ms on a link of 10 Gbit/s, failed before.

--- a/node/pacer/pacer.go
+++ b/node/pacer/pacer.go
@@ -44,8 +44,9 @@
 	// free is when the link will have sent all that was passed on to it.
 	free    time.Time
 	waiting []*turn
-	timer   *time.Timer
-	sizes   map[Kind]*meanSize
+	// timer is pending while turns wait.
+	timer *time.Timer
+	sizes map[Kind]*meanSize
 	// admitted is the expected size of the large responses that were admitted and
 	// have not been read yet.
 	admitted float64
@@ -107,7 +108,9 @@
 		return cmp.Or(a.transfer.compare(b.transfer), -1)
 	})
 	p.waiting = slices.Insert(p.waiting, at, t)
-	p.schedule(now)
+	if len(p.waiting) == 1 {
+		p.schedule(now)
+	}
 	return t
 }
 
--- a/node/pacer/pacer_test.go
+++ b/node/pacer/pacer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -136,3 +138,24 @@
 		})
 	}
 }
+
+// TestManyTransfers guards against chunks that wait although the link is free, because
+// each new transfer postpones the turn of all.
+func TestManyTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Pacer{Rate: 10e9}
+		p.Charge(time.Now(), 20<<20)
+		var sent atomic.Int64
+		for range 200 {
+			go func() {
+				if p.Wait(t.Context(), time.Now(), Transfer{}, p.Chunk()) == nil {
+					sent.Add(1)
+				}
+			}()
+			time.Sleep(500 * time.Microsecond)
+		}
+		synctest.Wait()
+		is.True(sent.Load() >= 190)
+	})
+}
