pacer: send large responses a tenth of the rate at least

Small messages were counted without bound. Where they exceeded the link rate of the settings, large responses got no turn for as long as that lasted, and for a time that grew with it afterwards, until an idle timeout or the deadline cut them. They now occupy the link for 100 ms at most, and the next chunk comes after ten times its own time at the latest.

TestLeastShare failed before: fewer than 150 chunks in 10 s beside small messages of 1.1 and of 10 times the rate.

--- a/node/pacer/pacer.go
+++ b/node/pacer/pacer.go
@@ -21,6 +21,12 @@
 	// minChunk and maxChunk bound the bytes of a chunk.
 	minChunk = 2 << 10
 	maxChunk = 32 << 10
+	// maxBacklog bounds the time for which small messages occupy the link. If they
+	// exceed the rate for longer, the rate is lower than that of the link.
+	maxBacklog = 100 * time.Millisecond
+	// leastShare is the share of the rate that transfers get beside small messages
+	// that fill the link. Without it they would be cut by idle timeouts.
+	leastShare = 0.1
 )
 
 // Transfer is a large body that is sent in chunks. Transfers of lower ranks go first,
@@ -44,6 +50,8 @@
 	// free is when the link will have sent all that was passed on to it.
 	free    time.Time
 	waiting []*turn
+	// overdue is when the next turn comes even if the link is occupied.
+	overdue time.Time
 	// timer is pending while turns wait.
 	timer *time.Timer
 	sizes map[Kind]*meanSize
@@ -74,7 +82,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	before := p.free
 	p.charge(now, bytes)
+	if limit := now.Add(maxBacklog); p.free.After(limit) {
+		p.free = limit
+		if before.After(limit) {
+			p.free = before
+		}
+	}
 }
 
 // Wait returns when a chunk of the transfer may be sent, or with the error of ctx.
@@ -109,6 +124,7 @@
 	})
 	p.waiting = slices.Insert(p.waiting, at, t)
 	if len(p.waiting) == 1 {
+		p.setOverdue(now, bytes)
 		p.schedule(now)
 	}
 	return t
@@ -127,10 +143,11 @@
 func (p *Pacer) grant(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for len(p.waiting) > 0 && p.delay(now) == 0 {
+	for len(p.waiting) > 0 && p.turnDelay(now) == 0 {
 		next := p.waiting[0]
 		p.waiting = slices.Delete(p.waiting, 0, 1)
 		p.charge(now, next.bytes)
+		p.setOverdue(now, next.bytes)
 		close(next.granted)
 	}
 	if len(p.waiting) > 0 {
@@ -138,6 +155,16 @@
 	}
 }
 
+// setOverdue sets when the turn after one of the given size comes at the latest.
+func (p *Pacer) setOverdue(now time.Time, bytes int) {
+	p.overdue = now.Add(p.sendTime(float64(bytes) / leastShare))
+}
+
+// turnDelay returns the time until the next turn comes.
+func (p *Pacer) turnDelay(now time.Time) time.Duration {
+	return min(p.delay(now), max(0, p.overdue.Sub(now)))
+}
+
 // delay returns the time until the link takes another chunk.
 func (p *Pacer) delay(now time.Time) time.Duration {
 	if !p.free.After(now) {
@@ -155,7 +182,7 @@
 
 func (p *Pacer) schedule(now time.Time) {
 	// At least a millisecond, since small messages keep moving the time.
-	delay := max(p.delay(now), time.Millisecond)
+	delay := max(p.turnDelay(now), time.Millisecond)
 	if p.timer == nil {
 		p.timer = time.AfterFunc(delay, func() { p.grant(time.Now()) })
 		return
--- a/node/pacer/pacer_test.go
+++ b/node/pacer/pacer_test.go
@@ -139,6 +139,47 @@
 	}
 }
 
+// TestLeastShare guards against a large response that never ends, and is cut by an idle
+// timeout, beside small messages that fill the link or exceed a rate that is set too
+// low, and against one that waits on after they have ended.
+func TestLeastShare(t *testing.T) {
+	cases := map[string]struct {
+		factor float64 // bytes of small messages relative to the rate
+		// chunks is the least number that is sent in ten seconds of small messages.
+		chunks int64
+	}{
+		"full link":    {1.1, 150},
+		"rate too low": {10, 150},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const rate = 13e6
+				p := &Pacer{Rate: rate}
+				var sent atomic.Int64
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					for p.Wait(ctx, time.Now(), Transfer{}, p.Chunk()) == nil {
+						sent.Add(1)
+					}
+				}()
+				for range 10_000 {
+					p.Charge(time.Now(), int(c.factor*rate/8/1000))
+					time.Sleep(time.Millisecond)
+				}
+				synctest.Wait()
+				is.True(sent.Swap(0) >= c.chunks)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.True(float64(sent.Load())*float64(p.Chunk()) > 0.85*rate/8)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // TestManyTransfers guards against chunks that wait although the link is free, because
 // each new transfer postpones the turn of all.
 func TestManyTransfers(t *testing.T) {
