pacer: one chunk of eight to the transfer that has waited the longest

A large response got nothing while more urgent ones filled the link, so that an idle timeout cut it after its head had been sent. One of eight chunks now goes to the turn that has waited the longest.

TestUrgentTransfers, four transfers of rank 1 beside one of rank 4, failed before: fewer than 100 chunks of rank 4 in 10 s at 13 Mbit/s.

--- a/node/pacer/pacer.go
+++ b/node/pacer/pacer.go
@@ -27,6 +27,9 @@
 	// leastShare is the share of the rate that transfers get beside small messages
 	// that fill the link. Without it they would be cut by idle timeouts.
 	leastShare = 0.1
+	// oldestGrantInterval is the number of chunks of which one goes to the transfer
+	// that has waited the longest, whatever its rank.
+	oldestGrantInterval = 8
 )
 
 // Transfer is a large body that is sent in chunks. Transfers of lower ranks go first,
@@ -52,6 +55,9 @@
 	waiting []*turn
 	// overdue is when the next turn comes even if the link is occupied.
 	overdue time.Time
+	// passed counts the chunks that were passed on since the last one that had waited
+	// the longest.
+	passed int
 	// timer is pending while turns wait.
 	timer *time.Timer
 	sizes map[Kind]*meanSize
@@ -63,6 +69,7 @@
 // turn is a chunk that waits for the link.
 type turn struct {
 	transfer Transfer
+	since    time.Time
 	bytes    int
 	granted  chan struct{}
 }
@@ -118,7 +125,7 @@
 		p.charge(now, bytes)
 		return nil
 	}
-	t := &turn{transfer: transfer, bytes: bytes, granted: make(chan struct{})}
+	t := &turn{transfer: transfer, since: now, bytes: bytes, granted: make(chan struct{})}
 	at, _ := slices.BinarySearchFunc(p.waiting, t, func(a, b *turn) int {
 		return cmp.Or(a.transfer.compare(b.transfer), -1)
 	})
@@ -144,8 +151,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for len(p.waiting) > 0 && p.turnDelay(now) == 0 {
-		next := p.waiting[0]
-		p.waiting = slices.Delete(p.waiting, 0, 1)
+		at := p.next()
+		next := p.waiting[at]
+		p.waiting = slices.Delete(p.waiting, at, at+1)
 		p.charge(now, next.bytes)
 		p.setOverdue(now, next.bytes)
 		close(next.granted)
@@ -155,6 +163,22 @@
 	}
 }
 
+// next returns the index of the turn that comes next.
+func (p *Pacer) next() int {
+	oldest := 0
+	for at, t := range p.waiting {
+		if t.since.Before(p.waiting[oldest].since) {
+			oldest = at
+		}
+	}
+	p.passed++
+	if oldest != 0 && p.passed < oldestGrantInterval {
+		return 0
+	}
+	p.passed = 0
+	return oldest
+}
+
 // setOverdue sets when the turn after one of the given size comes at the latest.
 func (p *Pacer) setOverdue(now time.Time, bytes int) {
 	p.overdue = now.Add(p.sendTime(float64(bytes) / leastShare))
--- a/node/pacer/pacer_test.go
+++ b/node/pacer/pacer_test.go
@@ -180,6 +180,32 @@
 	}
 }
 
+// TestUrgentTransfers guards against a less urgent transfer that is sent nothing, and
+// is cut by an idle timeout, while more urgent ones fill the link.
+func TestUrgentTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Pacer{Rate: 13e6}
+		ctx, cancel := context.WithCancel(t.Context())
+		var sent [5]atomic.Int64
+		send := func(rank int) {
+			for p.Wait(ctx, time.Now(), Transfer{Rank: rank}, p.Chunk()) == nil {
+				sent[rank].Add(1)
+			}
+		}
+		for range 4 {
+			go send(1)
+		}
+		time.Sleep(100 * time.Millisecond)
+		go send(4)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.True(sent[4].Load() >= 100)
+		is.True(sent[1].Load() >= 6*sent[4].Load())
+	})
+}
+
 // TestManyTransfers guards against chunks that wait although the link is free, because
 // each new transfer postpones the turn of all.
 func TestManyTransfers(t *testing.T) {
