pacer: admit large responses beside those that are not less urgent

The admission counted the large responses of all ranks, so that less urgent ones made it refuse an urgent call (link-full) whose response would have overtaken theirs. It now counts those of the call's rank and of more urgent ones.

--- a/node/pacer/admission.go
+++ b/node/pacer/admission.go
@@ -57,7 +57,7 @@
 
 // Admit reports whether the link can carry the response of one more call of a kind
 // within a part of its objective, beside the large responses that were admitted
-// before. If so, the first result is to be called when the response has been read. If
+// before and are not less urgent. If so, the first result is to be called when the response has been read. If
 // not, the second result is the time until it can. Calls of small responses and calls
 // without an objective are always admitted, and one large call is.
 func (p *Pacer) Admit(kind Kind) (func(), time.Duration) {
@@ -71,18 +71,34 @@
 		return func() {}, 0
 	}
 	bytes := mean.bytes
-	wait, bound := p.sendTime(p.admitted), time.Duration(maxWaitFraction*float64(kind.Objective))
-	if p.admitted > 0 && wait > bound {
+	ahead := p.admittedUpTo(kind.Rank)
+	wait, bound := p.sendTime(ahead), time.Duration(maxWaitFraction*float64(kind.Objective))
+	if ahead > 0 && wait > bound {
 		return nil, wait - bound
 	}
-	p.admitted += bytes
+	if p.admitted == nil {
+		p.admitted = map[int]float64{}
+	}
+	p.admitted[kind.Rank] += bytes
 	return func() {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		p.admitted = max(0, p.admitted-bytes)
+		p.admitted[kind.Rank] = max(0, p.admitted[kind.Rank]-bytes)
 	}, 0
 }
 
+// admittedUpTo returns the expected size of the admitted responses that a new one of
+// the rank waits for.
+func (p *Pacer) admittedUpTo(rank int) float64 {
+	var bytes float64
+	for other, admitted := range p.admitted {
+		if other <= rank {
+			bytes += admitted
+		}
+	}
+	return bytes
+}
+
 // sendTime returns how long the link takes for bytes.
 func (p *Pacer) sendTime(bytes float64) time.Duration {
 	return time.Duration(bytes * 8 / (p.Rate * usableShare) * float64(time.Second))
--- a/node/pacer/pacer.go
+++ b/node/pacer/pacer.go
@@ -61,9 +61,9 @@
 	// timer is pending while turns wait.
 	timer *time.Timer
 	sizes map[Kind]*meanSize
-	// admitted is the expected size of the large responses that were admitted and
-	// have not been read yet.
-	admitted float64
+	// admitted is the expected size of the large responses of each rank that were
+	// admitted and have not been read yet.
+	admitted map[int]float64
 }
 
 // turn is a chunk that waits for the link.
