balancer: start the exploration of regions anew with each shortage

The time between two explorations of a region without known room doubled up to 4 s and stayed there after the shortage had ended, so that the first call of the next shortage was followed by 4 s without another one. It now starts at 250 ms again if no call wanted to go there for 4 s. The entries of services that are gone were kept for ever; they are deleted after 10 minutes.

TestExplorationStartsAgain failed before.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -264,4 +264,9 @@
 			delete(b.stats, name)
 		}
 	}
+	for key, known := range b.explorations {
+		if now.Sub(known.next) > statsRetention {
+			delete(b.explorations, key)
+		}
+	}
 }
--- a/node/balancer/reach.go
+++ b/node/balancer/reach.go
@@ -14,7 +14,7 @@
 	farRoom = 0.9
 	// minExploration and maxExploration bound the time between two calls that a node
 	// sends to a region about which it knows nothing. The time doubles while the
-	// region has no capacity.
+	// region has no capacity and calls would go there.
 	minExploration = 250 * time.Millisecond
 	maxExploration = 4 * time.Second
 	// objectiveReserveRuns, minWaitFraction and maxWaitFraction are those of the
@@ -159,6 +159,9 @@
 		if now.Before(known.next) {
 			continue
 		}
+		if now.Sub(known.next) > maxExploration {
+			known.interval = minExploration // the last shortage has ended
+		}
 		known.next = now.Add(known.interval)
 		known.interval = min(2*known.interval, maxExploration)
 		b.metrics.explorations.Inc(1)
--- a/node/balancer/reach_test.go
+++ b/node/balancer/reach_test.go
@@ -261,3 +261,31 @@
 	}
 	is.True(sent >= 5 && sent <= 12)
 }
+
+// TestExplorationStartsAgain guards against a region that is asked for capacity too
+// rarely because it had none in an earlier shortage, for example while it was cut off,
+// and against state of services that are gone.
+func TestExplorationStartsAgain(t *testing.T) {
+	is := is.New(t)
+	all := append(newInstances("r1", "z1", 1), newInstances("r2", "z1", 40)...)
+	b := newBalancer(all)
+	shortage := func(from time.Time, duration time.Duration) int {
+		sent := 0
+		for ms := range duration.Milliseconds() {
+			now := from.Add(time.Duration(ms) * time.Millisecond)
+			b.Observe(now, Observation{Instance: "r1z10", Result: sycamorerun.NotRun, Reason: "busy", After: time.Second})
+			picked, ok := b.Pick(now, Query{Service: "s", Tried: []string{"r1z10"}, LastReason: "busy"})
+			if ok {
+				sent++
+				b.Observe(now, Observation{Instance: picked.Name, Result: sycamorerun.NotRun, Reason: "busy", After: time.Second})
+			}
+		}
+		return sent
+	}
+	first := shortage(start, 20*time.Second)
+	is.True(first >= 5 && first <= 12)
+	is.True(shortage(start.Add(time.Minute), 2*time.Second) >= 3)
+
+	b.Pick(start.Add(time.Hour), Query{Service: "s"})
+	is.Equal(len(b.explorations), 0)
+}
