limiter: serve accounts of small weights beside calls without an account

A call of an account whose weight is far below the mean moves its virtual time by more than the four mean run times that it may be ahead by. Calls without an account don't move the virtual time, so the account stayed behind them and found no place in a full queue. An account may now also be ahead by two of its own calls.

--- a/node/limiter/shares.go
+++ b/node/limiter/shares.go
@@ -6,6 +6,10 @@
 	// maxAhead is how far an account may be ahead of the others in served work, in
 	// mean run times at a mean weight, before its calls give way to theirs.
 	maxAhead = 4
+	// maxAheadCalls is how many of its own calls an account may be ahead by if that is
+	// more. One call of an account with a small weight would otherwise put it behind
+	// calls without an account for as long as no other account moves the virtual time.
+	maxAheadCalls = 2
 	// aheadGrantInterval is the number of granted slots of which one goes to a call
 	// of an account that is ahead. Of several accounts, each is served at least a
 	// quarter as often as all.
@@ -38,6 +42,8 @@
 type account struct {
 	// virtual is the virtual time up to which the account has been served.
 	virtual float64
+	// lastCost is the cost of its call that started last.
+	lastCost float32
 	// waiting is the number of its waiting calls.
 	waiting int
 }
@@ -86,7 +92,8 @@
 		cost *= s.meanWeight / weight
 	}
 	start := max(s.virtual, known.virtual) + float64(known.waiting)*cost
-	return tag{account: known, start: start, cost: float32(cost), ahead: start > s.virtual+maxAhead*mean.Seconds()}
+	bound := max(maxAhead*mean.Seconds(), maxAheadCalls*max(cost, float64(known.lastCost)))
+	return tag{account: known, start: start, cost: float32(cost), ahead: start > s.virtual+bound}
 }
 
 // sweep deletes the accounts that are not ahead.
@@ -105,7 +112,7 @@
 	}
 	start := max(s.virtual, t.account.virtual)
 	s.virtual = max(s.virtual, min(t.start, start))
-	t.account.virtual = start + float64(t.cost)
+	t.account.virtual, t.account.lastCost = start+float64(t.cost), t.cost
 }
 
 // choose returns the call that starts instead of next, which is the first of its
--- a/node/limiter/shares_test.go
+++ b/node/limiter/shares_test.go
@@ -93,7 +93,7 @@
 		"one sends thirty times more":   {load: sharedLoad{rates: equalRates(30)}, minOthers: 0.85, minFirst: 0.1, maxFirst: 0.3},
 		"its weight is as large":        {load: sharedLoad{rates: equalRates(8), weights: []float64{8, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}}, minOthers: 0.5, minFirst: 0.6, maxFirst: 0.85},
 		"accounts that are not known":   {load: sharedLoad{rates: equalRates(8), unnamed: true}, minOthers: 0.5, minFirst: 0.6, maxFirst: 0.9},
-		"large and small, all too many": {load: sharedLoad{rates: []float64{40, 20, 10, 5, 5, 2, 2, 2, 2, 2}, weights: []float64{40, 20, 10, 5, 5, 2, 2, 2, 2, 2}}, minOthers: 0.4, minFirst: 0.45, maxFirst: 0.9},
+		"large and small, all too many": {load: sharedLoad{rates: []float64{40, 20, 10, 5, 5, 2, 2, 2, 2, 2}, weights: []float64{40, 20, 10, 5, 5, 2, 2, 2, 2, 2}}, minOthers: 0.5, minFirst: 0.5, maxFirst: 0.9},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -112,6 +112,47 @@
 	}
 }
 
+// TestSmallAccount guards against an account that is never served again because one of
+// its calls outweighs what accounts may be ahead by, while calls without an account
+// fill the queue.
+func TestSmallAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := New(Limits{Slots: 6, Queue: 24})
+		l.Weight = func(account string) float64 {
+			return map[string]float64{"large": 100, "small": 1}[account]
+		}
+		var group sync.WaitGroup
+		var small, others counter
+		send := func(account string, c *counter) {
+			group.Go(func() {
+				request := Request{Rank: 2, Account: account}
+				release, refusal := l.Acquire(t.Context(), time.Now(), request)
+				if refusal.Reason == "" {
+					time.Sleep(100 * time.Millisecond)
+					release()
+				}
+				c.add(refusal.Reason == "")
+			})
+		}
+		for range 50 {
+			send("large", &counter{})
+			time.Sleep(20 * time.Millisecond)
+		}
+		for at := range 4000 { // 200 calls a second, of which 60 can run
+			send("", &others)
+			time.Sleep(2 * time.Millisecond)
+			if at%20 == 0 {
+				send("small", &small)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		group.Wait()
+		t.Logf("served %.2f of the account's calls, %.2f of the others", small.share(), others.share())
+		is.True(small.share() >= others.share()/3)
+	})
+}
+
 // Guards against state that grows with the number of accounts that ever were.
 func TestAccountsAreBounded(t *testing.T) {
 	is := is.New(t)
