--- a/node/balancer/reach_test.go
+++ b/node/balancer/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -80,7 +81,8 @@
 
 // run sends calls for a time at the given rate per second to each region.
 func (m *modelFleet) run(duration time.Duration, rates map[string]float64) {
-	for region, rate := range rates {
+	for _, region := range slices.Sorted(maps.Keys(rates)) {
+		rate := rates[region]
 		var arrive func(now time.Time)
 		arrive = func(now time.Time) {
 			m.calls++
@@ -174,9 +176,9 @@
 		answered, sent float64
 	}{
 		"usual load":        {map[string]float64{"r1": 200, "r2": 250, "r3": 280}, 500, 1, 0},
-		"all are full":      {map[string]float64{"r1": 540, "r2": 540, "r3": 540}, 500, 0.6, 0.05},
-		"one is full":       {map[string]float64{"r1": 600, "r2": 150, "r3": 150}, 500, 0.97, 0.4},
-		"full, large calls": {map[string]float64{"r1": 600, "r2": 150, "r3": 150}, 150000, 0.65, 0.02},
+		"all are full":      {map[string]float64{"r1": 540, "r2": 540, "r3": 540}, 500, 0.65, 0.01},
+		"one is full":       {map[string]float64{"r1": 600, "r2": 150, "r3": 150}, 500, 0.98, 0.3},
+		"full, large calls": {map[string]float64{"r1": 600, "r2": 150, "r3": 150}, 150000, 0.7, 0.01},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -261,3 +263,31 @@
 	}
 	is.True(sent >= 5 && sent <= 12)
 }
+
+// TestExplorationStartsAgain guards against a region that is asked for capacity too
+// rarely because it had none in an earlier shortage, for example while it was cut off,
+// and against state of services that are gone.
+func TestExplorationStartsAgain(t *testing.T) {
+	is := is.New(t)
+	all := append(newInstances("r1", "z1", 1), newInstances("r2", "z1", 40)...)
+	b := newBalancer(all)
+	shortage := func(from time.Time, duration time.Duration) int {
+		sent := 0
+		for ms := range duration.Milliseconds() {
+			now := from.Add(time.Duration(ms) * time.Millisecond)
+			b.Observe(now, Observation{Instance: "r1z10", Result: sycamorerun.NotRun, Reason: "busy", After: time.Second})
+			picked, ok := b.Pick(now, Query{Service: "s", Tried: []string{"r1z10"}, LastReason: "busy"})
+			if ok {
+				sent++
+				b.Observe(now, Observation{Instance: picked.Name, Result: sycamorerun.NotRun, Reason: "busy", After: time.Second})
+			}
+		}
+		return sent
+	}
+	first := shortage(start, 20*time.Second)
+	is.True(first >= 5 && first <= 12)
+	is.True(shortage(start.Add(time.Minute), 2*time.Second) >= 3)
+
+	b.Pick(start.Add(time.Hour), Query{Service: "s"})
+	is.Equal(len(b.explorations), 0)
+}
--- a/node/pacer/pacer.go
+++ b/node/pacer/pacer.go
@@ -21,6 +21,15 @@
 	// minChunk and maxChunk bound the bytes of a chunk.
 	minChunk = 2 << 10
 	maxChunk = 32 << 10
+	// maxBacklog bounds the time for which small messages occupy the link. If they
+	// exceed the rate for longer, the rate is lower than that of the link.
+	maxBacklog = 100 * time.Millisecond
+	// leastShare is the share of the rate that transfers get beside small messages
+	// that fill the link. Without it they would be cut by idle timeouts.
+	leastShare = 0.1
+	// oldestGrantInterval is the number of chunks of which one goes to the transfer
+	// that has waited the longest, whatever its rank.
+	oldestGrantInterval = 8
 )
 
 // Transfer is a large body that is sent in chunks. Transfers of lower ranks go first,
@@ -44,16 +53,23 @@
 	// free is when the link will have sent all that was passed on to it.
 	free    time.Time
 	waiting []*turn
-	timer   *time.Timer
-	sizes   map[Kind]*meanSize
-	// admitted is the expected size of the large responses that were admitted and
-	// have not been read yet.
-	admitted float64
+	// overdue is when the next turn comes even if the link is occupied.
+	overdue time.Time
+	// passed counts the chunks that were passed on since the last one that had waited
+	// the longest.
+	passed int
+	// timer is pending while turns wait.
+	timer *time.Timer
+	sizes map[Kind]*meanSize
+	// admitted is the expected size of the large responses of each rank that were
+	// admitted and have not been read yet.
+	admitted map[int]float64
 }
 
 // turn is a chunk that waits for the link.
 type turn struct {
 	transfer Transfer
+	since    time.Time
 	bytes    int
 	granted  chan struct{}
 }
@@ -73,7 +89,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	before := p.free
 	p.charge(now, bytes)
+	if limit := now.Add(maxBacklog); p.free.After(limit) {
+		p.free = limit
+		if before.After(limit) {
+			p.free = before
+		}
+	}
 }
 
 // Wait returns when a chunk of the transfer may be sent, or with the error of ctx.
@@ -102,12 +125,15 @@
 		p.charge(now, bytes)
 		return nil
 	}
-	t := &turn{transfer: transfer, bytes: bytes, granted: make(chan struct{})}
+	t := &turn{transfer: transfer, since: now, bytes: bytes, granted: make(chan struct{})}
 	at, _ := slices.BinarySearchFunc(p.waiting, t, func(a, b *turn) int {
 		return cmp.Or(a.transfer.compare(b.transfer), -1)
 	})
 	p.waiting = slices.Insert(p.waiting, at, t)
-	p.schedule(now)
+	if len(p.waiting) == 1 {
+		p.setOverdue(now, bytes)
+		p.schedule(now)
+	}
 	return t
 }
 
@@ -124,10 +150,12 @@
 func (p *Pacer) grant(now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for len(p.waiting) > 0 && p.delay(now) == 0 {
-		next := p.waiting[0]
-		p.waiting = slices.Delete(p.waiting, 0, 1)
+	for len(p.waiting) > 0 && p.turnDelay(now) == 0 {
+		at := p.next()
+		next := p.waiting[at]
+		p.waiting = slices.Delete(p.waiting, at, at+1)
 		p.charge(now, next.bytes)
+		p.setOverdue(now, next.bytes)
 		close(next.granted)
 	}
 	if len(p.waiting) > 0 {
@@ -135,6 +163,32 @@
 	}
 }
 
+// next returns the index of the turn that comes next.
+func (p *Pacer) next() int {
+	oldest := 0
+	for at, t := range p.waiting {
+		if t.since.Before(p.waiting[oldest].since) {
+			oldest = at
+		}
+	}
+	p.passed++
+	if oldest != 0 && p.passed < oldestGrantInterval {
+		return 0
+	}
+	p.passed = 0
+	return oldest
+}
+
+// setOverdue sets when the turn after one of the given size comes at the latest.
+func (p *Pacer) setOverdue(now time.Time, bytes int) {
+	p.overdue = now.Add(p.sendTime(float64(bytes) / leastShare))
+}
+
+// turnDelay returns the time until the next turn comes.
+func (p *Pacer) turnDelay(now time.Time) time.Duration {
+	return min(p.delay(now), max(0, p.overdue.Sub(now)))
+}
+
 // delay returns the time until the link takes another chunk.
 func (p *Pacer) delay(now time.Time) time.Duration {
 	if !p.free.After(now) {
@@ -152,7 +206,7 @@
 
 func (p *Pacer) schedule(now time.Time) {
 	// At least a millisecond, since small messages keep moving the time.
-	delay := max(p.delay(now), time.Millisecond)
+	delay := max(p.turnDelay(now), time.Millisecond)
 	if p.timer == nil {
 		p.timer = time.AfterFunc(delay, func() { p.grant(time.Now()) })
 		return
--- a/node/pacer/pacer_test.go
+++ b/node/pacer/pacer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -132,7 +134,118 @@
 			for _, sent := range release {
 				sent()
 			}
-			is.Equal(p.admitted, 0.0)
+			is.Equal(p.admittedUpTo(c.kind.Rank), 0.0)
 		})
 	}
 }
+
+// TestLeastShare guards against a large response that never ends, and is cut by an idle
+// timeout, beside small messages that fill the link or exceed a rate that is set too
+// low, and against one that waits on after they have ended.
+func TestLeastShare(t *testing.T) {
+	cases := map[string]struct {
+		factor float64 // bytes of small messages relative to the rate
+		// chunks is the least number that is sent in ten seconds of small messages.
+		chunks int64
+	}{
+		"full link":    {1.1, 150},
+		"rate too low": {10, 150},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const rate = 13e6
+				p := &Pacer{Rate: rate}
+				var sent atomic.Int64
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					for p.Wait(ctx, time.Now(), Transfer{}, p.Chunk()) == nil {
+						sent.Add(1)
+					}
+				}()
+				for range 10_000 {
+					p.Charge(time.Now(), int(c.factor*rate/8/1000))
+					time.Sleep(time.Millisecond)
+				}
+				synctest.Wait()
+				is.True(sent.Swap(0) >= c.chunks)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.True(float64(sent.Load())*float64(p.Chunk()) > 0.85*rate/8)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestUrgentTransfers guards against a less urgent transfer that is sent nothing, and
+// is cut by an idle timeout, while more urgent ones fill the link.
+func TestUrgentTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Pacer{Rate: 13e6}
+		ctx, cancel := context.WithCancel(t.Context())
+		var sent [5]atomic.Int64
+		send := func(rank int) {
+			for p.Wait(ctx, time.Now(), Transfer{Rank: rank}, p.Chunk()) == nil {
+				sent[rank].Add(1)
+			}
+		}
+		for range 4 {
+			go send(1)
+		}
+		time.Sleep(100 * time.Millisecond)
+		go send(4)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		is.True(sent[4].Load() >= 100)
+		is.True(sent[1].Load() >= 6*sent[4].Load())
+	})
+}
+
+// TestManyTransfers guards against chunks that wait although the link is free, because
+// each new transfer postpones the turn of all.
+func TestManyTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Pacer{Rate: 10e9}
+		p.Charge(time.Now(), 20<<20)
+		var sent atomic.Int64
+		for range 200 {
+			go func() {
+				if p.Wait(t.Context(), time.Now(), Transfer{}, p.Chunk()) == nil {
+					sent.Add(1)
+				}
+			}()
+			time.Sleep(500 * time.Microsecond)
+		}
+		synctest.Wait()
+		is.True(sent.Load() >= 190)
+	})
+}
+
+// TestAdmitByRank guards against an urgent call that is refused because of less urgent
+// responses, which its own would overtake.
+func TestAdmitByRank(t *testing.T) {
+	is := is.New(t)
+	urgent := Kind{Service: "exports", Rank: 1, Objective: 800 * time.Millisecond}
+	export := Kind{Service: "exports", Rank: 4, Objective: 800 * time.Millisecond}
+	p := &Pacer{Rate: 1e6}
+	p.Record(urgent, 90_000)
+	p.Record(export, 90_000)
+	sentExport, _ := p.Admit(export)
+	is.True(sentExport != nil)
+	sentUrgent, _ := p.Admit(urgent)
+	is.True(sentUrgent != nil)
+	sentExport()
+	refused, wait := p.Admit(export)
+	is.True(refused == nil && wait > 0)
+	refused, wait = p.Admit(urgent)
+	is.True(refused == nil && wait > 0)
+	sentUrgent()
+	sentExport, _ = p.Admit(export)
+	is.True(sentExport != nil)
+}
