rationer: leave no tokens waiting at nodes while an account is closed

An account of 81 requests a second in a fleet of 89 nodes has a pool of 75 tokens. While it was closed, each node with a request asked for two or three and held them unused, tokens and level reached the pool, and the bucket did not fill. This state and one in which the account gets its rate were both stable; a lowered limit under load leads to it.

Now a node asks for no headroom while the account is closed, and the owner grants a closed account no tokens if its reserve does not cover the allowance of each node, but the requests until the nodes have heard of a closure. The account opens and closes instead.

TestCalmAdmits has 12 nodes too.

--- a/node/rationer/lender.go
+++ b/node/rationer/lender.go
@@ -1,6 +1,7 @@
 package rationer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -163,8 +164,12 @@
 	quiet := s.offered == 0 && now.Sub(s.reportedAt) >= reportPeriod
 	s.measureDemand(now)
 	target := s.target()
-	if limit := l.limits[name]; g.answered && l.open(now, g, name, limit) {
+	switch limit := l.limits[name]; {
+	case g.answered && l.open(now, g, name, limit):
 		target = max(0, target-limit.allowance(l.count))
+	case g.answered:
+		// A token that waits at a node is missing at another.
+		target = min(target, int(math.Round(max(1, s.demand))))
 	}
 	if quiet {
 		// The callers may have moved to another node that needs the tokens.
--- a/node/rationer/pool.go
+++ b/node/rationer/pool.go
@@ -31,6 +31,9 @@
 	// limitedTime is the time after which an account that no longer exceeds its limit
 	// counts as within it.
 	limitedTime = 5 * time.Second
+	// closureTime is the time in which the nodes that use an account hear of its
+	// closure: a period and the ways of a report and its answer.
+	closureTime = reportPeriod + 100*time.Millisecond
 	// maxWait bounds the time for which an account is announced as closed.
 	maxWait = 30 * time.Second
 )
@@ -181,7 +184,9 @@
 		}
 		b.level += float64(report.Returned[i]) - float64(report.Advanced[i])
 		b.demand += float64(report.Offered[i]) / rateTime.Seconds()
-		answer.Granted[i] = uint32(p.grant(b, limit.rate*g.share, limit.pool(g.count)*g.share, int(report.Wanted[i])))
+		if !g.withholds(b, limit) {
+			answer.Granted[i] = uint32(p.grant(b, limit.rate*g.share, limit.pool(g.count)*g.share, int(report.Wanted[i])))
+		}
 		g.updateClosed(name, b, limit)
 		if b.closed && b.demand > limit.rate {
 			p.markLimited(now, g, name, b.demand)
@@ -319,6 +324,14 @@
 	return closeFraction * pool, openFraction * pool
 }
 
+// withholds reports whether a closed account grants no tokens until it is open again:
+// the reserve does not cover the allowance of each node, but the requests that arrive
+// until all nodes have heard of a closure. Most tokens of such an account would wait at
+// nodes that have no request for them, and the bucket could not fill meanwhile.
+func (g *ownedGroup) withholds(b *bucket, limit limit) bool {
+	return b.closed && !limit.covers(g.count) && b.demand*closureTime.Seconds() <= limit.reserve(g.count)*g.share
+}
+
 // refill adds the tokens since the last call. The level and the tokens that nodes may
 // still hold never exceed the pool together.
 func (b *bucket) refill(uptime, filled time.Duration, rate, pool float64) {
--- a/node/rationer/property_test.go
+++ b/node/rationer/property_test.go
@@ -148,7 +148,7 @@
 // tenths of the rate, each account gets what a bucket in one place would admit.
 func TestCalmAdmits(t *testing.T) {
 	for _, shape := range shapeNames {
-		for _, count := range []int{6, 24, 89} {
+		for _, count := range []int{6, 12, 24, 89} {
 			t.Run(fmt.Sprintf("%s, %d nodes", shape, count), func(t *testing.T) {
 				m := newModel(uint64(count), count, Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, nil)
 				m.setAccounts(policyAccounts)
@@ -168,3 +168,34 @@
 		}
 	}
 }
+
+// TestOverloadAdmits guards against an account that gets less than its rate while it
+// asks for more, at many nodes of which each has less than a request in a while: tokens
+// that wait at nodes must not keep the bucket of the owner from filling.
+func TestOverloadAdmits(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			m := newModel(seed, 89, testTerms, nil)
+			m.setAccounts(map[string]sycamorerun.Account{"a": {Rate: 105, Burst: 105}})
+			m.unchecked = true
+			play := func(factor float64, length time.Duration) (admitted, inside int) {
+				m.callers = []modelCallers{{account: "a", rate: factor * 81, pick: shapes["even"](m)}}
+				admitted, inside = m.passed["a"], m.inside["a"]
+				if err := m.run(length); err != nil {
+					t.Error(err)
+				}
+				return m.passed["a"] - admitted, m.inside["a"] - inside
+			}
+			play(0, 8*time.Second)
+			play(3, 3*time.Second)
+			m.setAccounts(map[string]sycamorerun.Account{"a": {Rate: 81, Burst: 81}})
+			play(3, m.terms.Window)
+			m.unchecked = false
+			for _, factor := range []float64{3, 1.3} {
+				if admitted, inside := play(factor, 15*time.Second); float64(admitted) < 0.95*float64(inside) {
+					t.Errorf("at %v times the rate: %d of %d admitted", factor, admitted, inside)
+				}
+			}
+		})
+	}
+}
