releaser: void a step that was decided in another phase

Of two deciders, one that did not know that the other had begun to take a release gave it up at three quarters of the duration, since a roll-back may follow either phase. A step now names the phase in which it was decided, and is void in another. A roll-back for outcomes follows once the decider has read the phase.

TestStaleGiveUp fails without the change. The step in TestKeepersRace is said to be decided in the stored phase, so that only the order of the phases protects there, as before.

--- a/node/releaser/decider.go
+++ b/node/releaser/decider.go
@@ -100,6 +100,10 @@
 	reportLifetime = 3 * time.Second
 )
 
+// reasonLate is the reason to give up a release that is still tried late in the
+// duration.
+const reasonLate = "not enough outcomes or upstreams to take the release in time"
+
 // rampShares are the shares of the calls while a release is taken.
 var rampShares = []float64{0.4, 1}
 
@@ -158,6 +162,8 @@
 type Step struct {
 	Order  Order
 	Record Record
+	// From is the phase in which the step was decided. The step is void in another.
+	From Phase
 }
 
 // NewDecider returns a Decider that knows no orders.
@@ -243,6 +249,10 @@
 			k.refused[release] = release != order.Release
 		}
 	}
+	if record.Phase == PhaseTaking && r.rollBack == reasonLate {
+		// Another decider had enough outcomes in time.
+		r.rollBack = ""
+	}
 	r.loaded, r.record = true, record
 }
 
@@ -283,7 +293,7 @@
 		}
 		next := d.stepRollout(now, r, members(service))
 		if next.Phase != r.record.Phase || states[next.Phase] != r.order.State {
-			steps = append(steps, Step{r.order, next})
+			steps = append(steps, Step{r.order, next, r.record.Phase})
 		}
 	}
 	return steps
@@ -322,7 +332,7 @@
 		r.rollBack = r.judge(total, recent)
 	}
 	if r.rollBack == "" && elapsed >= time.Duration(giveUpPart*float64(duration)) && r.record.Phase == PhaseTrial {
-		r.rollBack = "not enough outcomes or upstreams to take the release in time"
+		r.rollBack = reasonLate
 	}
 	if r.rollBack != "" {
 		next.Phase, next.Reason = PhaseRolledBack, r.rollBack
--- a/node/releaser/keeper.go
+++ b/node/releaser/keeper.go
@@ -170,7 +170,7 @@
 	return record, found.Revision, nil
 }
 
-// commit stores a step unless the store holds a later phase, and then the state of
+// commit stores a step if the store holds the phase in which it was decided, and then the state of
 // the order. Both are conditional, so that of two deciders only one can win.
 func (k *Keeper) commit(ctx context.Context, decider *Decider, step Step) {
 	stored, revision, err := k.readRecord(ctx, step.Order)
@@ -179,7 +179,7 @@
 		return
 	}
 	if stored.Phase != step.Record.Phase {
-		if !follows(stored.Phase, step.Record.Phase) {
+		if stored.Phase != step.From || !follows(stored.Phase, step.Record.Phase) {
 			// Another decider was faster.
 			k.setRecord(decider, step.Order, stored)
 			return
--- a/node/releaser/keeper_test.go
+++ b/node/releaser/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,15 @@
 	return nil
 }
 
+// phase returns the phase of the stored record.
+func (f *fakeStore) phase() Phase {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var record Record
+	_ = json.Unmarshal(f.value, &record)
+	return record.Phase
+}
+
 func (f *fakeStore) store() persister.Store {
 	return persister.Store{
 		Get: func(_ context.Context, key string) (persister.Object, error) {
@@ -103,7 +113,7 @@
 					if orders[0].ended() {
 						continue
 					}
-					k.commit(ctx, d, Step{orders[0], record(phase)})
+					k.commit(ctx, d, Step{orders[0], record(phase), f.phase()})
 				}
 			}
 			outcome := f.states[len(f.states)-1]
@@ -146,3 +156,30 @@
 		})
 	}
 }
+
+// TestStaleGiveUp guards against a release that is given up for want of time by a decider
+// that does not know that another one has begun to take it.
+func TestStaleGiveUp(t *testing.T) {
+	is := is.New(t)
+	order := Order{Name: "s", Service: "s", ID: 7, Revision: 1, Rollout: sycamorerun.Rollout{Release: "v2", Duration: sycamorerun.Duration(time.Minute)}}
+	f := &fakeStore{order: order}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no delays between retries
+	k := &Keeper{Orders: f.orders(), Store: f.store(), Logger: log.NewNopLogger()}
+	members := func(string) []sycamorerun.Instance { return instances("v1", "v2") }
+	d := NewDecider(modelShare)
+	d.SetOrders(start, []Order{order})
+	d.SetRecord(order, Record{Order: 7, Release: "v2", Phase: PhaseTrial, Started: start})
+	f.value, _ = json.Marshal(Record{Order: 7, Release: "v2", Phase: PhaseTaking, Started: start})
+	f.revision = 2
+	late := start.Add(50 * time.Second)
+	d.SetOrders(late, []Order{order})
+	for _, step := range d.Step(late, members) {
+		is.Equal(step.Record.Phase, PhaseRolledBack)
+		k.commit(ctx, d, step)
+	}
+	is.Equal(f.phase(), PhaseTaking)
+	d.Step(late, members)
+	next, _ := d.decide(late, "s", members("s"))
+	is.Equal(next.share, rampShares[0])
+}
--- a/node/releaser/model_test.go
+++ b/node/releaser/model_test.go
@@ -173,7 +173,7 @@
 			d.SetRecord(o, m.record)
 		}
 		for _, step := range d.Step(m.now, m.service) {
-			if m.record.Phase != step.Record.Phase && follows(m.record.Phase, step.Record.Phase) {
+			if m.record.Phase != step.Record.Phase && m.record.Phase == step.From && follows(m.record.Phase, step.Record.Phase) {
 				m.record = step.Record
 			}
 			d.SetRecord(step.Order, m.record)
