releaser: keep the record of an order that replaced another

A decider whose view of the orders was old found the record of a later order, took it for none, and stored the trial of the replaced order over it. The phase of the later order was lost, and its trial began again, also after a verdict. The record now holds the revision of its order, and an order that was read before it is retried until the orders have been read again.

TestRecordOfLaterOrder fails without the change.

--- a/node/releaser/decider.go
+++ b/node/releaser/decider.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/persister"
 )
 
 // Phase is the stored stage of a rollout. It only moves forward, in this order;
@@ -26,11 +27,14 @@
 
 // Record is what the store holds of a rollout beside its order.
 type Record struct {
-	Order   uint64    `json:"order"`
-	Release string    `json:"release"`
-	Phase   Phase     `json:"phase"`
-	Started time.Time `json:"started"`
-	Reason  string    `json:"reason,omitempty"`
+	Order uint64 `json:"order"`
+	// Revision is that of the order when its trial began. An order that was read
+	// before can't replace the record.
+	Revision persister.Revision `json:"revision"`
+	Release  string             `json:"release"`
+	Phase    Phase              `json:"phase"`
+	Started  time.Time          `json:"started"`
+	Reason   string             `json:"reason,omitempty"`
 }
 
 const (
@@ -319,7 +323,7 @@
 	duration := time.Duration(r.order.Duration)
 	switch r.record.Phase {
 	case PhaseNone:
-		return Record{Order: r.order.ID, Release: r.order.Release, Phase: PhaseTrial, Started: now}
+		return Record{Order: r.order.ID, Revision: r.order.Revision, Release: r.order.Release, Phase: PhaseTrial, Started: now}
 	case PhaseTrial, PhaseTaking:
 	default:
 		return next
--- a/node/releaser/keeper.go
+++ b/node/releaser/keeper.go
@@ -41,6 +41,10 @@
 	PhaseCompleted: {PhaseTaking}, PhaseRolledBack: {PhaseTrial, PhaseTaking},
 }
 
+// errReplaced is returned while the decider's view of an order is older than the
+// record of the order that replaced it.
+var errReplaced = errors.New("the record is of a later order")
+
 // Keeper runs the Decider on the node that decides: it watches the orders, stores the
 // decisions and answers the reports of the other nodes. Set the exported fields before
 // Run.
@@ -163,7 +167,11 @@
 	if err != nil {
 		return record, 0, err
 	}
-	if json.Unmarshal(found.Value, &record) != nil || record.Order != order.ID {
+	err = json.Unmarshal(found.Value, &record)
+	if err == nil && record.Order != order.ID && record.Revision > order.Revision {
+		return Record{}, 0, errReplaced
+	}
+	if err != nil || record.Order != order.ID {
 		// The record of an earlier order, or one that can't be read, is replaced.
 		record = Record{}
 	}
--- a/node/releaser/keeper_test.go
+++ b/node/releaser/keeper_test.go
@@ -183,3 +183,38 @@
 	next, _ := d.decide(late, "s", members("s"))
 	is.Equal(next.share, rampShares[0])
 }
+
+// TestRecordOfLaterOrder guards against a decider with an old view of the orders, which
+// starts the trial of a replaced order over the outcome of the one that replaced it.
+func TestRecordOfLaterOrder(t *testing.T) {
+	order := Order{Name: "s", Service: "s", ID: 7, Revision: 3, Rollout: sycamorerun.Rollout{Release: "v2", Duration: sycamorerun.Duration(time.Minute)}}
+	for name, test := range map[string]struct {
+		stored Record
+		want   uint64
+	}{
+		"later order":   {Record{Order: 8, Revision: 5, Release: "v3", Phase: PhaseRolledBack, Started: start}, 8},
+		"earlier order": {Record{Order: 6, Revision: 1, Release: "v1", Phase: PhaseRolledBack, Started: start}, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeStore{order: order, revision: 9}
+			f.value, _ = json.Marshal(test.stored)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // no delays between retries
+			k := &Keeper{Orders: f.orders(), Store: f.store(), Logger: log.NewNopLogger()}
+			d := NewDecider(modelShare)
+			d.SetOrders(start, []Order{order})
+			for range 3 {
+				for _, o := range d.Unloaded() {
+					k.load(ctx, d, o)
+				}
+				for _, step := range d.Step(start, func(string) []sycamorerun.Instance { return instances("v1", "v2") }) {
+					k.commit(ctx, d, step)
+				}
+			}
+			var got Record
+			is.NoErr(json.Unmarshal(f.value, &got))
+			is.Equal(got.Order, test.want)
+		})
+	}
+}
