releaser: use all releases when the approved one has few upstreams left

In a release without an order, the new upstreams get no calls before the decider has approved them. While it could not, because the store was down, or in a quick restart of all upstreams, the last few old ones got all calls. A node that knows of no open order now uses all upstreams when the approved ones are less than a third.

The case "most restarted without an order" of TestGate fails without the change.

--- a/node/releaser/gate.go
+++ b/node/releaser/gate.go
@@ -26,6 +26,10 @@
 const startupWindow = 3 * time.Second
 
 const (
+	// maxOutnumber is the number of upstreams for each approved one above which the
+	// others get calls without a decision. A rollout starts as many upstreams as there
+	// are, so that most have been restarted then, and the rest could not carry the calls.
+	maxOutnumber = 3
 	// maxCredit bounds the attempts at the target in a row.
 	maxCredit = 2
 	// creditError is the rounding error of the credit.
@@ -99,9 +103,12 @@
 		return instances
 	}
 	approved := filter(instances, func(i sycamorerun.Instance) bool { return slices.Contains(s.approved, i.Release) })
-	if len(approved) > 0 {
+	if len(approved) > 0 && (s.refused() != "" || len(approved)*maxOutnumber >= len(instances)) {
 		return approved
 	}
+	if len(approved) > 0 {
+		return instances
+	}
 	// A node that has just started takes the release of the upstream that has run
 	// longest, since that of a rollout starts beside the old ones.
 	release, ok := oldest(instances, s.refused())
--- a/node/releaser/gate_test.go
+++ b/node/releaser/gate_test.go
@@ -74,6 +74,11 @@
 			members: instances("v2", "v1"), decision: &decision{service: "s", releases: []string{"v1", "v2"}}, age: time.Hour,
 			want: map[string]int{"v2": 100},
 		},
+		"most restarted without an order": {
+			members: instances("v2", "v2", "v2", "v1"), decision: &decision{service: "s", releases: []string{"v1"}}, age: time.Hour,
+			want: map[string]int{"v2": 100},
+		},
+		"most are of the target":   {members: instances("v2", "v2", "v2", "v1"), decision: &active, age: time.Hour, want: map[string]int{"v1": 100}},
 		"release without an order": {members: instances("v1", "v2"), decision: &decision{service: "s", releases: []string{"v1"}}, want: map[string]int{"v1": 100}},
 	} {
 		t.Run(name, func(t *testing.T) {
