releaser: take a release only with at most 3% more bad calls than usual

At 30% utilization few upstreams in the trial reach the load of the others, so a release that fails under load only showed 4 to 6% more bad calls, and was taken as usual, with the bound on exposed calls broken.

The seeds that failed stay in the test (17, 43, 45 and 89 fail without the change).

--- a/node/releaser/decider.go
+++ b/node/releaser/decider.go
@@ -77,7 +77,7 @@
 	minCalls         = 30
 	// maxExcess is the share of bad calls beyond that of the other releases with
 	// which a release is still taken.
-	maxExcess = 0.06
+	maxExcess = 0.03
 	// maxBad is the number of bad calls beyond the usual at which a release is given
 	// up, if their share exceeds that of the other releases by clearExcess.
 	maxBad      = 30
--- a/node/releaser/model_test.go
+++ b/node/releaser/model_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -296,6 +297,8 @@
 		// mayGiveUp is set if a good release may be given up: with two deciders
 		// throughout, each knows only half of the calls.
 		mayGiveUp bool
+		// more lists seeds beside the first ones that failed earlier.
+		more []uint64
 	}{
 		"good":               {},
 		"good, bad machines": {change: grey},
@@ -306,7 +309,7 @@
 		"slow":               {fault: fault{share: 0.5, slow: true}},
 		"one kind":           {fault: fault{share: 0.3, rank: 2}},
 		"late":               {fault: fault{share: 0.5, after: 3 * time.Second}},
-		"under load":         {fault: fault{share: 0.5, load: 4}},
+		"under load":         {fault: fault{share: 0.5, load: 4}, more: []uint64{17, 43, 45, 89}},
 		"errors, machines":   {fault: fault{share: 0.5}, change: grey},
 		"errors, nodes cut":  {fault: fault{share: 0.5}, change: killed},
 		"errors, store down": {fault: fault{share: 0.5, after: 4 * time.Second}, change: func(m *model) {
@@ -328,7 +331,11 @@
 				wrong, broken := 0, 0
 				var latest time.Duration
 				excess := 0.0
+				seeds := slices.Clone(test.more)
 				for seed := range modelSeeds() {
+					seeds = append(seeds, seed)
+				}
+				for _, seed := range seeds {
 					m := newModel(seed, 41, 89, utilization, test.fault)
 					if test.change != nil {
 						test.change(m)
@@ -348,7 +355,7 @@
 					}
 					latest, excess = max(latest, m.ended), max(excess, m.worst)
 				}
-				t.Logf("%d seeds: %d wrong, %d bounds broken, last verdict after %s, at most %.0f calls beyond the share", modelSeeds(), wrong, broken, latest, excess)
+				t.Logf("%d seeds: %d wrong, %d bounds broken, last verdict after %s, at most %.0f calls beyond the share", len(seeds), wrong, broken, latest, excess)
 				is.Equal(broken, 0)
 				if !test.mayGiveUp {
 					is.Equal(wrong, 0)
