--- a/node/releaser/decider.go
+++ b/node/releaser/decider.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sycamorerun"
+	"sycamorerun/persister"
 )
 
 // Phase is the stored stage of a rollout. It only moves forward, in this order;
@@ -26,11 +27,14 @@
 
 // Record is what the store holds of a rollout beside its order.
 type Record struct {
-	Order   uint64    `json:"order"`
-	Release string    `json:"release"`
-	Phase   Phase     `json:"phase"`
-	Started time.Time `json:"started"`
-	Reason  string    `json:"reason,omitempty"`
+	Order uint64 `json:"order"`
+	// Revision is that of the order when its trial began. An order that was read
+	// before can't replace the record.
+	Revision persister.Revision `json:"revision"`
+	Release  string             `json:"release"`
+	Phase    Phase              `json:"phase"`
+	Started  time.Time          `json:"started"`
+	Reason   string             `json:"reason,omitempty"`
 }
 
 const (
@@ -73,7 +77,7 @@
 	minCalls         = 30
 	// maxExcess is the share of bad calls beyond that of the other releases with
 	// which a release is still taken.
-	maxExcess = 0.06
+	maxExcess = 0.03
 	// maxBad is the number of bad calls beyond the usual at which a release is given
 	// up, if their share exceeds that of the other releases by clearExcess.
 	maxBad      = 30
@@ -100,6 +104,10 @@
 	reportLifetime = 3 * time.Second
 )
 
+// reasonLate is the reason to give up a release that is still tried late in the
+// duration.
+const reasonLate = "not enough outcomes or upstreams to take the release in time"
+
 // rampShares are the shares of the calls while a release is taken.
 var rampShares = []float64{0.4, 1}
 
@@ -158,6 +166,8 @@
 type Step struct {
 	Order  Order
 	Record Record
+	// From is the phase in which the step was decided. The step is void in another.
+	From Phase
 }
 
 // NewDecider returns a Decider that knows no orders.
@@ -243,6 +253,10 @@
 			k.refused[release] = release != order.Release
 		}
 	}
+	if record.Phase == PhaseTaking && r.rollBack == reasonLate {
+		// Another decider had enough outcomes in time.
+		r.rollBack = ""
+	}
 	r.loaded, r.record = true, record
 }
 
@@ -283,7 +297,7 @@
 		}
 		next := d.stepRollout(now, r, members(service))
 		if next.Phase != r.record.Phase || states[next.Phase] != r.order.State {
-			steps = append(steps, Step{r.order, next})
+			steps = append(steps, Step{r.order, next, r.record.Phase})
 		}
 	}
 	return steps
@@ -309,7 +323,7 @@
 	duration := time.Duration(r.order.Duration)
 	switch r.record.Phase {
 	case PhaseNone:
-		return Record{Order: r.order.ID, Release: r.order.Release, Phase: PhaseTrial, Started: now}
+		return Record{Order: r.order.ID, Revision: r.order.Revision, Release: r.order.Release, Phase: PhaseTrial, Started: now}
 	case PhaseTrial, PhaseTaking:
 	default:
 		return next
@@ -322,7 +336,7 @@
 		r.rollBack = r.judge(total, recent)
 	}
 	if r.rollBack == "" && elapsed >= time.Duration(giveUpPart*float64(duration)) && r.record.Phase == PhaseTrial {
-		r.rollBack = "not enough outcomes or upstreams to take the release in time"
+		r.rollBack = reasonLate
 	}
 	if r.rollBack != "" {
 		next.Phase, next.Reason = PhaseRolledBack, r.rollBack
--- a/node/releaser/keeper.go
+++ b/node/releaser/keeper.go
@@ -41,6 +41,10 @@
 	PhaseCompleted: {PhaseTaking}, PhaseRolledBack: {PhaseTrial, PhaseTaking},
 }
 
+// errReplaced is returned while the decider's view of an order is older than the
+// record of the order that replaced it.
+var errReplaced = errors.New("the record is of a later order")
+
 // Keeper runs the Decider on the node that decides: it watches the orders, stores the
 // decisions and answers the reports of the other nodes. Set the exported fields before
 // Run.
@@ -163,14 +167,18 @@
 	if err != nil {
 		return record, 0, err
 	}
-	if json.Unmarshal(found.Value, &record) != nil || record.Order != order.ID {
+	err = json.Unmarshal(found.Value, &record)
+	if err == nil && record.Order != order.ID && record.Revision > order.Revision {
+		return Record{}, 0, errReplaced
+	}
+	if err != nil || record.Order != order.ID {
 		// The record of an earlier order, or one that can't be read, is replaced.
 		record = Record{}
 	}
 	return record, found.Revision, nil
 }
 
-// commit stores a step unless the store holds a later phase, and then the state of
+// commit stores a step if the store holds the phase in which it was decided, and then the state of
 // the order. Both are conditional, so that of two deciders only one can win.
 func (k *Keeper) commit(ctx context.Context, decider *Decider, step Step) {
 	stored, revision, err := k.readRecord(ctx, step.Order)
@@ -179,7 +187,7 @@
 		return
 	}
 	if stored.Phase != step.Record.Phase {
-		if !follows(stored.Phase, step.Record.Phase) {
+		if stored.Phase != step.From || !follows(stored.Phase, step.Record.Phase) {
 			// Another decider was faster.
 			k.setRecord(decider, step.Order, stored)
 			return
