balancer: send a call that explores another region

Cause: a call chosen to learn about another region was sent nowhere with the probability with which calls stay in their region, since the share of calls that leave was applied a second time. It ended with 503, no-upstream.

TestExplorationIsSent failed before.

--- a/node/balancer/reach_test.go
+++ b/node/balancer/reach_test.go
@@ -291,3 +291,19 @@
 	b.Pick(start.Add(time.Hour), Query{Service: "s"})
 	is.Equal(len(b.explorations), 0)
 }
+
+// Guards against a call that is sent nowhere although it has been chosen to learn about
+// another region, since only a part of the calls may leave this one.
+func TestExplorationIsSent(t *testing.T) {
+	is := is.New(t)
+	all := append(newInstances("r1", "z1", 1), newInstances("r2", "z1", 2)...)
+	for n := range 200 {
+		b := newBalancer(all)
+		b.Random = rand.New(rand.NewPCG(uint64(n), 1)).Float64
+		// A large response, of which only a part leaves the region.
+		b.Observe(start, Observation{Instance: "r1z10", Service: "s", Result: sycamorerun.Answered, Bytes: 200 << 10})
+		b.Observe(start, Observation{Instance: "r1z10", Service: "s", Result: sycamorerun.NotRun, Reason: "busy", After: time.Second})
+		_, ok := b.Pick(start, Query{Service: "s"})
+		is.True(ok) // the instance of the region can be asked, if no other one is
+	}
+}
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -238,7 +238,7 @@
 
 // only leaves the given candidates of other regions as the only ones.
 func (t *tieredCandidates) only(far []*candidate) {
-	t.tiers = [3]tier{}
+	t.tiers, t.travels = [3]tier{}, 1
 	for _, c := range far {
 		c.capacity = float64(max(defaultSlots, c.instance.Slots))
 		c.weight = c.capacity
