--- a/node/pacer/admission.go
+++ b/node/pacer/admission.go
@@ -56,10 +56,10 @@
 }
 
 // Admit reports whether the link can carry the response of one more call of a kind
-// within a part of its objective, beside the large responses that were admitted
-// before and are not less urgent. If so, the first result is to be called when the response has been read. If
-// not, the second result is the time until it can. Calls of small responses and calls
-// without an objective are always admitted, and one large call is.
+// within a part of its objective, beside the large responses that were admitted before
+// and are not less urgent. If so, the first result is to be called when the response has
+// been read. If not, the second result is the time until it can. Calls of small responses
+// and calls without an objective are always admitted, and one large call is.
 func (p *Pacer) Admit(kind Kind) (func(), time.Duration) {
 	if !p.Active() || kind.Objective <= 0 {
 		return func() {}, 0
--- a/node/rationer/rationer_test.go
+++ b/node/rationer/rationer_test.go
@@ -175,8 +175,6 @@
 	}
 }
 
-// TestLogsLimit guards against an account that enters or leaves its limit unnoticed or
-// more than once.
 // TestRate guards against shares of the slots that do not follow the versions.
 func TestRate(t *testing.T) {
 	is := is.New(t)
@@ -200,6 +198,8 @@
 	return items
 }
 
+// TestLogsLimit guards against an account that enters or leaves its limit unnoticed or
+// more than once.
 func TestLogsLimit(t *testing.T) {
 	is := is.New(t)
 	var events []bool
