runner, platform/crowds: addresses of a test that differ from each other

Cause: two of the five free addresses of a process could be the same, since a port was given back before the next one was chosen.

--- a/node/runner/runner_test.go
+++ b/node/runner/runner_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,11 +27,18 @@
 	lastPort  = 32_000
 )
 
-// freeAddress returns a loopback address on which nothing listens.
+// usedPorts holds the ports that freeAddress has returned.
+var usedPorts sync.Map
+
+// freeAddress returns a loopback address on which nothing listens. Each call returns
+// another one.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
 	for range 100 {
 		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
 		if listener, err := net.Listen("tcp", address.String()); err == nil {
 			_ = listener.Close()
