Revert objectstore: no short timeout in tests of faults that don't outlast it

Cause: the change gave most cases of TestFaults a timeout of a minute, since the machine was presumed to be the cause of one failure.

--- a/objectstore/server/server_test.go
+++ b/objectstore/server/server_test.go
@@ -105,13 +105,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			// Only a fault that outlasts the client needs a short timeout. A busy
-			// machine can take as long for a call without one.
-			timeout := time.Minute
-			if test.put == persister.ErrUnknown {
-				timeout = 600 * time.Millisecond
-			}
-			url, store := start(t, timeout)
+			url, store := start(t, 600*time.Millisecond)
 			_, err := store.Put(t.Context(), "k", []byte("old"), 0)
 			is.NoErr(err)
 			is.Equal(setFaults(t, url, test.plan), http.StatusOK)
