--- a/objectstore/server/server_test.go
+++ b/objectstore/server/server_test.go
@@ -80,7 +80,7 @@
 
 // Guards against an injected fault whose answer or effect differs from its
 // definition, on which the acceptor's tests rely.
-func TestFaults(t *testing.T) {
+func TestInjectedFaults(t *testing.T) {
 	cases := map[string]struct {
 		plan     string
 		put, get error
