connector, forwarder: say which run of a peer was asked about a lost call

A node that loses the stream of a call asks the peer whether the call has arrived. Neither end logged which process the call went to and which one answered, so a wrong answer of a restarted process looked like one of the process that had the call.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -10,6 +10,8 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
+
+	"sycamorerun"
 )
 
 // meteredConn counts the bytes of a connection, TLS overhead included, and
@@ -124,16 +126,24 @@
 	return len(p) == frameHeaderBytes && p[0] == 0 && p[1] == 0 && binary.BigEndian.Uint32(p[8:]) > 0
 }
 
-// stream counts the payload bytes of one stream.
-type stream struct {
+// Stream is a stream of a session. It counts its payload bytes.
+type Stream struct {
 	net.Conn
 	in, out   tally.Counter
 	connector *Connector
 	session   *session
 }
 
+// LocalSession returns the session of the stream as this node knows it.
+func (s *Stream) LocalSession() sycamorerun.Session {
+	return sycamorerun.Session{Run: s.connector.Self.run(), Number: s.session.number}
+}
+
+// RemoteSession returns the session of the stream as the peer knows it.
+func (s *Stream) RemoteSession() sycamorerun.Session { return s.session.remote }
+
 func (c *Connector) wrap(s *session, conn net.Conn, kind string) net.Conn {
-	return &stream{
+	return &Stream{
 		Conn: conn, connector: c, session: s,
 		in: c.metrics.streamBytes(s.scope, "in", kind), out: c.metrics.streamBytes(s.scope, "out", kind),
 	}
@@ -141,9 +151,9 @@
 
 // SetAwaiting records whether a call on the stream is waiting for the peer. A
 // silent session is detected sooner while calls are waiting.
-func (s *stream) SetAwaiting(waiting bool) { s.connector.setAwaiting(s.session, waiting) }
+func (s *Stream) SetAwaiting(waiting bool) { s.connector.setAwaiting(s.session, waiting) }
 
-func (s *stream) Read(p []byte) (int, error) {
+func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.in.Inc(int64(n))
 	return n, err
@@ -152,7 +162,7 @@
 // Write returns an error that wraps net.ErrClosed if the stream was already
 // closed, so that no byte of p was sent. After other yamux errors p may have been
 // sent: a frame in yamux's send queue may still be written.
-func (s *stream) Write(p []byte) (int, error) {
+func (s *Stream) Write(p []byte) (int, error) {
 	if s.session.mux.IsClosed() {
 		return 0, errors.Wrap(net.ErrClosed, "write to a stream of a closed session")
 	}
@@ -166,18 +176,18 @@
 
 // Close closes both directions, as net.Conn requires. Close of a yamux stream
 // closes only the sending direction and leaves readers blocked.
-func (s *stream) Close() error {
+func (s *Stream) Close() error {
 	_ = s.SetReadDeadline(time.Unix(1, 0))
 	return s.Conn.Close()
 }
 
 // Shrink frees the receive buffer if it is empty. Yamux otherwise keeps it at
 // the size of the largest backlog, up to 256 KiB.
-func (s *stream) Shrink() {
+func (s *Stream) Shrink() {
 	if shrinker, ok := s.Conn.(interface{ Shrink() }); ok {
 		shrinker.Shrink()
 	}
 }
 
 // CloseWrite closes the sending direction. Data from the peer can still be read.
-func (s *stream) CloseWrite() error { return s.Conn.Close() }
+func (s *Stream) CloseWrite() error { return s.Conn.Close() }
--- a/node/connector/connector.go
+++ b/node/connector/connector.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -47,6 +48,8 @@
 
 	limits  Limits
 	metrics *metrics
+	// lastSession is the number of the newest session.
+	lastSession atomic.Uint64
 	// streamCtx is the parent of the handlers' contexts. It is canceled after the
 	// drain.
 	streamCtx context.Context
--- a/node/connector/decision_test.go
+++ b/node/connector/decision_test.go
@@ -194,7 +194,7 @@
 func FuzzHello(f *testing.F) {
 	valid, _ := proto.Marshal(Peer{
 		Name: "a", Boot: 1, Address: netip.MustParseAddrPort("[::1]:1"), AvailabilityZone: "z", Region: "r",
-	}.hello())
+	}.hello(1))
 	f.Add(valid)
 	f.Add([]byte{0x08, 0x01, 0x12, 0x01})
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -206,7 +206,7 @@
 		if err != nil {
 			return
 		}
-		again, err := newPeer(peer.hello())
+		again, err := newPeer(peer.hello(1))
 		if err != nil || again != peer || len(peer.Name) > maxNameBytes || !peer.Address.IsValid() {
 			t.Fatalf("hello round trip: error %v, sent %v, got %v", err, peer, again)
 		}
@@ -268,7 +268,7 @@
 func TestStreamShrinks(t *testing.T) {
 	is := is.New(t)
 	inner := &shrinkCounter{}
-	outer, ok := net.Conn(&stream{Conn: inner}).(interface{ Shrink() })
+	outer, ok := net.Conn(&Stream{Conn: inner}).(interface{ Shrink() })
 	is.True(ok)
 	outer.Shrink()
 	is.Equal(inner.calls, 1)
--- a/node/connector/peer.go
+++ b/node/connector/peer.go
@@ -4,6 +4,8 @@
 	"net/netip"
 
 	"github.com/pkg/errors"
+
+	"sycamorerun"
 )
 
 // protocolVersion covers the hello exchange and the stream heads.
@@ -44,11 +46,12 @@
 	return ScopeZone
 }
 
-func (p Peer) sameRun(other Peer) bool {
-	return p.Name == other.Name && p.Boot == other.Boot
-}
+func (p Peer) run() sycamorerun.Run { return sycamorerun.Run{Name: p.Name, Boot: p.Boot} }
+
+func (p Peer) sameRun(other Peer) bool { return p.run() == other.run() }
 
-func (p Peer) hello() *Hello {
+// hello returns the hello for the session with the given number.
+func (p Peer) hello(session uint64) *Hello {
 	return &Hello{
 		Protocol:         protocolVersion,
 		Name:             p.Name,
@@ -56,6 +59,7 @@
 		Address:          p.Address.String(),
 		AvailabilityZone: p.AvailabilityZone,
 		Region:           p.Region,
+		Session:          session,
 	}
 }
 
--- a/node/connector/session.go
+++ b/node/connector/session.go
@@ -11,12 +11,17 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"sycamorerun"
 	"sycamorerun/encoder"
 )
 
 // session is one multiplexed connection to a peer.
 type session struct {
-	peer    Peer
+	peer Peer
+	// number is this end's number of the session, remote the session as the peer
+	// knows it.
+	number  uint64
+	remote  sycamorerun.Session
 	scope   Scope
 	conn    *meteredConn
 	mux     *yamux.Session
@@ -48,37 +53,37 @@
 }
 
 // exchangeHello sends and receives the hello frames.
-func exchangeHello(conn net.Conn, self Peer, dialled bool) (Peer, error) {
+func (s *session) exchangeHello(conn net.Conn, self Peer) error {
 	// The dialling end sends first, so that the listening end discloses nothing to
 	// an unidentified client.
-	if dialled {
-		if _, err := encoder.Write(conn, self.hello()); err != nil {
-			return Peer{}, err
+	if s.dialled {
+		if _, err := encoder.Write(conn, self.hello(s.number)); err != nil {
+			return err
 		}
 	}
 	hello, err := encoder.Read[Hello](conn, maxHelloBytes)
 	if err != nil {
-		return Peer{}, err
+		return err
 	}
 	peer, err := newPeer(hello)
 	if err != nil {
-		return Peer{}, err
+		return err
 	}
 	if peer.Name == self.Name {
-		return Peer{}, errors.Errorf("peer at %s has the same name as this node", peer.Address)
+		return errors.Errorf("peer at %s has the same name as this node", peer.Address)
 	}
-	if !dialled {
-		if _, err := encoder.Write(conn, self.hello()); err != nil {
-			return Peer{}, err
-		}
+	s.peer, s.remote = peer, sycamorerun.Session{Run: peer.run(), Number: hello.GetSession()}
+	if s.dialled {
+		return nil
 	}
-	return peer, nil
+	_, err = encoder.Write(conn, self.hello(s.number))
+	return err
 }
 
 // establish performs the handshakes on a TCP connection and returns its session.
 // It closes the connection on failure.
 func (c *Connector) establish(ctx context.Context, conn net.Conn, dialled bool) (*session, error) {
-	s := &session{conn: newMeteredConn(conn, time.Now()), dialled: dialled}
+	s := &session{conn: newMeteredConn(conn, time.Now()), dialled: dialled, number: c.lastSession.Add(1)}
 	err := c.handshake(ctx, s)
 	if err != nil {
 		_ = conn.Close()
@@ -101,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	if s.peer, err = exchangeHello(secured, c.Self, s.dialled); err != nil {
+	if err := s.exchangeHello(secured, c.Self); err != nil {
 		return errors.Wrap(err, "exchange hello")
 	}
 	_ = s.conn.SetDeadline(time.Time{})
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -94,7 +94,7 @@
 		failed.reason = endReason(ctx, failed.reason)
 	}
 	if failed != nil && failed.reason == reasonPeerLost {
-		failed = f.queryLostCall(ctx, c, to, id, start)
+		failed = f.queryLostCall(ctx, c, to, remoteSession(frames.conn), id, start)
 	}
 	return out, failed
 }
@@ -162,7 +162,7 @@
 // response. After the deadline it waits for at most lateQueryTimeout. The query
 // continues in the background, since it keeps a request that is still in transit
 // from running.
-func (f *Forwarder) queryLostCall(ctx context.Context, c *call, to sycamorerun.Instance, id string, sentAt time.Time) *failure {
+func (f *Forwarder) queryLostCall(ctx context.Context, c *call, to sycamorerun.Instance, sent sycamorerun.Session, id string, sentAt time.Time) *failure {
 	reason := endReason(ctx, reasonPeerLost)
 	if reason == reasonCanceled {
 		return unknown(reason)
@@ -171,7 +171,7 @@
 	go func() {
 		queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.QueryTimeout)
 		defer cancel()
-		state, err := f.query(queryCtx, to, id, f.Now().Sub(sentAt))
+		state, err := f.query(queryCtx, to, sent, id, f.Now().Sub(sentAt))
 		if err != nil {
 			state = CallUnknown
 		}
