--- a/node/deduplicator/deduplicator_test.go
+++ b/node/deduplicator/deduplicator_test.go
@@ -96,7 +96,7 @@
 	is.True(len(d.keys.records) <= 1+smallLimits.Keys)
 	is.True(len(d.keys.tombstones) <= smallLimits.Tombstones)
 	is.True(d.keys.responseBytes <= smallLimits.Bytes)
-	is.True(d.keys.responses.length() <= smallLimits.Keys)
+	is.True(d.keys.responses.Len() <= smallLimits.Keys)
 	is.Equal(d.Refuse(at(time.Hour), "long", time.Hour), StateStarted)
 	is.Equal(d.Begin(at(time.Hour), "2", Key{Name: "long"}).Verdict, sycamorerun.VerdictUncertain)
 }
--- a/node/deduplicator/keys.go
+++ b/node/deduplicator/keys.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sycamorerun"
+	"sycamorerun/node/queuer"
 )
 
 // record is the record of an idempotency key. It is certain once the request has
@@ -23,11 +24,11 @@
 // as uncertain and does not run.
 type keys struct {
 	records        map[string]*record
-	finished       queue[string]
+	finished       queuer.Queue[string]
 	responseBytes  int
-	responses      queue[string]
+	responses      queuer.Queue[string]
 	tombstones     map[uint64]struct{}
-	tombstoneOrder queue[uint64]
+	tombstoneOrder queuer.Queue[uint64]
 	// earlyEviction is the last time at which a record was replaced by its
 	// tombstone before its TTL, to make room.
 	earlyEviction time.Time
@@ -78,31 +79,30 @@
 	if known.certain && result.Response != nil {
 		known.hasResponse, known.response = true, result.Response
 		k.responseBytes += len(result.Response)
-		k.responses.push(now, key.Name)
+		k.responses.Push(now, key.Name)
 	}
-	k.finished.push(now, key.Name)
+	k.finished.Push(now, key.Name)
 }
 
 func (k *keys) expire(now time.Time, limits Limits) {
-	for k.finished.length() > limits.Keys ||
-		k.finished.length() > 0 && now.Sub(k.finished.oldest().at) >= limits.KeyTTL {
-		if now.Sub(k.finished.oldest().at) < limits.KeyTTL {
+	for k.finished.Exceeds(now, limits.Keys, limits.KeyTTL) {
+		if k.finished.Age(now) < limits.KeyTTL {
 			k.earlyEviction = now
 		}
-		k.replaceByTombstone(now, k.finished.oldest().item)
-		k.finished.drop()
+		k.replaceByTombstone(now, k.finished.Oldest())
+		k.finished.Drop()
 	}
 	for k.responseBytes > limits.Bytes {
-		k.dropResponse(k.responses.oldest().item)
-		k.responses.drop()
+		k.dropResponse(k.responses.Oldest())
+		k.responses.Drop()
 	}
-	for k.responses.length() > 0 && !k.hasResponse(k.responses.oldest().item) {
-		k.responses.drop()
+	for k.responses.Len() > 0 && !k.hasResponse(k.responses.Oldest()) {
+		k.responses.Drop()
 	}
-	for k.tombstoneOrder.length() > 0 && (k.tombstoneOrder.length() > limits.Tombstones && k.tombstoneExpired(now, limits) ||
-		now.Sub(k.tombstoneOrder.oldest().at) >= limits.TombstoneTTL) {
-		delete(k.tombstones, k.tombstoneOrder.oldest().item)
-		k.tombstoneOrder.drop()
+	for k.tombstoneOrder.Len() > 0 && (k.tombstoneOrder.Len() > limits.Tombstones && k.tombstoneExpired(now, limits) ||
+		k.tombstoneOrder.Age(now) >= limits.TombstoneTTL) {
+		delete(k.tombstones, k.tombstoneOrder.Oldest())
+		k.tombstoneOrder.Drop()
 	}
 }
 
@@ -113,7 +113,7 @@
 	hash := xxhash.Sum64String(name)
 	if _, ok := k.tombstones[hash]; !ok {
 		k.tombstones[hash] = struct{}{}
-		k.tombstoneOrder.push(now, hash)
+		k.tombstoneOrder.Push(now, hash)
 	}
 }
 
@@ -134,13 +134,13 @@
 // tombstoneExpired reports whether the oldest tombstone is older than
 // Limits.KeyTTL and may be dropped to make room.
 func (k *keys) tombstoneExpired(now time.Time, limits Limits) bool {
-	return now.Sub(k.tombstoneOrder.oldest().at) >= limits.KeyTTL
+	return k.tombstoneOrder.Age(now) >= limits.KeyTTL
 }
 
 // full reports whether there is no room for another key. New keys are refused
 // then, since a request could run again if its tombstone were dropped too early.
 func (k *keys) full(now time.Time, limits Limits) bool {
-	return len(k.records) >= limits.Keys && k.tombstoneOrder.length() >= limits.Tombstones && !k.tombstoneExpired(now, limits)
+	return len(k.records) >= limits.Keys && k.tombstoneOrder.Len() >= limits.Tombstones && !k.tombstoneExpired(now, limits)
 }
 
 // record returns the record of a key for transfer to another process.
@@ -161,12 +161,12 @@
 	if !ok {
 		known = &record{fingerprint: in.Key.Fingerprint}
 		k.records[in.Key.Name] = known
-		k.finished.push(now, in.Key.Name)
+		k.finished.Push(now, in.Key.Name)
 	}
 	known.certain = in.Certain
 	if in.Certain && in.Kept {
 		known.hasResponse, known.response = true, in.Response
 		k.responseBytes += len(in.Response)
-		k.responses.push(now, in.Key.Name)
+		k.responses.Push(now, in.Key.Name)
 	}
 }
