registrar, connector, forwarder: a lost call is resolved by the session it was sent over

Cause: the new process took the call for one that was opened after its own start. It compared its start with the age that the sender had measured, which lacks the way of the question, and nothing in the question named the process that had got the call. The same age stood in for the order of calls when a record had been dropped, and a time of ten minutes for the end of a refusal.

Change: each end numbers its sessions and tells the number in the hello. A query names the run and the session that the call was sent over, and the number of the attempt. Only that run answers; a call is refused if it has no record there and none of a later attempt of that session has been dropped, and it stays refused until it has arrived or the session has ended. No clock takes part, so no delay, pause or speed of a restart matters. Another run, an old peer that numbers no sessions, or a session that is no longer on record means unknown. If a call's key may have been used, its attempt is no longer called refused. The records of calls move from deduplicator to the new package registrar.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -134,10 +134,8 @@
 	session   *session
 }
 
-// LocalSession returns the session of the stream as this node knows it.
-func (s *Stream) LocalSession() sycamorerun.Session {
-	return sycamorerun.Session{Run: s.connector.Self.run(), Number: s.session.number}
-}
+// LocalSession returns this node's number of the session of the stream.
+func (s *Stream) LocalSession() uint64 { return s.session.number }
 
 // RemoteSession returns the session of the stream as the peer knows it.
 func (s *Stream) RemoteSession() sycamorerun.Session { return s.session.remote }
--- a/node/connector/connector.go
+++ b/node/connector/connector.go
@@ -42,9 +42,14 @@
 	TLS      *tls.Config
 	Listen   netip.AddrPort
 	Handlers map[string]Handler
-	Logger   log.Logger
-	Scope    tally.Scope
-	Limits   Limits
+	// SessionOpened is called with the number of a session before the peer learns it,
+	// and SessionClosed after the session has ended and the handlers of its streams
+	// have returned. They are nil if nobody needs to know.
+	SessionOpened, SessionClosed func(number uint64)
+
+	Logger log.Logger
+	Scope  tally.Scope
+	Limits Limits
 
 	limits  Limits
 	metrics *metrics
--- a/node/connector/registry.go
+++ b/node/connector/registry.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		s.cancel()
 		_ = s.mux.Close()
+		c.awaitHandlers(s)
 		return err
 	}
 	level.Debug(c.Logger).Log("msg", "session opened", "peer", s.peer.Name, "address", s.peer.Address, "dialled", s.dialled)
--- a/node/connector/session.go
+++ b/node/connector/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +19,8 @@
 // session is one multiplexed connection to a peer.
 type session struct {
 	peer Peer
-	// number is this end's number of the session, remote the session as the peer
-	// knows it.
+	// number is this end's number of the session, which is zero until the peer is told,
+	// and remote the session as the peer knows it.
 	number  uint64
 	remote  sycamorerun.Session
 	scope   Scope
@@ -29,8 +30,10 @@
 	opened  time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// activeHandlers counts the inbound streams whose handlers are running.
+	// activeHandlers counts the inbound streams whose handlers are running, and
+	// handlers waits for them.
 	activeHandlers atomic.Int64
+	handlers       sync.WaitGroup
 	pinging        atomic.Bool
 	prober         prober
 
@@ -53,11 +56,11 @@
 }
 
 // exchangeHello sends and receives the hello frames.
-func (s *session) exchangeHello(conn net.Conn, self Peer) error {
+func (c *Connector) exchangeHello(conn net.Conn, s *session) error {
 	// The dialling end sends first, so that the listening end discloses nothing to
 	// an unidentified client.
 	if s.dialled {
-		if _, err := encoder.Write(conn, self.hello(s.number)); err != nil {
+		if err := c.sendHello(conn, s); err != nil {
 			return err
 		}
 	}
@@ -69,24 +72,43 @@
 	if err != nil {
 		return err
 	}
-	if peer.Name == self.Name {
+	if peer.Name == c.Self.Name {
 		return errors.Errorf("peer at %s has the same name as this node", peer.Address)
 	}
 	s.peer, s.remote = peer, sycamorerun.Session{Run: peer.run(), Number: hello.GetSession()}
 	if s.dialled {
 		return nil
 	}
-	_, err = encoder.Write(conn, self.hello(s.number))
+	return c.sendHello(conn, s)
+}
+
+// sendHello sends the hello, which tells the peer the number of the session.
+func (c *Connector) sendHello(conn net.Conn, s *session) error {
+	s.number = c.lastSession.Add(1)
+	if c.SessionOpened != nil {
+		c.SessionOpened(s.number)
+	}
+	_, err := encoder.Write(conn, c.Self.hello(s.number))
 	return err
 }
 
+// awaitHandlers waits until the handlers of a session that has ended have returned, and
+// reports its end.
+func (c *Connector) awaitHandlers(s *session) {
+	s.handlers.Wait()
+	if s.number != 0 && c.SessionClosed != nil {
+		c.SessionClosed(s.number)
+	}
+}
+
 // establish performs the handshakes on a TCP connection and returns its session.
 // It closes the connection on failure.
 func (c *Connector) establish(ctx context.Context, conn net.Conn, dialled bool) (*session, error) {
-	s := &session{conn: newMeteredConn(conn, time.Now()), dialled: dialled, number: c.lastSession.Add(1)}
+	s := &session{conn: newMeteredConn(conn, time.Now()), dialled: dialled}
 	err := c.handshake(ctx, s)
 	if err != nil {
 		_ = conn.Close()
+		c.awaitHandlers(s)
 		return nil, err
 	}
 	s.scope = c.Self.scope(s.peer)
@@ -106,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.exchangeHello(secured, c.Self); err != nil {
+	if err := c.exchangeHello(secured, s); err != nil {
 		return errors.Wrap(err, "exchange hello")
 	}
 	_ = s.conn.SetDeadline(time.Time{})
@@ -157,12 +179,13 @@
 			_ = conn.Close()
 			continue
 		}
-		go func() {
+		s.handlers.Go(func() {
 			defer s.activeHandlers.Add(-1)
 			c.serveStream(s, conn)
-		}()
+		})
 	}
 	c.remove(s)
+	go c.awaitHandlers(s)
 }
 
 func (c *Connector) serveStream(s *session, conn net.Conn) {
--- a/node/deduplicator/deduplicator.go
+++ b/node/deduplicator/deduplicator.go
@@ -1,6 +1,6 @@
-// Package deduplicator ensures that a request runs at most once. It records which
-// calls were started or refused and the outcome of each idempotency key, and
-// transfers the records of keys when their owner changes.
+// Package deduplicator ensures that a request with an idempotency key runs at most once.
+// It records the outcome of each key, and transfers the records when the owner of a key
+// changes.
 package deduplicator
 
 import (
@@ -12,8 +12,6 @@
 
 // Reasons for a decision.
 const (
-	ReasonRefused         = "refused"
-	ReasonDuplicate       = "duplicate"
 	ReasonNotOwner        = "key-elsewhere"
 	ReasonRunning         = "key-running"
 	ReasonRecorded        = "key-recorded"
@@ -37,28 +35,8 @@
 	Response []byte
 }
 
-// State is the state of a call as returned by Refuse.
-type State string
-
-// States of a call.
-const (
-	StateRefused  State = "refused"
-	StateStarted  State = "started"
-	StateFinished State = "finished"
-	// StateUnknown means that the record of the call may have expired, or that
-	// there is no room for another refusal.
-	StateUnknown State = "unknown"
-)
-
 // Limits bounds the number, size and age of records.
 type Limits struct {
-	// Calls is the maximum number of records of finished calls, CallTTL the time
-	// for which they are kept.
-	Calls   int
-	CallTTL time.Duration
-	// Refusals is the maximum number of recorded refusals. A refusal is kept for
-	// KeyTTL.
-	Refusals int
 	// Keys is the maximum number of records of keys whose request has ended, KeyTTL
 	// the time for which they are kept.
 	Keys   int
@@ -72,15 +50,13 @@
 	TombstoneTTL time.Duration
 }
 
-// Defaults are the limits for one upstream. At 320 calls/s, its share of 3.1 M
-// calls/s over 9,800 upstreams, one minute of calls takes 19,200 records.
+// Defaults are the limits for one upstream.
 var Defaults = Limits{
-	Calls: 32 << 10, CallTTL: time.Minute, Refusals: 16 << 10,
 	Keys: 16 << 10, KeyTTL: 10 * time.Minute, Bytes: 8 << 20,
 	Tombstones: 128 << 10, TombstoneTTL: 24 * time.Hour,
 }
 
-// Deduplicator holds the records of calls and keys of one node.
+// Deduplicator holds the records of keys of one node.
 type Deduplicator struct {
 	// Self is the name of this node's instance, Boot the random id of this
 	// process.
@@ -96,7 +72,6 @@
 	limits Limits
 	// recordsSince is the time since which all calls with keys are on record here.
 	recordsSince time.Time
-	calls        calls
 	keys         keys
 	membership   membership
 	// resultRecipients maps each key that was transferred while its request was
@@ -113,7 +88,7 @@
 func New(now time.Time, limits Limits) *Deduplicator {
 	return &Deduplicator{
 		limits: limits, recordsSince: now,
-		calls: newCalls(now), keys: newKeys(), membership: newMembership(),
+		keys: newKeys(), membership: newMembership(),
 		resultRecipients: map[string]Member{}, results: map[string]Member{}, unsentResults: map[string]Member{},
 		wake: make(chan struct{}, 1), resultsReady: make(chan struct{}, 1),
 	}
@@ -130,23 +105,20 @@
 	d.membership.membersKnown, d.membership.past, d.membership.uncertainUntil = false, nil, time.Time{}
 }
 
-// Begin decides whether the call id may run, and records it as started if so. A
-// call with a key runs only if no earlier one with the same key may have run.
-func (d *Deduplicator) Begin(now time.Time, id string, key Key) sycamorerun.Decision {
+// Begin decides whether a call may run, and records its key as running if so. A call
+// with a key runs only if no earlier one with the same key may have run.
+func (d *Deduplicator) Begin(now time.Time, key Key) sycamorerun.Decision {
+	if key.Name == "" {
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.expire(now)
-	if decision := d.calls.check(id); decision.Verdict != sycamorerun.VerdictRun {
-		return decision
-	}
-	if key.Name != "" {
-		if decision := d.checkKey(now, key); decision.Verdict != sycamorerun.VerdictRun {
-			return decision
-		}
+	decision := d.checkKey(now, key)
+	if decision.Verdict == sycamorerun.VerdictRun {
 		d.keys.start(key)
 	}
-	d.calls.start(id)
-	return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
+	return decision
 }
 
 // checkKey decides whether a call with a key may run. Ownership and membership
@@ -169,27 +141,15 @@
 }
 
 // Finish records the result of a call that Begin allowed to run.
-func (d *Deduplicator) Finish(now time.Time, id string, key Key, result Result) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.calls.finish(now, id, result.Result)
-	if key.Name != "" {
-		d.keys.finish(now, key, result)
-		d.queueResult(key.Name)
+func (d *Deduplicator) Finish(now time.Time, key Key, result Result) {
+	if key.Name == "" {
+		return
 	}
-	d.expire(now)
-}
-
-// Refuse returns the state of a call that was opened at most age ago. If the call
-// has not arrived yet, Refuse records a refusal, so that Begin refuses it later.
-func (d *Deduplicator) Refuse(now time.Time, id string, age time.Duration) State {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.keys.finish(now, key, result)
+	d.queueResult(key.Name)
 	d.expire(now)
-	return d.calls.refuse(now, id, age, d.limits.Refusals)
 }
 
-func (d *Deduplicator) expire(now time.Time) {
-	d.calls.expire(now, d.limits)
-	d.keys.expire(now, d.limits)
-}
+func (d *Deduplicator) expire(now time.Time) { d.keys.expire(now, d.limits) }
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -122,7 +122,7 @@
 	}
 	attemptNumber := uint32(max(c.parentAttempt, n))
 	if to.Name == f.Self {
-		return f.execute(ctx, watchdog, c, c.attemptID(n), c.requestBody(), attemptNumber, func() error { return nil })
+		return f.execute(ctx, watchdog, c, sycamorerun.CallID{}, c.requestBody(), attemptNumber, func() error { return nil })
 	}
 	return f.sendToPeer(ctx, watchdog, c, to, tried, n, attemptNumber)
 }
--- a/node/forwarder/call.go
+++ b/node/forwarder/call.go
@@ -12,6 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"sycamorerun"
 )
 
 // call is a request that is being forwarded to an upstream.
@@ -71,13 +73,12 @@
 	return request
 }
 
-// claim returns the claim of the attempt with the given id for the deduplicator.
-func (c *call) claim(id string) Claim {
+// claim returns the claim of an attempt.
+func (c *call) claim(id sycamorerun.CallID) Claim {
 	return Claim{ID: id, Key: c.key, Fingerprint: c.fingerprint}
 }
 
-// attemptID returns the id of the n-th attempt. Each attempt has its own id,
-// since refusing one attempt must not refuse the next.
+// attemptID returns the id of the n-th attempt for logs.
 func (c *call) attemptID(n int) string {
 	return c.id + "/" + strconv.Itoa(n)
 }
--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -29,7 +29,7 @@
 
 // execute sends a call to the upstream beside this node. It calls onAdmitted
 // once the call holds a slot and may start.
-func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id string, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
+func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id sycamorerun.CallID, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
 	ctx = WithService(ctx, c.match.Service)
 	request := c.slotRequest()
 	if !c.buffered {
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -93,12 +93,15 @@
 	// Load returns the load of the upstream beside this node, as it matters to a
 	// call.
 	Load func(match Match) *Load
-	// Begin claims the execution of a call and Finish records its end. Refuse
-	// returns the state of a call that was opened age ago. A call that has not
-	// arrived yet will be refused when it does.
+	// Begin claims the execution of a call and Finish records the end of the
+	// execution. End records that a call that arrived from a peer has ended, whether
+	// it was executed or not.
 	Begin  func(now time.Time, claim Claim) sycamorerun.Decision
 	Finish func(now time.Time, claim Claim, completion Completion)
-	Refuse func(now time.Time, id string, age time.Duration) CallState
+	End    func(now time.Time, id sycamorerun.CallID)
+	// Refuse returns the state of a call that a peer sent over a session. A call
+	// that has not arrived yet will be refused when it does.
+	Refuse func(sent sycamorerun.Session, sequence uint64) CallState
 	// Open opens a stream to the node at an address.
 	Open func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error)
 	// Upstream sends requests to the upstream beside this node, see Transport.
@@ -133,6 +136,8 @@
 	upstreamTimes *upstreamTimes
 	// answerTimes holds how long the attempts of this node took to be answered.
 	answerTimes *estimator.Estimator
+	// lastSequence is the number of the newest attempt that was sent to a peer.
+	lastSequence atomic.Uint64
 	// idlePeerStreams counts the streams of peers that wait for their next call.
 	idlePeerStreams atomic.Int64
 	metrics         metrics
--- a/node/forwarder/inbound.go
+++ b/node/forwarder/inbound.go
@@ -7,11 +7,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sycamorerun"
 )
 
 // inboundCall is a call received from a peer. Its body arrives through a pipe
 // unless the head contains it.
 type inboundCall struct {
+	id         sycamorerun.CallID
 	head       *Head
 	watchdog   atomic.Pointer[watchdog]
 	bodyReader *io.PipeReader
@@ -20,8 +23,8 @@
 	trailer http.Header
 }
 
-func newInboundCall(head *Head) *inboundCall {
-	b := &inboundCall{head: head}
+func newInboundCall(session uint64, head *Head) *inboundCall {
+	b := &inboundCall{id: sycamorerun.CallID{Session: session, Sequence: head.GetSequence()}, head: head}
 	if !head.GetWhole() {
 		b.bodyReader, b.bodyWriter = io.Pipe()
 	}
@@ -87,7 +90,9 @@
 // callReceiver receives the frames that a peer sends on a stream.
 type callReceiver struct {
 	frames *frameStream
-	calls  chan *inboundCall
+	// session is this node's number of the session of the stream.
+	session uint64
+	calls   chan *inboundCall
 	// current is the call received last. bodyOpen says that its body has not
 	// ended.
 	current  *inboundCall
@@ -98,9 +103,12 @@
 func (r *callReceiver) next(ctx context.Context, wait time.Duration) (*inboundCall, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	if ctx.Err() != nil {
+		return nil, false
+	}
 	select {
 	case call := <-r.calls:
-		return call, ctx.Err() == nil
+		return call, true
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -151,7 +159,7 @@
 		// has no end frame.
 		_ = r.current.bodyWriter.CloseWithError(io.ErrUnexpectedEOF)
 	}
-	r.current, r.bodyOpen = newInboundCall(head), !head.GetWhole()
+	r.current, r.bodyOpen = newInboundCall(r.session, head), !head.GetWhole()
 	select {
 	case r.calls <- r.current:
 		return nil
--- a/node/forwarder/query.go
+++ b/node/forwarder/query.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"sycamorerun"
 	"sycamorerun/encoder"
@@ -14,18 +14,39 @@
 // queryBytes bounds the size of the frames of a query.
 const queryBytes = 1 << 10
 
-// query asks the node of an instance for the state of a call that was opened age
-// ago.
-func (f *Forwarder) query(ctx context.Context, to sycamorerun.Instance, sent sycamorerun.Session, id string, age time.Duration) (state CallState, err error) {
+// errOtherRun means that the run that the call was sent to can't be queried.
+var errOtherRun = errors.New("another run of the peer, which does not know the call")
+
+// sentAttempt identifies an attempt that was sent to a peer.
+type sentAttempt struct {
+	// id is the id of the attempt for logs.
+	id       string
+	session  sycamorerun.Session
+	sequence uint64
+}
+
+// query asks the run of a node that an attempt was sent to for the state of the attempt.
+// Another run knows neither what the first one has received nor what it has run.
+func (f *Forwarder) query(ctx context.Context, to sycamorerun.Instance, sent sentAttempt) (state CallState, err error) {
+	if sent.session.Number == 0 {
+		return CallUnknown, errors.New("the peer does not number its sessions")
+	}
 	conn, err := f.Open(ctx, to.Address, KindQuery)
 	if err != nil {
 		return CallUnknown, err
 	}
 	defer func() { _ = conn.Close() }()
-	defer func() { f.recordQuery(id, sent, remoteSession(conn), state, err) }()
+	asked := remoteSession(conn)
+	defer func() { f.recordQuery(sent, asked, state, err) }()
+	if asked.Run != sent.session.Run {
+		return CallUnknown, errOtherRun
+	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer release()
-	if _, err := encoder.Write(conn, &Ask{Id: id, AgeMs: age.Milliseconds() + 1}); err != nil {
+	ask := &Ask{
+		Id: sent.id, Node: sent.session.Name, Boot: sent.session.Boot, Session: sent.session.Number, Sequence: sent.sequence,
+	}
+	if _, err := encoder.Write(conn, ask); err != nil {
 		return CallUnknown, err
 	}
 	answer, err := encoder.Read[State](conn, queryBytes)
@@ -43,23 +64,32 @@
 	return sycamorerun.Session{}
 }
 
-// recordQuery counts and logs a query about a call. The call was sent over the session
-// sent, the query over the session asked.
-func (f *Forwarder) recordQuery(id string, sent, asked sycamorerun.Session, state CallState, err error) {
+// localSession returns this node's number of the session of a stream.
+func localSession(stream net.Conn) uint64 {
+	if s, ok := stream.(interface{ LocalSession() uint64 }); ok {
+		return s.LocalSession()
+	}
+	return 0
+}
+
+// recordQuery counts and logs a query about an attempt over the session asked.
+func (f *Forwarder) recordQuery(sent sentAttempt, asked sycamorerun.Session, state CallState, err error) {
 	f.Scope.Tagged(map[string]string{"state": string(state)}).Counter("call_queries").Inc(1)
-	_ = level.Debug(f.Logger).Log("msg", "peer queried about a lost call", "request", id, "peer", sent.Name,
-		"boot", sent.Boot, "session", sent.Number, "queried", asked.Name, "queried_boot", asked.Boot, "queried_session", asked.Number,
-		"state", state, "err", err)
+	_ = level.Debug(f.Logger).Log("msg", "peer queried about a lost call", "request", sent.id, "peer", sent.session.Name,
+		"boot", sent.session.Boot, "session", sent.session.Number, "queried", asked.Name, "queried_boot", asked.Boot,
+		"queried_session", asked.Number, "state", state, "err", err)
 }
 
 // ServeQuery handles a stream of kind query.
 func (f *Forwarder) ServeQuery(_ context.Context, stream net.Conn) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(f.Now().Add(headTimeout))
-	query, err := encoder.Read[Ask](stream, queryBytes)
+	ask, err := encoder.Read[Ask](stream, queryBytes)
 	if err != nil {
 		return
 	}
-	state := f.Refuse(f.Now(), query.GetId(), time.Duration(query.GetAgeMs())*time.Millisecond)
+	sent := sycamorerun.Session{Run: sycamorerun.Run{Name: ask.GetNode(), Boot: ask.GetBoot()}, Number: ask.GetSession()}
+	state := f.Refuse(sent, ask.GetSequence())
+	_ = level.Debug(f.Logger).Log("msg", "query about a call", "request", ask.GetId(), "boot", sent.Boot, "session", sent.Number, "state", state)
 	_, _ = encoder.Write(stream, &State{State: string(state)})
 }
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -73,14 +73,14 @@
 
 // sendOnStream sends the call over a stream.
 func (f *Forwarder) sendOnStream(ctx context.Context, watchdog *watchdog, c *call, to sycamorerun.Instance, frames *frameStream, id string, attemptNumber uint32) (*attemptResponse, *failure) {
-	start := f.Now()
+	sent := sentAttempt{id: id, session: remoteSession(frames.conn), sequence: f.lastSequence.Add(1)}
 	stopCancel := context.AfterFunc(ctx, func() { frames.cancel(time.Now()) })
 	body := &peerBody{
 		frames: frames, watchdog: watchdog, stopCancel: stopCancel,
 		returnToPool: func() { f.pool.put(f.Now(), to.Address, frames) },
 	}
 	frames.setAwaiting(true)
-	out, failed := f.exchangeFrames(ctx, body, c, id, attemptNumber)
+	out, failed := f.exchangeFrames(ctx, body, c, sent, attemptNumber)
 	if failed != nil && ctx.Err() != nil {
 		// Closing a stream can block while the peer is silent, but the caller
 		// must get the result at once.
@@ -94,15 +94,15 @@
 		failed.reason = endReason(ctx, failed.reason)
 	}
 	if failed != nil && failed.reason == reasonPeerLost {
-		failed = f.queryLostCall(ctx, c, to, remoteSession(frames.conn), id, start)
+		failed = f.queryLostCall(ctx, c, to, sent)
 	}
 	return out, failed
 }
 
 // exchangeFrames sends the head of the call and waits for the head of the
 // response.
-func (f *Forwarder) exchangeFrames(ctx context.Context, body *peerBody, c *call, id string, attemptNumber uint32) (*attemptResponse, *failure) {
-	head := toHead(f.Now(), c, id, attemptNumber)
+func (f *Forwarder) exchangeFrames(ctx context.Context, body *peerBody, c *call, sent sentAttempt, attemptNumber uint32) (*attemptResponse, *failure) {
+	head := toHead(f.Now(), c, sent, attemptNumber)
 	if head == nil {
 		return nil, notRun(reasonHeadersTooLarge)
 	}
@@ -162,7 +162,7 @@
 // response. After the deadline it waits for at most lateQueryTimeout. The query
 // continues in the background, since it keeps a request that is still in transit
 // from running.
-func (f *Forwarder) queryLostCall(ctx context.Context, c *call, to sycamorerun.Instance, sent sycamorerun.Session, id string, sentAt time.Time) *failure {
+func (f *Forwarder) queryLostCall(ctx context.Context, c *call, to sycamorerun.Instance, sent sentAttempt) *failure {
 	reason := endReason(ctx, reasonPeerLost)
 	if reason == reasonCanceled {
 		return unknown(reason)
@@ -171,7 +171,7 @@
 	go func() {
 		queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.QueryTimeout)
 		defer cancel()
-		state, err := f.query(queryCtx, to, sent, id, f.Now().Sub(sentAt))
+		state, err := f.query(queryCtx, to, sent)
 		if err != nil {
 			state = CallUnknown
 		}
@@ -293,9 +293,9 @@
 
 // toHead returns the head frame of the call for a peer, or nil if the header is
 // too large for a frame.
-func toHead(now time.Time, c *call, id string, attemptNumber uint32) *Head {
+func toHead(now time.Time, c *call, sent sentAttempt, attemptNumber uint32) *Head {
 	head := &Head{
-		Id: id, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: []byte(c.host),
+		Id: sent.id, Sequence: sent.sequence, Call: c.id, Service: c.match.Service, Class: string(c.match.Class), Method: c.method, Host: []byte(c.host),
 		Target: []byte(c.target), Fields: toFields(c.header), Trailers: c.trailers, Length: c.length,
 		Body: c.body, Whole: c.buffered, Repeatable: c.match.Repeatable, Key: []byte(c.key), Print: c.fingerprint,
 		IdleMs: c.match.Idle.Milliseconds(), Attempt: attemptNumber, Rank: uint32(c.match.Rank),
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errDone)
 	frames := &frameStream{conn: stream}
-	receiver := &callReceiver{frames: frames, calls: make(chan *inboundCall, 1)}
+	receiver := &callReceiver{frames: frames, session: localSession(stream), calls: make(chan *inboundCall, 1)}
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -26,6 +26,10 @@
 	defer func() {
 		_ = stream.Close()
 		<-finished
+		close(receiver.calls)
+		for unhandled := range receiver.calls {
+			f.End(f.Now(), unhandled.id)
+		}
 	}()
 	next, ok := receiver.next(ctx, headTimeout)
 	for ok && f.handleCall(ctx, frames, next) {
@@ -43,6 +47,7 @@
 // one.
 func (f *Forwarder) handleCall(ctx context.Context, frames *frameStream, inbound *inboundCall) bool {
 	defer inbound.close()
+	defer func() { f.End(f.Now(), inbound.id) }()
 	now := f.Now()
 	c := fromHead(now, inbound.head)
 	ctx, watchdog, stop := withWatchdog(ctx, c.deadline, c.match.Idle)
@@ -58,7 +63,7 @@
 		}
 		return frames.send(&Frame{Kind: &Frame_Admitted{Admitted: &Admitted{}}})
 	}
-	out, failed := f.execute(ctx, watchdog, c, inbound.head.GetId(), inbound.requestBody(c), inbound.head.GetAttempt(), onAdmitted)
+	out, failed := f.execute(ctx, watchdog, c, inbound.id, inbound.requestBody(c), inbound.head.GetAttempt(), onAdmitted)
 	if failed != nil {
 		_ = level.Debug(f.Logger).Log("msg", "call from a peer failed", "request", inbound.head.GetId(),
 			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -155,7 +155,8 @@
 
 // Claim identifies a call that is about to run.
 type Claim struct {
-	ID string
+	// ID is zero if the call did not arrive from a peer.
+	ID sycamorerun.CallID
 	// Key is the idempotency key with its scope, or empty. Fingerprint
 	// identifies the request that the key belongs to.
 	Key         string
--- /dev/null
+++ b/node/registrar/registrar.go
@@ -0,0 +1,220 @@
+// Package registrar records how far the calls that peers send have got, so that a peer
+// that has lost a call can be told whether it runs. What it answers rests on the session
+// over which the call was sent: a session ends with the process at either end, so that
+// neither the time of a call nor the name of the node has to stand for the process.
+package registrar
+
+import (
+	"sync"
+	"time"
+
+	"sycamorerun"
+	"sycamorerun/node/queuer"
+)
+
+// Reasons for a decision.
+const (
+	ReasonRefused   = "refused"
+	ReasonDuplicate = "duplicate"
+)
+
+// State is the state of a call as Refuse returns it.
+type State string
+
+// States of a call.
+const (
+	StateRefused  State = "refused"
+	StateStarted  State = "started"
+	StateFinished State = "finished"
+	// StateUnknown means that the call was sent to another run, that its record may
+	// have been dropped, or that there is no room for another refusal.
+	StateUnknown State = "unknown"
+)
+
+// Limits bounds the number and age of records.
+type Limits struct {
+	// Calls is the maximum number of records of calls that have ended, CallTTL the
+	// time for which they are kept.
+	Calls   int
+	CallTTL time.Duration
+	// Refusals is the maximum number of refusals of calls that have not arrived.
+	Refusals int
+	// Sessions is the maximum number of ended sessions whose calls are on record. They
+	// are kept for CallTTL.
+	Sessions int
+}
+
+// Defaults are the limits for one upstream. At 320 calls/s, its share of 3.1 M
+// calls/s over 9,800 upstreams, one minute of calls takes 19,200 records.
+var Defaults = Limits{Calls: 32 << 10, CallTTL: time.Minute, Refusals: 16 << 10, Sessions: 4 << 10}
+
+// Registrar holds the records of the calls that arrived at one run of a node.
+type Registrar struct {
+	// Self is this run.
+	Self sycamorerun.Run
+
+	mutex    sync.Mutex
+	limits   Limits
+	sessions map[uint64]*session
+	// ended holds the calls that have ended, closed the sessions that have.
+	ended  queuer.Queue[sycamorerun.CallID]
+	closed queuer.Queue[uint64]
+	// refusals is the number of refused calls that may still arrive.
+	refusals int
+}
+
+// session holds the records of the calls that arrived over one session.
+type session struct {
+	calls map[uint64]record
+	// dropped is the highest number of a call whose record has been dropped. A call
+	// without a record and with a higher number has not arrived.
+	dropped uint64
+	// closed is set once no more calls can start.
+	closed bool
+}
+
+// record is the record of a call.
+type record struct {
+	state State
+	// awaited is set while a refused call has not arrived.
+	awaited bool
+}
+
+// New returns a registrar without sessions.
+func New(limits Limits) *Registrar {
+	return &Registrar{limits: limits, sessions: map[uint64]*session{}}
+}
+
+// OpenSession records a session. It has to be called before the peer learns the number
+// of the session.
+func (r *Registrar) OpenSession(number uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.sessions[number] = &session{calls: map[uint64]record{}}
+}
+
+// CloseSession records that a session has ended and that none of its calls can start
+// any more.
+func (r *Registrar) CloseSession(now time.Time, number uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.sessions[number]
+	if !ok || s.closed {
+		return
+	}
+	s.closed = true
+	for sequence, call := range s.calls {
+		if call.awaited {
+			r.refusals--
+			delete(s.calls, sequence)
+		}
+	}
+	r.closed.Push(now, number)
+	r.expire(now)
+}
+
+// Start decides whether a call that has arrived may run, and records it as started if
+// so.
+func (r *Registrar) Start(id sycamorerun.CallID) sycamorerun.Decision {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.session(id)
+	if !ok {
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
+	}
+	switch call, known := s.calls[id.Sequence]; {
+	case !known:
+		s.calls[id.Sequence] = record{state: StateStarted}
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
+	case call.state == StateRefused:
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonRefused}
+	default:
+		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonDuplicate}
+	}
+}
+
+// Finish records the result of a started call. One that did not run is refused from now
+// on, so that Refuse reports with certainty that it did not run.
+func (r *Registrar) Finish(id sycamorerun.CallID, result sycamorerun.Result) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.session(id)
+	if !ok || s.calls[id.Sequence].state != StateStarted {
+		return
+	}
+	state := StateFinished
+	if result == sycamorerun.NotRun {
+		state = StateRefused
+	}
+	s.calls[id.Sequence] = record{state: state}
+}
+
+// End records that a call that has arrived has ended, whether it had started or not.
+// It can't start any more.
+func (r *Registrar) End(now time.Time, id sycamorerun.CallID) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.session(id)
+	if !ok {
+		return
+	}
+	call, known := s.calls[id.Sequence]
+	if call.awaited {
+		r.refusals--
+	}
+	if !known || call.awaited {
+		s.calls[id.Sequence] = record{state: StateRefused}
+	}
+	r.ended.Push(now, id)
+	r.expire(now)
+}
+
+// Refuse returns the state of a call that a peer sent over a session. If it has not
+// arrived, it is refused from now on.
+func (r *Registrar) Refuse(sent sycamorerun.Session, sequence uint64) State {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.sessions[sent.Number]
+	if !ok || sent.Run != r.Self {
+		return StateUnknown
+	}
+	switch call, known := s.calls[sequence]; {
+	case known:
+		return call.state
+	case sequence <= s.dropped:
+		return StateUnknown
+	case s.closed:
+		return StateRefused
+	case r.refusals >= r.limits.Refusals:
+		return StateUnknown
+	}
+	s.calls[sequence] = record{state: StateRefused, awaited: true}
+	r.refusals++
+	return StateRefused
+}
+
+// session returns the session of a call. A call without a number is not on record,
+// since no peer can ask about it.
+func (r *Registrar) session(id sycamorerun.CallID) (*session, bool) {
+	s, ok := r.sessions[id.Session]
+	return s, ok && id.Sequence != 0
+}
+
+func (r *Registrar) expire(now time.Time) {
+	for r.ended.Exceeds(now, r.limits.Calls, r.limits.CallTTL) {
+		r.drop(r.ended.Oldest())
+		r.ended.Drop()
+	}
+	for r.closed.Exceeds(now, r.limits.Sessions, r.limits.CallTTL) {
+		delete(r.sessions, r.closed.Oldest())
+		r.closed.Drop()
+	}
+}
+
+// drop drops the record of a call that has ended.
+func (r *Registrar) drop(id sycamorerun.CallID) {
+	if s, ok := r.session(id); ok {
+		delete(s.calls, id.Sequence)
+		s.dropped = max(s.dropped, id.Sequence)
+	}
+}
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -17,6 +17,7 @@
 	"sycamorerun/node/limiter"
 	"sycamorerun/node/listener"
 	"sycamorerun/node/pacer"
+	"sycamorerun/node/registrar"
 	"sycamorerun/node/retrier"
 	"sycamorerun/node/router"
 )
@@ -27,6 +28,7 @@
 	balancer     *balancer.Balancer
 	limiter      *limiter.Limiter
 	retrier      *retrier.Retrier
+	registrar    *registrar.Registrar
 	deduplicator *deduplicator.Deduplicator
 	upstream     *localUpstream
 	listener     *listener.Listener
@@ -73,6 +75,7 @@
 		found, _ := service(name)
 		return time.Duration(found.Warmup)
 	}
+	c.registrar = registrar.New(registrar.Defaults)
 	limits := deduplicator.Defaults
 	limits.KeyTTL = settings.KeyWindow
 	c.deduplicator = deduplicator.New(now, limits)
@@ -140,19 +143,38 @@
 		f.AddSlowdown(f.Now(), report)
 		return report
 	}
-	f.Begin = func(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
-		return c.deduplicator.Begin(now, claim.ID, deduplicatorKey(claim))
-	}
+	f.Begin = c.begin
 	f.Finish = func(now time.Time, claim forwarder.Claim, completion forwarder.Completion) {
-		c.deduplicator.Finish(now, claim.ID, deduplicatorKey(claim), deduplicator.Result(completion))
+		c.registrar.Finish(claim.ID, completion.Result)
+		c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result(completion))
 	}
-	f.Refuse = func(now time.Time, id string, age time.Duration) forwarder.CallState {
-		return forwarder.CallState(c.deduplicator.Refuse(now, id, age))
+	f.End = c.registrar.End
+	f.Refuse = func(sent sycamorerun.Session, sequence uint64) forwarder.CallState {
+		return forwarder.CallState(c.registrar.Refuse(sent, sequence))
 	}
 	c.forwarder = f
 	return c
 }
 
+// begin claims the execution of a call: the attempt must not have been refused, and its
+// key must not have been used. An attempt whose key may have been used is not refused,
+// since the request may have run.
+func (c *calls) begin(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
+	decision := c.registrar.Start(claim.ID)
+	if decision.Verdict != sycamorerun.VerdictRun {
+		return decision
+	}
+	decision = c.deduplicator.Begin(now, deduplicatorKey(claim))
+	switch decision.Verdict {
+	case sycamorerun.VerdictRun:
+	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
+		c.registrar.Finish(claim.ID, sycamorerun.NotRun)
+	default:
+		c.registrar.Finish(claim.ID, sycamorerun.Unknown)
+	}
+	return decision
+}
+
 // match returns the properties of a request's route, and whether there is a route.
 // The scheme is that of the callers' keys.
 func match(table *router.Table, scheme string, request *http.Request) (forwarder.Match, bool) {
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -142,6 +142,7 @@
 	n.governor = n.newGovernor()
 	n.calls.listener.Door = n.governor.Door("callers", 0, 0)
 	n.calls.deduplicator.Boot = int64(n.self.Incarnation.Boot())
+	n.calls.registrar.Self = sycamorerun.Run{Name: settings.Name, Boot: n.calls.deduplicator.Boot}
 	n.calls.forwarder.Logger, n.calls.forwarder.Scope = logger, scope
 	n.calls.balancer.Scope = scope.SubScope("balancer")
 	n.reporter = newReporter(n.applier.Current, n.fleet)
--- a/node/runner/operators.go
+++ b/node/runner/operators.go
@@ -32,6 +32,8 @@
 		// All calls have ended by then, so only streams without a call are left.
 		Limits: connector.Limits{Drain: leaveTimeout, Handshakes: n.settings.maxHandshakes()},
 		TLS:    security, Listen: n.settings.peerListenAddress(), Handlers: n.streamHandlers(), Logger: n.logger, Scope: n.scope,
+		SessionOpened: n.calls.registrar.OpenSession,
+		SessionClosed: func(number uint64) { n.calls.registrar.CloseSession(time.Now(), number) },
 	}
 }
 
--- a/session.go
+++ b/session.go
@@ -15,3 +15,10 @@
 	// Number is zero if the end has not given one.
 	Number uint64
 }
+
+// CallID identifies an attempt of a call at the node that it was sent to: the number
+// that this node gave the session, and the number that the sender gave the attempt. The
+// zero CallID stands for an attempt that no peer has sent.
+type CallID struct {
+	Session, Sequence uint64
+}
