deduplicator: TestResultOutlivesFailedSend asks the new owner of the key

It expects that the key is uncertain before the new owner has got the result. In this case the call goes to the earlier owner, which has the result and rightly returns it; the test passed because the call happened to have the id "1" of the first request and was rejected as a duplicate. It now asks the new owner in all cases, which is what it is for.

--- a/node/deduplicator/results_test.go
+++ b/node/deduplicator/results_test.go
@@ -61,7 +61,7 @@
 				a.Records.Finish(s.now, Key{Name: key}, answered)
 				time.Sleep(150 * time.Millisecond)
 				synctest.Wait()
-				is.Equal(s.call(key).Verdict, sycamorerun.VerdictUncertain)
+				is.Equal(s.callAt(s.processes[c.newOwner], key).Verdict, sycamorerun.VerdictUncertain)
 				c.change(s)
 				time.Sleep(2 * time.Second)
 				stop()
