deduplicator: exchange keys only with the process that they are about

A join asks the processes that it knows for their keys, but the stream was opened to a name: a process that had been started since answered for the one before it. Its grant said nothing about the records that ended with the other, and the join counted as complete. Nodes mostly noticed by other means (the sets of members in the grant, its incomplete history); a process that had learned of the members only by its join did not, and ran a request again that the lost process had run.

Open now returns the process that the stream leads to, and another one than expected ends the exchange. A process speaks for itself only: the boot in a request and in a notice has to be that of the session.

TestGrantOfLaterProcess failed before: the join was complete.

--- a/node/connector/conn.go
+++ b/node/connector/conn.go
@@ -140,6 +140,11 @@
 // RemoteSession returns the session of the stream as the peer knows it.
 func (s *Stream) RemoteSession() sycamorerun.Session { return s.session.remote }
 
+// RemoteRun returns the run of the peer that a stream of a connector leads to.
+func RemoteRun(stream net.Conn) sycamorerun.Run {
+	return stream.(*Stream).RemoteSession().Run
+}
+
 func (c *Connector) wrap(s *session, conn net.Conn, kind string) net.Conn {
 	return &Stream{
 		Conn: conn, connector: c, session: s,
--- a/node/deduplicator/exchange_test.go
+++ b/node/deduplicator/exchange_test.go
@@ -86,14 +86,14 @@
 		Service: func() string { return "s" },
 		Now:     func() time.Time { return s.now },
 		Members: func() []Member { return without(p.view, name) },
-		Open: func(_ context.Context, to string) (net.Conn, error) {
+		Open: func(_ context.Context, to string) (net.Conn, Member, error) {
 			peer := s.processes[to]
 			if peer == nil || peer.crashed || s.unreachable[to] {
-				return nil, errors.New("connection refused")
+				return nil, Member{}, errors.New("connection refused")
 			}
 			client, server := net.Pipe()
-			s.exchanges.Go(func() { peer.Serve(name, server) })
-			return client, nil
+			s.exchanges.Go(func() { peer.Serve(p.member, server) })
+			return client, peer.member, nil
 		},
 	}
 	s.processes[name] = p
@@ -202,6 +202,29 @@
 	return decision
 }
 
+// TestGrantOfLaterProcess guards against a second run of a request whose record was lost
+// with its process: a process that has been started since can't hand it over.
+func TestGrantOfLaterProcess(t *testing.T) {
+	is := is.New(t)
+	s := newService("a")
+	members := []Member{s.processes["a"].member, s.startProcess("b").member}
+	key := "key"
+	for n := 0; ownerIn(key, members).Name != "b"; n++ {
+		key = fmt.Sprint("key", n)
+	}
+	is.Equal(s.callAt(s.processes["a"], key).Verdict, sycamorerun.VerdictRun)
+	b := s.processes["b"]
+	b.view = s.announced()
+	s.crash("a")
+	s.startProcess("a")
+	s.exchangeTimeout = shortTimeout
+	ctx, cancel := s.exchangeContext()
+	defer cancel()
+	is.Equal(b.Join(ctx), false)
+	is.Equal(s.callAt(b, key).Verdict, sycamorerun.VerdictUncertain)
+	is.Equal(s.executed[key], 1)
+}
+
 // TestHandOver guards against a second run of a request, and against needless
 // uncertainty, when members join, leave or crash.
 func TestHandOver(t *testing.T) {
@@ -505,9 +528,9 @@
 			s.exchangeTimeout = shortTimeout
 			is.True(!s.join("b"))
 		},
-		"a process that speaks for another": func(is *is.I, _ *service, a, b *process) {
+		"a process that speaks for another": func(is *is.I, s *service, a, b *process) {
 			client, server := net.Pipe()
-			go a.Serve("c", server)
+			go a.Serve(s.processes["c"].member, server)
 			is.NoErr(write(client, &Frame{Kind: &Frame_Sealed{Sealed: &Sealed{Member: toProcess(b.member)}}}))
 			is.True(readDone(client) != nil)
 			is.Equal(len(a.Records.membership.handoffs), 0)
@@ -673,7 +696,7 @@
 		client, server := net.Pipe()
 		go func() { _, _ = io.Copy(io.Discard, client) }()
 		go func() { _, _ = client.Write(data); _ = client.Close() }()
-		s.processes["a"].Serve("d", server)
+		s.processes["a"].Serve(Member{Name: "d", Boot: 1}, server)
 		s.callAt(s.processes["a"], "key")
 	})
 }
--- a/node/deduplicator/results_test.go
+++ b/node/deduplicator/results_test.go
@@ -113,10 +113,11 @@
 				s.announce()
 				var opens atomic.Int64
 				reachable := a.Open
-				a.Open = func(ctx context.Context, to string) (net.Conn, error) {
+				a.Open = func(ctx context.Context, to string) (net.Conn, Member, error) {
 					if to == "b" {
 						opens.Add(1)
-						return c.open(ctx)
+						stream, err := c.open(ctx)
+						return stream, s.processes["b"].member, err
 					}
 					return reachable(ctx, to)
 				}
--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -37,7 +37,10 @@
 	reconcileInterval = 250 * time.Millisecond
 )
 
-var errProtocol = errors.New("invalid key exchange frame")
+var (
+	errProtocol     = errors.New("invalid key exchange frame")
+	errOtherProcess = errors.New("another process of the member answers")
+)
 
 // Exchanger transfers keys between the processes of a service.
 type Exchanger struct {
@@ -47,7 +50,9 @@
 	Service func() string
 	// Members returns the announced members of the service except this one.
 	Members func() []Member
-	Open    func(ctx context.Context, member string) (net.Conn, error)
+	// Open opens a stream to the node of a member and returns the process that it
+	// leads to.
+	Open func(ctx context.Context, member string) (net.Conn, Member, error)
 	Now     func() time.Time
 	Logger  log.Logger
 	Scope   tally.Scope
@@ -298,28 +303,33 @@
 	return failed
 }
 
-// exchange runs one exchange over a new stream, which is closed when ctx ends.
+// exchange runs one exchange over a new stream, which is closed when ctx ends. A later
+// process of the same name has no records of the member, so that its answer says nothing
+// about them.
 func (e *Exchanger) exchange(ctx context.Context, member Member, run func(stream net.Conn) error) error {
-	stream, err := e.Open(ctx, member.Name)
+	stream, peer, err := e.Open(ctx, member.Name)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
+	if peer != member {
+		return errOtherProcess
+	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	return run(stream)
 }
 
-// Serve serves one exchange that the node named from has opened.
-func (e *Exchanger) Serve(from string, stream net.Conn) {
+// Serve serves one exchange that the process from has opened.
+func (e *Exchanger) Serve(from Member, stream net.Conn) {
 	defer func() { _ = stream.Close() }()
 	_ = stream.SetDeadline(time.Now().Add(serveTimeout))
 	if err := e.serve(from, stream); err != nil {
-		_ = level.Debug(e.Logger).Log("msg", "failed to serve key exchange", "peer", from, "err", err)
+		_ = level.Debug(e.Logger).Log("msg", "failed to serve key exchange", "peer", from.Name, "err", err)
 	}
 }
 
-func (e *Exchanger) serve(from string, stream net.Conn) error {
+func (e *Exchanger) serve(from Member, stream net.Conn) error {
 	frame, err := encoder.Read[Frame](stream, maxFrameBytes)
 	if err != nil {
 		return err
@@ -336,7 +346,7 @@
 		e.Records.Import(e.Now(), records)
 	case *Frame_Sealed:
 		member := fromProcess(kind.Sealed.GetMember())
-		if member.Name != from {
+		if member != from {
 			return errProtocol
 		}
 		e.Records.RecordHandoff(e.Now(), member, kind.Sealed.GetTerm(), fromProcesses(kind.Sealed.GetSet()))
@@ -346,9 +356,9 @@
 	return write(stream, &Frame{Kind: &Frame_Done{Done: &Done{}}})
 }
 
-func (e *Exchanger) serveTake(from string, take *Take, stream net.Conn) error {
+func (e *Exchanger) serveTake(from Member, take *Take, stream net.Conn) error {
 	joiner := fromProcess(take.GetJoiner())
-	if joiner.Name != from {
+	if joiner != from {
 		return errProtocol
 	}
 	var grant Grant
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"sycamorerun"
+	"sycamorerun/node/connector"
 	"sycamorerun/node/deduplicator"
 )
 
@@ -42,13 +43,7 @@
 			self := func(member deduplicator.Member) bool { return member.Name == n.settings.Name }
 			return slices.DeleteFunc(keyMembers(n.fleet.serving(announcement.Service)), self)
 		},
-		Open: func(ctx context.Context, peer string) (net.Conn, error) {
-			member, ok := n.fleet.member(peer)
-			if !ok {
-				return nil, errors.Errorf("peer %s is not a member", peer)
-			}
-			return n.connector.Open(ctx, member.Address, deduplicator.Kind)
-		},
+		Open: n.openKeyStream,
 		Now: time.Now, Logger: n.logger, Scope: n.scope,
 	}
 	n.publisher = &publisher{
@@ -63,6 +58,20 @@
 	}
 }
 
+// openKeyStream opens a stream for an exchange of keys and returns the process that it
+// leads to.
+func (n *node) openKeyStream(ctx context.Context, peer string) (net.Conn, deduplicator.Member, error) {
+	member, ok := n.fleet.member(peer)
+	if !ok {
+		return nil, deduplicator.Member{}, errors.Errorf("peer %s is not a member", peer)
+	}
+	stream, err := n.connector.Open(ctx, member.Address, deduplicator.Kind)
+	if err != nil {
+		return nil, deduplicator.Member{}, err
+	}
+	return stream, deduplicator.Member(connector.RemoteRun(stream)), nil
+}
+
 // acquireKeys takes over the keys that this node owns once its upstream serves. In a
 // fleet without a version there are no routes, so no call with a key can have run.
 func (n *node) acquireKeys() {
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -320,7 +320,7 @@
 			n.calls.forwarder.ServeCall(ctx, stream)
 		},
 		deduplicator.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
-			n.keys.Serve(from.Name, stream)
+			n.keys.Serve(deduplicator.Member{Name: from.Name, Boot: from.Boot}, stream)
 		},
 		rationer.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
 			n.rationer.Serve(from.Name, stream)
