announcer: time in which the process stands still does not end the wait for departures

After a restart, announcements wait until the departures that earlier processes confirmed are known, for 10 s at most, since none is later than that. The 10 s were elapsed time. A process that was paused before it had read the departures took a late announcement that it read after the pause, and used an upstream whose departure had been confirmed.

The time counts now as the process checks its upstream (every 0.1 s), with at most 1 s for each check. The table's case "departures stay unknown" jumped 10 s and now plays the checks in between.

--- a/node/announcer/announcer.go
+++ b/node/announcer/announcer.go
@@ -159,7 +159,7 @@
 	switch {
 	case a.Check(in) != nil:
 		return Invalid
-	case a.mustHold(now, in):
+	case a.mustHold(in):
 		return a.hold(now, in)
 	}
 	return a.process(now, in)
@@ -363,10 +363,11 @@
 }
 
 // Expire makes an upstream unavailable that has stopped announcing itself, and
-// ends a warm-up whose time is over.
+// ends a warm-up whose time is over. It has to be called at short intervals.
 func (a *Announcer) Expire(now time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.held.check(now)
 	a.expire(now)
 }
 
--- a/node/announcer/announcer_test.go
+++ b/node/announcer/announcer_test.go
@@ -256,7 +256,9 @@
 		},
 		"restart, departures stay unknown": {
 			{event: "hold"},
+			{at: 9999, event: "run"},
 			{at: 9999, id: "a", boot: 5, seq: 4, want: Held},
+			{at: 10_000, event: "run"},
 			{at: 10_000, id: "a", boot: 5, seq: 5, want: Accepted, use: "a/5 ready"},
 			{at: 11_000, event: "restore", id: "a", boot: 5},
 			{at: 11_500, id: "a", boot: 5, seq: 6, want: Stale},
@@ -346,6 +348,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			a := New(func() time.Duration { return period })
+			checked := start
 			for i, s := range steps {
 				now := start.Add(time.Duration(s.at) * time.Millisecond)
 				var outcome Outcome
@@ -354,6 +357,11 @@
 					outcome = a.Leave(now, s.id)
 				case "expire":
 					a.Expire(now)
+				case "run":
+					for checked.Before(now) {
+						checked = checked.Add(min(100*time.Millisecond, now.Sub(checked)))
+						a.Expire(checked)
+					}
 				case "refused":
 					a.ConnectionRefused(now)
 				case "reached":
--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -11,9 +11,13 @@
 // earlier processes of its node confirmed. An announcement that arrives meanwhile may
 // be a late one of an upstream that has left.
 type held struct {
-	// active is set until the departures are known, since is when that began.
+	// active is set until the departures are known.
 	active bool
-	since  time.Time
+	// waited is the time for which the process has run since that began, checkedAt the
+	// time of the last check. Announcements that arrive during a pause of the process
+	// are read after it.
+	waited    time.Duration
+	checkedAt time.Time
 	// announcements are the last ones that wait.
 	announcements []received
 }
@@ -24,12 +28,22 @@
 	at time.Time
 }
 
+// maxCheckGap is the longest time between two checks that counts as time in which the
+// process ran. A busy machine delays a check by about 100 ms.
+const maxCheckGap = time.Second
+
+// check adds the time since the last check.
+func (h *held) check(now time.Time) {
+	h.waited += min(now.Sub(h.checkedAt), maxCheckGap)
+	h.checkedAt = now
+}
+
 // Hold makes the announcements wait for Release. It has to be called when the node
 // starts.
 func (a *Announcer) Hold(now time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.held = held{active: true, since: now}
+	a.held = held{active: true, checkedAt: now}
 }
 
 // Learn adds departures that earlier processes of the node confirmed, while others may
@@ -69,14 +83,14 @@
 // last returns the last elements of a list.
 func last[T any](list []T, count int) []T { return list[max(0, len(list)-count):] }
 
-// mustHold reports whether an announcement has to wait for Release. One that arrives
-// departureRetention after the start of this process can't be from before a departure
+// mustHold reports whether an announcement has to wait for Release. One that is read
+// after the process has run for departureRetention can't be from before a departure
 // that an earlier process confirmed. A boot number that is later than this process
 // shows nothing: the clocks of the two may differ, or have been set. The departure of
 // an upstream without a boot isn't kept.
-func (a *Announcer) mustHold(now time.Time, in Announcement) bool {
+func (a *Announcer) mustHold(in Announcement) bool {
 	switch {
-	case !a.held.active || now.Sub(a.held.since) >= departureRetention:
+	case !a.held.active || a.held.waited >= departureRetention:
 		return false
 	case in.ID == a.current.ID && in.Boot == a.current.Boot:
 		return false
