balancer: a lost call is the failure of a process, which ends with it

A node that was killed and back within milliseconds kept the sound upstream beside it out of use for 5 s: the calls that were lost with the old process, six at a time, counted as as many failures of the upstream in a row, and after the ejection a single one ejected it again, for twice as long. The new process refuses calls until its upstream has announced itself, and each refusal (draining) kept the instance out of use for 5 s as well.

The memory of a process is apart from that of its upstream now. Calls lost with a session count as one loss, however many there were; three losses without an answer in between, which may be those of three processes, eject the instance. A failure to connect ends with a record of a new process, a refusal because of draining with any new record, and neither counts if its call was sent to an earlier one. If only ejected instances are left, they are used.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -44,9 +44,14 @@
 // Observation is the outcome of an attempt at a picked instance.
 type Observation struct {
 	Instance string
-	Service  string
-	Result   sycamorerun.Result
-	Reason   string
+	// Incarnation and Sequence are those of the record of the instance that was
+	// picked, Started is when the attempt began.
+	Incarnation sycamorerun.Incarnation
+	Sequence    uint64
+	Started     time.Time
+	Service     string
+	Result      sycamorerun.Result
+	Reason      string
 	// Status is the HTTP status code if the upstream answered.
 	Status int
 	// Load is nil if the attempt returned no load report.
@@ -62,6 +67,8 @@
 	Objective time.Duration
 }
 
+func (o *Observation) picked() recordVersion { return recordVersion{o.Incarnation, o.Sequence} }
+
 // Chance is the expected share of the next calls that an instance gets.
 type Chance struct {
 	Instance string
@@ -186,9 +193,9 @@
 		if !instance.Serving() {
 			continue
 		}
-		all = append(all, candidate{
-			instance: instance, stats: b.instanceStats(now, instance.Name), tier: b.tierOf(instance),
-		})
+		known := b.instanceStats(now, instance.Name)
+		known.process.follow(instance)
+		all = append(all, candidate{instance: instance, stats: known, tier: b.tierOf(instance)})
 	}
 	b.candidates = all
 	markEjected(now, all)
@@ -197,14 +204,17 @@
 	applySlowdowns(now, all)
 	grouped := tieredCandidates{all: all}
 	refused := overloadReasons[query.LastReason] || linkReasons[query.LastReason]
-	var full []*candidate
+	var full, ejected []*candidate
 	options := farOptions{unlimited: true, share: b.sizes.lightness(sizeKey{query.Service, kind})}
 	for at := range all {
 		c := &all[at]
-		if c.ejected || now.Before(c.stats.avoidedUntil) {
+		tried := slices.Contains(query.Tried, c.instance.Name)
+		if c.ejected && !tried {
+			ejected = append(ejected, c)
+		}
+		if c.ejected || now.Before(c.stats.process.avoidedUntil) {
 			continue
 		}
-		tried := slices.Contains(query.Tried, c.instance.Name)
 		if c.tier < farTier && (!tried || refused) {
 			options.unlimited = false
 		}
@@ -222,6 +232,10 @@
 	if !refused || options.unlimited {
 		grouped.addFull(full)
 	}
+	if grouped.empty() && len(full) == 0 && len(query.Tried) == 0 {
+		// A call to an instance that has failed may be answered all the same.
+		grouped.addAll(ejected)
+	}
 	grouped.evaluate(now, warmup, reachRange(query.Objective, run), options)
 	return grouped
 }
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -28,19 +28,10 @@
 	// further ejection, up to maxEjectionTime.
 	baseEjectionTime = 5 * time.Second
 	maxEjectionTime  = time.Minute
-	// baseUnreachableTime and maxUnreachableTime bound the ejection of an instance
-	// that can't be connected to. One failure is enough, since each costs a call
-	// the time of a connection attempt. The ejection is short, since an address
-	// answers again soon after a restart.
-	baseUnreachableTime = time.Second
-	maxUnreachableTime  = 5 * time.Second
 	// maxFullTime bounds the time for which an instance is avoided because it has
 	// reported that it is full. If it gives no time, defaultFullTime applies.
 	maxFullTime     = time.Second
 	defaultFullTime = 50 * time.Millisecond
-	// drainingAvoidTime is the time for which a draining instance is not picked.
-	// Its new state reaches this node within this time.
-	drainingAvoidTime = 5 * time.Second
 )
 
 // Reasons of the forwarder and the limiter that determine how an outcome counts.
@@ -52,7 +43,10 @@
 	// responses. Other kinds of calls are not affected.
 	linkReasons        = map[string]bool{"link-full": true}
 	unreachableReasons = map[string]bool{"peer-unreachable": true, "upstream-unreachable": true}
-	drainingReasons    = map[string]bool{"draining": true, "no-upstream": true, "stopping": true}
+	// lossReasons mean that the session of the call was lost. Whether its process ended
+	// or the link failed, the upstream has no part in it.
+	lossReasons     = map[string]bool{"peer-lost": true, "peer-not-started": true}
+	drainingReasons = map[string]bool{"draining": true, "no-upstream": true, "stopping": true}
 	// neutralReasons are reasons caused by the caller or by the configuration. They
 	// say nothing about the instance.
 	neutralReasons = map[string]bool{"canceled": true, "body-too-large": true, "body-incomplete": true, "refused": true}
@@ -74,13 +68,7 @@
 	ejections           int
 	lastOutcome         time.Time // time of the newest outcome
 	ejectedUntil        time.Time
-	avoidedUntil        time.Time
-	// connectFailures counts the failures to connect since the last outcome.
-	connectFailures int
-	// unreachableUntil is the time until which the instance is ejected after a
-	// failure to connect. No slow start follows, since nothing indicates that the
-	// instance is slow.
-	unreachableUntil time.Time
+	process             processMemory
 	// fullUntil is the time at which the instance expects capacity for calls of
 	// fullRank.
 	fullUntil time.Time
@@ -108,7 +96,9 @@
 	switch {
 	case neutralReasons[observation.Reason]:
 	case drainingReasons[observation.Reason]:
-		s.avoidedUntil = now.Add(drainingAvoidTime)
+		s.process.recordDraining(now, observation.picked())
+	case lossReasons[observation.Reason]:
+		s.process.recordLoss(now, observation.Started)
 	case observation.Result == sycamorerun.NotRun && overloadReasons[observation.Reason]:
 		s.recordOverload(now)
 		s.fullUntil, s.fullRank = now.Add(min(cmp.Or(observation.After, defaultFullTime), maxFullTime)), observation.Rank
@@ -116,9 +106,12 @@
 		s.linkFullUntil = now.Add(min(cmp.Or(observation.After, defaultFullTime), maxFullTime))
 		s.linkFullKind = callKind{observation.Rank, observation.Objective}
 	case observation.Result == sycamorerun.NotRun && unreachableReasons[observation.Reason]:
-		s.recordUnreachable(now)
+		s.process.recordUnreachable(now, observation.picked())
 	default:
-		s.connectFailures = 0
+		if observation.Result == sycamorerun.Answered {
+			s.process.recordAnswer()
+		}
+		s.process.connectFailures = 0
 		s.recordOutcome(now, failed(observation))
 	}
 }
@@ -137,19 +130,10 @@
 	s.reportedAt, s.inFlightAtReport = now, s.inFlight
 }
 
-// recordUnreachable ejects an instance that could not be connected to.
-func (s *stats) recordUnreachable(now time.Time) {
-	if now.Before(s.unreachableUntil) {
-		return // The call was already in flight when the instance was ejected.
-	}
-	s.unreachableUntil = now.Add(min(baseUnreachableTime<<min(s.connectFailures, 10), maxUnreachableTime))
-	s.connectFailures++
-}
-
 // ejectionEnd returns the time until which the instance is ejected.
 func (s *stats) ejectionEnd() time.Time {
-	if s.unreachableUntil.After(s.ejectedUntil) {
-		return s.unreachableUntil
+	if end := s.process.ejectionEnd(); end.After(s.ejectedUntil) {
+		return end
 	}
 	return s.ejectedUntil
 }
--- a/node/balancer/tier.go
+++ b/node/balancer/tier.go
@@ -84,7 +84,7 @@
 		return
 	}
 	if medianFailureRate(now, all) >= commonFailureRate {
-		ejected = slices.DeleteFunc(ejected, func(c *candidate) bool { return !now.Before(c.stats.unreachableUntil) })
+		ejected = slices.DeleteFunc(ejected, func(c *candidate) bool { return !now.Before(c.stats.process.ejectionEnd()) })
 	}
 	// The instances that failed most often have the longest ejections.
 	slices.SortStableFunc(ejected, func(a, b *candidate) int {
@@ -236,6 +236,19 @@
 	}
 }
 
+// empty reports whether no instance can be picked.
+func (t *tieredCandidates) empty() bool {
+	return t.near() == 0 && len(t.tiers[farTier].candidates) == 0
+}
+
+// addAll adds candidates whatever their distance.
+func (t *tieredCandidates) addAll(candidates []*candidate) {
+	for _, c := range candidates {
+		c.pickable = true
+		t.tiers[c.tier].add(c)
+	}
+}
+
 // only leaves the given candidates of other regions as the only ones.
 func (t *tieredCandidates) only(far []*candidate) {
 	t.tiers, t.travels = [3]tier{}, 1
--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -37,7 +37,7 @@
 		cancel(errDone)
 		if c.key == "" {
 			f.Observe(f.Now(), Observation{
-				Instance: to.Name, Service: c.match.Service, Result: failed.result,
+				Instance: to, Started: now, Service: c.match.Service, Result: failed.result,
 				Reason: failed.reason, HeadLatency: f.Now().Sub(now), Load: failed.load,
 				RetryAfter: failed.retryAfter, Rank: c.match.Rank, Objective: c.match.Objective,
 			})
@@ -144,7 +144,7 @@
 			f.answerTimes.Record(c.match.kind(), out.headAt.Sub(start))
 		}
 		f.Observe(f.Now(), Observation{
-			Instance: to.Name, Service: c.match.Service, Result: result, Reason: reason, Status: out.status,
+			Instance: to, Started: start, Service: c.match.Service, Result: result, Reason: reason, Status: out.status,
 			Load: out.load, HeadLatency: out.headAt.Sub(start), Rank: c.match.Rank, Objective: c.match.Objective,
 			Bytes: observed.bytes,
 		})
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -103,7 +103,9 @@
 
 // Observation describes the end of an attempt.
 type Observation struct {
-	Instance string
+	// Instance is the record of the instance at the start of the attempt.
+	Instance sycamorerun.Instance
+	Started  time.Time
 	Service  string
 	// Result says whether the attempt ran. Status is the status of the
 	// upstream's response, if there was one.
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -198,7 +198,7 @@
 
 func balancerObservation(o forwarder.Observation) balancer.Observation {
 	result := balancer.Observation{
-		Instance: o.Instance, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
+		Instance: o.Instance.Name, Incarnation: o.Instance.Incarnation, Sequence: o.Instance.Sequence, Started: o.Started, Service: o.Service, Result: o.Result, Reason: o.Reason, Status: o.Status,
 		After: o.RetryAfter, Rank: o.Rank, Objective: o.Objective, Bytes: o.Bytes,
 	}
 	if o.Load != nil {
--- a/node/runner/rollouts.go
+++ b/node/runner/rollouts.go
@@ -76,7 +76,7 @@
 	c.forwarder.Observe = func(now time.Time, o forwarder.Observation) {
 		observe(now, o)
 		gate.Observe(releaser.Attempt{
-			Service: o.Service, Instance: o.Instance, Rank: o.Rank, Objective: o.Objective, Took: o.HeadLatency,
+			Service: o.Service, Instance: o.Instance.Name, Rank: o.Rank, Objective: o.Objective, Took: o.HeadLatency,
 			Failed:  o.Result == sycamorerun.Unknown || o.Status >= http.StatusInternalServerError,
 			Ignored: o.Result == sycamorerun.NotRun || o.Result == sycamorerun.Unknown && o.Reason == forwarder.ReasonCanceled,
 		})
