--- a/node/deduplicator/session.go
+++ b/node/deduplicator/session.go
@@ -52,10 +52,10 @@
 	Members func() []Member
 	// Open opens a stream to the node of a member and returns the process that it
 	// leads to.
-	Open func(ctx context.Context, member string) (net.Conn, Member, error)
-	Now     func() time.Time
-	Logger  log.Logger
-	Scope   tally.Scope
+	Open   func(ctx context.Context, member string) (net.Conn, Member, error)
+	Now    func() time.Time
+	Logger log.Logger
+	Scope  tally.Scope
 
 	mutex sync.Mutex
 	// cachedMetrics is created from Scope on first use.
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -44,7 +44,7 @@
 			return slices.DeleteFunc(keyMembers(n.fleet.serving(announcement.Service)), self)
 		},
 		Open: n.openKeyStream,
-		Now: time.Now, Logger: n.logger, Scope: n.scope,
+		Now:  time.Now, Logger: n.logger, Scope: n.scope,
 	}
 	n.publisher = &publisher{
 		publish:      func(p advertisement) { n.tracker.Announce(time.Now(), p.service, p.state, p.slots, p.release) },
