balancer: an answer ends an ejection for losses; a model of restarts

The first version left an instance out of use for 5 s after three losses even if it had answered since, and refused calls that had failed at another instance while only ejected ones were left.

--- a/node/balancer/balancer.go
+++ b/node/balancer/balancer.go
@@ -209,7 +209,7 @@
 	for at := range all {
 		c := &all[at]
 		tried := slices.Contains(query.Tried, c.instance.Name)
-		if c.ejected && !tried {
+		if c.ejected && !tried && (len(query.Tried) == 0 || !now.Before(c.stats.process.unreachableUntil)) {
 			ejected = append(ejected, c)
 		}
 		if c.ejected || now.Before(c.stats.process.avoidedUntil) {
@@ -232,8 +232,9 @@
 	if !refused || options.unlimited {
 		grouped.addFull(full)
 	}
-	if grouped.empty() && len(full) == 0 && len(query.Tried) == 0 {
-		// A call to an instance that has failed may be answered all the same.
+	if grouped.empty() && len(full) == 0 {
+		// A call to an instance that has failed may be answered all the same. One that
+		// can't be reached is tried once.
 		grouped.addAll(ejected)
 	}
 	grouped.evaluate(now, warmup, reachRange(query.Objective, run), options)
--- a/node/balancer/process.go
+++ b/node/balancer/process.go
@@ -98,7 +98,9 @@
 }
 
 // recordAnswer records that the instance answered a call.
-func (p *processMemory) recordAnswer() { p.connectFailures, p.losses = 0, 0 }
+func (p *processMemory) recordAnswer() {
+	p.connectFailures, p.losses, p.lostUntil = 0, 0, time.Time{}
+}
 
 // ejectionEnd returns the time until which the instance is ejected.
 func (p *processMemory) ejectionEnd() time.Time {
--- a/node/balancer/process_test.go
+++ b/node/balancer/process_test.go
@@ -55,6 +55,12 @@
 			{at: 60 * ms, started: 50 * ms, observation: lost},
 			{at: 100 * ms, started: 80 * ms, observation: lost},
 		}, true},
+		"calls lost with three, then answered": {[]event{
+			{at: 20 * ms, observation: lost},
+			{at: 60 * ms, started: 40 * ms, observation: lost},
+			{at: 100 * ms, started: 80 * ms, observation: lost},
+			{at: 140 * ms, started: 110 * ms, observation: Observation{Result: sycamorerun.Answered, Status: 200}},
+		}, true},
 		"session cut before calls started": {[]event{{at: 20 * ms, observation: cut, times: 10}}, true},
 		"can't be reached":                 {[]event{{at: 20 * ms, observation: unreachable}}, false},
 		"couldn't be reached, new process": {[]event{{at: 20 * ms, observation: unreachable}, {at: 30 * ms, boot: 2}}, true},
