persister: a short timeout only in the cases of TestClientFaults that wait for it

All cases had a timeout of 200 ms. A write that has no connection by then can't have had an effect, and is reported so (ErrUnavailable), while the case expects the unknown outcome of a request that was sent. The cases that wait for the timeout keep it, the others expect the same with 10 s.

--- a/persister/client_test.go
+++ b/persister/client_test.go
@@ -68,9 +68,14 @@
 			is := is.New(t)
 			server := httptest.NewServer(test.handler)
 			defer server.Close()
+			// A write that times out before it has a connection had no effect.
+			timeout := 10 * time.Second
+			if name == "silent" || name == "stalled in the answer" {
+				timeout = 200 * time.Millisecond
+			}
 			store := newClient(ClientConfig{
 				Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
-				Timeout: 200 * time.Millisecond, Wait: time.Millisecond,
+				Timeout: timeout, Wait: time.Millisecond,
 			}, testLimit, testLimit)
 			check := func(err, want error) {
 				t.Helper()
