runner: open streams to members in one place

The name and boot of a peer were put together in two. No change of behaviour; the tests of runner and connector pass.

--- a/node/connector/peer.go
+++ b/node/connector/peer.go
@@ -46,9 +46,10 @@
 	return ScopeZone
 }
 
-func (p Peer) run() sycamorerun.Run { return sycamorerun.Run{Name: p.Name, Boot: p.Boot} }
+// Run returns the identity of the run.
+func (p Peer) Run() sycamorerun.Run { return sycamorerun.Run{Name: p.Name, Boot: p.Boot} }
 
-func (p Peer) sameRun(other Peer) bool { return p.run() == other.run() }
+func (p Peer) sameRun(other Peer) bool { return p.Run() == other.Run() }
 
 // hello returns the hello for the session with the given number.
 func (p Peer) hello(session uint64) *Hello {
--- a/node/connector/session.go
+++ b/node/connector/session.go
@@ -75,7 +75,7 @@
 	if peer.Name == c.Self.Name {
 		return errors.Errorf("peer at %s has the same name as this node", peer.Address)
 	}
-	s.peer, s.remote = peer, sycamorerun.Session{Run: peer.run(), Number: hello.GetSession()}
+	s.peer, s.remote = peer, sycamorerun.Session{Run: peer.Run(), Number: hello.GetSession()}
 	if s.dialled {
 		return nil
 	}
--- a/node/runner/keys.go
+++ b/node/runner/keys.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sycamorerun"
 	"sycamorerun/node/connector"
 	"sycamorerun/node/deduplicator"
@@ -61,11 +59,7 @@
 // openKeyStream opens a stream for an exchange of keys and returns the process that it
 // leads to.
 func (n *node) openKeyStream(ctx context.Context, peer string) (net.Conn, deduplicator.Member, error) {
-	member, ok := n.fleet.member(peer)
-	if !ok {
-		return nil, deduplicator.Member{}, errors.Errorf("peer %s is not a member", peer)
-	}
-	stream, err := n.connector.Open(ctx, member.Address, deduplicator.Kind)
+	stream, err := n.openStream(ctx, peer, deduplicator.Kind)
 	if err != nil {
 		return nil, deduplicator.Member{}, err
 	}
--- a/node/runner/node.go
+++ b/node/runner/node.go
@@ -215,13 +215,7 @@
 	d.Plan = n.fleet.plan
 	d.Peers = func() []string { return n.fleet.otherNames(n.settings.Name) }
 	d.Logger, d.Scope = n.logger, n.scope
-	d.Open = func(ctx context.Context, peer, kind string) (net.Conn, error) {
-		member, ok := n.fleet.member(peer)
-		if !ok {
-			return nil, errors.Errorf("peer %s is not a member", peer)
-		}
-		return n.connector.Open(ctx, member.Address, kind)
-	}
+	d.Open = n.openStream
 	n.distributor = d
 }
 
@@ -307,6 +301,15 @@
 	level.Info(n.logger).Log("msg", "configuration applied", "version", state.Tree.Version, "routes", state.Table.Routes())
 }
 
+// openStream opens a stream of a kind to the node of a member.
+func (n *node) openStream(ctx context.Context, peer, kind string) (net.Conn, error) {
+	member, ok := n.fleet.member(peer)
+	if !ok {
+		return nil, errors.Errorf("peer %s is not a member", peer)
+	}
+	return n.connector.Open(ctx, member.Address, kind)
+}
+
 // streamHandlers returns the handlers of the streams that peers can open, by kind.
 func (n *node) streamHandlers() map[string]connector.Handler {
 	handlers := map[string]connector.Handler{
@@ -320,7 +323,7 @@
 			n.calls.forwarder.ServeCall(ctx, stream)
 		},
 		deduplicator.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
-			n.keys.Serve(deduplicator.Member{Name: from.Name, Boot: from.Boot}, stream)
+			n.keys.Serve(deduplicator.Member(from.Run()), stream)
 		},
 		rationer.Kind: func(_ context.Context, from connector.Peer, stream net.Conn) {
 			n.rationer.Serve(from.Name, stream)
--- a/node/runner/quotas.go
+++ b/node/runner/quotas.go
@@ -5,8 +5,6 @@
 	"net"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sycamorerun/node/rationer"
 )
 
@@ -16,11 +14,7 @@
 		Window: n.settings.QuotaWindow, Overage: n.settings.QuotaOverage, Slack: n.settings.QuotaSlack,
 	})
 	r.Open = func(ctx context.Context, peer string) (net.Conn, error) {
-		member, ok := n.fleet.member(peer)
-		if !ok {
-			return nil, errors.Errorf("peer %s is not a member", peer)
-		}
-		return n.connector.Open(ctx, member.Address, rationer.Kind)
+		return n.openStream(ctx, peer, rationer.Kind)
 	}
 	r.Logger, r.Scope = n.logger, n.scope
 	r.SetMembers(now, names(n.fleet.live()))
--- a/node/runner/rollouts.go
+++ b/node/runner/rollouts.go
@@ -1,14 +1,10 @@
 package runner
 
 import (
-	"context"
 	"maps"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sycamorerun"
 	"sycamorerun/node/balancer"
 	"sycamorerun/node/forwarder"
@@ -39,13 +35,7 @@
 		Self: n.settings.Name, Boot: uint64(n.self.Incarnation.Boot()), Gate: gate, Keeper: keeper,
 		Services: func() map[string][]sycamorerun.Instance { return maps.Clone(n.fleet.view.Load().byService) },
 		Decider:  n.decider,
-		Open: func(ctx context.Context, peer, kind string) (net.Conn, error) {
-			member, ok := n.fleet.member(peer)
-			if !ok {
-				return nil, errors.Errorf("peer %s is not a member", peer)
-			}
-			return n.connector.Open(ctx, member.Address, kind)
-		},
+		Open:     n.openStream,
 	}}
 	n.calls.passGate(gate, n.fleet.serving)
 }
