registrar: the runner and the forwarder's fixture claim calls in the same way

The rule for an attempt whose key may have been used stood in the runner only; the fixture of the forwarder, which is to be wired as the runner wires it, had an older copy without it. Begin of registrar serves both.

--- a/node/forwarder/fixture_test.go
+++ b/node/forwarder/fixture_test.go
@@ -164,10 +164,9 @@
 // wireRecords connects a node to the records of calls of a run, and to those of keys.
 func (fx *fixture) wireRecords(f *Forwarder, calls *registrar.Registrar) {
 	f.Begin = func(now time.Time, claim Claim) sycamorerun.Decision {
-		if decision := calls.Start(claim.ID); decision.Verdict != sycamorerun.VerdictRun {
-			return decision
-		}
-		return fx.deduplicator.Begin(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint})
+		return calls.Begin(claim.ID, func() sycamorerun.Decision {
+			return fx.deduplicator.Begin(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint})
+		})
 	}
 	f.Finish = func(now time.Time, claim Claim, completion Completion) {
 		calls.Finish(claim.ID, completion.Result)
--- a/node/registrar/registrar.go
+++ b/node/registrar/registrar.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// Begin is Start for a call that another decision is needed for, such as that on its
+// idempotency key. If the call must not run, it is refused from now on, unless it may
+// have run before.
+func (r *Registrar) Begin(id sycamorerun.CallID, decide func() sycamorerun.Decision) sycamorerun.Decision {
+	decision := r.Start(id)
+	if decision.Verdict != sycamorerun.VerdictRun {
+		return decision
+	}
+	decision = decide()
+	switch decision.Verdict {
+	case sycamorerun.VerdictRun:
+	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
+		r.Finish(id, sycamorerun.NotRun)
+	default:
+		r.Finish(id, sycamorerun.Unknown)
+	}
+	return decision
+}
+
 // Finish records the result of a started call. One that did not run is refused from now
 // on, so that Refuse reports with certainty that it did not run.
 func (r *Registrar) Finish(id sycamorerun.CallID, result sycamorerun.Result) {
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -157,22 +157,11 @@
 }
 
 // begin claims the execution of a call: the attempt must not have been refused, and its
-// key must not have been used. An attempt whose key may have been used is not refused,
-// since the request may have run.
+// key must not have been used.
 func (c *calls) begin(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
-	decision := c.registrar.Start(claim.ID)
-	if decision.Verdict != sycamorerun.VerdictRun {
-		return decision
-	}
-	decision = c.deduplicator.Begin(now, deduplicatorKey(claim))
-	switch decision.Verdict {
-	case sycamorerun.VerdictRun:
-	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
-		c.registrar.Finish(claim.ID, sycamorerun.NotRun)
-	default:
-		c.registrar.Finish(claim.ID, sycamorerun.Unknown)
-	}
-	return decision
+	return c.registrar.Begin(claim.ID, func() sycamorerun.Decision {
+		return c.deduplicator.Begin(now, deduplicatorKey(claim))
+	})
 }
 
 // match returns the properties of a request's route, and whether there is a route.
