--- a/node/announcer/held.go
+++ b/node/announcer/held.go
@@ -28,13 +28,13 @@
 	at time.Time
 }
 
-// maxCheckGap is the longest time between two checks that counts as time in which the
-// process ran. A busy machine delays a check by about 100 ms.
-const maxCheckGap = time.Second
+// MinPause is the minimum time between two calls of Expire after which the process
+// counts as paused. A busy machine delays a call by about 100 ms.
+const MinPause = time.Second
 
 // check adds the time since the last check.
 func (h *held) check(now time.Time) {
-	h.waited += min(now.Sub(h.checkedAt), maxCheckGap)
+	h.waited += min(now.Sub(h.checkedAt), MinPause)
 	h.checkedAt = now
 }
 
--- a/node/runner/announce.go
+++ b/node/runner/announce.go
@@ -21,9 +21,6 @@
 	// It adds to the time after which an upstream that stopped announcing itself
 	// becomes unavailable.
 	refreshInterval = 100 * time.Millisecond
-	// minPause is the minimum time between two checks after which the process
-	// counts as paused. A busy machine delays a check by about 100 ms.
-	minPause = time.Second
 	// saveTimeout bounds storing a departure before it is confirmed. The upstream
 	// waits for the confirmation for a second.
 	saveTimeout = 800 * time.Millisecond
@@ -181,7 +178,7 @@
 		case now := <-ticker.C:
 			// After a pause of this process, received announcements may still be
 			// unread, so nothing expires.
-			if now.Sub(last) < minPause {
+			if now.Sub(last) < announcer.MinPause {
 				n.calls.upstream.announcer.Expire(now)
 			}
 			last = now
