--- a/node/balancer/process.go
+++ b/node/balancer/process.go
@@ -72,7 +72,7 @@
 	if now.Before(p.unreachableUntil) || picked.incarnation.Boot() != p.record.incarnation.Boot() {
 		return // The call was already in flight when the instance was ejected or replaced.
 	}
-	p.unreachableUntil = now.Add(min(baseUnreachableTime<<min(p.connectFailures, 10), maxUnreachableTime))
+	p.unreachableUntil = now.Add(doubled(baseUnreachableTime, p.connectFailures, maxUnreachableTime))
 	p.connectFailures++
 }
 
@@ -93,14 +93,12 @@
 	p.lostAt = now
 	p.losses++
 	if further := p.losses - maxConsecutiveLosses; further >= 0 {
-		p.lostUntil = now.Add(min(baseEjectionTime<<min(further, 10), maxEjectionTime))
+		p.lostUntil = now.Add(doubled(baseEjectionTime, further, maxEjectionTime))
 	}
 }
 
 // recordAnswer records that the instance answered a call.
-func (p *processMemory) recordAnswer() {
-	p.connectFailures, p.losses, p.lostUntil = 0, 0, time.Time{}
-}
+func (p *processMemory) recordAnswer() { p.losses, p.lostUntil = 0, time.Time{} }
 
 // ejectionEnd returns the time until which the instance is ejected.
 func (p *processMemory) ejectionEnd() time.Time {
--- a/node/balancer/restart_model_test.go
+++ b/node/balancer/restart_model_test.go
@@ -60,7 +60,6 @@
 type modelAttempt struct {
 	// able are the instances that could take the call when it arrived.
 	able    []sycamorerun.Instance
-	number  int
 	tried   []string
 	picked  sycamorerun.Instance
 	started time.Time
@@ -152,7 +151,6 @@
 		return
 	}
 	a.picked, a.started, a.done = picked, m.now, false
-	a.number++
 	n := m.nodes[int(picked.Name[1]-'0')]
 	if n.session != 0 {
 		m.deliver(n, a)
@@ -217,7 +215,7 @@
 		return
 	}
 	a.tried = append(a.tried, a.picked.Name)
-	delay, again := m.retrier.Allow(m.now, retrier.Attempt{Service: "s", Number: a.number, Result: result})
+	delay, again := m.retrier.Allow(m.now, retrier.Attempt{Service: "s", Number: len(a.tried), Result: result})
 	if !again {
 		m.refuse(a)
 		return
@@ -311,7 +309,7 @@
 func sortedAttempts(set map[*modelAttempt]struct{}) []*modelAttempt {
 	attempts := slices.Collect(maps.Keys(set))
 	slices.SortFunc(attempts, func(a, b *modelAttempt) int {
-		return cmp.Or(a.started.Compare(b.started), cmp.Compare(a.number, b.number))
+		return cmp.Or(a.started.Compare(b.started), cmp.Compare(len(a.tried), len(b.tried)))
 	})
 	return attempts
 }
--- a/node/balancer/stats.go
+++ b/node/balancer/stats.go
@@ -162,7 +162,7 @@
 		return
 	}
 	if s.consecutiveFailures >= maxConsecutiveFailures || s.outcomes >= minOutcomes && s.failureRate >= ejectionFailureRate {
-		s.ejectedUntil = now.Add(min(baseEjectionTime<<min(s.ejections, 10), maxEjectionTime))
+		s.ejectedUntil = now.Add(doubled(baseEjectionTime, s.ejections, maxEjectionTime))
 		s.ejections++
 		// After the ejection the failure rate starts at zero, but a single failure
 		// ejects the instance again.
@@ -170,6 +170,11 @@
 	}
 }
 
+// doubled returns a duration that doubles n times, up to a maximum.
+func doubled(base time.Duration, n int, maximum time.Duration) time.Duration {
+	return min(base<<min(n, 10), maximum)
+}
+
 // load estimates the calls at the instance. The number of calls of other nodes comes
 // from the last report, which decays towards mean, the mean of the other instances,
 // so that a stale report of an idle upstream attracts no more than a usual share.
