--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -59,10 +60,24 @@
 	return &fleet{record: rec, root: root, folder: folder}
 }
 
+// given holds the addresses that freeAddress has returned.
+var given = map[string]bool{}
+
+// freeAddress returns a free loopback address with a port below those that the kernel
+// gives to outgoing connections.
 func freeAddress() string {
-	l := listen()
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(10000))
+		if given[address] {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			given[address] = true
+			return address
+		}
+	}
+	panic(skip("no free port"))
 }
 
 // add makes a node that is not started yet. peers is the address that other nodes use,
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -17,7 +17,8 @@
 	id, method, path, caller string
 	bytes                    int
 	sum                      string
-	at                       time.Time
+	// arrived is when the header had arrived.
+	arrived time.Time
 }
 
 // worker is a stand-in for an application worker.
@@ -91,7 +92,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get(wire.RequestID)
+	id, arrived := r.Header.Get(wire.RequestID), time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		w.record.logf("worker %s: request %s broke off after %d bytes of its body, not run", w.id, id, len(body))
@@ -102,9 +103,9 @@
 		return
 	}
 	w.mutex.Lock()
-	w.runs = append(w.runs, run{id, r.Method, r.URL.RequestURI(), r.Header.Get(wire.Caller), len(body), sum(body), time.Now()})
+	w.runs = append(w.runs, run{id, r.Method, r.URL.RequestURI(), r.Header.Get(wire.Caller), len(body), sum(body), arrived})
 	w.mutex.Unlock()
-	w.record.logf("worker %s: runs %s %s %s, body of %d bytes, sha256 %s", w.id, id, r.Method, r.URL.RequestURI(), len(body), sum(body))
+	w.record.logf("worker %s: runs %s %s %s, body of %d bytes, sha256 %s, header had arrived %.3f s before", w.id, id, r.Method, r.URL.RequestURI(), len(body), sum(body), time.Since(arrived).Seconds())
 	out.Header().Set(wire.Signature, "s."+id)
 	_, _ = fmt.Fprintf(out, "done %s\n", id)
 }
