forwarder: count and log calls that are sent again over a new stream

The node counted queries about lost calls, but not what followed, and not whether a part of the body had been read by then. Change: counter call_resends by the state of the body, and one debug line.

--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
 	"sycamorerun"
@@ -24,6 +25,7 @@
 		if !unseen || ctx.Err() != nil {
 			return out, failed
 		}
+		f.recordResend(c, to, id, failed.reason)
 		id += "+"
 	}
 	conn, err := f.openStream(ctx, c, to, tried)
@@ -33,6 +35,13 @@
 	return f.sendOnStream(ctx, watchdog, c, to, &frameStream{conn: conn}, id, attemptNumber)
 }
 
+// recordResend counts and logs a call that is sent again to the same instance.
+func (f *Forwarder) recordResend(c *call, to sycamorerun.Instance, id, reason string) {
+	body := c.bodyState()
+	f.Scope.Tagged(map[string]string{"body": string(body)}).Counter("call_resends").Inc(1)
+	_ = level.Debug(f.Logger).Log("msg", "call sent again over a new stream", "request", id, "peer", to.Name, "reason", reason, "body", body)
+}
+
 // openTimeout bounds the opening of a stream when the call can go to another
 // instance. The largest round trip between regions is about 40 ms, and setting
 // up a session takes only a few of them. A lost packet costs a second.
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -125,6 +125,34 @@
 	u.closed = true
 }
 
+// bodyState says how much of a request body an attempt has taken.
+type bodyState string
+
+// Values of bodyState.
+const (
+	bodyBuffered bodyState = "buffered"
+	bodyUnread   bodyState = "unread"
+	bodyRead     bodyState = "read"
+)
+
+func (c *call) bodyState() bodyState {
+	switch {
+	case c.upload == nil:
+		return bodyBuffered
+	case c.upload.isConsumed():
+		return bodyRead
+	default:
+		return bodyUnread
+	}
+}
+
+// isConsumed reports whether a part of the body was read.
+func (u *upload) isConsumed() bool {
+	u.attemptMutex.Lock()
+	defer u.attemptMutex.Unlock()
+	return u.consumed
+}
+
 // bodyReader returns a reader of a buffered body.
 func (c *call) bodyReader() io.ReadCloser {
 	if len(c.body) == 0 {
