forwarder: a body of which an attempt has read a part is never sent again

Cause: a call whose pooled stream was lost is sent again within the same attempt if the peer answers "refused", without asking whether its body had been read. The end of the rest of a body looks like that of a whole one. Evidence: call_resends counts body=read there. Change: the body belongs to the first attempt that reads it; any other one gets an error. A call is sent again within an attempt only if its body is unread or in memory. Why a call counts as not seen is a field of the failure, no longer the text of a reason that a peer may send.

--- a/node/forwarder/attempts.go
+++ b/node/forwarder/attempts.go
@@ -86,7 +86,7 @@
 	if failed.isRequestError() || failed.reason == reasonCanceled {
 		return 0, false
 	}
-	consumed := c.upload != nil && c.upload.revoke()
+	consumed := c.revokeBody() == bodyRead
 	// The keys of a node whose upstream is draining are about to get a new
 	// owner.
 	ownerMoved := failed.reason == reasonKeyElsewhere || c.key != "" && failed.reason == reasonDraining
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -53,6 +53,9 @@
 	// sent says that the call may have reached an upstream, even one that
 	// rejected it.
 	sent bool
+	// unseen says that the node beside the upstream has not started the call and
+	// never will, as far as its stream was lost or closed.
+	unseen bool
 	// retryAfter is the time after which capacity is expected; zero means
 	// unknown.
 	retryAfter time.Duration
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -15,17 +15,16 @@
 )
 
 // sendToPeer sends the call to the node beside another upstream. A pooled stream
-// may have been lost without notice. If the peer did not receive the call over
-// it, the call is sent again over a new stream within the same attempt.
+// may have been lost without notice. If the peer did not start the call and none
+// of its body was read, the call is sent again over a new stream within the same
+// attempt.
 func (f *Forwarder) sendToPeer(ctx context.Context, watchdog *watchdog, c *call, to sycamorerun.Instance, tried []string, n int, attemptNumber uint32) (*attemptResponse, *failure) {
 	id := c.attemptID(n)
 	if frames := f.pool.get(f.Now(), to.Address); frames != nil {
 		out, failed := f.sendOnStream(ctx, watchdog, c, to, frames, id, attemptNumber)
-		unseen := failed != nil && (failed.reason == reasonPeerNotStarted || failed.reason == reasonPeerUnreachable)
-		if !unseen || ctx.Err() != nil {
+		if failed == nil || !f.canResend(ctx, c, to, id, failed) {
 			return out, failed
 		}
-		f.recordResend(c, to, id, failed.reason)
 		id += "+"
 	}
 	conn, err := f.openStream(ctx, c, to, tried)
@@ -35,11 +34,17 @@
 	return f.sendOnStream(ctx, watchdog, c, to, &frameStream{conn: conn}, id, attemptNumber)
 }
 
-// recordResend counts and logs a call that is sent again to the same instance.
-func (f *Forwarder) recordResend(c *call, to sycamorerun.Instance, id, reason string) {
-	body := c.bodyState()
+// canResend reports whether a call whose pooled stream was lost is sent again to
+// the same instance.
+func (f *Forwarder) canResend(ctx context.Context, c *call, to sycamorerun.Instance, id string, failed *failure) bool {
+	if !failed.unseen || ctx.Err() != nil {
+		return false
+	}
+	body := c.revokeBody()
 	f.Scope.Tagged(map[string]string{"body": string(body)}).Counter("call_resends").Inc(1)
-	_ = level.Debug(f.Logger).Log("msg", "call sent again over a new stream", "request", id, "peer", to.Name, "reason", reason, "body", body)
+	_ = level.Debug(f.Logger).Log("msg", "call not seen by the peer", "request", id, "peer", to.Name,
+		"reason", failed.reason, "body", body, "sent_again", body != bodyRead)
+	return body != bodyRead
 }
 
 // openTimeout bounds the opening of a stream when the call can go to another
@@ -116,7 +121,8 @@
 		return nil, notRun(reasonHeadersTooLarge)
 	}
 	if err := body.frames.sendContext(ctx, &Frame{Kind: &Frame_Head{Head: head}}); errors.Is(err, net.ErrClosed) {
-		return nil, notRun(endReason(ctx, reasonPeerUnreachable)) // the stream was already closed and nothing was sent
+		// The stream was already closed and nothing was sent.
+		return nil, &failure{result: sycamorerun.NotRun, reason: endReason(ctx, reasonPeerUnreachable), unseen: true}
 	} else if err != nil {
 		return nil, unknown(reasonPeerLost)
 	}
@@ -208,7 +214,7 @@
 		if reason == reasonPeerLost {
 			reason = reasonPeerNotStarted
 		}
-		return notRun(reason)
+		return &failure{result: sycamorerun.NotRun, reason: reason, unseen: true}
 	case <-canceled:
 		return unknown(endReason(ctx, reason))
 	case <-timer.C:
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -18,16 +18,17 @@
 // has read the response.
 const discardTimeout = 200 * time.Millisecond
 
+// errBodyRead is the error of an attempt that would get only the rest of a body.
+var errBodyRead = errors.New("an earlier attempt has read a part of the request body")
+
 // upload is the streamed request body of a caller. Each attempt reads it through
-// its own attemptBody. The handler ends all reads with finish.
+// its own attemptBody, and only the first one that reads gets the body. The
+// handler ends all reads with finish.
 type upload struct {
 	// attemptMutex guards current, the only attemptBody that may read, and
-	// consumed.
-	attemptMutex sync.Mutex
-	current      *attemptBody
-	// consumed says that a part of the body was read, so that the body can't be
-	// sent again.
-	consumed bool
+	// reader, the one that has begun to read.
+	attemptMutex    sync.Mutex
+	current, reader *attemptBody
 	// readMutex is held during a read.
 	readMutex sync.Mutex
 	body      io.ReadCloser
@@ -51,7 +52,9 @@
 // consume bytes that belong to the next attempt.
 type attemptBody struct{ upload *upload }
 
-// forAttempt returns the body for the next attempt.
+// forAttempt returns the body for the next attempt. If an earlier attempt has
+// begun to read, all reads fail, since the end of the rest would look like the
+// end of a whole body.
 func (u *upload) forAttempt() *attemptBody {
 	u.attemptMutex.Lock()
 	defer u.attemptMutex.Unlock()
@@ -65,13 +68,13 @@
 	u.attemptMutex.Lock()
 	defer u.attemptMutex.Unlock()
 	u.current = nil
-	return u.consumed
+	return u.reader != nil
 }
 
 // Read implements io.Reader.
 func (a *attemptBody) Read(p []byte) (int, error) {
-	if !a.upload.startRead(a) {
-		return 0, errDone
+	if err := a.upload.startRead(a); err != nil {
+		return 0, err
 	}
 	return a.upload.read(p)
 }
@@ -79,15 +82,19 @@
 // Close implements io.Closer. The server closes the underlying body.
 func (a *attemptBody) Close() error { return nil }
 
-// startRead reports whether a may read, and marks the body as consumed if so.
-func (u *upload) startRead(a *attemptBody) bool {
+// startRead returns an error if a must not read, and otherwise records that it
+// has begun to.
+func (u *upload) startRead(a *attemptBody) error {
 	u.attemptMutex.Lock()
 	defer u.attemptMutex.Unlock()
-	if u.current != a {
-		return false
+	switch {
+	case u.current != a:
+		return errDone
+	case u.reader != nil && u.reader != a:
+		return errBodyRead
 	}
-	u.consumed = true
-	return true
+	u.reader = a
+	return nil
 }
 
 func (u *upload) read(p []byte) (int, error) {
@@ -125,7 +132,7 @@
 	u.closed = true
 }
 
-// bodyState says how much of a request body an attempt has taken.
+// bodyState says whether another attempt can send the whole request body.
 type bodyState string
 
 // Values of bodyState.
@@ -135,24 +142,19 @@
 	bodyRead     bodyState = "read"
 )
 
-func (c *call) bodyState() bodyState {
+// revokeBody keeps the attempt that has ended from reading the request body, and
+// returns the state of the body, which no longer changes.
+func (c *call) revokeBody() bodyState {
 	switch {
 	case c.upload == nil:
 		return bodyBuffered
-	case c.upload.isConsumed():
+	case c.upload.revoke():
 		return bodyRead
 	default:
 		return bodyUnread
 	}
 }
 
-// isConsumed reports whether a part of the body was read.
-func (u *upload) isConsumed() bool {
-	u.attemptMutex.Lock()
-	defer u.attemptMutex.Unlock()
-	return u.consumed
-}
-
 // bodyReader returns a reader of a buffered body.
 func (c *call) bodyReader() io.ReadCloser {
 	if len(c.body) == 0 {
