registrar, forwarder: a query tells a rejected call from one that has not arrived

What callers saw: a rejected attempt whose rejection was lost went to the same upstream again, beyond the retry budget, and the caller was told peer-not-started. Cause: one state, refused, stood for two facts: the upstream never gets the call, and the upstream got it and rejected it. Change: the state rejected. It counts as sent, like the rejection itself.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -62,7 +62,7 @@
 		// These reasons mean that the upstream received the call and rejected
 		// it.
 		failed.sent = failed.sent || failed.reason == reasonRejected || failed.reason == reasonMisdirected
-		finish(Completion{Result: failed.result})
+		finish(Completion{Result: failed.result, Sent: failed.sent})
 	}
 	return out, failed
 }
@@ -176,7 +176,7 @@
 func (f *Forwarder) finishBuffered(out *attemptResponse, data []byte, finish func(Completion)) *attemptResponse {
 	body := bufferedBody(data)
 	out.body = &body
-	completion := Completion{Result: sycamorerun.Answered}
+	completion := Completion{Result: sycamorerun.Answered, Sent: true}
 	if encoded, err := proto.Marshal(toResponse(out, data, true)); err == nil {
 		completion.Response = encoded
 	}
@@ -209,7 +209,7 @@
 		}
 		if err == io.EOF {
 			b.recordSize(b.bytes)
-			b.finish(Completion{Result: sycamorerun.Answered})
+			b.finish(Completion{Result: sycamorerun.Answered, Sent: true})
 			return nil, io.EOF
 		}
 		if err != nil {
@@ -224,7 +224,7 @@
 // Close implements bodySource.
 func (b *upstreamBody) Close() {
 	_ = b.response.Body.Close()
-	b.finish(Completion{Result: sycamorerun.Unknown})
+	b.finish(Completion{Result: sycamorerun.Unknown, Sent: true})
 }
 
 func toResponse(out *attemptResponse, data []byte, complete bool) *Response {
--- a/node/forwarder/fixture_test.go
+++ b/node/forwarder/fixture_test.go
@@ -169,7 +169,7 @@
 		})
 	}
 	f.Finish = func(now time.Time, claim Claim, completion Completion) {
-		calls.Finish(claim.ID, completion.Result)
+		calls.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent})
 		fx.deduplicator.Finish(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint},
 			deduplicator.Result{Result: completion.Result, Response: completion.Response})
 	}
--- a/node/forwarder/reason.go
+++ b/node/forwarder/reason.go
@@ -53,8 +53,8 @@
 	// sent says that the call may have reached an upstream, even one that
 	// rejected it.
 	sent bool
-	// unseen says that the node beside the upstream has not started the call and
-	// never will, as far as its stream was lost or closed.
+	// unseen says that the stream of the call was lost or closed, and that the
+	// upstream has not got the call over it and never will.
 	unseen bool
 	// retryAfter is the time after which capacity is expected; zero means
 	// unknown.
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -208,13 +208,7 @@
 	}
 	select {
 	case state := <-result:
-		if state != CallRefused {
-			return unknown(reason)
-		}
-		if reason == reasonPeerLost {
-			reason = reasonPeerNotStarted
-		}
-		return &failure{result: sycamorerun.NotRun, reason: reason, unseen: true}
+		return resolveLostCall(state, reason)
 	case <-canceled:
 		return unknown(endReason(ctx, reason))
 	case <-timer.C:
@@ -222,6 +216,25 @@
 	}
 }
 
+// resolveLostCall returns the failure of a call whose stream was lost, which the
+// peer knows in a state.
+func resolveLostCall(state CallState, reason string) *failure {
+	resolved := func(known string) string {
+		if reason == reasonPeerLost {
+			return known
+		}
+		return reason
+	}
+	switch state {
+	case CallRefused:
+		return &failure{result: sycamorerun.NotRun, reason: resolved(reasonPeerNotStarted), unseen: true}
+	case CallRejected:
+		return &failure{result: sycamorerun.NotRun, reason: resolved(reasonRejected), sent: true}
+	default:
+		return unknown(reason)
+	}
+}
+
 // peerBody is the response body that a peer sends. It also sends the request
 // body over the same stream.
 type peerBody struct {
--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -80,7 +80,7 @@
 
 // Guards against an upstream that gets a part of a body as if it were the whole one,
 // whatever way the call is sent again after its stream was lost, against a second run,
-// and against a wrong outcome.
+// against attempts beyond the retry budget, and against a wrong outcome.
 func TestBodyAfterLostStream(t *testing.T) {
 	totals := &resendTotals{}
 	t.Run("cases", func(t *testing.T) {
@@ -114,6 +114,8 @@
 	// bodies that it took for whole ones.
 	attempts, runs int
 	whole          []string
+	// charged counts the attempts that were allowed after one that may have been sent.
+	charged int
 	// rejected is closed when the first attempt was rejected.
 	rejected chan struct{}
 }
@@ -209,6 +211,7 @@
 	for _, name := range []string{"second", "third"} {
 		fx.instances = append(fx.instances, sycamorerun.Instance{Name: name, Address: upstreamNodeAddress, Service: "s"})
 	}
+	c.countCharges(fx)
 	first := c.loseFirstStream(fx)
 	if c.pooled {
 		is.Equal(fx.send(http.MethodGet, "/warm", nil).status, http.StatusOK)
@@ -245,11 +248,17 @@
 		}
 	}
 	is.True(c.runs <= 1 || c.route == "repeatable")
+	if c.attempts > 1+c.charged {
+		t.Errorf("the upstream got %d attempts, %d of which the retry budget was asked for", c.attempts, c.charged)
+	}
 	switch got.outcome {
 	case string(sycamorerun.Answered):
 		is.True(c.runs >= 1)
 	case string(sycamorerun.NotRun):
 		is.Equal(c.runs, 0)
+		if attempt.rejects && c.attempts == 1 && streamLosses[c.loss].sent == unlimited {
+			is.Equal(got.reason, reasonRejected)
+		}
 	default:
 		// A call that was rejected or refused before the loss surely has not run.
 		lostUpload := streamLosses[c.loss].sent != unlimited
@@ -262,6 +271,18 @@
 	}
 }
 
+// countCharges counts the attempts that the retry budget is charged for.
+func (c *resendCase) countCharges(fx *fixture) {
+	allow := fx.entry.AllowRetry
+	fx.entry.AllowRetry = func(now time.Time, attempt Attempt) (time.Duration, bool) {
+		delay, ok := allow(now, attempt)
+		if ok && attempt.Sent {
+			c.charged++
+		}
+		return delay, ok
+	}
+}
+
 // armedConn is a cutConn that counts from arm on.
 type armedConn struct {
 	*cutConn
--- a/node/forwarder/types.go
+++ b/node/forwarder/types.go
@@ -168,6 +168,8 @@
 // Completion describes how a call ended at the upstream.
 type Completion struct {
 	Result sycamorerun.Result
+	// Sent says that the upstream may have got the call, even if it rejected it.
+	Sent bool
 	// Response is the encoded response if it is small, or nil.
 	Response []byte
 }
@@ -177,7 +179,11 @@
 
 // Values of CallState.
 const (
-	CallRefused  CallState = "refused"
+	// CallRefused means that the upstream has not got the call and never will.
+	CallRefused CallState = "refused"
+	// CallRejected means that the upstream may have got the call, and that it did
+	// not run.
+	CallRejected CallState = "rejected"
 	CallStarted  CallState = "started"
 	CallFinished CallState = "finished"
 	CallUnknown  CallState = "unknown"
--- a/node/registrar/registrar.go
+++ b/node/registrar/registrar.go
@@ -23,7 +23,12 @@
 
 // States of a call.
 const (
-	StateRefused  State = "refused"
+	// StateRefused means that the upstream has not got the call and never will: it has
+	// not arrived, or this node refused it.
+	StateRefused State = "refused"
+	// StateRejected means that the upstream may have got the call, and that it did not
+	// run.
+	StateRejected State = "rejected"
 	StateStarted  State = "started"
 	StateFinished State = "finished"
 	// StateUnknown means that the call was sent to another run, that its record may
@@ -31,6 +36,13 @@
 	StateUnknown State = "unknown"
 )
 
+// Outcome says how a started call ended.
+type Outcome struct {
+	Result sycamorerun.Result
+	// Sent says that the upstream may have got the call, even if it rejected it.
+	Sent bool
+}
+
 // Limits bounds the number and age of records.
 type Limits struct {
 	// Calls is the maximum number of records of calls that have ended, CallTTL the
@@ -126,7 +138,7 @@
 	case !known:
 		s.calls[id.Sequence] = record{state: StateStarted}
 		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun}
-	case call.state == StateRefused:
+	case call.state == StateRefused, call.state == StateRejected:
 		return sycamorerun.Decision{Verdict: sycamorerun.VerdictRefused, Reason: ReasonRefused}
 	default:
 		return sycamorerun.Decision{Verdict: sycamorerun.VerdictUncertain, Reason: ReasonDuplicate}
@@ -145,16 +157,16 @@
 	switch decision.Verdict {
 	case sycamorerun.VerdictRun:
 	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
-		r.Finish(id, sycamorerun.NotRun)
+		r.Finish(id, Outcome{Result: sycamorerun.NotRun})
 	default:
-		r.Finish(id, sycamorerun.Unknown)
+		r.Finish(id, Outcome{Result: sycamorerun.Unknown, Sent: true})
 	}
 	return decision
 }
 
-// Finish records the result of a started call. One that did not run is refused from now
-// on, so that Refuse reports with certainty that it did not run.
-func (r *Registrar) Finish(id sycamorerun.CallID, result sycamorerun.Result) {
+// Finish records the outcome of a started call. One that did not run never starts again,
+// so that Refuse reports with certainty that it did not run.
+func (r *Registrar) Finish(id sycamorerun.CallID, outcome Outcome) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.session(id)
@@ -162,7 +174,10 @@
 		return
 	}
 	state := StateFinished
-	if result == sycamorerun.NotRun {
+	switch {
+	case outcome.Result == sycamorerun.NotRun && outcome.Sent:
+		state = StateRejected
+	case outcome.Result == sycamorerun.NotRun:
 		state = StateRefused
 	}
 	s.calls[id.Sequence] = record{state: state}
--- a/node/registrar/registrar_test.go
+++ b/node/registrar/registrar_test.go
@@ -35,7 +35,7 @@
 // run plays a call that arrives, runs with a result and ends.
 func run(r *Registrar, now time.Time, call sycamorerun.CallID, result sycamorerun.Result) {
 	r.Start(call)
-	r.Finish(call, result)
+	r.Finish(call, Outcome{Result: result, Sent: result != sycamorerun.NotRun})
 	r.End(now, call)
 }
 
@@ -56,10 +56,18 @@
 			func(r *Registrar) { run(r, start, call, sycamorerun.Answered) }, sentTo(1),
 			StateFinished, sycamorerun.VerdictUncertain,
 		},
-		"started and not run": {
+		"started and not sent": {
 			func(r *Registrar) { run(r, start, call, sycamorerun.NotRun) }, sentTo(1),
 			StateRefused, sycamorerun.VerdictRefused,
 		},
+		"rejected by the upstream": {
+			func(r *Registrar) {
+				r.Start(call)
+				r.Finish(call, Outcome{Result: sycamorerun.NotRun, Sent: true})
+				r.End(start, call)
+			}, sentTo(1),
+			StateRejected, sycamorerun.VerdictRefused,
+		},
 		"ended before it started": {func(r *Registrar) { r.End(start, call) }, sentTo(1), StateRefused, sycamorerun.VerdictRefused},
 		"sent to an earlier run": {
 			func(*Registrar) {},
@@ -168,9 +176,11 @@
 
 // attempt is an attempt of a call in the model of TestNoFalseRefusal.
 type attempt struct {
-	boot               int64
-	session, sequence  uint64
-	arrived, ran, told bool
+	boot              int64
+	session, sequence uint64
+	// sent says that the upstream got the attempt, told that its sender knows that it
+	// does not run.
+	arrived, sent, ran, told bool
 }
 
 // model is a node that is restarted at random, with senders that lose its answers.
@@ -240,8 +250,11 @@
 		if a.told {
 			m.t.Fatalf("attempt %+v runs although its sender was told that it does not", *a)
 		}
-		a.ran = m.random.IntN(4) > 0
-		m.current.Finish(call, map[bool]sycamorerun.Result{true: sycamorerun.Answered, false: sycamorerun.NotRun}[a.ran])
+		a.sent = m.random.IntN(5) > 0
+		a.ran = a.sent && m.random.IntN(4) > 0
+		m.current.Finish(call, Outcome{
+			Result: map[bool]sycamorerun.Result{true: sycamorerun.Answered, false: sycamorerun.NotRun}[a.ran], Sent: a.sent,
+		})
 	}
 	m.current.End(m.now, call)
 }
@@ -252,9 +265,9 @@
 	room := m.current.refusals < smallLimits.Refusals
 	state := m.current.Refuse(sent, a.sequence)
 	switch {
-	case state == StateRefused && a.ran:
-		m.t.Fatalf("attempt %+v has run and is called refused", *a)
-	case state == StateRefused:
+	case state == StateRefused && a.sent, state == StateRejected && (a.ran || !a.sent):
+		m.t.Fatalf("attempt %+v is called %s", *a, state)
+	case state == StateRefused, state == StateRejected:
 		a.told = true
 		m.refused++
 	case m.isOpen(a) && !a.arrived && room && a.sequence > m.current.sessions[a.session].dropped:
@@ -263,7 +276,7 @@
 }
 
 // TestNoFalseRefusal guards against a call that is called refused and has run or runs
-// later: with restarts faster than any round trip, answers and calls that are late
+// later, or that was rejected by the upstream and is said not to have reached it: with restarts faster than any round trip, answers and calls that are late
 // without bound, sessions that end and clocks that jump. REGISTRAR_SEEDS sets the number
 // of seeds.
 func TestNoFalseRefusal(t *testing.T) {
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -145,8 +145,8 @@
 	}
 	f.Begin = c.begin
 	f.Finish = func(now time.Time, claim forwarder.Claim, completion forwarder.Completion) {
-		c.registrar.Finish(claim.ID, completion.Result)
-		c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result(completion))
+		c.registrar.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent})
+		c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result{Result: completion.Result, Response: completion.Response})
 	}
 	f.End = c.registrar.End
 	f.Refuse = func(sent sycamorerun.Session, sequence uint64) forwarder.CallState {
