registrar, forwarder: a call counts as started when it is handed to the upstream

What callers saw: 502 for an upload whose stream was lost, or took no bytes, while its node admitted it; nothing had been read or sent to the upstream. Cause: the record said started from the claim on, before the frame that admits the body, whose write takes as long as the connection does. Change: Launch between that frame and the request. A query before it has the call refused; Launch reports that.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -27,6 +27,10 @@
 	load   *Load
 }
 
+// errRefused means that the sender of a call asked about it before it was launched, and
+// was told that it does not run.
+var errRefused = errors.New("call refused by a query")
+
 // execute sends a call to the upstream beside this node. It calls onAdmitted
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id sycamorerun.CallID, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
@@ -57,7 +61,16 @@
 			release()
 		})
 	}
-	out, failed := f.roundTrip(ctx, watchdog, c, body, attemptNumber, onAdmitted, finish)
+	launch := func() error {
+		if err := onAdmitted(); err != nil {
+			return err
+		}
+		if !f.Launch(id) {
+			return errRefused
+		}
+		return nil
+	}
+	out, failed := f.roundTrip(ctx, watchdog, c, body, attemptNumber, launch, finish)
 	if failed != nil {
 		// These reasons mean that the upstream received the call and rejected
 		// it.
@@ -90,13 +103,13 @@
 	}
 }
 
-// roundTrip sends the request and reads the head of the response, and also the
-// body if it is small.
-func (f *Forwarder) roundTrip(ctx context.Context, watchdog *watchdog, c *call, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error, finish func(Completion)) (*attemptResponse, *failure) {
+// roundTrip sends the request, if launch permits it, and reads the head of the
+// response, and also the body if it is small.
+func (f *Forwarder) roundTrip(ctx context.Context, watchdog *watchdog, c *call, body io.ReadCloser, attemptNumber uint32, launch func() error, finish func(Completion)) (*attemptResponse, *failure) {
 	if ctx.Err() != nil {
 		return nil, notRun(endReason(ctx, ""))
 	}
-	if err := onAdmitted(); err != nil {
+	if err := launch(); err != nil {
 		return nil, notRun(reasonPeerLost)
 	}
 	started := f.Now()
--- a/node/forwarder/fixture_test.go
+++ b/node/forwarder/fixture_test.go
@@ -173,6 +173,7 @@
 		fx.deduplicator.Finish(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint},
 			deduplicator.Result{Result: completion.Result, Response: completion.Response})
 	}
+	f.Launch = calls.Launch
 	f.End = calls.End
 	f.Refuse = func(sent sycamorerun.Session, sequence uint64) CallState {
 		return CallState(calls.Refuse(sent, sequence))
--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -93,10 +93,12 @@
 	// Load returns the load of the upstream beside this node, as it matters to a
 	// call.
 	Load func(match Match) *Load
-	// Begin claims the execution of a call and Finish records the end of the
-	// execution. End records that a call that arrived from a peer has ended, whether
-	// it was executed or not.
+	// Begin claims the execution of a call. Launch reports whether a claimed call
+	// may be handed to the upstream, and Finish records the end of the execution.
+	// End records that a call that arrived from a peer has ended, whether it was
+	// executed or not.
 	Begin  func(now time.Time, claim Claim) sycamorerun.Decision
+	Launch func(id sycamorerun.CallID) bool
 	Finish func(now time.Time, claim Claim, completion Completion)
 	End    func(now time.Time, id sycamorerun.CallID)
 	// Refuse returns the state of a call that a peer sent over a session. A call
--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -349,3 +349,55 @@
 		return acquire(ctx, now, request)
 	}
 }
+
+// stalledConn is a stream on which the first write takes until released is closed, as on
+// a connection that accepts no data. It is not canceled by the loss of the other end.
+type stalledConn struct {
+	net.Conn
+	entered  chan struct{}
+	released <-chan struct{}
+	once     sync.Once
+}
+
+func (c *stalledConn) Write(p []byte) (int, error) {
+	c.once.Do(func() {
+		close(c.entered)
+		<-c.released
+	})
+	return len(p), nil
+}
+
+// Guards against the outcome unknown for a call that its node had claimed, but not yet
+// handed to the upstream, and against a run of that call afterwards.
+func TestLostWhileClaimed(t *testing.T) {
+	for name, body := range map[string]string{"streamed": largeBody, "in chunks": largeBody[:1000]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newFixture(t, false, reply("ok"))
+			fx.maxRetries = 1
+			fx.instances = append(fx.instances, sycamorerun.Instance{Name: "other", Address: upstreamNodeAddress, Service: "s"})
+			released := make(chan struct{})
+			first := true
+			fx.open = func(ctx context.Context, to netip.AddrPort, kind string) (net.Conn, error) {
+				if kind == KindQuery || !first {
+					return fx.dialUpstreamNode(ctx, to, kind)
+				}
+				first = false
+				client, server := net.Pipe()
+				stalled := &stalledConn{Conn: server, entered: make(chan struct{}), released: released}
+				fx.serveStream(kind, stalled)
+				go func() {
+					<-stalled.entered
+					_ = client.Close()
+				}()
+				return client, nil
+			}
+			got := fx.send(http.MethodPost, "/x", struct{ io.Reader }{strings.NewReader(body)})
+			close(released)
+			is.Equal(got.body, "ok")
+			fx.entry.pool.close()
+			fx.streams.Wait()
+			is.Equal(fx.executed.Load(), int64(1))
+		})
+	}
+}
--- a/node/registrar/registrar.go
+++ b/node/registrar/registrar.go
@@ -90,6 +90,9 @@
 	state State
 	// awaited is set while a refused call has not arrived.
 	awaited bool
+	// claimed is set from Begin to Launch. The call is refused if its sender asks about
+	// it meanwhile.
+	claimed bool
 }
 
 // New returns a registrar without sessions.
@@ -145,9 +148,32 @@
 	}
 }
 
+// Launch reports whether a call that was claimed may be handed to the upstream. From then
+// on Refuse says that it has started.
+func (r *Registrar) Launch(id sycamorerun.CallID) bool {
+	return r.setClaimed(id, false)
+}
+
+// setClaimed sets whether a started call is claimed only, and reports whether the call
+// may still run.
+func (r *Registrar) setClaimed(id sycamorerun.CallID, claimed bool) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s, ok := r.session(id)
+	if !ok {
+		return true
+	}
+	if s.calls[id.Sequence].state != StateStarted {
+		return false
+	}
+	s.calls[id.Sequence] = record{state: StateStarted, claimed: claimed}
+	return true
+}
+
 // Begin is Start for a call that another decision is needed for, such as that on its
 // idempotency key. If the call must not run, it is refused from now on, unless it may
-// have run before.
+// have run before. Launch has to follow before the upstream gets anything of a call that
+// may run.
 func (r *Registrar) Begin(id sycamorerun.CallID, decide func() sycamorerun.Decision) sycamorerun.Decision {
 	decision := r.Start(id)
 	if decision.Verdict != sycamorerun.VerdictRun {
@@ -156,6 +182,7 @@
 	decision = decide()
 	switch decision.Verdict {
 	case sycamorerun.VerdictRun:
+		r.setClaimed(id, true)
 	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
 		r.Finish(id, Outcome{Result: sycamorerun.NotRun})
 	default:
@@ -204,7 +231,7 @@
 }
 
 // Refuse returns the state of a call that a peer sent over a session. If it has not
-// arrived, it is refused from now on.
+// arrived, or has not been launched, it is refused from now on.
 func (r *Registrar) Refuse(sent sycamorerun.Session, sequence uint64) State {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -213,6 +240,9 @@
 		return StateUnknown
 	}
 	switch call, known := s.calls[sequence]; {
+	case known && call.claimed:
+		s.calls[sequence] = record{state: StateRefused}
+		return StateRefused
 	case known:
 		return call.state
 	case sequence <= s.dropped:
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -144,6 +144,7 @@
 		return report
 	}
 	f.Begin = c.begin
+	f.Launch = c.registrar.Launch
 	f.Finish = func(now time.Time, claim forwarder.Claim, completion forwarder.Completion) {
 		c.registrar.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent})
 		c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result{Result: completion.Result, Response: completion.Response})
