forwarder: a stream takes the next call once the end frame of the last body was sent

Cause: a stream counted as free when the body had been read, and its end frame was sent by another goroutine, which could come after the head of the next call if the upstream had answered early. Found by reading; not seen in a run. Evidence: TestEndFrameBeforeNextCall fails on the code before, in both cases. Change: the end of the response or that of the upload, whichever is later, returns the stream.

--- a/node/forwarder/peer_calls_test.go
+++ b/node/forwarder/peer_calls_test.go
@@ -125,12 +125,14 @@
 // being sent.
 func TestOnlyCleanStreamsAreKept(t *testing.T) {
 	cases := map[string]struct {
-		complete, reusable, uploading, uploaded, canceled bool
-		want                                              bool
+		complete, reusable, canceled bool
+		upload                       uploadState
+		want                         bool
 	}{
 		"whole":                    {complete: true, reusable: true, want: true},
-		"whole with upload":        {complete: true, reusable: true, uploading: true, uploaded: true, want: true},
-		"upload not finished":      {complete: true, reusable: true, uploading: true},
+		"whole with upload":        {complete: true, reusable: true, upload: uploadSent, want: true},
+		"upload not finished":      {complete: true, reusable: true, upload: uploadRunning},
+		"upload failed":            {complete: true, reusable: true, upload: uploadFailed},
 		"response not ended":       {reusable: true},
 		"peer keeps no more":       {complete: true},
 		"canceled at the very end": {complete: true, reusable: true, canceled: true},
@@ -142,10 +144,9 @@
 			defer func() { _ = server.Close() }()
 			kept := false
 			body := &peerBody{
-				frames: &frameStream{conn: client}, complete: c.complete, reusable: c.reusable, uploading: c.uploading,
+				frames: &frameStream{conn: client}, complete: c.complete, reusable: c.reusable, upload: c.upload,
 				stopCancel: func() bool { return !c.canceled }, returnToPool: func() { kept = true },
 			}
-			body.uploaded.Store(c.uploaded)
 			body.Close()
 			is.Equal(kept, c.want)
 			is.Equal(client.SetDeadline(time.Time{}) == nil, kept) // closed unless returned to the pool
@@ -153,6 +154,64 @@
 	}
 }
 
+// Guards against the end frame of a body that arrives after the head of the next call:
+// the body of that call would then look whole before any of it has arrived. The response
+// ends before the end frame of the upload is sent.
+func TestEndFrameBeforeNextCall(t *testing.T) {
+	for name, received := range map[string]bool{"sent": true, "stream lost": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client, server := net.Pipe()
+			kept := make(chan struct{})
+			body := &peerBody{
+				frames: &frameStream{conn: client}, complete: true, reusable: true, watchdog: &watchdog{},
+				stopCancel: func() bool { return true }, returnToPool: func() { close(kept) },
+			}
+			c := newUploadCall("body")
+			body.startUpload(c)
+			chunk, err := encoder.Read[Frame](server, maxFrameBytes)
+			is.NoErr(err)
+			is.Equal(string(chunk.GetChunk()), "body")
+			is.True(waitFor(func() bool { return c.upload.complete.Load() }))
+			time.Sleep(10 * time.Millisecond) // the end frame is being written
+			body.Close()
+			select {
+			case <-kept:
+				t.Fatal("the stream is kept for another call before the end frame was sent")
+			case <-time.After(10 * time.Millisecond):
+			}
+			if !received {
+				_ = server.Close()
+				is.True(waitFor(func() bool { return client.SetDeadline(time.Time{}) != nil }))
+				return
+			}
+			end, err := encoder.Read[Frame](server, maxFrameBytes)
+			is.NoErr(err)
+			is.True(end.GetEnd().GetComplete())
+			<-kept
+		})
+	}
+}
+
+// newUploadCall returns a call whose body is streamed.
+func newUploadCall(body string) *call {
+	timer := time.NewTimer(time.Hour)
+	return &call{length: -1, upload: &upload{
+		body: io.NopCloser(strings.NewReader(body)), remaining: 1 << 20, watchdog: &watchdog{},
+		idleTimer: timer, idleTimeout: time.Hour, onEnd: func() {},
+	}}
+}
+
+// waitFor waits for a condition for at most 5 s and reports whether it holds.
+func waitFor(condition func() bool) bool {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a second execution under an idempotency key, and against a
 // recorded response that is returned for a different request.
 func TestIdempotencyKeys(t *testing.T) {
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -134,7 +134,7 @@
 		body.watchdog.recordProgress()
 		switch kind := frame.GetKind().(type) {
 		case *Frame_Admitted:
-			if !c.buffered && !body.uploading {
+			if !c.buffered {
 				body.startUpload(c)
 			}
 		case *Frame_Refused:
@@ -235,6 +235,22 @@
 	}
 }
 
+// uploadState says how far a request body was sent.
+type uploadState int
+
+// Values of uploadState.
+const (
+	// uploadNone means that there is nothing to send.
+	uploadNone uploadState = iota
+	uploadRunning
+	// uploadRead means that the whole body was read and the last frames are being
+	// sent.
+	uploadRead
+	// uploadSent means that the end frame was sent.
+	uploadSent
+	uploadFailed
+)
+
 // peerBody is the response body that a peer sends. It also sends the request
 // body over the same stream.
 type peerBody struct {
@@ -244,19 +260,25 @@
 	// returnToPool keeps the stream for another call.
 	returnToPool func()
 	reusable     bool
-	uploading    bool
-	// uploaded says that the whole request body was read and only its end frame
-	// is left to send. If sending that frame fails, the stream fails too.
-	uploaded atomic.Bool
-	trailer  http.Header
-	complete bool
-	closed   bool
+	trailer      http.Header
+	complete     bool
+	closed       bool
+
+	// mutex guards the following fields.
+	mutex  sync.Mutex
+	upload uploadState
+	// awaitsUpload is set if the response has ended and the stream is kept once the
+	// end frame of the upload was sent. A frame of the next call must not come
+	// before it.
+	awaitsUpload bool
 }
 
 // startUpload sends the request body in the background, until the body has been
 // sent or the stream is closed.
 func (b *peerBody) startUpload(c *call) {
-	b.uploading = true
+	if !b.beginUpload() {
+		return
+	}
 	body := c.upload.forAttempt()
 	go func() {
 		buffer := make([]byte, chunkBytes)
@@ -271,13 +293,55 @@
 				}
 			}
 		}
-		_ = b.frames.sendBody(next, func() http.Header {
-			b.uploaded.Store(true)
+		err := b.frames.sendBody(next, func() http.Header {
+			b.setUpload(uploadRead)
 			return c.trailer
 		}, b.watchdog.recordProgress)
+		b.endUpload(err)
 	}()
 }
 
+// beginUpload reports whether the upload may start, which it does once.
+func (b *peerBody) beginUpload() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.upload != uploadNone {
+		return false
+	}
+	b.upload = uploadRunning
+	return true
+}
+
+func (b *peerBody) setUpload(state uploadState) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.upload = state
+}
+
+// endUpload records the end of the upload, and releases the stream if the response
+// has ended before.
+func (b *peerBody) endUpload(err error) {
+	b.mutex.Lock()
+	b.upload = uploadSent
+	if err != nil {
+		b.upload = uploadFailed
+	}
+	awaited := b.awaitsUpload
+	b.mutex.Unlock()
+	if awaited {
+		b.release(err == nil)
+	}
+}
+
+// release keeps the stream for another call, or closes it.
+func (b *peerBody) release(clean bool) {
+	if clean {
+		b.returnToPool()
+		return
+	}
+	_ = b.frames.conn.Close()
+}
+
 // Next implements bodySource.
 func (b *peerBody) Next() ([]byte, error) {
 	if b.complete {
@@ -312,11 +376,26 @@
 	}
 	b.closed = true
 	b.frames.setAwaiting(false)
-	if b.stopCancel() && b.complete && b.reusable && (!b.uploading || b.uploaded.Load()) {
-		b.returnToPool()
+	clean := b.stopCancel() && b.complete && b.reusable
+	if clean && b.awaitUpload() {
 		return
 	}
-	_ = b.frames.conn.Close()
+	b.release(clean && b.isUploaded())
+}
+
+// awaitUpload reports whether the end of the upload releases the stream.
+func (b *peerBody) awaitUpload() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.awaitsUpload = b.upload == uploadRead
+	return b.awaitsUpload
+}
+
+// isUploaded reports whether no frame of the request body is left to send.
+func (b *peerBody) isUploaded() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.upload == uploadNone || b.upload == uploadSent
 }
 
 // toHead returns the head frame of the call for a peer, or nil if the header is
