forwarder: the end of a request body tells its size, and the receiver checks it

Cause: that a body was whole rested on the sender alone: its end frame said so, and any path that sent the rest of a body, or the end of another one, was believed. Change: the end frame has the number of bytes that the caller has sent. The node beside the upstream cuts the request if it has received another number, counts and logs it. End frames of earlier versions have no size and are taken. Result: TestUploadWithoutEnd, extended by the end of another body and of a longer one; both fail before.

--- a/node/forwarder/frame.go
+++ b/node/forwarder/frame.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,13 +156,13 @@
 // cancelTimeout bounds the write of a cancel frame.
 const cancelTimeout = 50 * time.Millisecond
 
-// sendBody sends a body in chunks, followed by an end frame. The end frame of a
-// body that fails is not marked complete.
-func (s *frameStream) sendBody(next func() ([]byte, error), trailer func() http.Header, onProgress func()) error {
+// sendBody sends a body in chunks, followed by its end. The end frame of a body
+// that fails is not marked complete.
+func (s *frameStream) sendBody(next func() ([]byte, error), end func() *End, onProgress func()) error {
 	for {
 		data, err := next()
 		if err == io.EOF {
-			return s.send(&Frame{Kind: &Frame_End{End: &End{Complete: true, Trailers: toFields(trailer())}}})
+			return s.send(&Frame{Kind: &Frame_End{End: end()}})
 		}
 		if err != nil {
 			_ = s.send(&Frame{Kind: &Frame_End{End: &End{}}})
--- a/node/forwarder/inbound.go
+++ b/node/forwarder/inbound.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sycamorerun"
 )
 
@@ -97,8 +99,13 @@
 	// ended.
 	current  *inboundCall
 	bodyOpen bool
+	// bodySize is the size of what has arrived of the current body.
+	bodySize uint64
 }
 
+// errBodySize means that the end of a request body arrived without all of the body.
+var errBodySize = errors.New("size of the request body differs from that at its end")
+
 // next waits for the next call.
 func (r *callReceiver) next(ctx context.Context, wait time.Duration) (*inboundCall, bool) {
 	timer := time.NewTimer(wait)
@@ -133,6 +140,7 @@
 				return r.abort(errProtocol)
 			}
 			r.recordProgress()
+			r.bodySize += uint64(len(kind.Chunk))
 			// The write fails if the upstream does not read the rest of the
 			// body. The stream must still be read to notice a cancellation.
 			_, _ = r.current.bodyWriter.Write(kind.Chunk)
@@ -140,6 +148,9 @@
 			if !r.bodyOpen || !kind.End.GetComplete() {
 				return r.abort(errCanceled)
 			}
+			if size := kind.End.Size; size != nil && *size != r.bodySize {
+				return r.abort(errors.Wrapf(errBodySize, "%d of %d bytes", r.bodySize, *size))
+			}
 			r.recordProgress()
 			r.bodyOpen = false
 			r.current.trailer = fromFields(kind.End.GetTrailers())
@@ -159,7 +170,7 @@
 		// has no end frame.
 		_ = r.current.bodyWriter.CloseWithError(io.ErrUnexpectedEOF)
 	}
-	r.current, r.bodyOpen = newInboundCall(r.session, head), !head.GetWhole()
+	r.current, r.bodyOpen, r.bodySize = newInboundCall(r.session, head), !head.GetWhole(), 0
 	select {
 	case r.calls <- r.current:
 		return nil
--- a/node/forwarder/peer_calls_test.go
+++ b/node/forwarder/peer_calls_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorerun"
 	"sycamorerun/encoder"
@@ -52,14 +53,17 @@
 }
 
 // Guards against an upload that looks complete although its end frame is
-// missing. The test reads the body itself, since the cancellation that follows
+// missing, or is that of another body or of a longer one. The test reads the body itself, since the cancellation that follows
 // would usually hide a false end from an upstream.
 func TestUploadWithoutEnd(t *testing.T) {
 	for name, c := range map[string]struct {
 		frame    *Frame
 		complete bool
 	}{
-		"complete":    {&Frame{Kind: &Frame_End{End: &End{Complete: true}}}, true},
+		"complete":    {&Frame{Kind: &Frame_End{End: &End{Complete: true, Size: proto.Uint64(4)}}}, true},
+		"no size":     {&Frame{Kind: &Frame_End{End: &End{Complete: true}}}, true}, // of an earlier version
+		"of another":  {&Frame{Kind: &Frame_End{End: &End{Complete: true, Size: proto.Uint64(0)}}}, false},
+		"only a part": {&Frame{Kind: &Frame_End{End: &End{Complete: true, Size: proto.Uint64(5)}}}, false},
 		"broken off":  {&Frame{Kind: &Frame_End{End: &End{}}}, false},
 		"canceled":    {&Frame{Kind: &Frame_Cancel{Cancel: &Cancel{}}}, false},
 		"stream lost": {nil, false},
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorerun"
 )
@@ -293,10 +294,11 @@
 				}
 			}
 		}
-		err := b.frames.sendBody(next, func() http.Header {
+		end := func() *End {
 			b.setUpload(uploadRead)
-			return c.trailer
-		}, b.watchdog.recordProgress)
+			return &End{Complete: true, Trailers: toFields(c.trailer), Size: proto.Uint64(c.upload.size.Load())}
+		}
+		err := b.frames.sendBody(next, end, b.watchdog.recordProgress)
 		b.endUpload(err)
 	}()
 }
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
 
 	"sycamorerun"
 )
@@ -21,7 +22,11 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		cancel(receiver.run())
+		err := receiver.run()
+		if errors.Is(err, errBodySize) {
+			f.recordWrongSize(receiver.current.head, err)
+		}
+		cancel(err)
 	}()
 	defer func() {
 		_ = stream.Close()
@@ -40,6 +45,14 @@
 	}
 }
 
+// recordWrongSize counts and logs a request body that a peer sent in part as if it were
+// whole.
+func (f *Forwarder) recordWrongSize(head *Head, err error) {
+	f.Scope.Counter("bodies_wrong_size").Inc(1)
+	_ = level.Error(f.Logger).Log("msg", "request body from a peer is not the whole one", "request", head.GetId(),
+		"service", head.GetService(), "err", err)
+}
+
 // canKeepStream reports whether a stream may stay open for another call.
 func (f *Forwarder) canKeepStream() bool { return f.idlePeerStreams.Load() < maxIdlePeerStreams }
 
@@ -86,7 +99,8 @@
 	f.Pacer.Charge(f.Now(), len(data)+headerSize(out.header))
 	err := frames.send(&Frame{Kind: &Frame_Response{Response: response}})
 	if err == nil && !inMemory {
-		err = frames.sendBody(f.pace(ctx, c, out.body).Next, out.body.Trailer, watchdog.recordProgress)
+		end := func() *End { return &End{Complete: true, Trailers: toFields(out.body.Trailer())} }
+		err = frames.sendBody(f.pace(ctx, c, out.body).Next, end, watchdog.recordProgress)
 	}
 	return err == nil && keep
 }
--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -42,7 +42,9 @@
 	// stopUnblock stops the function that unblocks a read when the call ends.
 	stopUnblock func() bool
 	closed      bool
-	complete    atomic.Bool
+	// size is the number of bytes that the caller has sent.
+	size     atomic.Uint64
+	complete atomic.Bool
 	tooLarge    atomic.Bool
 }
 
@@ -107,6 +109,7 @@
 	n, err := u.body.Read(p)
 	u.idleTimer.Stop()
 	if n > 0 {
+		u.size.Add(uint64(n))
 		u.watchdog.recordProgress()
 	}
 	if u.remaining -= int64(n); u.remaining < 0 {
