--- a/node/forwarder/upload.go
+++ b/node/forwarder/upload.go
@@ -45,7 +45,7 @@
 	// size is the number of bytes that the caller has sent.
 	size     atomic.Uint64
 	complete atomic.Bool
-	tooLarge    atomic.Bool
+	tooLarge atomic.Bool
 }
 
 // attemptBody is the request body for one attempt. The goroutine that sends it
