forwarder: a rejection counts as received also when its call has ended

What callers saw: a rejected attempt sent to the same upstream again without the retry budget, or peer-not-started for a rejected upload, when the connection between the nodes was reset about the time of the rejection. Cause: that the upstream had got a call was told from the failure's reason, and that is canceled or deadline once the context has ended. Change: requester.Failure tells it.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -72,9 +72,6 @@
 	}
 	out, failed := f.roundTrip(ctx, watchdog, c, body, attemptNumber, launch, finish)
 	if failed != nil {
-		// These reasons mean that the upstream received the call and rejected
-		// it.
-		failed.sent = failed.sent || failed.reason == reasonRejected || failed.reason == reasonMisdirected
 		finish(Completion{Result: failed.result, Sent: failed.sent})
 	}
 	return out, failed
@@ -148,7 +145,7 @@
 	}
 	reason := endReason(ctx, failed.Reason)
 	if failed.Execution == requester.NotExecuted {
-		return notRun(reason)
+		return &failure{result: sycamorerun.NotRun, reason: reason, sent: failed.Received()}
 	}
 	return unknown(reason)
 }
--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"sycamorerun"
+	"sycamorerun/node/requester"
 )
 
 // resentBodies are the request bodies of TestBodyAfterLostStream. The second half of a
@@ -116,8 +117,13 @@
 	whole          []string
 	// charged counts the attempts that were allowed after one that may have been sent.
 	charged int
-	// rejected is closed when the first attempt was rejected.
-	rejected chan struct{}
+	// rejected is closed when the first attempt was rejected. beforeRejection is called
+	// before, or is nil.
+	rejected        chan struct{}
+	beforeRejection func()
+	// askedEarly says that the peer may be asked about the call before it has got the
+	// rejection. The answer unknown is right then.
+	askedEarly bool
 }
 
 func (c *resendCase) name() string {
@@ -153,10 +159,14 @@
 			c.runs++
 		}
 		c.mutex.Unlock()
-	} else if attempt.reads > 0 {
+	} else {
+		_ = http.NewResponseController(w).EnableFullDuplex() // else the server reads on before it answers
 		_, _ = io.CopyN(io.Discard, r.Body, attempt.reads)
 	}
 	if attempt.rejects {
+		if c.beforeRejection != nil {
+			c.beforeRejection()
+		}
 		w.Header().Set("X-Unexecuted", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_ = http.NewResponseController(w).Flush()
@@ -201,7 +211,7 @@
 	return 0, io.EOF
 }
 
-// play sends the call and checks what the upstream and the caller got.
+// play plays the case.
 func (c *resendCase) play(t *testing.T, totals *resendTotals) {
 	is := is.New(t)
 	c.rejected = make(chan struct{})
@@ -220,6 +230,11 @@
 	if firstAttempts[c.attempt].full {
 		c.refuseFirst(fx)
 	}
+	c.send(t, fx, totals)
+}
+
+// send sends the call and checks what the upstream and the caller got.
+func (c *resendCase) send(t *testing.T, fx *fixture, totals *resendTotals) {
 	r := c.request(fx.callerServer.URL + "/x")
 	if c.route == "key" {
 		r.Header.Set(fx.entry.Contract.Key, "k")
@@ -262,7 +277,7 @@
 	default:
 		// A call that was rejected or refused before the loss surely has not run.
 		lostUpload := streamLosses[c.loss].sent != unlimited
-		if !lostUpload && (attempt.rejects || attempt.full) && c.runs == 0 {
+		if !lostUpload && !c.askedEarly && (attempt.rejects || attempt.full) && c.runs == 0 {
 			t.Errorf("the call surely did not run, but the caller got %d %s %s", got.status, got.outcome, got.reason)
 		}
 	}
@@ -350,6 +365,52 @@
 	}
 }
 
+// heldTime is for how long a peer stands still. Its session outlasts it.
+const heldTime = time.Second
+
+// Guards against the same faults as TestBodyAfterLostStream on connections between nodes
+// that go silent, are reset, or to a peer that stands still, before a call or before the
+// upstream rejects it.
+func TestBodyOnFailingConnection(t *testing.T) {
+	failures := map[string]func(*dropper){
+		"silent": (*dropper).drop, "reset": (*dropper).cut, "stands still": func(d *dropper) { d.hold(heldTime) },
+	}
+	totals := &resendTotals{}
+	t.Run("cases", func(t *testing.T) {
+		for failure, fail := range failures {
+			for _, body := range []string{"small", "large", "large, chunked", "chunked, trailers"} {
+				for _, attempt := range []string{"runs", "rejects after some bytes", "rejects after the body"} {
+					c := &resendCase{body: body, attempt: attempt, loss: "never", route: "not repeatable", pooled: true, askedEarly: failure == "reset"}
+					t.Run(failure+"/"+c.name(), func(t *testing.T) {
+						t.Parallel()
+						c.playOnSession(t, fail, totals)
+					})
+				}
+			}
+		}
+	})
+	t.Logf("%d calls: %d answered, %d not run, %d unknown, of which %d had not run",
+		totals.calls, totals.answered, totals.notRun, totals.unknown, totals.unknownNotRun)
+}
+
+// playOnSession plays the case on a session that fails.
+func (c *resendCase) playOnSession(t *testing.T, fail func(*dropper), totals *resendTotals) {
+	is := is.New(t)
+	c.rejected = make(chan struct{})
+	fx := newFixture(t, false, c.serve)
+	checkResponses(fx)
+	fx.maxRetries = 2
+	c.countCharges(fx)
+	d := fx.connectNodes(t)
+	is.Equal(fx.send(http.MethodGet, "/warm", nil).status, http.StatusOK)
+	if firstAttempts[c.attempt].rejects {
+		c.beforeRejection = func() { fail(d) }
+	} else {
+		fail(d)
+	}
+	c.send(t, fx, totals)
+}
+
 // stalledConn is a stream on which the first write takes until released is closed, as on
 // a connection that accepts no data. It is not canceled by the loss of the other end.
 type stalledConn struct {
@@ -401,3 +462,25 @@
 		})
 	}
 }
+
+// Guards against a rejected call that counts as one that the upstream has not got,
+// because its stream was lost, or its deadline passed, when the rejection arrived.
+func TestRejectionOfEndedCall(t *testing.T) {
+	for name, c := range map[string]struct {
+		reason string
+		sent   bool
+	}{
+		"rejected":        {reasonRejected, true},
+		"misdirected":     {reasonMisdirected, true},
+		"nothing written": {"upstream-unreachable", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			cancel(errCanceled)
+			failed := classifyError(ctx, &call{}, &requester.Failure{Execution: requester.NotExecuted, Reason: c.reason})
+			is.Equal(failed.result, sycamorerun.NotRun)
+			is.Equal(failed.sent, c.sent)
+		})
+	}
+}
--- a/node/forwarder/silent_test.go
+++ b/node/forwarder/silent_test.go
@@ -32,8 +32,18 @@
 	conns, dropped atomic.Int64
 	// dialDelay is the time that new connections take, in nanoseconds.
 	dialDelay atomic.Int64
-	mutex     sync.Mutex
-	open      []net.Conn
+	// resumed is closed when the connections carry data again after hold.
+	resumed atomic.Pointer[chan struct{}]
+	mutex   sync.Mutex
+	open    []net.Conn
+}
+
+// hold makes all connections carry nothing for a while, and then what has come meanwhile,
+// as if the process of the peer stood still.
+func (d *dropper) hold(duration time.Duration) {
+	resumed := make(chan struct{})
+	d.resumed.Store(&resumed)
+	time.AfterFunc(duration, func() { close(resumed) })
 }
 
 // cut closes all connections.
@@ -79,6 +89,9 @@
 	data := make([]byte, 4096)
 	for {
 		n, err := from.Read(data)
+		if resumed := d.resumed.Load(); resumed != nil {
+			<-*resumed
+		}
 		if number > d.dropped.Load() {
 			_, _ = to.Write(data[:n])
 		}
--- a/node/requester/failure.go
+++ b/node/requester/failure.go
@@ -41,6 +41,12 @@
 	Cause error
 }
 
+// Received reports whether the upstream received the request and said that it did not
+// execute it.
+func (f *Failure) Received() bool {
+	return f.Reason == ReasonRejected || f.Reason == ReasonMisdirected
+}
+
 // Error implements error.
 func (f *Failure) Error() string {
 	text := "request to the upstream failed (executed: " + string(f.Execution) + "): " + f.Reason
