--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -365,15 +365,19 @@
 	}
 }
 
-// heldTime is for how long a peer stands still. Its session outlasts it.
-const heldTime = time.Second
+// slowTime and heldTime are for how long a link or a peer delays what is sent.
+const (
+	slowTime = 100 * time.Millisecond
+	heldTime = time.Second
+)
 
 // Guards against the same faults as TestBodyAfterLostStream on connections between nodes
-// that go silent, are reset, or to a peer that stands still, before a call or before the
+// that go silent, are reset or slow, or to a peer that stands still, before a call or before the
 // upstream rejects it.
 func TestBodyOnFailingConnection(t *testing.T) {
 	failures := map[string]func(*dropper){
-		"silent": (*dropper).drop, "reset": (*dropper).cut, "stands still": func(d *dropper) { d.hold(heldTime) },
+		"silent": (*dropper).drop, "reset": (*dropper).cut,
+		"slow": func(d *dropper) { d.hold(slowTime) }, "stands still": func(d *dropper) { d.hold(heldTime) },
 	}
 	totals := &resendTotals{}
 	t.Run("cases", func(t *testing.T) {
