forwarder: an upload goes on to an upstream that answered early

Cause: the body was taken away once the answer had been passed on, at the first node, at the one beside the upstream, and on the stream between them. Evidence: TestUploadAfterEarlyResponse fails on the code before in all 12 cases; nothing told of the cut (TestUpstreamClosesAfterEarlyResponse). Change: an answered call goes on until its body was sent, the upstream takes no more, or it ends by its deadline or idle time. It counts as running for a drain.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -25,6 +25,11 @@
 	// headAt is when the head of the response arrived.
 	headAt time.Time
 	load   *Load
+	// uploaded is closed when no more of a streamed request body is sent; nil means
+	// that none is streamed.
+	uploaded <-chan struct{}
+	// received is the request body if it goes to the upstream beside this node.
+	received *receivedBody
 }
 
 // errRefused means that the sender of a call asked about it before it was launched, and
@@ -36,8 +41,9 @@
 func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id sycamorerun.CallID, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
 	ctx = WithService(ctx, c.match.Service)
 	request := c.slotRequest()
+	var received *receivedBody
 	if !c.buffered {
-		received := newReceivedBody(body, c.length)
+		received = newReceivedBody(body, c.length)
 		body, request.BodyReceived = received, received.done
 	}
 	release, rejection := f.Acquire(ctx, f.Now(), request)
@@ -73,6 +79,8 @@
 	out, failed := f.roundTrip(ctx, watchdog, c, body, attemptNumber, launch, finish)
 	if failed != nil {
 		finish(Completion{Result: failed.result, Sent: failed.sent})
+	} else if received != nil {
+		out.received, out.uploaded = received, received.closed
 	}
 	return out, failed
 }
--- a/node/forwarder/inbound.go
+++ b/node/forwarder/inbound.go
@@ -64,17 +64,30 @@
 	return n, err
 }
 
-// receivedBody closes done when the last byte of a request body has been read.
+// receivedBody is a request body on its way to the upstream. It closes done when the
+// last byte has been read, or a read has failed, and closed when the sender of the body
+// has ended.
 type receivedBody struct {
 	io.ReadCloser
 	// remaining is the number of unread bytes, or negative if the length is unknown.
-	remaining int64
-	done      chan struct{}
-	once      sync.Once
+	remaining    int64
+	done, closed chan struct{}
+	once         sync.Once
+	closeOnce    sync.Once
+	whole        atomic.Bool
 }
 
 func newReceivedBody(body io.ReadCloser, length int64) *receivedBody {
-	return &receivedBody{ReadCloser: body, remaining: length, done: make(chan struct{})}
+	return &receivedBody{ReadCloser: body, remaining: length, done: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// isWhole reports whether all of the body was read.
+func (b *receivedBody) isWhole() bool { return b.whole.Load() }
+
+// Close implements io.Closer.
+func (b *receivedBody) Close() error {
+	defer b.closeOnce.Do(func() { close(b.closed) })
+	return b.ReadCloser.Close()
 }
 
 // Read implements io.Reader.
@@ -83,6 +96,9 @@
 	if b.remaining >= 0 {
 		b.remaining -= int64(n)
 	}
+	if err == io.EOF && b.remaining < 0 || b.remaining == 0 {
+		b.whole.Store(true)
+	}
 	if err != nil || b.remaining == 0 {
 		b.once.Do(func() { close(b.done) })
 	}
--- a/node/forwarder/peer_body.go
+++ b/node/forwarder/peer_body.go
@@ -41,8 +41,12 @@
 	// mutex guards the following fields.
 	mutex  sync.Mutex
 	upload uploadState
-	// awaitsUpload is set if the response has ended and the stream is kept once the
-	// end frame of the upload was sent. A frame of the next call must not come
+	// uploadEnded is closed at the end of the upload; nil means that there is none.
+	uploadEnded chan struct{}
+	// isAnswered says that the response has begun. The upstream may read on then.
+	isAnswered bool
+	// awaitsUpload is set if the response has ended and the stream is released once
+	// the end frame of the upload was sent. A frame of the next call must not come
 	// before it.
 	awaitsUpload bool
 }
@@ -83,10 +87,19 @@
 	if b.upload != uploadNone {
 		return false
 	}
-	b.upload = uploadRunning
+	b.upload, b.uploadEnded = uploadRunning, make(chan struct{})
 	return true
 }
 
+// answered records that the response has begun, and returns a channel that is closed
+// at the end of the upload, or nil if there is none.
+func (b *peerBody) answered() <-chan struct{} {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.isAnswered = true
+	return b.uploadEnded
+}
+
 func (b *peerBody) setUpload(state uploadState) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -104,13 +117,14 @@
 	awaited := b.awaitsUpload
 	b.mutex.Unlock()
 	if awaited {
-		b.release(err == nil)
+		b.release(err == nil && b.reusable)
 	}
+	close(b.uploadEnded)
 }
 
 // release keeps the stream for another call, or closes it.
 func (b *peerBody) release(clean bool) {
-	if clean {
+	if b.stopCancel() && clean {
 		b.returnToPool()
 		return
 	}
@@ -151,18 +165,17 @@
 	}
 	b.closed = true
 	b.frames.setAwaiting(false)
-	clean := b.stopCancel() && b.complete && b.reusable
-	if clean && b.awaitUpload() {
+	if b.complete && b.awaitUpload() {
 		return
 	}
-	b.release(clean && b.isUploaded())
+	b.release(b.complete && b.reusable && b.isUploaded())
 }
 
 // awaitUpload reports whether the end of the upload releases the stream.
 func (b *peerBody) awaitUpload() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.awaitsUpload = b.upload == uploadRead
+	b.awaitsUpload = b.upload == uploadRead || b.upload == uploadRunning && b.isAnswered
 	return b.awaitsUpload
 }
 
--- a/node/forwarder/remote.go
+++ b/node/forwarder/remote.go
@@ -152,6 +152,7 @@
 			out := fromResponse(kind.Response)
 			body.reusable = kind.Response.GetKeep()
 			out.headAt = f.Now()
+			out.uploaded = body.answered()
 			if !kind.Response.GetWhole() {
 				out.body = body
 			} else {
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -59,16 +59,18 @@
 // handleCall handles one call and reports whether the stream can carry another
 // one.
 func (f *Forwarder) handleCall(ctx context.Context, frames *frameStream, inbound *inboundCall) bool {
-	defer inbound.close()
-	defer func() { f.End(f.Now(), inbound.id) }()
 	now := f.Now()
 	c := fromHead(now, inbound.head)
 	ctx, watchdog, stop := withWatchdog(ctx, c.deadline, c.match.Idle)
-	defer stop(errDone)
+	end := func() {
+		stop(errDone)
+		f.End(f.Now(), inbound.id)
+		inbound.close()
+	}
 	if !f.drain.beginPeer(watchdog, func() callEnd { return f.expectedEnd(now, c) }) {
+		defer end()
 		return f.sendRefusal(frames, Match{}, notRun(reasonDraining))
 	}
-	defer f.drain.end(watchdog)
 	inbound.watchdog.Store(watchdog)
 	onAdmitted := func() error {
 		if c.buffered {
@@ -78,12 +80,35 @@
 	}
 	out, failed := f.execute(ctx, watchdog, c, inbound.id, inbound.requestBody(c), inbound.head.GetAttempt(), onAdmitted)
 	if failed != nil {
+		defer end()
+		defer f.drain.end(watchdog)
 		_ = level.Debug(f.Logger).Log("msg", "call from a peer failed", "request", inbound.head.GetId(),
 			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
 		return f.sendRefusal(frames, c.match, failed)
 	}
 	_ = level.Debug(f.Logger).Log("msg", "call from a peer answered", "request", inbound.head.GetId(),
 		"service", c.match.Service, "status", out.status)
+	keep := f.sendResponse(ctx, watchdog, frames, c, out)
+	finish := func() {
+		f.drain.end(watchdog)
+		end()
+	}
+	if !out.isUploading() {
+		finish()
+		return keep
+	}
+	// The rest of the body goes to the upstream while the stream carries the next
+	// call.
+	go func() {
+		defer finish()
+		f.awaitUpload(ctx, c, out)
+	}()
+	return keep
+}
+
+// sendResponse sends the response to a peer, and reports whether the stream can carry
+// another call.
+func (f *Forwarder) sendResponse(ctx context.Context, watchdog *watchdog, frames *frameStream, c *call, out *attemptResponse) bool {
 	defer out.body.Close()
 	// Unblocks a write to a peer that stopped reading.
 	release := context.AfterFunc(ctx, func() { _ = frames.conn.Close() })
--- a/node/forwarder/serve_http.go
+++ b/node/forwarder/serve_http.go
@@ -216,6 +216,10 @@
 		w.Header()[name] = values
 	}
 	f.recordCall(c, sycamorerun.Answered, "")
+	if out.isUploading() {
+		_ = control.Flush()
+		f.awaitUpload(ctx, c, out)
+	}
 }
 
 // limitWrites ends the writes to a caller when ctx ends. The returned function
