--- a/node/forwarder/upload_soak_test.go
+++ b/node/forwarder/upload_soak_test.go
@@ -185,6 +185,9 @@
 			for _, call := range s.calls {
 				s.check(call)
 				results[call.result.outcome]++
+				if call.runs == 0 && call.result.outcome == string(sycamorerun.Unknown) {
+					results["unknown, no run"]++
+				}
 			}
 			t.Logf("%d calls: %v", len(s.calls), results)
 		})
