registrar, forwarder: a query that refuses a claimed call gives its key back

What callers saw: 502 key-running for a call with an idempotency key that had surely not run, when it was sent again after a query had refused its claim. Cause: the key stayed with the first attempt until its node noticed the loss. Change: Begin takes the function that gives the claim back, and Refuse calls it. Finish reports whether the call still had its claim, so that the end of the first attempt does not free the key of the second one. A call that fails before its launch is never shown as started. Also: TestBodyAfterDeadConnection, kept connections to the upstream that turn out closed, all bodies, one node and two.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -68,6 +68,9 @@
 		})
 	}
 	launch := func() error {
+		if err := context.Cause(ctx); err != nil {
+			return err
+		}
 		if err := onAdmitted(); err != nil {
 			return err
 		}
@@ -111,11 +114,8 @@
 // roundTrip sends the request, if launch permits it, and reads the head of the
 // response, and also the body if it is small.
 func (f *Forwarder) roundTrip(ctx context.Context, watchdog *watchdog, c *call, body io.ReadCloser, attemptNumber uint32, launch func() error, finish func(Completion)) (*attemptResponse, *failure) {
-	if ctx.Err() != nil {
-		return nil, notRun(endReason(ctx, ""))
-	}
 	if err := launch(); err != nil {
-		return nil, notRun(reasonPeerLost)
+		return nil, notRun(endReason(ctx, reasonPeerLost))
 	}
 	started := f.Now()
 	request, err := f.newUpstreamRequest(started, c, attemptNumber, body)
--- a/node/forwarder/fixture_test.go
+++ b/node/forwarder/fixture_test.go
@@ -164,14 +164,17 @@
 // wireRecords connects a node to the records of calls of a run, and to those of keys.
 func (fx *fixture) wireRecords(f *Forwarder, calls *registrar.Registrar) {
 	f.Begin = func(now time.Time, claim Claim) sycamorerun.Decision {
-		return calls.Begin(claim.ID, func() sycamorerun.Decision {
-			return fx.deduplicator.Begin(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint})
+		key := deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint}
+		decide := func() sycamorerun.Decision { return fx.deduplicator.Begin(now, key) }
+		return calls.Begin(claim.ID, decide, func() {
+			fx.deduplicator.Finish(time.Now(), key, deduplicator.Result{Result: sycamorerun.NotRun})
 		})
 	}
 	f.Finish = func(now time.Time, claim Claim, completion Completion) {
-		calls.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent})
-		fx.deduplicator.Finish(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint},
-			deduplicator.Result{Result: completion.Result, Response: completion.Response})
+		if calls.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent}) {
+			fx.deduplicator.Finish(now, deduplicator.Key{Name: claim.Key, Fingerprint: claim.Fingerprint},
+				deduplicator.Result{Result: completion.Result, Response: completion.Response})
+		}
 	}
 	f.Launch = calls.Launch
 	f.End = calls.End
--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -365,6 +367,53 @@
 	}
 }
 
+// dyingConn is a connection to an upstream on which no byte can be written once it is
+// dead.
+type dyingConn struct {
+	*net.TCPConn
+	dead *atomic.Bool
+}
+
+func (c dyingConn) Write(p []byte) (int, error) {
+	if c.dead.Load() {
+		return 0, syscall.EPIPE
+	}
+	return c.TCPConn.Write(p)
+}
+
+// Guards against a body that reaches the upstream in part, a false outcome, or a call that
+// is not tried again, when a kept connection to the upstream turns out closed. A body that
+// streams through a peer may have been read before that shows.
+func TestBodyAfterDeadConnection(t *testing.T) {
+	for name := range resentBodies {
+		t.Run(name, func(t *testing.T) {
+			forBothPaths(t, func(t *testing.T, local bool) {
+				is := is.New(t)
+				c := &resendCase{body: name, attempt: "runs", loss: "never", rejected: make(chan struct{})}
+				fx := newFixture(t, local, c.serve)
+				checkResponses(fx)
+				fx.maxRetries = 1
+				fx.instances = append(fx.instances, fx.instances[0])
+				var dead atomic.Bool
+				transport := fx.upstreamNode.Upstream.(*requester.Requester)
+				dial := transport.Dial
+				transport.Dial = func(ctx context.Context) (net.Conn, error) {
+					conn, err := dial(ctx)
+					if err != nil || dead.Load() {
+						return conn, err
+					}
+					return dyingConn{conn.(*net.TCPConn), &dead}, nil
+				}
+				is.Equal(fx.send(http.MethodGet, "/warm", nil).status, http.StatusOK)
+				dead.Store(true)
+				c.send(t, fx, &resendTotals{})
+				streams := resentBodies[name].chunked || len(resentBodies[name].body) > maxBufferedBodyBytes
+				is.True(c.runs == 1 || !local && streams)
+			})
+		})
+	}
+}
+
 // slowTime and heldTime are for how long a link or a peer delays what is sent.
 const (
 	slowTime = 100 * time.Millisecond
@@ -433,9 +482,13 @@
 }
 
 // Guards against the outcome unknown for a call that its node had claimed, but not yet
-// handed to the upstream, and against a run of that call afterwards.
+// handed to the upstream, against a run of that call afterwards, and against a key that
+// stays claimed by it.
 func TestLostWhileClaimed(t *testing.T) {
-	for name, body := range map[string]string{"streamed": largeBody, "in chunks": largeBody[:1000]} {
+	cases := map[string]struct{ body, key string }{
+		"streamed": {body: largeBody}, "in chunks": {body: largeBody[:1000]}, "with a key": {body: largeBody, key: "k"},
+	}
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			fx := newFixture(t, false, reply("ok"))
@@ -457,11 +510,18 @@
 				}()
 				return client, nil
 			}
-			got := fx.send(http.MethodPost, "/x", struct{ io.Reader }{strings.NewReader(body)})
+			var header []string
+			if c.key != "" {
+				header = []string{sycamorerun.HeaderKey, c.key}
+			}
+			got := fx.send(http.MethodPost, "/x", struct{ io.Reader }{strings.NewReader(c.body)}, header...)
 			close(released)
 			is.Equal(got.body, "ok")
 			fx.entry.pool.close()
 			fx.streams.Wait()
+			if c.key != "" {
+				is.Equal(fx.send(http.MethodPost, "/x", struct{ io.Reader }{strings.NewReader(c.body)}, header...).reason, "key-recorded")
+			}
 			is.Equal(fx.executed.Load(), int64(1))
 		})
 	}
--- a/node/registrar/registrar.go
+++ b/node/registrar/registrar.go
@@ -90,9 +90,9 @@
 	state State
 	// awaited is set while a refused call has not arrived.
 	awaited bool
-	// claimed is set from Begin to Launch. The call is refused if its sender asks about
-	// it meanwhile.
-	claimed bool
+	// release is set from Begin to Launch. If the sender of the call asks about it
+	// meanwhile, the call is refused, and release gives back its claim.
+	release func()
 }
 
 // New returns a registrar without sessions.
@@ -149,14 +149,12 @@
 }
 
 // Launch reports whether a call that was claimed may be handed to the upstream. From then
-// on Refuse says that it has started.
-func (r *Registrar) Launch(id sycamorerun.CallID) bool {
-	return r.setClaimed(id, false)
-}
+// on Refuse says that it has started. If not, the claim has been given back.
+func (r *Registrar) Launch(id sycamorerun.CallID) bool { return r.setRelease(id, nil) }
 
-// setClaimed sets whether a started call is claimed only, and reports whether the call
-// may still run.
-func (r *Registrar) setClaimed(id sycamorerun.CallID, claimed bool) bool {
+// setRelease sets the function that gives back the claim of a started call, and reports
+// whether the call may still run.
+func (r *Registrar) setRelease(id sycamorerun.CallID, release func()) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.session(id)
@@ -166,15 +164,16 @@
 	if s.calls[id.Sequence].state != StateStarted {
 		return false
 	}
-	s.calls[id.Sequence] = record{state: StateStarted, claimed: claimed}
+	s.calls[id.Sequence] = record{state: StateStarted, release: release}
 	return true
 }
 
 // Begin is Start for a call that another decision is needed for, such as that on its
 // idempotency key. If the call must not run, it is refused from now on, unless it may
 // have run before. Launch has to follow before the upstream gets anything of a call that
-// may run.
-func (r *Registrar) Begin(id sycamorerun.CallID, decide func() sycamorerun.Decision) sycamorerun.Decision {
+// may run. Until then Refuse may refuse the call, and calls release to give back what
+// decide has claimed.
+func (r *Registrar) Begin(id sycamorerun.CallID, decide func() sycamorerun.Decision, release func()) sycamorerun.Decision {
 	decision := r.Start(id)
 	if decision.Verdict != sycamorerun.VerdictRun {
 		return decision
@@ -182,7 +181,7 @@
 	decision = decide()
 	switch decision.Verdict {
 	case sycamorerun.VerdictRun:
-		r.setClaimed(id, true)
+		r.setRelease(id, release)
 	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
 		r.Finish(id, Outcome{Result: sycamorerun.NotRun})
 	default:
@@ -192,13 +191,17 @@
 }
 
 // Finish records the outcome of a started call. One that did not run never starts again,
-// so that Refuse reports with certainty that it did not run.
-func (r *Registrar) Finish(id sycamorerun.CallID, outcome Outcome) {
+// so that Refuse reports with certainty that it did not run. Finish reports whether the
+// call still had its claim, which Refuse may have given back.
+func (r *Registrar) Finish(id sycamorerun.CallID, outcome Outcome) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.session(id)
-	if !ok || s.calls[id.Sequence].state != StateStarted {
-		return
+	if !ok {
+		return true
+	}
+	if s.calls[id.Sequence].state != StateStarted {
+		return false
 	}
 	state := StateFinished
 	switch {
@@ -208,6 +211,7 @@
 		state = StateRefused
 	}
 	s.calls[id.Sequence] = record{state: state}
+	return true
 }
 
 // End records that a call that has arrived has ended, whether it had started or not.
@@ -233,28 +237,38 @@
 // Refuse returns the state of a call that a peer sent over a session. If it has not
 // arrived, or has not been launched, it is refused from now on.
 func (r *Registrar) Refuse(sent sycamorerun.Session, sequence uint64) State {
+	state, release := r.refuse(sent, sequence)
+	if release != nil {
+		release()
+	}
+	return state
+}
+
+// refuse is Refuse. It also returns the function that gives back the claim of a call that
+// it has refused, or nil.
+func (r *Registrar) refuse(sent sycamorerun.Session, sequence uint64) (State, func()) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.sessions[sent.Number]
 	if !ok || sent.Run != r.Self {
-		return StateUnknown
+		return StateUnknown, nil
 	}
 	switch call, known := s.calls[sequence]; {
-	case known && call.claimed:
+	case known && call.release != nil:
 		s.calls[sequence] = record{state: StateRefused}
-		return StateRefused
+		return StateRefused, call.release
 	case known:
-		return call.state
+		return call.state, nil
 	case sequence <= s.dropped:
-		return StateUnknown
+		return StateUnknown, nil
 	case s.closed:
-		return StateRefused
+		return StateRefused, nil
 	case r.refusals >= r.limits.Refusals:
-		return StateUnknown
+		return StateUnknown, nil
 	}
 	s.calls[sequence] = record{state: StateRefused, awaited: true}
 	r.refusals++
-	return StateRefused
+	return StateRefused, nil
 }
 
 // session returns the session of a call. A call without a number is not on record,
--- a/node/registrar/registrar_test.go
+++ b/node/registrar/registrar_test.go
@@ -34,7 +34,7 @@
 
 // claim claims a call whose key permits that it runs.
 func claim(r *Registrar, call sycamorerun.CallID) sycamorerun.Verdict {
-	return r.Begin(call, func() sycamorerun.Decision { return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun} }).Verdict
+	return r.Begin(call, func() sycamorerun.Decision { return sycamorerun.Decision{Verdict: sycamorerun.VerdictRun} }, func() {}).Verdict
 }
 
 // run plays a call that arrives, runs with a result and ends.
--- a/node/runner/calls.go
+++ b/node/runner/calls.go
@@ -146,8 +146,9 @@
 	f.Begin = c.begin
 	f.Launch = c.registrar.Launch
 	f.Finish = func(now time.Time, claim forwarder.Claim, completion forwarder.Completion) {
-		c.registrar.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent})
-		c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result{Result: completion.Result, Response: completion.Response})
+		if c.registrar.Finish(claim.ID, registrar.Outcome{Result: completion.Result, Sent: completion.Sent}) {
+			c.deduplicator.Finish(now, deduplicatorKey(claim), deduplicator.Result{Result: completion.Result, Response: completion.Response})
+		}
 	}
 	f.End = c.registrar.End
 	f.Refuse = func(sent sycamorerun.Session, sequence uint64) forwarder.CallState {
@@ -160,8 +161,9 @@
 // begin claims the execution of a call: the attempt must not have been refused, and its
 // key must not have been used.
 func (c *calls) begin(now time.Time, claim forwarder.Claim) sycamorerun.Decision {
-	return c.registrar.Begin(claim.ID, func() sycamorerun.Decision {
-		return c.deduplicator.Begin(now, deduplicatorKey(claim))
+	decide := func() sycamorerun.Decision { return c.deduplicator.Begin(now, deduplicatorKey(claim)) }
+	return c.registrar.Begin(claim.ID, decide, func() {
+		c.deduplicator.Finish(time.Now(), deduplicatorKey(claim), deduplicator.Result{Result: sycamorerun.NotRun})
 	})
 }
 
