--- a/node/forwarder/forwarder.go
+++ b/node/forwarder/forwarder.go
@@ -95,9 +95,8 @@
 	Load func(match Match) *Load
 	// Begin claims the execution of a call. Launch reports whether a claimed call
 	// may be handed to the upstream. Finish gives the claim back, unless Refuse has,
-	// and records the end of the execution.
-	// End records that a call that arrived from a peer has ended, whether it was
-	// executed or not.
+	// and records the end of the execution. End records that a call that arrived from
+	// a peer has ended, whether it was executed or not.
 	Begin  func(now time.Time, claim Claim) sycamorerun.Decision
 	Launch func(id sycamorerun.CallID) bool
 	Finish func(now time.Time, claim Claim, completion Completion)
