registrar: one function replaces the record of a started call

Cause: Launch, Begin and Finish each looked up the session and checked that the call is started, in two functions with the same lines. Change: replace does it for all three. No change of behaviour.

--- a/node/registrar/registrar.go
+++ b/node/registrar/registrar.go
@@ -150,11 +150,13 @@
 
 // Launch reports whether a call that was claimed may be handed to the upstream. From then
 // on Refuse says that it has started. If not, the claim has been given back.
-func (r *Registrar) Launch(id sycamorerun.CallID) bool { return r.setRelease(id, nil) }
+func (r *Registrar) Launch(id sycamorerun.CallID) bool {
+	return r.replace(id, record{state: StateStarted})
+}
 
-// setRelease sets the function that gives back the claim of a started call, and reports
-// whether the call may still run.
-func (r *Registrar) setRelease(id sycamorerun.CallID, release func()) bool {
+// replace replaces the record of a started call, and reports whether the call still has
+// its claim, which Refuse may have given back.
+func (r *Registrar) replace(id sycamorerun.CallID, next record) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	s, ok := r.session(id)
@@ -164,7 +166,7 @@
 	if s.calls[id.Sequence].state != StateStarted {
 		return false
 	}
-	s.calls[id.Sequence] = record{state: StateStarted, release: release}
+	s.calls[id.Sequence] = next
 	return true
 }
 
@@ -181,7 +183,7 @@
 	decision = decide()
 	switch decision.Verdict {
 	case sycamorerun.VerdictRun:
-		r.setRelease(id, release)
+		r.replace(id, record{state: StateStarted, release: release})
 	case sycamorerun.VerdictRefused, sycamorerun.VerdictMismatch:
 		r.Finish(id, Outcome{Result: sycamorerun.NotRun})
 	default:
@@ -194,15 +196,6 @@
 // so that Refuse reports with certainty that it did not run. Finish reports whether the
 // call still had its claim, which Refuse may have given back.
 func (r *Registrar) Finish(id sycamorerun.CallID, outcome Outcome) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	s, ok := r.session(id)
-	if !ok {
-		return true
-	}
-	if s.calls[id.Sequence].state != StateStarted {
-		return false
-	}
 	state := StateFinished
 	switch {
 	case outcome.Result == sycamorerun.NotRun && outcome.Sent:
@@ -210,8 +203,7 @@
 	case outcome.Result == sycamorerun.NotRun:
 		state = StateRefused
 	}
-	s.calls[id.Sequence] = record{state: state}
-	return true
+	return r.replace(id, record{state: state})
 }
 
 // End records that a call that has arrived has ended, whether it had started or not.
