forwarder: launch reports whether the call may go to the upstream, and no error

Cause: nobody used the errors that it returned. handleCall ended a failed and an answered call by the same two steps, written twice. Change: launch is one condition; finish serves both ends. No change of behaviour.

--- a/node/forwarder/execute.go
+++ b/node/forwarder/execute.go
@@ -32,10 +32,6 @@
 	received *receivedBody
 }
 
-// errRefused means that the sender of a call asked about it before it was launched, and
-// was told that it does not run.
-var errRefused = errors.New("call refused by a query")
-
 // execute sends a call to the upstream beside this node. It calls onAdmitted
 // once the call holds a slot and may start.
 func (f *Forwarder) execute(ctx context.Context, watchdog *watchdog, c *call, id sycamorerun.CallID, body io.ReadCloser, attemptNumber uint32, onAdmitted func() error) (*attemptResponse, *failure) {
@@ -67,18 +63,7 @@
 			release()
 		})
 	}
-	launch := func() error {
-		if err := context.Cause(ctx); err != nil {
-			return err
-		}
-		if err := onAdmitted(); err != nil {
-			return err
-		}
-		if !f.Launch(id) {
-			return errRefused
-		}
-		return nil
-	}
+	launch := func() bool { return ctx.Err() == nil && onAdmitted() == nil && f.Launch(id) }
 	out, failed := f.roundTrip(ctx, watchdog, c, body, attemptNumber, launch, finish)
 	if failed != nil {
 		finish(Completion{Result: failed.result, Sent: failed.sent})
@@ -113,8 +98,8 @@
 
 // roundTrip sends the request, if launch permits it, and reads the head of the
 // response, and also the body if it is small.
-func (f *Forwarder) roundTrip(ctx context.Context, watchdog *watchdog, c *call, body io.ReadCloser, attemptNumber uint32, launch func() error, finish func(Completion)) (*attemptResponse, *failure) {
-	if err := launch(); err != nil {
+func (f *Forwarder) roundTrip(ctx context.Context, watchdog *watchdog, c *call, body io.ReadCloser, attemptNumber uint32, launch func() bool, finish func(Completion)) (*attemptResponse, *failure) {
+	if !launch() {
 		return nil, notRun(endReason(ctx, reasonPeerLost))
 	}
 	started := f.Now()
--- a/node/forwarder/serve_call.go
+++ b/node/forwarder/serve_call.go
@@ -71,6 +71,10 @@
 		defer end()
 		return f.sendRefusal(frames, Match{}, notRun(reasonDraining))
 	}
+	finish := func() {
+		f.drain.end(watchdog)
+		end()
+	}
 	inbound.watchdog.Store(watchdog)
 	onAdmitted := func() error {
 		if c.buffered {
@@ -80,8 +84,7 @@
 	}
 	out, failed := f.execute(ctx, watchdog, c, inbound.id, inbound.requestBody(c), inbound.head.GetAttempt(), onAdmitted)
 	if failed != nil {
-		defer end()
-		defer f.drain.end(watchdog)
+		defer finish()
 		_ = level.Debug(f.Logger).Log("msg", "call from a peer failed", "request", inbound.head.GetId(),
 			"service", c.match.Service, "result", failed.result, "reason", failed.reason)
 		return f.sendRefusal(frames, c.match, failed)
@@ -89,10 +92,6 @@
 	_ = level.Debug(f.Logger).Log("msg", "call from a peer answered", "request", inbound.head.GetId(),
 		"service", c.match.Service, "status", out.status)
 	keep := f.sendResponse(ctx, watchdog, frames, c, out)
-	finish := func() {
-		f.drain.end(watchdog)
-		end()
-	}
 	if !out.isUploading() {
 		finish()
 		return keep
