forwarder, registrar: tests share the wait for a condition and the line of totals

Cause: waitExecuted and waitFor were the same loop, and two tests of lost calls wrote the same totals. Change: one of each. No assertion changed.

--- a/node/forwarder/early_response_test.go
+++ b/node/forwarder/early_response_test.go
@@ -55,8 +55,7 @@
 					got <- earlyUpload{string(data), err}
 				})
 				reader, writer := io.Pipe()
-				var body io.Reader = reader
-				r, err := http.NewRequest(http.MethodPost, fx.callerServer.URL+"/x", body)
+				r, err := http.NewRequest(http.MethodPost, fx.callerServer.URL+"/x", reader)
 				is.NoErr(err)
 				if !c.chunked {
 					r.ContentLength = int64(len(largeBody))
--- a/node/forwarder/fixture_test.go
+++ b/node/forwarder/fixture_test.go
@@ -271,12 +271,20 @@
 // before the upstream's server has started the handler.
 func (fx *fixture) waitExecuted(t *testing.T, executions int64) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); fx.executed.Load() < executions && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
+	waitFor(func() bool { return fx.executed.Load() >= executions })
 	is.New(t).Equal(fx.executed.Load(), executions)
 }
 
+// waitFor waits for a condition for at most 5 s and reports whether it holds.
+func waitFor(condition func() bool) bool {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
 func (fx *fixture) do(r *http.Request) callResult {
 	response, err := fx.callerServer.Client().Do(r)
 	if err != nil {
--- a/node/forwarder/lost_call_test.go
+++ b/node/forwarder/lost_call_test.go
@@ -73,8 +73,8 @@
 )
 
 // Guards against the same faults as TestBodyAfterLostStream on connections between nodes
-// that go silent, are reset or slow, or to a peer that stands still, before a call or before the
-// upstream rejects it.
+// that go silent, are reset or slow, or to a peer that stands still, before a call or
+// before the upstream rejects it.
 func TestBodyOnFailingConnection(t *testing.T) {
 	failures := map[string]func(*dropper){
 		"silent": (*dropper).drop, "reset": (*dropper).cut,
@@ -94,8 +94,7 @@
 			}
 		}
 	})
-	t.Logf("%d calls: %d answered, %d not run, %d unknown, of which %d had not run",
-		totals.calls, totals.answered, totals.notRun, totals.unknown, totals.unknownNotRun)
+	totals.log(t)
 }
 
 // playOnSession plays the case on a session that fails.
--- a/node/forwarder/peer_calls_test.go
+++ b/node/forwarder/peer_calls_test.go
@@ -53,8 +53,9 @@
 }
 
 // Guards against an upload that looks complete although its end frame is
-// missing, or is that of another body or of a longer one. The test reads the body itself, since the cancellation that follows
-// would usually hide a false end from an upstream.
+// missing, or is that of another body or of a longer one. The test reads the body
+// itself, since the cancellation that follows would usually hide a false end from
+// an upstream.
 func TestUploadWithoutEnd(t *testing.T) {
 	for name, c := range map[string]struct {
 		frame    *Frame
@@ -206,16 +207,6 @@
 	}}
 }
 
-// waitFor waits for a condition for at most 5 s and reports whether it holds.
-func waitFor(condition func() bool) bool {
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if condition() {
-			return true
-		}
-	}
-	return false
-}
-
 // Guards against a second execution under an idempotency key, and against a
 // recorded response that is returned for a different request.
 func TestIdempotencyKeys(t *testing.T) {
--- a/node/forwarder/resend_test.go
+++ b/node/forwarder/resend_test.go
@@ -81,6 +81,10 @@
 	}
 }
 
+func (s *resendTotals) log(t *testing.T) {
+	t.Logf("%d calls: %d answered, %d not run, %d unknown, of which %d had not run", s.calls, s.answered, s.notRun, s.unknown, s.unknownNotRun)
+}
+
 // Guards against an upstream that gets a part of a body as if it were the whole one,
 // whatever way the call is sent again after its stream was lost, against a second run,
 // against attempts beyond the retry budget, and against a wrong outcome.
@@ -103,8 +107,7 @@
 			}
 		}
 	})
-	t.Logf("%d calls: %d answered, %d not run, %d unknown, of which %d had not run",
-		totals.calls, totals.answered, totals.notRun, totals.unknown, totals.unknownNotRun)
+	totals.log(t)
 }
 
 // lastCase is the number of the newest case.
--- a/node/registrar/registrar_test.go
+++ b/node/registrar/registrar_test.go
@@ -295,9 +295,9 @@
 }
 
 // TestNoFalseRefusal guards against a call that is called refused and has run or runs
-// later, or that was rejected by the upstream and is said not to have reached it: with restarts faster than any round trip, answers and calls that are late
-// without bound, sessions that end and clocks that jump. REGISTRAR_SEEDS sets the number
-// of seeds.
+// later, or that was rejected by the upstream and is said not to have reached it: with
+// restarts faster than any round trip, answers and calls that are late without bound,
+// sessions that end and clocks that jump. REGISTRAR_SEEDS sets the number of seeds.
 func TestNoFalseRefusal(t *testing.T) {
 	seeds, _ := strconv.ParseUint(os.Getenv("REGISTRAR_SEEDS"), 10, 64)
 	refused := 0
